--- /dev/null
+++ b/crates/camphorwardd/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/protocol/src/message.rs
@@ -0,0 +1,3 @@
+//! Messages between entry hosts, sent as MessagePack over HTTP.
+
+pub mod place;
