--- /dev/null
+++ b/crates/clients/src/stream.rs
@@ -0,0 +1,74 @@
+//! The stream of an engine's answer, with silence and wrong heads told apart.
+
+use crate::error::ClientError;
+use crate::wire::engine::StreamEvent;
+use bytes::Bytes;
+use eventsource_stream::{Event, EventStreamError, Eventsource};
+use futures_util::{Stream, StreamExt};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// The data of the last event.
+const DONE: &str = "[DONE]";
+
+type Events = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<ClientError>>> + Send>>;
+
+/// Reads the events of one answer.
+pub struct AnswerStream {
+    events: Events,
+}
+
+impl AnswerStream {
+    /// Reads events from a body; nothing at all for `silence` counts as a silent connection.
+    pub fn new(body: Incoming, silence: Duration) -> Self {
+        Self { events: Box::pin(read_bytes(body, silence).eventsource()) }
+    }
+
+    /// Returns the next event; `None` after the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError::Silent`], [`ClientError::Broken`] or [`ClientError::Malformed`].
+    pub async fn next(&mut self) -> Result<Option<StreamEvent>, ClientError> {
+        let Some(event) = self.events.next().await else {
+            return Err(ClientError::Broken("closed before the last event".to_owned()));
+        };
+        let event = event.map_err(sort_error)?;
+        if event.data == DONE {
+            return Ok(None);
+        }
+        let parsed = serde_json::from_str(&event.data);
+        parsed.map(Some).map_err(|error| ClientError::Malformed(error.to_string()))
+    }
+}
+
+impl std::fmt::Debug for AnswerStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("AnswerStream")
+    }
+}
+
+fn read_bytes(
+    body: Incoming,
+    silence: Duration,
+) -> impl Stream<Item = Result<Bytes, ClientError>> + Send {
+    futures_util::stream::unfold(body, move |mut body| async move {
+        let frame = tokio::time::timeout(silence, body.frame()).await;
+        let bytes = match frame {
+            Err(_) => Err(ClientError::Silent(silence)),
+            Ok(None) => return None,
+            Ok(Some(Err(error))) => Err(ClientError::Broken(error.to_string())),
+            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+        };
+        Some((bytes, body))
+    })
+}
+
+fn sort_error(error: EventStreamError<ClientError>) -> ClientError {
+    match error {
+        EventStreamError::Transport(error) => error,
+        other => ClientError::Malformed(other.to_string()),
+    }
+}
