Define the bodies of the operators' listener

Cause: the daemon's operators' listener and the command line need one set of types. Ruled out: bare maps and tuples (fields would drift apart between the two programs). Conclusion: both sides can be written against them.

--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,3 +1,4 @@
-//! Messages between entry hosts, sent as MessagePack over HTTP.
+//! Messages between entry hosts, sent as MessagePack over HTTP, and the operators' JSON bodies.
 
+pub mod operator;
 pub mod place;
