--- /dev/null
+++ b/crates/camphorwardd/src/callers.rs
@@ -0,0 +1,86 @@
+//! The callers' listener: chat, completions, models, plain services and health.
+
+mod auth;
+mod body;
+mod chat;
+mod completions;
+mod format;
+mod health;
+mod models;
+mod plain;
+mod respond;
+
+use crate::node::{Node, NodeHandle};
+use crate::reply::{self, Failure};
+use crate::serve::{Call, build_node_router, handle};
+use futures_util::future::BoxFuture;
+use gotham::helpers::http::Body;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
+use gotham::state::{FromState, State};
+use http::{Method, Response, StatusCode};
+use protocol::error::ErrorKind;
+use std::sync::Arc;
+
+/// Builds the router of the callers' listener.
+pub(crate) fn build_router(node: &Arc<Node>) -> Router {
+    build_node_router(node, |route| {
+        route
+            .post("/v1/chat/completions")
+            .to(|state| handle(state, |call| box_up(chat::answer(call))));
+        route
+            .post("/v1/completions")
+            .to(|state| handle(state, |call| box_up(completions::answer(call))));
+        route.get("/v1/models").to(|state| handle(state, |call| box_up(models::answer(call))));
+        route
+            .request(
+                vec![Method::GET, Method::POST, Method::PUT, Method::DELETE],
+                "/v1/services/:service/*",
+            )
+            .to(|state| handle(state, |call| box_up(plain::answer(call))));
+        route.get("/healthz").to(|state| handle(state, |call| box_up(health::answer_live(call))));
+        route.get("/readyz").to(|state| handle(state, |call| box_up(health::answer_ready(call))));
+        route.add_response_extender(StatusCode::NOT_FOUND, replace_not_found);
+        route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, replace_wrong_method);
+    })
+}
+
+fn box_up(
+    answer: impl Future<Output = Response<Body>> + Send + 'static,
+) -> BoxFuture<'static, Response<Body>> {
+    Box::pin(answer)
+}
+
+fn replace_not_found(state: &mut State, response: &mut Response<Body>) {
+    replace_empty(state, response, ErrorKind::UnknownService, "no such path");
+}
+
+fn replace_wrong_method(state: &mut State, response: &mut Response<Body>) {
+    replace_empty(state, response, ErrorKind::MethodNotAllowed, "the path takes another method");
+}
+
+/// Gives the router's own refusals the shape that all errors have.
+fn replace_empty(state: &State, response: &mut Response<Body>, kind: ErrorKind, message: &str) {
+    if response.headers().contains_key(http::header::CONTENT_TYPE) {
+        return;
+    }
+    NodeHandle::borrow_from(state).node().counters.count_refusal(kind);
+    *response = reply::failure(&Failure::new(kind, message));
+}
+
+/// Counts a refusal and builds its answer.
+pub(crate) fn refuse(call_node: &Node, failure: &Failure) -> Response<Body> {
+    call_node.counters.count_refusal(failure.kind);
+    reply::failure(failure)
+}
+
+/// Returns why a call cannot be taken now, if it cannot.
+fn check_ready(call: &Call) -> Result<(), Failure> {
+    if call.node.flights.is_draining() {
+        return Err(Failure::new(ErrorKind::Draining, "this host is draining"));
+    }
+    match call.node.not_ready_reason() {
+        Some(reason) => Err(Failure::new(ErrorKind::NotReady, reason)),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/camphorwardd/src/callers/body.rs
@@ -0,0 +1,85 @@
+//! The bodies that callers send for chat and completions.
+
+use crate::constants::DEFAULT_ANSWER_TOKENS;
+use crate::reply::Failure;
+use protocol::error::ErrorKind;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// Holds the body of a completion call; fields that have no meaning here are ignored.
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: Option<u64>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    pub(crate) priority: i32,
+}
+
+/// Holds the body of a chat call; fields that have no meaning here are ignored.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ChatBody {
+    pub(crate) model: String,
+    pub(crate) messages: Vec<ChatMessage>,
+    pub(crate) max_tokens: Option<u64>,
+    pub(crate) max_completion_tokens: Option<u64>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    pub(crate) priority: i32,
+}
+
+/// Holds one message of a chat.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ChatMessage {
+    pub(crate) role: String,
+    pub(crate) content: String,
+}
+
+/// Renders the messages of a chat as one prompt.
+///
+/// The text of a longer chat starts with the text of the shorter one, so pieces stay reusable.
+pub(crate) fn render_chat(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str("<|");
+        prompt.push_str(&message.role);
+        prompt.push_str("|>\n");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
+    }
+    prompt
+}
+
+/// Reads a JSON body; the error names the place but never quotes the text.
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| {
+        let place = format!("line {}, column {}", error.line(), error.column());
+        let what = match error.classify() {
+            serde_json::error::Category::Data => describe_data_error(&error),
+            _ => "the body is not valid JSON".to_owned(),
+        };
+        Failure::new(ErrorKind::MalformedRequest, format!("{what} at {place}"))
+    })
+}
+
+/// Names a wrong field without quoting the caller's text, which may hold its prompt.
+fn describe_data_error(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    if text.starts_with("missing field") {
+        return text.split(" at line").next().unwrap_or_default().to_owned();
+    }
+    "a field has the wrong type".to_owned()
+}
+
+/// Returns the longest answer in tokens, within the settings.
+pub(crate) fn answer_tokens(asked: Option<u64>, most: u64) -> Result<u64, Failure> {
+    let tokens = asked.unwrap_or(DEFAULT_ANSWER_TOKENS.min(most));
+    if tokens == 0 || tokens > most {
+        let message = format!("max_tokens must be between 1 and {most} (limits.answer_tokens)");
+        return Err(Failure::new(ErrorKind::MalformedRequest, message));
+    }
+    Ok(tokens)
+}
--- /dev/null
+++ b/crates/camphorwardd/src/callers/health.rs
@@ -0,0 +1,25 @@
+//! `GET /healthz` and `GET /readyz`.
+
+use crate::reply;
+use crate::serve::Call;
+use gotham::helpers::http::Body;
+use http::{Response, StatusCode};
+use serde::Serialize;
+
+#[derive(Serialize)]
+struct Health {
+    ready: bool,
+    reason: Option<&'static str>,
+}
+
+/// Answers that the process runs.
+pub(crate) async fn answer_live(_call: Call) -> Response<Body> {
+    reply::bytes_answer(StatusCode::OK, "text/plain", "ok\n".into())
+}
+
+/// Answers whether the host takes requests.
+pub(crate) async fn answer_ready(call: Call) -> Response<Body> {
+    let reason = call.node.not_ready_reason();
+    let status = reason.map_or(StatusCode::OK, |_| StatusCode::SERVICE_UNAVAILABLE);
+    reply::json(status, &Health { ready: reason.is_none(), reason })
+}
--- /dev/null
+++ b/crates/camphorwardd/src/callers/plain.rs
@@ -0,0 +1,165 @@
+//! `/v1/services/{service}/...`: calls of plain services.
+
+use crate::callers::respond::new_request_id;
+use crate::callers::{auth, check_ready, refuse};
+use crate::directory::Directory;
+use crate::hosts::Server;
+use crate::node::Node;
+use crate::reply::{self, Failure, REQUEST_HEADER};
+use crate::serve::Call;
+use bytes::Bytes;
+use clients::error::ClientError;
+use clients::http::{build_request, read_body};
+use clients::wire::engine::ATTEMPT_HEADER;
+use gotham::helpers::http::Body;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Response, StatusCode};
+use protocol::error::ErrorKind;
+use protocol::ids::{RequestId, ServiceName};
+use settings::services::{CallEntry, OrderService};
+use std::time::Duration;
+
+const PREFIX: &str = "/v1/services/";
+const ANY_REST: &str = "*";
+
+/// Holds one call of a plain service, matched to its entry.
+struct PlainCall {
+    service: ServiceName,
+    settings: OrderService,
+    entry: CallEntry,
+    path: String,
+}
+
+/// Answers a call of a plain service.
+pub(crate) async fn answer(call: Call) -> Response<Body> {
+    let request_id = new_request_id();
+    let result = match prepare(&call) {
+        Ok(plain) => forward(&call, &plain, &request_id).await,
+        Err(failure) => Err(failure),
+    };
+    let mut response = result.unwrap_or_else(|failure| refuse(&call.node, &failure));
+    reply::set_header(&mut response, REQUEST_HEADER, request_id.as_str());
+    response
+}
+
+fn prepare(call: &Call) -> Result<PlainCall, Failure> {
+    check_ready(call)?;
+    let directory = call.node.directory();
+    auth::find_organisation(&call.headers, &directory)?;
+    match_call(call, &directory)
+}
+
+fn match_call(call: &Call, directory: &Directory) -> Result<PlainCall, Failure> {
+    let rest = call.uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let unknown = |message: &str| Failure::new(ErrorKind::UnknownService, message);
+    let service: ServiceName = name.parse().map_err(|_| unknown("no such service"))?;
+    let settings = directory.order_service(&service).ok_or_else(|| unknown("no such service"))?;
+    let path = format!("/{path}");
+    let on_path: Vec<&CallEntry> =
+        settings.calls.iter().filter(|entry| matches_path(&entry.path, &path)).collect();
+    if on_path.is_empty() {
+        return Err(unknown("the service has no such call"));
+    }
+    let Some(entry) = on_path.into_iter().find(|entry| entry.method == call.method.as_str()) else {
+        let message = "the call takes another method";
+        return Err(Failure::new(ErrorKind::MethodNotAllowed, message));
+    };
+    Ok(PlainCall { entry: entry.clone(), settings: settings.clone(), service, path })
+}
+
+/// Matches a path to a pattern whose last segment may be `*`.
+fn matches_path(pattern: &str, path: &str) -> bool {
+    match pattern.strip_suffix(ANY_REST) {
+        Some(start) => path.len() > start.len() && path.starts_with(start),
+        None => path == pattern,
+    }
+}
+
+/// Sends the call; an idempotent one to another server if the first cannot be reached.
+async fn forward(
+    call: &Call,
+    plain: &PlainCall,
+    request_id: &RequestId,
+) -> Result<Response<Body>, Failure> {
+    let servers = call.node.hosts.servers(&plain.service);
+    let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
+    for (attempt, server) in servers.iter().filter(|server| !server.leaving).enumerate() {
+        match send(call, plain, server, request_id, attempt).await {
+            Ok(response) => return Ok(response),
+            Err(error) => {
+                let kind = sort_error(&error, plain.entry.idempotent);
+                log::warn!(
+                    "request={request_id} server={} failed kind={kind}: {error}",
+                    server.host
+                );
+                last = Failure::new(kind, "the server of the service failed");
+                if !plain.entry.idempotent && !error.is_unsent() {
+                    return Err(last);
+                }
+                call.node.counters.count_retry(kind);
+            }
+        }
+    }
+    Err(last)
+}
+
+fn sort_error(error: &ClientError, idempotent: bool) -> ErrorKind {
+    match error {
+        ClientError::Unreachable(_) => ErrorKind::ServerUnreachable,
+        _ if !idempotent => ErrorKind::OutcomeUnknown,
+        ClientError::Silent(_) => ErrorKind::ServerSilent,
+        ClientError::Broken(_) => ErrorKind::ServerDied,
+        ClientError::Refused { .. } | ClientError::Malformed(_) => ErrorKind::BadServerAnswer,
+    }
+}
+
+async fn send(
+    call: &Call,
+    plain: &PlainCall,
+    server: &Server,
+    request_id: &RequestId,
+    attempt: usize,
+) -> Result<Response<Body>, ClientError> {
+    let query = call.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    let path = format!("{}{query}", plain.path);
+    let content_type = content_type(call);
+    let body = call.body.clone();
+    let mut request =
+        build_request(call.method.clone(), server.address, &path, &content_type, body)?;
+    let attempt_id = format!("{request_id}.{attempt}");
+    if let Ok(value) = HeaderValue::from_str(&attempt_id) {
+        request.headers_mut().insert(ATTEMPT_HEADER, value);
+    }
+    if let Some(key) = call.headers.get(IDEMPOTENCY_HEADER) {
+        request.headers_mut().insert(IDEMPOTENCY_HEADER, key.clone());
+    }
+    exchange(&call.node, server, request, Duration::from_millis(plain.settings.deadline_ms)).await
+}
+
+/// The header that names an order across its resends.
+pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
+
+async fn exchange(
+    node: &Node,
+    server: &Server,
+    request: http::Request<http_body_util::Full<Bytes>>,
+    deadline: Duration,
+) -> Result<Response<Body>, ClientError> {
+    let answer = node.clients.fresh_http.send(server.address, request, deadline).await?;
+    let status = answer.status();
+    let content_type = answer.headers().get(CONTENT_TYPE).cloned();
+    let body = tokio::time::timeout(deadline, read_body(answer.into_body()));
+    let body = body.await.map_err(|_| ClientError::Silent(deadline))??;
+    let content_type = content_type.as_ref().and_then(|value| value.to_str().ok());
+    let status = StatusCode::from_u16(status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    Ok(reply::bytes_answer(status, content_type.unwrap_or(reply::JSON), body))
+}
+
+fn content_type(call: &Call) -> String {
+    if call.method == Method::GET {
+        return String::new();
+    }
+    let value = call.headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    value.unwrap_or(reply::JSON).to_owned()
+}
--- /dev/null
+++ b/crates/camphorwardd/src/cli.rs
@@ -0,0 +1,100 @@
+//! The daemon's command line.
+
+use crate::daemon::{Daemon, DrainEnd};
+use argh::FromArgs;
+use eyre::WrapErr;
+use settings::process::{LogLevel, ProcessSettings};
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The exit code for settings that do not pass the check.
+const EXIT_INPUT_WRONG: u8 = 2;
+/// The exit code for a drain that cut requests off.
+const EXIT_CUT_OFF: u8 = 6;
+
+/// Runs the daemon of one entry host.
+#[derive(Debug, FromArgs)]
+pub struct Arguments {
+    /// the settings, JSON with comments
+    #[argh(option)]
+    pub settings: PathBuf,
+    /// check the settings, print them with all defaults, and exit with 0 or 2
+    #[argh(switch)]
+    pub check: bool,
+}
+
+/// Runs the daemon until a signal ends it.
+///
+/// # Errors
+///
+/// Returns an error if the daemon cannot start.
+pub fn run(arguments: &Arguments) -> eyre::Result<ExitCode> {
+    let settings = match read_settings(arguments) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("{}: {message}", arguments.settings.display());
+            return Ok(ExitCode::from(EXIT_INPUT_WRONG));
+        }
+    };
+    if arguments.check {
+        println!("{}", serde_json::to_string_pretty(&settings)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    start_log(settings.log_level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let code = runtime.block_on(serve_until_signal(settings))?;
+    // Tasks of finished requests may still tell other hosts; they need not be waited for.
+    runtime.shutdown_background();
+    Ok(code)
+}
+
+fn read_settings(arguments: &Arguments) -> Result<ProcessSettings, String> {
+    let text = std::fs::read_to_string(&arguments.settings).map_err(|error| error.to_string())?;
+    settings::parse_process_settings(&text).map_err(|report| report.to_string())
+}
+
+async fn serve_until_signal(settings: ProcessSettings) -> eyre::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot watch SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot watch SIGINT")?;
+    let daemon = Daemon::start(settings).await?;
+    println!("{}", serde_json::to_string(&daemon.addresses())?);
+    next_signal(&mut terminate, &mut interrupt).await;
+    log::info!("signal received, draining; a second signal ends at once");
+    let end = tokio::select! {
+        end = daemon.drain() => end,
+        () = next_signal(&mut terminate, &mut interrupt) => {
+            log::warn!("second signal received, ending at once");
+            return Ok(ExitCode::from(EXIT_CUT_OFF));
+        }
+    };
+    Ok(match end {
+        DrainEnd::Finished => ExitCode::SUCCESS,
+        DrainEnd::BoundPassed { .. } => ExitCode::from(EXIT_CUT_OFF),
+    })
+}
+
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+fn start_log(level: LogLevel) -> eyre::Result<()> {
+    let config =
+        ConfigBuilder::new().set_time_format_rfc3339().add_filter_allow_str("camphorwardd").build();
+    WriteLogger::init(to_filter(level), config, std::io::stderr()).wrap_err("cannot start the log")
+}
+
+const fn to_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Off => LevelFilter::Off,
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
--- /dev/null
+++ b/crates/camphorwardd/src/constants.rs
@@ -0,0 +1,40 @@
+//! Times, sizes and counts of the daemon.
+
+use std::time::Duration;
+
+/// How often the host list is read.
+pub(crate) const HOST_LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How often each server's load is read.
+pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
+/// How long one read of the log waits for a record.
+pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
+/// The pause after a failed read of the log.
+pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The most records read at once.
+pub(crate) const LOG_PAGE_RECORDS: usize = 256;
+/// How long the home of a prompt may take to answer.
+pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long a peer may take to answer any other message.
+pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The most attempts at one request.
+pub(crate) const MAX_ATTEMPTS: u32 = 5;
+/// How many usual token gaps without a byte make a connection silent.
+pub(crate) const SILENCE_TOKEN_GAPS: u32 = 25;
+/// The shortest time without a byte that makes a connection silent.
+pub(crate) const MIN_SILENCE: Duration = Duration::from_millis(1_000);
+/// How long an export may take.
+pub(crate) const EXPORT_TIMEOUT: Duration = Duration::from_millis(30_000);
+/// How long an import may take beyond what is expected.
+pub(crate) const IMPORT_MARGIN: Duration = Duration::from_millis(1_000);
+/// How many parts of an answer may wait for a caller to read.
+pub(crate) const ANSWER_QUEUE: usize = 64;
+/// How long the outcome of a finished request is remembered for `why`, in requests.
+pub(crate) const EXPLAINED_REQUESTS: usize = 2_048;
+/// How often the drain looks whether requests are still under way.
+pub(crate) const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How long a connection may stay without a byte in either direction.
+pub(crate) const IDLE_CONNECTION: Duration = Duration::from_secs(120);
+/// The longest answer when the caller names no limit, in tokens.
+pub(crate) const DEFAULT_ANSWER_TOKENS: u64 = 256;
+/// How long a store host may take to say which blocks it keeps, while a caller waits.
+pub(crate) const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/camphorwardd/src/daemon.rs
@@ -0,0 +1,158 @@
+//! Starts, drains and stops all parts of one daemon.
+
+use crate::constants::DRAIN_POLL;
+use crate::node::{BoundAddresses, Node};
+use crate::{callers, follow, operators, peers, serve};
+use protocol::ids::Incarnation;
+use settings::process::ProcessSettings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+/// Reports why a daemon did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A listener's address cannot be taken.
+    #[error("listen.{listener}: cannot listen on {address}: {source}")]
+    Listen {
+        /// The field of the settings.
+        listener: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// No socket can be opened for the counters.
+    #[error("statsd: cannot open a socket: {0}")]
+    Statsd(std::io::Error),
+}
+
+/// Says how a drain ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DrainEnd {
+    /// All requests were answered.
+    Finished,
+    /// The bound passed with requests still under way.
+    BoundPassed {
+        /// The requests that were cut off.
+        cut_off: u64,
+    },
+}
+
+/// Runs all parts of one daemon until it is drained, killed or dropped.
+#[derive(Debug)]
+pub struct Daemon {
+    node: Arc<Node>,
+    listeners: JoinSet<()>,
+    followers: JoinSet<()>,
+}
+
+impl Daemon {
+    /// Starts a daemon in the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if a listener cannot be opened.
+    pub async fn start(settings: ProcessSettings) -> Result<Self, StartError> {
+        let callers = listen("callers", settings.listen.callers).await?;
+        let peers = listen("peers", settings.listen.peers).await?;
+        let operators = listen("operators", settings.listen.operators).await?;
+        let addresses = BoundAddresses {
+            callers: local_address(&callers, settings.listen.callers),
+            peers: local_address(&peers, settings.listen.peers),
+            operators: local_address(&operators, settings.listen.operators),
+        };
+        let node = Node::new(settings, new_incarnation(), addresses).map_err(StartError::Statsd)?;
+        let node = Arc::new(node);
+        let mut listeners = JoinSet::new();
+        let routers = [
+            (callers, callers::build_router(&node)),
+            (peers, peers::build_router(&node)),
+            (operators, operators::build_router(&node)),
+        ];
+        for (listener, router) in routers {
+            listeners.spawn(serve::serve(listener, router, Arc::clone(&node)));
+        }
+        let mut followers = JoinSet::new();
+        follow::start(&node, &mut followers);
+        log::info!("host {} listens for callers on {}", node.settings.host, addresses.callers);
+        Ok(Self { node, listeners, followers })
+    }
+
+    /// Returns the addresses that the daemon listens on.
+    pub fn addresses(&self) -> BoundAddresses {
+        self.node.addresses
+    }
+
+    /// Returns the daemon's incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.node.incarnation
+    }
+
+    /// Returns whether the daemon takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.node.not_ready_reason().is_none()
+    }
+
+    /// Returns whether the daemon was told to drain.
+    pub fn is_draining(&self) -> bool {
+        self.node.flights.is_draining()
+    }
+
+    /// Returns the value of each counter by name.
+    pub fn counters(&self) -> std::collections::BTreeMap<String, u64> {
+        self.node.counters.values()
+    }
+
+    /// Stops taking requests, lets those under way finish within the bound, and stops.
+    pub async fn drain(mut self) -> DrainEnd {
+        self.node.flights.start_drain();
+        let settings = &self.node.settings.drain;
+        let started = Instant::now();
+        tokio::time::sleep(Duration::from_millis(settings.balancer_wait_ms)).await;
+        let bound = started + Duration::from_millis(settings.bound_ms);
+        let end = wait_for_flights(&self.node, bound).await;
+        self.listeners.shutdown().await;
+        self.followers.shutdown().await;
+        log::info!("drain ended: {end:?}");
+        end
+    }
+
+    /// Stops at once, as if the process had died.
+    pub async fn kill(mut self) {
+        self.listeners.shutdown().await;
+        self.followers.shutdown().await;
+    }
+}
+
+async fn wait_for_flights(node: &Node, bound: Instant) -> DrainEnd {
+    loop {
+        let in_flight = node.flights.in_flight();
+        if in_flight == 0 {
+            return DrainEnd::Finished;
+        }
+        if Instant::now() >= bound {
+            return DrainEnd::BoundPassed { cut_off: in_flight };
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
+
+async fn listen(listener: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| StartError::Listen { listener, address, source })
+}
+
+fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
+    listener.local_addr().unwrap_or(asked)
+}
+
+/// A later start has a greater incarnation as long as the host's clock does not go back.
+fn new_incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/camphorwardd/src/follow.rs
@@ -0,0 +1,16 @@
+//! Background tasks that follow the platform and the backend servers.
+
+mod configuration;
+mod host_list;
+mod servers;
+
+use crate::node::Node;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+/// Starts all background tasks.
+pub(crate) fn start(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
+    tasks.spawn(configuration::follow(Arc::clone(node)));
+    tasks.spawn(host_list::follow(Arc::clone(node)));
+    tasks.spawn(servers::follow(Arc::clone(node)));
+}
--- /dev/null
+++ b/crates/camphorwardd/src/follow/servers.rs
@@ -0,0 +1,102 @@
+//! Follows the load and the cache events of the model engines.
+
+use crate::constants::LOAD_INTERVAL;
+use crate::counters::Counter;
+use crate::hosts::Server;
+use crate::node::Node;
+use crate::run::is_home;
+use clients::wire::engine::{KvChange, KvEvent, LoadReport};
+use futures_util::future::join_all;
+use placement::index::{CacheEvent, Sync};
+use placement::load::ReportedLoad;
+use protocol::ids::HostName;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Holds the number of the next cache event to read from each server.
+type NextEvents = HashMap<HostName, u64>;
+
+/// Reads all model engines at intervals for as long as the daemon runs.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let mut next_events = NextEvents::new();
+    loop {
+        let servers = model_servers(&node);
+        let reads = servers.iter().map(|server| {
+            let next = next_events.get(&server.host).copied();
+            read_server(&node, server, next)
+        });
+        next_events = join_all(reads).await.into_iter().flatten().collect();
+        tokio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
+
+fn model_servers(node: &Node) -> Vec<Server> {
+    let directory = node.directory();
+    let services = directory.models().map(|(name, _)| name);
+    services.flat_map(|name| node.hosts.servers(name)).collect()
+}
+
+async fn read_server(
+    node: &Node,
+    server: &Server,
+    next_event: Option<u64>,
+) -> Option<(HostName, u64)> {
+    match node.clients.engine.load(server.address).await {
+        Ok(report) => take_report(node, server, &report),
+        Err(error) => {
+            node.counters.count(Counter::LoadReadFailures);
+            node.placement.mark_unreachable(&server.host);
+            log::debug!("server={} load not read: {error}", server.host);
+            return None;
+        }
+    }
+    let next = match next_event {
+        Some(next) => read_events(node, server, next).await,
+        None => read_snapshot(node, server).await,
+    };
+    next.map(|next| (server.host.clone(), next))
+}
+
+fn take_report(node: &Node, server: &Server, report: &LoadReport) {
+    node.placement.mark_reachable(&server.host);
+    node.hosts.note_leaving(&server.host, report.leaving);
+    let reported = ReportedLoad {
+        incarnation: report.incarnation,
+        running: report.running,
+        queued: report.queued,
+        queued_prompt_tokens: report.queued_prompt_tokens,
+        prefill_tokens_per_s: report.prefill_tokens_per_s,
+        as_of_ms: node.now_ms().saturating_sub(report.age_ms),
+    };
+    node.placement.loads.report(&server.host, reported);
+}
+
+/// Returns the next event to read; `None` asks for a snapshot.
+async fn read_events(node: &Node, server: &Server, next: u64) -> Option<u64> {
+    let batch = node.clients.engine.kv_events(server.address, next).await.ok()?;
+    let events: Vec<CacheEvent> = batch.events.iter().map(to_cache_event).collect();
+    let sync = node.placement.index.apply_events(
+        &server.host,
+        batch.incarnation,
+        &events,
+        batch.next_event,
+        |key| is_home(node, key),
+    );
+    (sync == Sync::Complete).then_some(batch.next_event)
+}
+
+async fn read_snapshot(node: &Node, server: &Server) -> Option<u64> {
+    let snapshot = node.clients.engine.kv_snapshot(server.address).await.ok()?;
+    let sync = node.placement.index.apply_snapshot(
+        &server.host,
+        snapshot.incarnation,
+        snapshot.keys,
+        snapshot.next_event,
+        |key| is_home(node, key),
+    );
+    (sync == Sync::Complete).then_some(snapshot.next_event)
+}
+
+fn to_cache_event(event: &KvEvent) -> CacheEvent {
+    CacheEvent { number: event.number, key: event.key, stored: event.change == KvChange::Stored }
+}
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -1,1 +1,25 @@
-//! Placeholder.
+//! The daemon of an entry host: wiring of the decision packages to listeners and clients.
+//!
+//! [`daemon::Daemon`] starts all parts in the caller's runtime; [`cli`] is what the binary runs.
+
+pub mod cli;
+pub mod counters;
+pub mod daemon;
+pub mod directory;
+pub mod explain;
+pub mod flight;
+pub mod node;
+pub mod reply;
+
+mod callers;
+mod connection;
+mod constants;
+mod follow;
+mod hosts;
+mod operators;
+mod peers;
+mod placement_state;
+mod run;
+mod serve;
+
+pub use daemon::{Daemon, StartError};
--- a/crates/camphorwardd/src/main.rs
+++ b/crates/camphorwardd/src/main.rs
@@ -1,2 +1,5 @@
-//! Placeholder.
-fn main() {}
+//! Starts the daemon of one entry host.
+
+fn main() -> eyre::Result<std::process::ExitCode> {
+    camphorwardd::cli::run(&argh::from_env())
+}
--- /dev/null
+++ b/crates/camphorwardd/src/node.rs
@@ -0,0 +1,154 @@
+//! What all parts of one daemon share.
+
+use crate::counters::Counters;
+use crate::directory::Directory;
+use crate::explain::Explanations;
+use crate::flight::Flights;
+use crate::hosts::Hosts;
+use crate::placement_state::PlacementState;
+use clients::engine::EngineClient;
+use clients::host_list::HostListClient;
+use clients::http::HttpClient;
+use clients::log::LogClient;
+use clients::peer::PeerClient;
+use clients::store::StoreClient;
+use gotham::state::StateData;
+use protocol::ids::Incarnation;
+use settings::process::ProcessSettings;
+use std::net::SocketAddr;
+use std::panic::RefUnwindSafe;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Instant;
+
+/// Gives the addresses that a daemon listens on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+pub struct BoundAddresses {
+    /// Where callers send requests.
+    pub callers: SocketAddr,
+    /// Where other entry hosts send messages.
+    pub peers: SocketAddr,
+    /// Where operators ask for status.
+    pub operators: SocketAddr,
+}
+
+/// Holds the clients of everything outside.
+#[derive(Debug)]
+pub(crate) struct Clients {
+    pub(crate) http: Arc<HttpClient>,
+    pub(crate) fresh_http: Arc<HttpClient>,
+    pub(crate) engine: EngineClient,
+    pub(crate) store: StoreClient,
+    pub(crate) peer: PeerClient,
+    pub(crate) log: LogClient,
+    pub(crate) host_list: HostListClient,
+}
+
+impl Clients {
+    fn new(settings: &ProcessSettings) -> Self {
+        let new_http = || HttpClient::new().with_address_map(settings.address_map.clone());
+        let http = Arc::new(new_http());
+        let platform = &settings.platform;
+        Self {
+            fresh_http: Arc::new(new_http().with_fresh_connections()),
+            engine: EngineClient::new(Arc::clone(&http)),
+            store: StoreClient::new(Arc::clone(&http)),
+            peer: PeerClient::new(Arc::clone(&http)),
+            log: LogClient::new(Arc::clone(&http), platform.log),
+            host_list: HostListClient::new(Arc::clone(&http), platform.host_list),
+            http,
+        }
+    }
+}
+
+/// Holds the state of one daemon.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) settings: ProcessSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) addresses: BoundAddresses,
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) clients: Clients,
+    pub(crate) flights: Flights,
+    pub(crate) explanations: Explanations,
+    pub(crate) hosts: Hosts,
+    pub(crate) placement: PlacementState,
+    directory: RwLock<Arc<Directory>>,
+    started: Instant,
+}
+
+impl Node {
+    /// Creates the state of a daemon that listens on the given addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no socket can be opened for the counters.
+    pub(crate) fn new(
+        settings: ProcessSettings,
+        incarnation: Incarnation,
+        addresses: BoundAddresses,
+    ) -> std::io::Result<Self> {
+        Ok(Self {
+            counters: Arc::new(Counters::new(settings.statsd)?),
+            clients: Clients::new(&settings),
+            flights: Flights::new(),
+            explanations: Explanations::new(),
+            hosts: Hosts::new(),
+            placement: PlacementState::new(),
+            directory: RwLock::default(),
+            started: Instant::now(),
+            settings,
+            incarnation,
+            addresses,
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn set_directory(&self, directory: Directory) {
+        *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
+    }
+
+    /// Returns the milliseconds since the daemon started.
+    pub(crate) fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns why the host takes no requests, if it takes none.
+    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+        if self.flights.is_draining() {
+            return Some("draining");
+        }
+        if self.directory().version().value() == 0 {
+            return Some("no configuration read yet from the log or a peer");
+        }
+        if !self.hosts.is_known() {
+            return Some("no host list read yet from the platform or a peer");
+        }
+        None
+    }
+}
+
+/// Hands the node to the handlers of a request.
+#[derive(Clone)]
+pub(crate) struct NodeHandle(Arc<Node>);
+
+impl NodeHandle {
+    /// Wraps the node.
+    pub(crate) fn new(node: Arc<Node>) -> Self {
+        Self(node)
+    }
+
+    /// Returns the node.
+    pub(crate) fn node(&self) -> Arc<Node> {
+        Arc::clone(&self.0)
+    }
+}
+
+impl StateData for NodeHandle {}
+
+// Every lock in the node is read past its poison, so a panic leaves nothing unusable behind.
+impl RefUnwindSafe for NodeHandle {}
--- /dev/null
+++ b/crates/camphorwardd/src/peers.rs
@@ -0,0 +1,54 @@
+//! The peers' listener: messages of the inner protocol.
+
+use crate::node::Node;
+use crate::reply::{self, Failure};
+use crate::run::{self, FINISHED_PATH, PLACE_PATH};
+use crate::serve::{Call, build_node_router, handle};
+use clients::peer::{CONTENT_TYPE, decode, encode};
+use gotham::helpers::http::Body;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
+use http::{Response, StatusCode};
+use protocol::error::ErrorKind;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Builds the router of the peers' listener.
+pub(crate) fn build_router(node: &Arc<Node>) -> Router {
+    build_node_router(node, |route| {
+        route.post(PLACE_PATH).to(|state| handle(state, |call| Box::pin(place(call))));
+        route.post(FINISHED_PATH).to(|state| handle(state, |call| Box::pin(finished(call))));
+    })
+}
+
+async fn place(call: Call) -> Response<Body> {
+    match decode(&call.body) {
+        Ok(request) => {
+            call.node.counters.count(crate::counters::Counter::HomeAnswered);
+            answer(&run::decide(&call.node, &request).await)
+        }
+        Err(error) => malformed(&error),
+    }
+}
+
+async fn finished(call: Call) -> Response<Body> {
+    match decode(&call.body) {
+        Ok(notice) => {
+            // An export takes longer than the sender waits.
+            tokio::spawn(async move { run::take_notice(&call.node, notice).await });
+            answer(&())
+        }
+        Err(error) => malformed(&error),
+    }
+}
+
+fn answer(message: &impl Serialize) -> Response<Body> {
+    match encode(message) {
+        Ok(bytes) => reply::bytes_answer(StatusCode::OK, CONTENT_TYPE, bytes.into()),
+        Err(error) => malformed(&error),
+    }
+}
+
+fn malformed(error: &clients::error::ClientError) -> Response<Body> {
+    reply::failure(&Failure::new(ErrorKind::MalformedRequest, error.to_string()))
+}
--- /dev/null
+++ b/crates/camphorwardd/src/placement_state.rs
@@ -0,0 +1,62 @@
+//! What this daemon knows of load and kept work.
+
+use placement::export::StorePressure;
+use placement::index::KeptIndex;
+use placement::load::LoadTable;
+use placement::single_flight::SingleFlight;
+use protocol::ids::HostName;
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Holds the tables that placement decides from.
+#[derive(Debug, Default)]
+pub(crate) struct PlacementState {
+    pub(crate) loads: LoadTable,
+    pub(crate) index: KeptIndex,
+    pub(crate) transfers: Mutex<SingleFlight>,
+    pressure: Mutex<StorePressure>,
+    turn: AtomicU64,
+    unreachable: Mutex<HashSet<HostName>>,
+}
+
+impl PlacementState {
+    /// Creates empty tables.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the next number for the policy that takes servers in turn.
+    pub(crate) fn next_turn(&self) -> u64 {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the transfers under way.
+    pub(crate) fn lock_transfers(&self) -> MutexGuard<'_, SingleFlight> {
+        self.transfers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how full the store hosts are.
+    pub(crate) fn lock_pressure(&self) -> MutexGuard<'_, StorePressure> {
+        self.pressure.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that a server refused a connection.
+    pub(crate) fn mark_unreachable(&self, server: &HostName) {
+        self.lock_unreachable().insert(server.clone());
+    }
+
+    /// Notes that a server answered.
+    pub(crate) fn mark_reachable(&self, server: &HostName) {
+        self.lock_unreachable().remove(server);
+    }
+
+    /// Returns whether a server refused its last connection.
+    pub(crate) fn is_unreachable(&self, server: &HostName) -> bool {
+        self.lock_unreachable().contains(server)
+    }
+
+    fn lock_unreachable(&self) -> MutexGuard<'_, HashSet<HostName>> {
+        self.unreachable.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/camphorwardd/src/run.rs
@@ -0,0 +1,225 @@
+//! Runs one prompt: places it, passes its tokens on, resumes it elsewhere when a server fails.
+
+mod attempt;
+mod decide;
+mod failure;
+mod finish;
+mod place;
+
+pub(crate) use decide::decide;
+pub(crate) use finish::take_notice;
+pub(crate) use place::{FINISHED_PATH, PLACE_PATH, is_home};
+
+use crate::constants::MAX_ATTEMPTS;
+use crate::counters::Counter;
+use crate::node::Node;
+use crate::reply::Failure;
+use attempt::{Attempt, AttemptError};
+use clients::wire::engine::End;
+use place::Placed;
+use placement::chain::PrefixChain;
+use protocol::error::{ErrorKind, Execution, InnerRetry};
+use protocol::ids::{AttemptId, HostName, OrganisationId, RequestId, ServiceName};
+use protocol::message::operator::{AttemptExplanation, PlacementExplanation};
+use protocol::message::place::{FinishedNotice, KeptBlock};
+use settings::services::ModelService;
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Describes a prompt to run.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) request_id: RequestId,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) service: ServiceName,
+    /// The service as it was when the request came; the whole answer is of this weight version.
+    pub(crate) model: ModelService,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u64,
+    pub(crate) priority: i32,
+}
+
+/// Holds one part of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Part {
+    /// The next token's text.
+    Token(String),
+    /// The end mark.
+    End(End),
+}
+
+/// Where the parts of an answer go.
+pub(crate) type PartSender = mpsc::Sender<Result<Part, Failure>>;
+
+/// Runs a prompt to its end mark or a failure.
+pub(crate) async fn run(node: Arc<Node>, job: Job, parts: PartSender) {
+    node.counters.count(Counter::Requests);
+    let mut run = Run::new(node, job, parts);
+    let outcome = run.drive().await;
+    run.end(outcome).await;
+}
+
+/// Says why a run ended without its end mark.
+enum RunError {
+    /// The caller left.
+    CallerGone,
+    /// The request got no answer.
+    Failed(Failure),
+}
+
+struct Run {
+    node: Arc<Node>,
+    job: Job,
+    chain: PrefixChain,
+    parts: PartSender,
+    passed_tokens: u64,
+    excluded: Vec<HostName>,
+    ran_before: bool,
+}
+
+impl Run {
+    fn new(node: Arc<Node>, job: Job, parts: PartSender) -> Self {
+        let model = &job.model;
+        let chain =
+            PrefixChain::new(&job.organisation, &model.model, &model.weight_version, &job.prompt);
+        node.explanations.start(PlacementExplanation {
+            request_id: job.request_id.clone(),
+            organisation: job.organisation.clone(),
+            service: job.service.clone(),
+            config_version: node.directory().version(),
+            prompt_tokens: chain.prompt_tokens.value(),
+            pieces: chain.pieces.len() as u64,
+            home: place::find_home(&node, &chain).map(|home| home.host),
+            attempts: Vec::new(),
+            outcome: None,
+        });
+        Self { node, job, chain, parts, passed_tokens: 0, excluded: Vec::new(), ran_before: false }
+    }
+
+    async fn drive(&mut self) -> Result<End, RunError> {
+        let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
+        for number in 0..MAX_ATTEMPTS {
+            let attempt_id = self.attempt_id(number);
+            let placed =
+                match place::place(&self.node, &self.job, &self.chain, &attempt_id, &self.excluded)
+                    .await
+                {
+                    Ok(placed) => placed,
+                    // The reason why a server was tried and failed says more than that none is left.
+                    Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
+                    Err(_) => break,
+                };
+            match self.attempt(attempt_id, placed).await {
+                Ok(end) => return Ok(end),
+                Err(AttemptError::CallerGone) => return Err(RunError::CallerGone),
+                Err(AttemptError::Failed(failure)) => last = failure,
+            }
+            if last.kind.answer().inner_retry == InnerRetry::Never {
+                break;
+            }
+            self.node.counters.count_retry(last.kind);
+        }
+        Err(RunError::Failed(last.with_ran_before(self.ran_before)))
+    }
+
+    async fn attempt(
+        &mut self,
+        attempt_id: AttemptId,
+        placed: Placed,
+    ) -> Result<End, AttemptError> {
+        self.explain_attempt(&attempt_id, &placed);
+        let server = placed.server.host.clone();
+        let mut attempt = Attempt::new(&self.node, &self.job, &self.chain, &attempt_id, &placed);
+        let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
+        let missing = attempt.into_missing();
+        self.note_outcome(&attempt_id, &server, &result);
+        self.notify_home(attempt_id, server, result.is_ok(), missing);
+        result
+    }
+
+    fn note_outcome(
+        &mut self,
+        attempt_id: &AttemptId,
+        server: &HostName,
+        result: &Result<End, AttemptError>,
+    ) {
+        self.node.placement.loads.finished(server, attempt_id);
+        let outcome = match result {
+            Ok(_) => "whole",
+            Err(AttemptError::CallerGone) => "caller_gone",
+            Err(AttemptError::Failed(failure)) => failure.kind.as_str(),
+        };
+        self.node.explanations.end_attempt(&self.job.request_id, outcome);
+        let Err(AttemptError::Failed(failure)) = result else {
+            return;
+        };
+        let request_id = &self.job.request_id;
+        log::warn!(
+            "request={request_id} attempt={attempt_id} server={server} failed kind={outcome}: {}",
+            failure.message
+        );
+        self.excluded.push(server.clone());
+        self.ran_before |= failure.kind.answer().execution == Execution::MayHaveRun;
+        if failure.kind == ErrorKind::ServerUnreachable {
+            self.node.placement.mark_unreachable(server);
+        }
+    }
+
+    fn explain_attempt(&self, attempt_id: &AttemptId, placed: &Placed) {
+        let request_id = &self.job.request_id;
+        log::debug!("request={request_id} attempt={attempt_id} server={}", placed.server.host);
+        let attempt = AttemptExplanation {
+            attempt_id: attempt_id.clone(),
+            server: Some(placed.server.host.clone()),
+            decided_by: placed.decided_by,
+            candidates: placed.answer.candidates.clone(),
+            outcome: None,
+        };
+        self.node.explanations.add_attempt(request_id, attempt);
+    }
+
+    /// Tells the home what the attempt left behind, without making the caller wait.
+    fn notify_home(
+        &self,
+        attempt_id: AttemptId,
+        server: HostName,
+        completed: bool,
+        missing: Vec<KeptBlock>,
+    ) {
+        let notice = FinishedNotice {
+            service: self.job.service.clone(),
+            attempt_id,
+            server,
+            chain: self.chain.keys(),
+            completed,
+            missing,
+        };
+        let node = Arc::clone(&self.node);
+        let home = place::find_home(&node, &self.chain);
+        tokio::spawn(place::notify(node, home, notice));
+    }
+
+    async fn end(self, outcome: Result<End, RunError>) {
+        let (word, part) = match outcome {
+            Ok(end) => {
+                self.node.counters.count(Counter::Answers);
+                ("whole", Ok(Part::End(end)))
+            }
+            Err(RunError::CallerGone) => {
+                self.node.counters.count(Counter::CallersGone);
+                self.node.explanations.end(&self.job.request_id, "caller_gone");
+                return;
+            }
+            Err(RunError::Failed(failure)) => (failure.kind.as_str(), Err(failure)),
+        };
+        log::info!("request={} ended outcome={word}", self.job.request_id);
+        self.node.explanations.end(&self.job.request_id, word);
+        // A caller that left needs no end.
+        let _ = self.parts.send(part).await;
+    }
+
+    fn attempt_id(&self, number: u32) -> AttemptId {
+        let text = format!("{}.{number}", self.job.request_id);
+        AttemptId::try_from(text).unwrap_or_else(|_| unreachable!("a request id is short"))
+    }
+}
--- /dev/null
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -0,0 +1,217 @@
+//! Chooses a server for a prompt from what this host knows.
+
+use crate::constants::STORE_LOOKUP_TIMEOUT;
+use crate::counters::Counter;
+use crate::directory::Directory;
+use crate::hosts::Server;
+use crate::node::Node;
+use clients::wire::store::BlockStatus;
+use futures_util::future::join_all;
+use placement::chain::HomeKey;
+use placement::chain::block_name;
+use placement::choice::{
+    Candidate, Choice, ChoiceRequest, Considered, ImportPiece, RegionPath, Store, Surroundings,
+    choose,
+};
+use placement::index::ChainView;
+use placement::load::SentAttempt;
+use placement::rebuild::{self, PossibleBlock};
+use protocol::ids::{ChainKey, HostName, Region, ServiceName};
+use protocol::message::operator::CandidateExplanation;
+use protocol::message::place::{KeptBlock, PlaceAnswer, PlaceReply, PlaceRequest};
+use settings::process::PlacementPolicy;
+use settings::services::{ModelService, StoreService};
+
+/// Chooses a server for a prompt.
+pub(crate) async fn decide(node: &Node, request: &PlaceRequest) -> PlaceReply {
+    let directory = node.directory();
+    let Some(model) = directory.model_service(&request.service) else {
+        return PlaceReply::UnknownService;
+    };
+    let stores = StoreSite::find(node, &directory, model, &request.region);
+    let view = view_chain(node, &stores, &request.chain).await;
+    let candidates = candidates(node, &request.service);
+    let paths = paths(&directory, &request.region);
+    let surroundings = Surroundings {
+        candidates: &candidates,
+        stores: &stores.stores,
+        paths: &paths,
+        view: &view,
+        loads: &node.placement.loads,
+        now_ms: node.now_ms(),
+    };
+    let choice_request = ChoiceRequest {
+        chain: &request.chain,
+        prompt_tokens: request.prompt_tokens,
+        text_bytes: request.text_bytes,
+        home_key: home_key(request),
+        excluded: &request.excluded,
+        suspect: false,
+        turn: node.placement.next_turn(),
+    };
+    match choose(node.settings.policy, &choice_request, &surroundings) {
+        Ok(choice) => {
+            note_sent(node, request, &choice);
+            PlaceReply::Placed(to_answer(choice))
+        }
+        Err(_) => PlaceReply::NoServer,
+    }
+}
+
+/// A prompt without a whole piece has nothing to be found by; any constant spreads it by load.
+fn home_key(request: &PlaceRequest) -> HomeKey {
+    let short_prompt = ChainKey::new([0; 32]);
+    HomeKey::of_piece(request.chain.first().unwrap_or(&short_prompt))
+}
+
+/// The home counts what it sends until it hears of the end.
+fn note_sent(node: &Node, request: &PlaceRequest, choice: &Choice) {
+    let sent = SentAttempt {
+        attempt_id: request.attempt_id.clone(),
+        recomputed_tokens: choice.recomputed_tokens,
+        expected_first_token_ms: choice.expected_first_token_ms,
+        sent_at_ms: node.now_ms(),
+    };
+    node.placement.loads.sent(&choice.server, sent);
+}
+
+fn candidates(node: &Node, service: &ServiceName) -> Vec<Candidate> {
+    let takes_work =
+        |server: &Server| !server.leaving && !node.placement.is_unreachable(&server.host);
+    let servers = node.hosts.servers(service).into_iter().filter(takes_work);
+    let candidate = |server: Server| Candidate {
+        host: server.host,
+        region: server.region,
+        failure_domain: server.failure_domain,
+    };
+    servers.map(candidate).collect()
+}
+
+fn paths(directory: &Directory, own: &Region) -> Vec<RegionPath> {
+    let regions = &directory.text().regions;
+    let path = |region: &settings::services::RegionEntry| RegionPath {
+        region: region.name.clone(),
+        delay_ms: if region.name == *own { 0.0 } else { region.link_delay_ms },
+        bits_per_s: (region.name != *own).then_some(region.link_bits_per_s),
+        wait_ms: 0.0,
+    };
+    regions.iter().map(path).collect()
+}
+
+/// Holds the store hosts that keep a model's work in one region.
+pub(crate) struct StoreSite {
+    pub(crate) settings: Option<StoreService>,
+    pub(crate) stores: Vec<Store>,
+}
+
+impl StoreSite {
+    /// Finds the live store hosts of a model in a region.
+    pub(crate) fn find(
+        node: &Node,
+        directory: &Directory,
+        model: &ModelService,
+        region: &Region,
+    ) -> Self {
+        let named = model.kept_work.as_ref();
+        let service = named.and_then(|name| Some((name, directory.store_service(name)?)));
+        let Some((name, settings)) = service else {
+            return Self { settings: None, stores: Vec::new() };
+        };
+        let servers = node.hosts.servers(name).into_iter();
+        let in_region = servers.filter(|server| !server.leaving && server.region == *region);
+        let store = |server: Server| Store {
+            host: server.host,
+            region: server.region,
+            bytes_per_s: settings.bytes_per_s,
+            pending_bytes: 0,
+        };
+        Self { stores: in_region.map(store).collect(), settings: Some(settings.clone()) }
+    }
+
+    /// Returns the names of the store hosts.
+    pub(crate) fn hosts(&self) -> Vec<HostName> {
+        self.stores.iter().map(|store| store.host.clone()).collect()
+    }
+
+    /// Returns what one store host delivers, in bytes a second.
+    pub(crate) fn bytes_per_s(&self) -> u64 {
+        self.settings.as_ref().map_or(1, |settings| settings.bytes_per_s)
+    }
+}
+
+/// Shows what is known of a prompt's pieces; asks the store hosts if nothing is.
+async fn view_chain(node: &Node, stores: &StoreSite, chain: &[ChainKey]) -> ChainView {
+    let view = node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms());
+    let is_known = !view.held.is_empty() || view.kept.iter().any(|copies| !copies.is_empty());
+    let imports = node.settings.policy == PlacementPolicy::Camphorward;
+    if is_known || !imports || chain.is_empty() || stores.stores.is_empty() {
+        return view;
+    }
+    let lookups = rebuild::lookups(chain, &view, &stores.hosts());
+    join_all(lookups.into_iter().map(|(store, blocks)| look_up(node, store, blocks))).await;
+    node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms())
+}
+
+async fn look_up(node: &Node, store: HostName, blocks: Vec<PossibleBlock>) {
+    let Some(server) = node.hosts.server(&store) else {
+        return;
+    };
+    node.counters.count(Counter::StoreLookups);
+    let names = blocks.iter().map(|block| block.name.clone()).collect();
+    let asked = node.clients.store.look_up(server.address, names);
+    let Ok(Ok(found)) = tokio::time::timeout(STORE_LOOKUP_TIMEOUT, asked).await else {
+        return;
+    };
+    for status in found {
+        let Some(block) = blocks.iter().find(|block| block.name == status.name) else {
+            continue;
+        };
+        let expires_at_ms = node.now_ms() + status.expires_in_ms;
+        let kept = to_kept(block.key, store.clone(), status);
+        node.placement.index.add_block(&kept, expires_at_ms);
+    }
+}
+
+fn to_kept(key: ChainKey, store: HostName, status: BlockStatus) -> KeptBlock {
+    KeptBlock {
+        key,
+        store,
+        name: status.name,
+        length_bytes: status.length_bytes,
+        checksum: status.checksum,
+    }
+}
+
+fn to_answer(choice: Choice) -> PlaceAnswer {
+    PlaceAnswer {
+        server: choice.server,
+        cached_pieces: choice.cached_pieces,
+        imports: choice.imports.into_iter().map(to_block).collect(),
+        recomputed_tokens: choice.recomputed_tokens,
+        expected_first_token_ms: choice.expected_first_token_ms,
+        candidates: choice.explanation.considered.into_iter().map(to_candidate).collect(),
+    }
+}
+
+fn to_block(piece: ImportPiece) -> KeptBlock {
+    KeptBlock {
+        key: piece.key,
+        name: block_name(&piece.key),
+        store: piece.copy.store,
+        length_bytes: piece.copy.length_bytes,
+        checksum: ChainKey::new(piece.copy.checksum).to_string(),
+    }
+}
+
+fn to_candidate(considered: Considered) -> CandidateExplanation {
+    CandidateExplanation {
+        server: considered.server,
+        cached_pieces: considered.cached_pieces as u64,
+        imported_pieces: considered.imported_pieces as u64,
+        queue_ms: considered.queue_ms as u64,
+        import_ms: considered.import_ms as u64,
+        recompute_ms: considered.recompute_ms as u64,
+        expected_first_token_ms: considered.total_ms as u64,
+        excluded: None,
+    }
+}
--- /dev/null
+++ b/crates/camphorwardd/src/run/finish.rs
@@ -0,0 +1,179 @@
+//! What the home of a prompt does when an attempt finished: notes its traces, exports its pieces.
+
+use crate::constants::EXPORT_TIMEOUT;
+use crate::counters::Counter;
+use crate::node::Node;
+use crate::run::decide::StoreSite;
+use clients::wire::engine::{CommittedBlock, Export, ExportBlock};
+use placement::export::{EndedRun, ExportPiece, ExportPlan, plan};
+use placement::single_flight::{Role, Transfer};
+use protocol::ids::{AttemptId, HostName};
+use protocol::message::place::{FinishedNotice, KeptBlock};
+use settings::services::ModelService;
+use std::collections::BTreeMap;
+
+const MS_PER_S: u64 = 1_000;
+/// The chance that a prompt returns, until returns are counted.
+const RETURN_CHANCE: f64 = 0.5;
+
+/// Takes in the end of an attempt whose prompt has its home here.
+pub(crate) async fn take_notice(node: &Node, notice: FinishedNotice) {
+    node.placement.loads.finished(&notice.server, &notice.attempt_id);
+    for block in &notice.missing {
+        node.placement.index.remove_block(&block.key, &block.store);
+    }
+    if !notice.completed {
+        return;
+    }
+    node.placement.index.add_held(&notice.server, &notice.chain);
+    export(node, &notice).await;
+}
+
+async fn export(node: &Node, notice: &FinishedNotice) {
+    let directory = node.directory();
+    let Some(model) = directory.model_service(&notice.service) else {
+        return;
+    };
+    let Some(server) = node.hosts.server(&notice.server) else {
+        return;
+    };
+    let site = StoreSite::find(node, &directory, model, &server.region);
+    let Some(settings) = &site.settings else {
+        return;
+    };
+    let expiry_ms = settings.expiry_s * MS_PER_S;
+    let plan = plan_exports(node, notice, model, &site, expiry_ms);
+    renew(node, &plan, expiry_ms).await;
+    for (store, pieces) in by_store(plan.exports) {
+        let claimed = claim(node, &notice.attempt_id, pieces);
+        export_to(node, notice, &store, &claimed, expiry_ms).await;
+        release(node, &notice.attempt_id, &claimed);
+    }
+}
+
+fn plan_exports(
+    node: &Node,
+    notice: &FinishedNotice,
+    model: &ModelService,
+    site: &StoreSite,
+    expiry_ms: u64,
+) -> ExportPlan {
+    let now_ms = node.now_ms();
+    let view = node.placement.index.view(&notice.chain, site.bytes_per_s(), now_ms);
+    let run = EndedRun {
+        chain: &notice.chain,
+        view: &view,
+        live_stores: &site.hosts(),
+        kv_bytes_per_token: model.kv_bytes_per_token,
+        prefill_tokens_per_s: prefill_rate(node, &notice.server),
+        store_bytes_per_s: site.bytes_per_s(),
+        expiry_ms,
+        return_chance: RETURN_CHANCE,
+        now_ms,
+    };
+    plan(&run, &node.placement.lock_pressure())
+}
+
+fn prefill_rate(node: &Node, server: &HostName) -> u64 {
+    node.placement.loads.estimate(server, node.now_ms()).prefill_tokens_per_s
+}
+
+fn by_store(pieces: Vec<ExportPiece>) -> BTreeMap<HostName, Vec<ExportPiece>> {
+    let mut groups: BTreeMap<HostName, Vec<ExportPiece>> = BTreeMap::new();
+    for piece in pieces {
+        groups.entry(piece.store.clone()).or_default().push(piece);
+    }
+    groups
+}
+
+/// Keeps the pieces whose export nobody else has under way.
+fn claim(node: &Node, attempt_id: &AttemptId, pieces: Vec<ExportPiece>) -> Vec<ExportPiece> {
+    let bound_ms = u64::try_from(EXPORT_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+    let now_ms = node.now_ms();
+    let mut transfers = node.placement.lock_transfers();
+    let mut leads = |piece: &ExportPiece| {
+        let transfer = Transfer::Export { key: piece.key };
+        transfers.join(transfer, attempt_id, bound_ms, now_ms) == Role::Leader
+    };
+    pieces.into_iter().filter(|piece| leads(piece)).collect()
+}
+
+fn release(node: &Node, attempt_id: &AttemptId, pieces: &[ExportPiece]) {
+    let mut transfers = node.placement.lock_transfers();
+    for piece in pieces {
+        transfers.finish(&Transfer::Export { key: piece.key }, attempt_id);
+    }
+}
+
+async fn export_to(
+    node: &Node,
+    notice: &FinishedNotice,
+    store: &HostName,
+    pieces: &[ExportPiece],
+    expires_in_ms: u64,
+) {
+    let (Some(server), Some(store_host)) =
+        (node.hosts.server(&notice.server), node.hosts.server(store))
+    else {
+        return;
+    };
+    if pieces.is_empty() {
+        return;
+    }
+    let to_block = |piece: &ExportPiece| ExportBlock { key: piece.key, name: piece.name.clone() };
+    let export = Export {
+        attempt_id: notice.attempt_id.clone(),
+        store: store_host.address,
+        expires_in_ms,
+        blocks: pieces.iter().map(to_block).collect(),
+    };
+    let exported = node.clients.engine.export(server.address, &export, EXPORT_TIMEOUT).await;
+    let committed = match exported {
+        Ok(answer) => answer.committed,
+        Err(error) => {
+            let (attempt, server) = (&notice.attempt_id, &notice.server);
+            log::warn!("attempt={attempt} server={server} store={store} export failed: {error}");
+            Vec::new()
+        }
+    };
+    let lost = pieces.len().saturating_sub(committed.len());
+    node.counters.add(Counter::PiecesExported, committed.len() as u64);
+    node.counters.add(Counter::PiecesNotExported, lost as u64);
+    let expires_at_ms = node.now_ms() + expires_in_ms;
+    for block in committed {
+        node.placement.index.add_block(&to_kept(store.clone(), block), expires_at_ms);
+    }
+}
+
+fn to_kept(store: HostName, block: CommittedBlock) -> KeptBlock {
+    KeptBlock {
+        key: block.key,
+        store,
+        name: block.name,
+        length_bytes: block.length_bytes,
+        checksum: block.checksum,
+    }
+}
+
+async fn renew(node: &Node, plan: &ExportPlan, expires_in_ms: u64) {
+    for renewal in &plan.renewals {
+        let Some(store) = node.hosts.server(&renewal.store) else {
+            continue;
+        };
+        let extended = node.clients.store.extend(store.address, &renewal.name, expires_in_ms).await;
+        match extended {
+            Ok(status) => {
+                let block = KeptBlock {
+                    key: renewal.key,
+                    store: renewal.store.clone(),
+                    name: status.name,
+                    length_bytes: status.length_bytes,
+                    checksum: status.checksum,
+                };
+                let expires_at_ms = node.now_ms() + status.expires_in_ms;
+                node.placement.index.add_block(&block, expires_at_ms);
+            }
+            Err(_) => node.placement.index.remove_block(&renewal.key, &renewal.store),
+        }
+    }
+}
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -127,6 +127,8 @@
     ServerRefused => "server_refused", 503, NotRun, OtherServer, Some(1);
     /// The backend server holds another weight version.
     WrongVersion => "wrong_version", 503, NotRun, OtherServer, Some(1);
+    /// The backend server began to answer with another weight version.
+    StaleVersion => "stale_version", 503, MayHaveRun, Resume, Some(1);
     /// The backend server closed the connection in mid-answer.
     ServerDied => "server_died", 502, MayHaveRun, Resume, Some(1);
     /// The connection to the backend server went silent.
--- a/crates/protocol/src/message/place.rs
+++ b/crates/protocol/src/message/place.rs
@@ -1,6 +1,7 @@
 //! Messages between an entry host and the home of a prompt.
 
-use crate::ids::{AttemptId, ChainKey, HostName, ServiceName};
+use crate::ids::{AttemptId, ChainKey, HostName, Region, ServiceName};
+use crate::message::operator::CandidateExplanation;
 use serde::{Deserialize, Serialize};
 
 /// Asks the home of a prompt where to run it.
@@ -14,10 +15,26 @@
     pub chain: Vec<ChainKey>,
     /// The length of the whole prompt in tokens.
     pub prompt_tokens: u64,
+    /// The length of the prompt's text in bytes.
+    pub text_bytes: u64,
+    /// The region of the entry host.
+    pub region: Region,
     /// Servers that already failed this request.
     pub excluded: Vec<HostName>,
 }
 
+/// Answers a [`PlaceRequest`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlaceReply {
+    /// A server was chosen.
+    Placed(PlaceAnswer),
+    /// No server of the service is left to choose.
+    NoServer,
+    /// The host that was asked does not know the service.
+    UnknownService,
+}
+
 /// Tells an entry host where to run a prompt.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PlaceAnswer {
@@ -27,8 +44,12 @@
     pub cached_pieces: usize,
     /// Kept blocks that the server is to import, in the order of the chain.
     pub imports: Vec<KeptBlock>,
+    /// The tokens that the server is to compute.
+    pub recomputed_tokens: u64,
     /// The expected time to the first token, in milliseconds.
     pub expected_first_token_ms: u64,
+    /// The servers weighed, the cheapest first.
+    pub candidates: Vec<CandidateExplanation>,
 }
 
 /// Describes one committed block of kept work on a store host.
@@ -59,6 +80,6 @@
     pub chain: Vec<ChainKey>,
     /// Whether the attempt ran to its end mark.
     pub completed: bool,
-    /// Blocks that the server exported.
-    pub exported: Vec<KeptBlock>,
+    /// Blocks that were to be imported and were not.
+    pub missing: Vec<KeptBlock>,
 }
