Add the decisions on placement: chains, index, load, choice, transfers

Cause: a prompt must run where its first token comes soonest, and nothing decided that yet. Change: prefix chains keyed by organisation, model and version, whose keys start with the key of the prompt's home, so a reader of a server's events knows whom they concern; rendezvous hashing; the index of kept work in shards; load corrected for the reports' lag; the choice with its explanation and three baselines; the link's budget; single transfers; plans for exports, prefetches and the search for kept blocks by name. `sharded` holds state in locked shards for this package and admission. The bytes of text in a token move to protocol, as both clients and placement need them. Conclusion: the daemon can be wired to it.

--- a/crates/clients/src/wire/engine.rs
+++ b/crates/clients/src/wire/engine.rs
@@ -24,8 +24,7 @@
 /// The response header that names the server's incarnation.
 pub const INCARNATION_HEADER: &str = "x-incarnation";
 
-/// The bytes of text that count as one token.
-pub const TEXT_BYTES_PER_TOKEN: usize = 4;
+pub use protocol::size::TEXT_BYTES_PER_TOKEN;
 
 /// Asks for a completion.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- /dev/null
+++ b/crates/placement/src/choice/explanation.rs
@@ -0,0 +1,153 @@
+//! How a choice came about, for operators.
+
+use super::cost::Cost;
+use protocol::ids::HostName;
+use serde::Serialize;
+use settings::process::PlacementPolicy;
+use std::fmt;
+
+/// The number of servers that an explanation lists.
+const LISTED_SERVERS: usize = 4;
+
+/// Says why a server was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The first token is expected there soonest.
+    LeastFirstToken,
+    /// Several were equal, and the prompt's hash prefers this one among those not overfull.
+    PreferredAmongEqual,
+    /// The request is a suspect and meets the fewest others there.
+    FewestOthers,
+    /// A baseline policy decided without the costs.
+    Baseline,
+}
+
+impl Reason {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::LeastFirstToken => "least expected first token",
+            Self::PreferredAmongEqual => "preferred by the prompt's hash among equal servers",
+            Self::FewestOthers => "fewest other attempts, as the request is a suspect",
+            Self::Baseline => "decided by the policy alone",
+        }
+    }
+}
+
+/// Explains a choice.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explanation {
+    /// The policy.
+    pub policy: PlacementPolicy,
+    /// Why the server was chosen.
+    pub reason: Reason,
+    /// How many servers were compared.
+    pub compared: usize,
+    /// The chosen server first, then the best others.
+    pub considered: Vec<Considered>,
+}
+
+/// Holds the figures of one server.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Considered {
+    /// The server.
+    pub server: HostName,
+    /// The sum by which servers are compared, in milliseconds.
+    pub total_ms: f64,
+    /// The time on the way there and back.
+    pub path_ms: f64,
+    /// The time in the server's queue.
+    pub queue_ms: f64,
+    /// The time for imports.
+    pub import_ms: f64,
+    /// The time for the computation of what is missing.
+    pub recompute_ms: f64,
+    /// What counts more for the link's price and for a failure domain that failed before.
+    pub penalty_ms: f64,
+    /// The leading pieces in the server's memory.
+    pub cached_pieces: usize,
+    /// The pieces that would be imported.
+    pub imported_pieces: usize,
+    /// The attempts on the server.
+    pub attempts: u32,
+}
+
+impl Explanation {
+    pub(super) fn new(costs: &[Cost<'_>], chosen: usize, reason: Reason) -> Self {
+        Self {
+            policy: PlacementPolicy::Camphorward,
+            reason,
+            compared: costs.len(),
+            considered: ranked(costs, chosen).map(Considered::new).collect(),
+        }
+    }
+
+    pub(super) fn of_baseline(policy: PlacementPolicy, cost: &Cost<'_>) -> Self {
+        let considered = vec![Considered::new(cost)];
+        Self { policy, reason: Reason::Baseline, compared: 1, considered }
+    }
+}
+
+/// Returns the chosen cost and then the least others.
+fn ranked<'a, 'b>(
+    costs: &'a [Cost<'b>],
+    chosen: usize,
+) -> impl Iterator<Item = &'a Cost<'b>> + use<'a, 'b> {
+    let mut others: Vec<&Cost<'b>> = Vec::with_capacity(costs.len());
+    others.extend(costs.iter().enumerate().filter(|(i, _)| *i != chosen).map(|(_, cost)| cost));
+    let listed = LISTED_SERVERS.saturating_sub(1).min(others.len());
+    let by_total = |a: &&Cost<'_>, b: &&Cost<'_>| a.total_ms().total_cmp(&b.total_ms());
+    if listed < others.len() {
+        others.select_nth_unstable_by(listed, by_total);
+        others.truncate(listed);
+    }
+    others.sort_by(by_total);
+    std::iter::once(&costs[chosen]).chain(others)
+}
+
+impl Considered {
+    fn new(cost: &Cost<'_>) -> Self {
+        Self {
+            server: cost.candidate.host.clone(),
+            total_ms: cost.total_ms(),
+            path_ms: cost.path_ms,
+            queue_ms: cost.load.queue_ms,
+            import_ms: cost.start.import_ms,
+            recompute_ms: cost.start.recompute_ms,
+            penalty_ms: cost.penalty_ms,
+            cached_pieces: cost.start.cached_pieces,
+            imported_pieces: cost.start.imported_pieces,
+            attempts: cost.load.attempts,
+        }
+    }
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}; compared {} servers", self.reason.as_str(), self.compared)?;
+        self.considered.iter().try_for_each(|considered| write!(f, "\n{considered}"))
+    }
+}
+
+impl fmt::Display for Considered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {:.1} ms = path {:.1} + queue {:.1} + import {:.1} + recompute {:.1}",
+            self.server,
+            self.total_ms,
+            self.path_ms,
+            self.queue_ms,
+            self.import_ms,
+            self.recompute_ms
+        )?;
+        if self.penalty_ms > 0.0 {
+            write!(f, " + penalty {:.1}", self.penalty_ms)?;
+        }
+        write!(
+            f,
+            " ({} pieces cached, {} imported, {} attempts)",
+            self.cached_pieces, self.imported_pieces, self.attempts
+        )
+    }
+}
--- /dev/null
+++ b/crates/placement/src/index/servers.rs
@@ -0,0 +1,161 @@
+//! Short numbers for hosts, so that rows stay small and a server's rows are dropped at once.
+
+use super::rows::Block;
+use super::{CacheEvent, KeptCopy, Sync};
+use protocol::ids::{HostName, Incarnation};
+use std::collections::HashMap;
+
+/// Stands for one server since its last snapshot; rows under an earlier number no longer count.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub(super) struct Slot(u32);
+
+/// Stands for one store host.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(super) struct StoreSlot(u32);
+
+/// Says how a batch of events is to be applied.
+#[derive(Debug)]
+pub(super) struct EventBatch {
+    pub(super) slot: Slot,
+    pub(super) from_number: u64,
+    pub(super) sync: Sync,
+}
+
+#[derive(Debug)]
+struct Server {
+    slot: Slot,
+    incarnation: Incarnation,
+    next_event: u64,
+    is_complete: bool,
+}
+
+/// Holds the hosts that rows refer to.
+#[derive(Debug, Default)]
+pub(super) struct HostTable {
+    servers: HashMap<HostName, Server>,
+    slots: HashMap<Slot, HostName>,
+    next_slot: u32,
+    stores: Vec<HostName>,
+    store_slots: HashMap<HostName, StoreSlot>,
+}
+
+impl HostTable {
+    /// Starts a server's rows afresh; `None` if the snapshot is older than what is known.
+    pub(super) fn begin_snapshot(
+        &mut self,
+        host: &HostName,
+        incarnation: Incarnation,
+        next_event: u64,
+    ) -> Option<Slot> {
+        if self.servers.get(host).is_some_and(|server| server.is_past(incarnation, next_event)) {
+            return None;
+        }
+        Some(self.renew(Server::with_snapshot(incarnation, next_event), host))
+    }
+
+    /// Moves a server's event number on; `None` if the events are of an earlier incarnation.
+    pub(super) fn begin_events(
+        &mut self,
+        host: &HostName,
+        incarnation: Incarnation,
+        events: &[CacheEvent],
+        next_event: u64,
+    ) -> Option<EventBatch> {
+        if self.servers.get(host).is_none_or(|server| server.incarnation < incarnation) {
+            self.renew(Server::new(incarnation), host);
+        }
+        let server = self.servers.get_mut(host)?;
+        if server.incarnation > incarnation {
+            return None;
+        }
+        let from_number = server.next_event;
+        server.is_complete &= !has_gap(from_number, events, next_event);
+        server.next_event = from_number.max(next_event);
+        let sync = if server.is_complete { Sync::Complete } else { Sync::SnapshotNeeded };
+        Some(EventBatch { slot: server.slot, from_number, sync })
+    }
+
+    /// Returns a server's number, which is created if needed.
+    pub(super) fn current(&mut self, host: &HostName) -> Slot {
+        match self.servers.get(host) {
+            Some(server) => server.slot,
+            None => self.renew(Server::new(Incarnation::default()), host),
+        }
+    }
+
+    pub(super) fn remove_server(&mut self, host: &HostName, incarnation: Incarnation) {
+        if self.servers.get(host).is_some_and(|server| server.incarnation > incarnation) {
+            return;
+        }
+        let next = Incarnation::new(incarnation.value().saturating_add(1));
+        self.renew(Server::new(next), host);
+    }
+
+    pub(super) fn is_current(&self, slot: Slot) -> bool {
+        self.slots.contains_key(&slot)
+    }
+
+    pub(super) fn server(&self, slot: Slot) -> Option<&HostName> {
+        self.slots.get(&slot)
+    }
+
+    /// Returns a store host's number, which is created if needed.
+    pub(super) fn store(&mut self, host: &HostName) -> StoreSlot {
+        if let Some(slot) = self.store_slots.get(host) {
+            return *slot;
+        }
+        let slot = StoreSlot(self.stores.len() as u32);
+        self.stores.push(host.clone());
+        self.store_slots.insert(host.clone(), slot);
+        slot
+    }
+
+    pub(super) fn copy(&self, block: &Block) -> KeptCopy {
+        KeptCopy {
+            store: self.stores[block.store.0 as usize].clone(),
+            length_bytes: block.length_bytes,
+            checksum: block.checksum,
+            expires_at_ms: block.expires_at_ms,
+        }
+    }
+
+    /// Gives a server a new number, which drops all rows under the one before.
+    fn renew(&mut self, mut server: Server, host: &HostName) -> Slot {
+        let slot = Slot(self.next_slot);
+        self.next_slot = self.next_slot.wrapping_add(1);
+        server.slot = slot;
+        if let Some(before) = self.servers.insert(host.clone(), server) {
+            self.slots.remove(&before.slot);
+        }
+        self.slots.insert(slot, host.clone());
+        slot
+    }
+}
+
+impl Server {
+    fn new(incarnation: Incarnation) -> Self {
+        Self { slot: Slot::default(), incarnation, next_event: 0, is_complete: false }
+    }
+
+    fn with_snapshot(incarnation: Incarnation, next_event: u64) -> Self {
+        Self { next_event, is_complete: true, ..Self::new(incarnation) }
+    }
+
+    /// Tells whether a snapshot is of an earlier incarnation, or of an earlier moment.
+    fn is_past(&self, incarnation: Incarnation, next_event: u64) -> bool {
+        let known = (self.incarnation, self.next_event);
+        known > (incarnation, next_event)
+    }
+}
+
+/// Tells whether numbers from the next expected one up to the end of a batch are missing.
+fn has_gap(expected: u64, events: &[CacheEvent], next_event: u64) -> bool {
+    let mut next = expected;
+    for event in events.iter().filter(|event| event.number >= expected) {
+        if event.number != next {
+            return true;
+        }
+        next += 1;
+    }
+    next < next_event
+}
--- /dev/null
+++ b/crates/placement/tests/chain.rs
@@ -0,0 +1,95 @@
+//! Properties of prefix chains: prefixes share keys, organisations and versions never do.
+
+mod common;
+
+use common::checker;
+use placement::chain::{HomeKey, PIECE_BYTES, PrefixChain};
+use std::collections::HashSet;
+
+const SEED: u64 = 11;
+
+fn chain(organisation: &str, model: &str, version: &str, text: &str) -> PrefixChain {
+    PrefixChain::new(
+        &organisation.parse().unwrap(),
+        &model.parse().unwrap(),
+        &version.parse().unwrap(),
+        text,
+    )
+}
+
+/// Returns a text of about three pieces with characters of up to four bytes.
+fn long_text(seed: &str) -> String {
+    let unit = if seed.is_empty() { "skin tone, \u{1f3a8} warm" } else { seed };
+    unit.repeat(3 * PIECE_BYTES / unit.len() + 1)
+}
+
+#[test]
+fn a_longer_prompt_keeps_the_keys_of_its_prefix() {
+    checker(SEED, 60).quickcheck(prefix_keeps_keys as fn(String, String) -> bool);
+
+    fn prefix_keeps_keys(first: String, rest: String) -> bool {
+        let text = long_text(&first);
+        let short = chain("org", "model", "v1", &text);
+        let long = chain("org", "model", "v1", &format!("{text}{rest}{text}"));
+        long.pieces.starts_with(&short.pieces) && long.home_key == short.home_key
+    }
+}
+
+#[test]
+fn keys_of_two_organisations_models_or_versions_never_meet() {
+    checker(SEED, 60).quickcheck(scopes_are_apart as fn(String) -> bool);
+
+    fn scopes_are_apart(seed: String) -> bool {
+        let text = long_text(&seed);
+        let scopes = [("a", "m", "v1"), ("b", "m", "v1"), ("a", "n", "v1"), ("a", "m", "v2")];
+        let chains = scopes.iter().map(|(o, m, v)| chain(o, m, v, &text));
+        let chains: Vec<PrefixChain> = chains.collect();
+        let keys: HashSet<_> = chains.iter().flat_map(PrefixChain::keys).collect();
+        let salts: HashSet<_> = chains.iter().map(|chain| &chain.cache_salt).collect();
+        keys.len() == chains.iter().map(|chain| chain.pieces.len()).sum::<usize>()
+            && salts.len() == 4
+    }
+}
+
+#[test]
+fn names_that_join_to_the_same_text_have_keys_of_their_own() {
+    let text = long_text("");
+    assert_ne!(chain("ab", "c", "v", &text).keys(), chain("a", "bc", "v", &text).keys());
+}
+
+#[test]
+fn pieces_end_at_characters_and_cover_the_text_in_order() {
+    checker(SEED, 60).quickcheck(cuts_are_sound as fn(String) -> bool);
+
+    fn cuts_are_sound(seed: String) -> bool {
+        let text = long_text(&seed);
+        let chain = chain("org", "model", "v1", &text);
+        let mut start = 0;
+        for piece in &chain.pieces {
+            let length = piece.end_byte - start;
+            if !text.is_char_boundary(piece.end_byte) || length > PIECE_BYTES {
+                return false;
+            }
+            start = piece.end_byte;
+        }
+        text.len() - start < PIECE_BYTES
+    }
+}
+
+#[test]
+fn every_piece_names_the_home_of_its_prompt() {
+    let chain = chain("org", "model", "v1", &long_text(""));
+    assert_eq!(chain.pieces.len(), 3);
+    for key in chain.keys() {
+        assert_eq!(HomeKey::of_piece(&key), chain.home_key);
+    }
+}
+
+#[test]
+fn a_short_prompt_has_a_home_but_no_piece() {
+    let short = chain("org", "model", "v1", "yes or no?");
+    assert!(short.pieces.is_empty());
+    assert_eq!(short.prompt_tokens.value(), 3);
+    assert_ne!(short.home_key, chain("other", "model", "v1", "yes or no?").home_key);
+    assert_eq!(short.home_key, chain("org", "model", "v2", "yes or no?").home_key);
+}
--- a/crates/protocol/src/size.rs
+++ b/crates/protocol/src/size.rs
@@ -7,6 +7,9 @@
 use std::ops::{Add, AddAssign};
 use std::str::FromStr;
 
+/// The bytes of text that count as one token.
+pub const TEXT_BYTES_PER_TOKEN: usize = 4;
+
 macro_rules! size {
     ($(#[$doc:meta])* $name:ident, $unit:literal) => {
         $(#[$doc])*
