Read settings strictly and report every fault with field, line and hint

Cause: the skeleton stopped at serde's first fault and gave no field and no line. Worse, serde's deny_unknown_fields beside a flattened enum refused every services text that held a service at all: the new test on a valid text failed with 'unknown field `fencing`'. Ruled out: serde_path_to_error (one fault at a time, and flatten loses the path); a raw struct for each kind (unknown fields are refused, but still one at a time and without a line). Change: tables of shapes beside the types; a walk of jsonc-parser's tree along them finds all faults with byte offset, field path and a hint (nearest name, unit suffix); checks across entries work on the same tree, so that one report holds everything in the order of the text. Seen failing: with the attribute back, 3 tests fail (shapes, fuzzing of the services text, overlap). Conclusion: the types stay as they are for their users; tests hold tables and types together.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,8 +1,17 @@
 //! Process settings and the operators' services text: reading, checking and explaining.
 
+mod check_process;
+mod check_services;
+mod findings;
+mod hint;
+mod locate;
 pub mod problem;
 pub mod process;
+mod read;
 pub mod services;
+pub mod shape;
+mod source;
+mod unique;
 
 use problem::Report;
 use process::ProcessSettings;
@@ -12,16 +21,25 @@
 ///
 /// # Errors
 ///
-/// Returns every problem found, with field, line and a hint.
+/// Returns every problem found, with field, line and a hint, in the order of the text.
 pub fn parse_process_settings(text: &str) -> Result<ProcessSettings, Report> {
-    problem::read_jsonc(text)
+    read::read(text, &process::shape::PROCESS_SETTINGS, check_process::CHECKS)
 }
 
 /// Reads and checks a services text.
 ///
 /// # Errors
 ///
-/// Returns every problem found, with field, line and a hint.
+/// Returns every problem found, with field, line and a hint, in the order of the text.
 pub fn parse_services_text(text: &str) -> Result<ServicesText, Report> {
-    problem::read_jsonc(text)
+    read::read(text, &services::shape::SERVICES_TEXT, check_services::CHECKS)
+}
+
+/// Renders settings as JSON with every default filled in.
+///
+/// # Errors
+///
+/// Returns the fault of the JSON writer, which no settings are known to cause.
+pub fn merged(settings: &ProcessSettings) -> serde_json::Result<String> {
+    serde_json::to_string_pretty(settings)
 }
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -1,7 +1,5 @@
 //! Problems found in a settings file, and how they are reported.
 
-use jsonc_parser::ParseOptions;
-use serde::de::DeserializeOwned;
 use std::fmt;
 
 /// Describes one problem.
@@ -40,6 +38,14 @@
     pub problems: Vec<Problem>,
 }
 
+impl Report {
+    /// Creates a report of one problem that concerns the whole text.
+    pub(crate) fn new_whole(line: Option<usize>, message: String, hint: Option<&str>) -> Self {
+        let hint = hint.map(str::to_owned);
+        Self { problems: vec![Problem { field: String::new(), line, message, hint }] }
+    }
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, problem) in self.problems.iter().enumerate() {
@@ -51,15 +57,3 @@
         Ok(())
     }
 }
-
-/// Reads JSON with comments into a typed value.
-pub(crate) fn read_jsonc<T: DeserializeOwned>(text: &str) -> Result<T, Report> {
-    let value = jsonc_parser::parse_to_serde_value(text, &ParseOptions::default())
-        .map_err(|error| single(Some(error.line_display()), error.kind().to_string()))?
-        .ok_or_else(|| single(None, "the text is empty".to_owned()))?;
-    serde_json::from_value(value).map_err(|error| single(None, error.to_string()))
-}
-
-fn single(line: Option<usize>, message: String) -> Report {
-    Report { problems: vec![Problem { field: String::new(), line, message, hint: None }] }
-}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -1,5 +1,7 @@
 //! The settings of one daemon.
 
+pub mod shape;
+
 use protocol::ids::{FailureDomain, HostName, Region};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
--- a/crates/settings/src/services.rs
+++ b/crates/settings/src/services.rs
@@ -1,5 +1,7 @@
 //! The services text: what the operators publish to every entry host.
 
+pub mod shape;
+
 use protocol::ids::{
     ConfigVersion, FailureDomain, ModelName, OrganisationId, Region, ServiceName, WeightVersion,
 };
@@ -49,8 +51,9 @@
 }
 
 /// Describes one service.
+///
+/// Serde cannot deny unknown fields beside a flattened one; [`shape::SERVICES_TEXT`] does.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
 pub struct ServiceEntry {
     /// The service's name.
     pub name: ServiceName,
