Add the host table, its probes and their messages

Cause: the daemon has no knowledge of hosts beyond the platform's lagging list.

Change: protocol gains host records, probes and exchanges, and rendezvous hashing; membership gains the sharded table, the prober and the view. A record's suspicion, leaving and incarnation merge as a lattice, so the order of sources does not matter; whether a host is reachable is decided by each node's own evidence, and a suspicion that is heard only makes the node look for itself.

Ruled out: passing on 'dead' as a state, which lets two sides of a partial cut overrule each other for as long as the cut lasts.

--- a/crates/clients/src/wire/host_list.rs
+++ b/crates/clients/src/wire/host_list.rs
@@ -1,6 +1,7 @@
 //! The platform's lagging list of live and leaving hosts: `GET /hosts` answers [`HostList`].
 
 use protocol::ids::{FailureDomain, HostName, Incarnation, Region, ServiceName};
+use protocol::message::hosts::{self, EntryAddresses, HostRecord, ServerAddress};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -62,3 +63,31 @@
         address: SocketAddr,
     },
 }
+
+impl From<HostEntry> for HostRecord {
+    fn from(entry: HostEntry) -> Self {
+        Self {
+            host: entry.host,
+            incarnation: entry.incarnation,
+            region: entry.region,
+            failure_domain: entry.failure_domain,
+            leaving: entry.state == HostState::Leaving,
+            refutations: 0,
+            suspected_at_ms: None,
+            role: entry.role.into(),
+        }
+    }
+}
+
+impl From<HostRole> for hosts::HostRole {
+    fn from(role: HostRole) -> Self {
+        match role {
+            HostRole::Entry { callers, peers, operators } => {
+                Self::Entry(EntryAddresses { callers, peers, operators })
+            }
+            HostRole::Server { service, address } => {
+                Self::Server(ServerAddress { service, address })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/exchange.rs
@@ -0,0 +1,118 @@
+//! Probes, their answers and the comparison of tables, as messages in and out.
+
+use crate::limits::{BUCKETS_PER_EXCHANGE, EXCHANGE_GAP_MS};
+use crate::table::{HostTable, Source};
+use protocol::ids::{ConfigVersion, HostName, Incarnation};
+use protocol::message::hosts::HostRecord;
+use protocol::message::probe::{
+    Ack, BUCKETS, Exchange, ExchangeAnswer, Heartbeat, MAX_EXCHANGE_RECORDS, MAX_PROBE_RECORDS,
+    Probe,
+};
+use std::collections::HashMap;
+
+/// Returns the probe to send to any entry host now.
+pub fn probe(table: &HostTable, config_version: ConfigVersion, now_ms: u64) -> Probe {
+    let records = table.take_rumours(MAX_PROBE_RECORDS, now_ms);
+    Probe { heartbeat: heartbeat(table, config_version, now_ms), records }
+}
+
+/// Takes in a peer's probe and returns the answer.
+pub fn answer_probe(
+    table: &HostTable,
+    probe: &Probe,
+    config_version: ConfigVersion,
+    now_ms: u64,
+) -> Ack {
+    merge_bounded(table, &probe.records, MAX_PROBE_RECORDS, Source::Rumour, now_ms);
+    table.observe_heartbeat(&probe.heartbeat, now_ms);
+    let records = table.take_rumours(MAX_PROBE_RECORDS, now_ms);
+    let heartbeat = heartbeat(table, config_version, now_ms);
+    let differs = heartbeat.table_digest != probe.heartbeat.table_digest;
+    let bucket_digests = if differs { table.summary(now_ms).buckets.to_vec() } else { Vec::new() };
+    Ack { heartbeat, records, bucket_digests }
+}
+
+/// Takes in the answer to a probe; returns an exchange to send to the same peer if tables differ.
+///
+/// An answer by another host or an earlier incarnation than the probed one counts as a failure of
+/// the probed one.
+pub fn accept_ack(
+    table: &HostTable,
+    probed: Option<(&HostName, Incarnation)>,
+    ack: &Ack,
+    now_ms: u64,
+) -> Option<Exchange> {
+    if let Some((host, incarnation)) = probed
+        && (ack.heartbeat.host != *host || ack.heartbeat.incarnation < incarnation)
+    {
+        table.observe_failure(host, incarnation, now_ms);
+    }
+    merge_bounded(table, &ack.records, MAX_PROBE_RECORDS, Source::Rumour, now_ms);
+    table.observe_heartbeat(&ack.heartbeat, now_ms);
+    let buckets = differing_buckets(table, &ack.bucket_digests, now_ms);
+    if buckets.is_empty() || !table.may_exchange(EXCHANGE_GAP_MS, now_ms) {
+        return None;
+    }
+    Some(exchange(table, buckets, now_ms))
+}
+
+/// Takes in a peer's exchange and returns what it lacks.
+pub fn answer_exchange(table: &HostTable, request: &Exchange, now_ms: u64) -> ExchangeAnswer {
+    merge_bounded(table, &request.records, MAX_EXCHANGE_RECORDS, Source::Exchange, now_ms);
+    let told: HashMap<&HostName, &HostRecord> =
+        request.records.iter().map(|record| (&record.host, record)).collect();
+    let mut records = table.records_in(&request.buckets, now_ms);
+    records.retain(|record| told.get(&record.host) != Some(&record));
+    records.truncate(MAX_EXCHANGE_RECORDS);
+    ExchangeAnswer { records }
+}
+
+/// Takes in the answer to an exchange.
+pub fn accept_answer(table: &HostTable, answer: &ExchangeAnswer, now_ms: u64) {
+    merge_bounded(table, &answer.records, MAX_EXCHANGE_RECORDS, Source::Exchange, now_ms);
+}
+
+fn heartbeat(table: &HostTable, config_version: ConfigVersion, now_ms: u64) -> Heartbeat {
+    Heartbeat {
+        host: table.own().clone(),
+        incarnation: table.own_incarnation(),
+        config_version,
+        table_digest: table.digest(now_ms),
+        draining: table.is_draining(),
+    }
+}
+
+fn merge_bounded(
+    table: &HostTable,
+    records: &[HostRecord],
+    most: usize,
+    source: Source,
+    now_ms: u64,
+) {
+    table.merge(&records[..records.len().min(most)], source, now_ms);
+}
+
+fn differing_buckets(table: &HostTable, theirs: &[u32], now_ms: u64) -> Vec<u8> {
+    if theirs.len() != BUCKETS {
+        return Vec::new();
+    }
+    let ours = table.summary(now_ms);
+    // Starts elsewhere each time, so that a bucket that never agrees does not hold up the rest.
+    let start = now_ms as usize % BUCKETS;
+    let order = (0..BUCKETS).map(|step| (start + step) % BUCKETS);
+    order
+        .filter(|bucket| ours.buckets[*bucket] != theirs[*bucket])
+        .take(BUCKETS_PER_EXCHANGE)
+        .map(|bucket| bucket as u8)
+        .collect()
+}
+
+fn exchange(table: &HostTable, mut buckets: Vec<u8>, now_ms: u64) -> Exchange {
+    let mut records = table.records_in(&buckets, now_ms);
+    while records.len() > MAX_EXCHANGE_RECORDS && buckets.len() > 1 {
+        buckets.truncate(buckets.len() / 2);
+        records = table.records_in(&buckets, now_ms);
+    }
+    records.truncate(MAX_EXCHANGE_RECORDS);
+    Exchange { buckets, records }
+}
--- /dev/null
+++ b/crates/membership/src/table.rs
@@ -0,0 +1,317 @@
+//! The host table: all rows in shards, and the cached view of them.
+
+use crate::limits::SHARDS;
+use crate::row::{Change, Row};
+use crate::rumours::Rumours;
+use crate::shard::Shard;
+use crate::view::{HostView, Reachability};
+use protocol::ids::{ConfigVersion, HostName, Incarnation};
+use protocol::message::hosts::HostRecord;
+use protocol::message::probe::{BUCKETS, Heartbeat};
+use protocol::rendezvous;
+use std::array;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Says where records come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// The platform's list.
+    List,
+    /// Another node's recent changes.
+    Rumour,
+    /// A comparison of two whole tables.
+    Exchange,
+}
+
+/// Holds what a node knows of all hosts; shared between threads.
+#[derive(Debug)]
+pub struct HostTable {
+    own: HostName,
+    own_incarnation: Incarnation,
+    superseded: AtomicBool,
+    shards: [Mutex<Shard>; SHARDS],
+    rumours: Mutex<Rumours>,
+    generation: AtomicU64,
+    last_exchange_ms: AtomicU64,
+    cached: Mutex<Cached>,
+}
+
+/// Holds what was computed from all rows at one generation.
+#[derive(Clone, Debug)]
+struct Cached {
+    generation: u64,
+    valid_until_ms: u64,
+    summary: Arc<Summary>,
+}
+
+/// Holds the view and the digests of all rows.
+#[derive(Debug)]
+pub(crate) struct Summary {
+    pub view: Arc<HostView>,
+    pub buckets: [u32; BUCKETS],
+    pub digest: u64,
+}
+
+impl HostTable {
+    /// Creates a table that knows only its own host.
+    pub fn new(own: HostRecord, now_ms: u64) -> Self {
+        let summary = Summary { view: Arc::default(), buckets: [0; BUCKETS], digest: 0 };
+        let table = Self {
+            own: own.host.clone(),
+            own_incarnation: own.incarnation,
+            superseded: AtomicBool::new(false),
+            shards: array::from_fn(|_| Mutex::default()),
+            rumours: Mutex::default(),
+            generation: AtomicU64::new(1),
+            last_exchange_ms: AtomicU64::new(0),
+            cached: Mutex::new(Cached {
+                generation: 0,
+                valid_until_ms: 0,
+                summary: Arc::new(summary),
+            }),
+        };
+        table.insert_own(own, now_ms);
+        table
+    }
+
+    fn insert_own(&self, own: HostRecord, now_ms: u64) {
+        let name_digest = digest_of(&own.host);
+        lock(&self.rumours).add(&own.host, true);
+        let row = Row::new(own, name_digest, now_ms);
+        lock(self.shard(name_digest)).rows.insert(self.own.clone(), row);
+    }
+
+    /// Returns the name of the node's own host.
+    pub fn own(&self) -> &HostName {
+        &self.own
+    }
+
+    /// Returns the incarnation of the node's own host.
+    pub fn own_incarnation(&self) -> Incarnation {
+        self.own_incarnation
+    }
+
+    /// Returns whether a later incarnation of the node's own host was heard of.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether any source has said that the node's own host is leaving.
+    pub fn is_draining(&self) -> bool {
+        let shard = lock(self.shard(digest_of(&self.own)));
+        shard.rows.get(&self.own).is_some_and(|row| row.record.leaving)
+    }
+
+    /// Marks the node's own host as leaving.
+    pub fn set_draining(&self, now_ms: u64) {
+        self.update(&self.own, now_ms, |row| row.contact(self.own_incarnation, true, now_ms));
+    }
+
+    /// Merges records and passes on what they change.
+    pub fn merge(&self, records: &[HostRecord], source: Source, now_ms: u64) {
+        for record in records {
+            self.merge_one(record, source, now_ms);
+        }
+    }
+
+    fn merge_one(&self, record: &HostRecord, source: Source, now_ms: u64) {
+        if record.host == self.own {
+            return self.merge_own(record, now_ms);
+        }
+        let name_digest = digest_of(&record.host);
+        let mut shard = lock(self.shard(name_digest));
+        let Some(row) = shard.rows.get_mut(&record.host) else {
+            let row = Row::new(record.clone(), name_digest, now_ms);
+            if row.is_expired(now_ms) {
+                return;
+            }
+            shard.rows.insert(record.host.clone(), row);
+            drop(shard);
+            let change = if source == Source::Exchange { Change::None } else { Change::Slow };
+            self.pass_on(&record.host, change);
+            self.bump();
+            return;
+        };
+        let change = row.merge(record, now_ms);
+        drop(shard);
+        self.note(&record.host, change);
+    }
+
+    fn merge_own(&self, record: &HostRecord, now_ms: u64) {
+        if record.incarnation > self.own_incarnation {
+            self.superseded.store(true, Ordering::Relaxed);
+            return;
+        }
+        self.update(&self.own, now_ms, |row| {
+            let change = row.merge(record, now_ms);
+            if row.refute() { Change::Urgent } else { change }
+        });
+    }
+
+    /// Notes a heartbeat, which is a sign of life of its sender.
+    pub fn observe_heartbeat(&self, heartbeat: &Heartbeat, now_ms: u64) {
+        self.update(&heartbeat.host, now_ms, |row| {
+            let change = row.contact(heartbeat.incarnation, heartbeat.draining, now_ms);
+            if heartbeat.incarnation == row.record.incarnation {
+                row.config_version = row.config_version.max(Some(heartbeat.config_version));
+            }
+            change
+        });
+    }
+
+    /// Notes a host's own report.
+    pub fn observe_report(
+        &self,
+        host: &HostName,
+        incarnation: Incarnation,
+        leaving: bool,
+        now_ms: u64,
+    ) {
+        self.update(host, now_ms, |row| row.contact(incarnation, leaving, now_ms));
+    }
+
+    /// Notes that an incarnation of a host could not be reached.
+    pub fn observe_failure(&self, host: &HostName, incarnation: Incarnation, now_ms: u64) {
+        if *host != self.own {
+            self.update(host, now_ms, |row| row.failure(incarnation, now_ms));
+        }
+    }
+
+    /// Returns up to `count` hosts that are to be probed out of turn.
+    pub fn doubtful(&self, count: usize) -> Vec<HostRecord> {
+        let mut found = Vec::new();
+        for shard in &self.shards {
+            let shard = lock(shard);
+            let doubtful = shard.rows.values().filter(|row| row.doubtful);
+            found.extend(doubtful.take(count - found.len()).map(|row| row.record.clone()));
+            if found.len() >= count {
+                break;
+            }
+        }
+        found
+    }
+
+    /// Returns all hosts as known now.
+    pub fn view(&self, now_ms: u64) -> Arc<HostView> {
+        self.summary(now_ms).view.clone()
+    }
+
+    /// Returns a digest of all records; equal for equal tables.
+    pub fn digest(&self, now_ms: u64) -> u64 {
+        self.summary(now_ms).digest
+    }
+
+    /// Returns whether a change is waiting that others are to be told at once.
+    pub(crate) fn has_urgent(&self) -> bool {
+        lock(&self.rumours).has_urgent()
+    }
+
+    /// Returns whether an exchange may begin now, and notes that it does.
+    pub(crate) fn may_exchange(&self, gap_ms: u64, now_ms: u64) -> bool {
+        let last_ms = self.last_exchange_ms.load(Ordering::Relaxed);
+        let allowed = now_ms >= last_ms.saturating_add(gap_ms);
+        if allowed {
+            self.last_exchange_ms.store(now_ms, Ordering::Relaxed);
+        }
+        allowed
+    }
+
+    /// Returns records that are to be passed on, at most `count`.
+    pub(crate) fn take_rumours(&self, count: usize, now_ms: u64) -> Vec<HostRecord> {
+        let hosts = self.view(now_ms).entry_hosts.len() as u64;
+        let sends = 2 * (u64::BITS - hosts.leading_zeros());
+        let names = lock(&self.rumours).take(count, sends);
+        names.iter().filter_map(|name| self.record(name)).collect()
+    }
+
+    /// Returns the record of a host.
+    pub fn record(&self, host: &HostName) -> Option<HostRecord> {
+        let shard = lock(self.shard(digest_of(host)));
+        shard.rows.get(host).map(|row| row.record.clone())
+    }
+
+    /// Returns the records in some buckets.
+    pub(crate) fn records_in(&self, buckets: &[u8], now_ms: u64) -> Vec<HostRecord> {
+        self.shards.iter().flat_map(|shard| lock(shard).records_in(buckets, now_ms)).collect()
+    }
+
+    /// Returns the view and the digests, computed anew only after a change.
+    pub(crate) fn summary(&self, now_ms: u64) -> Arc<Summary> {
+        let generation = self.generation.load(Ordering::Acquire);
+        let mut cached = lock(&self.cached);
+        if cached.generation != generation || now_ms >= cached.valid_until_ms {
+            *cached = self.compute(generation, now_ms);
+        }
+        cached.summary.clone()
+    }
+
+    fn compute(&self, generation: u64, now_ms: u64) -> Cached {
+        let mut rows = Vec::new();
+        let mut sums = [0; BUCKETS];
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            shard.remove_expired(now_ms);
+            shard.add_digests(now_ms, &mut sums);
+            rows.extend(shard.rows.values().cloned());
+        }
+        let next_change = rows.iter().filter_map(|row| row.next_change_ms(now_ms)).min();
+        let view = Arc::new(HostView::from_rows(rows, &self.own, now_ms));
+        let buckets = sums.map(|sum| rendezvous::mix(sum) as u32);
+        let digest = sums.iter().fold(0, |digest, sum| rendezvous::mix(digest ^ sum));
+        let summary = Arc::new(Summary { view, buckets, digest });
+        Cached { generation, valid_until_ms: next_change.unwrap_or(u64::MAX), summary }
+    }
+
+    fn update(&self, host: &HostName, now_ms: u64, apply: impl FnOnce(&mut Row) -> Change) {
+        let mut shard = lock(self.shard(digest_of(host)));
+        let Some(row) = shard.rows.get_mut(host) else {
+            return;
+        };
+        let before = visible(row, now_ms);
+        let change = apply(row);
+        let after = visible(row, now_ms);
+        drop(shard);
+        if before != after {
+            self.bump();
+        }
+        self.note(host, change);
+    }
+
+    fn note(&self, host: &HostName, change: Change) {
+        if change != Change::None {
+            self.pass_on(host, change);
+            self.bump();
+        }
+    }
+
+    fn pass_on(&self, host: &HostName, change: Change) {
+        match change {
+            Change::None => {}
+            Change::Slow => lock(&self.rumours).add(host, false),
+            Change::Urgent => lock(&self.rumours).add(host, true),
+        }
+    }
+
+    fn bump(&self) {
+        self.generation.fetch_add(1, Ordering::Release);
+    }
+
+    fn shard(&self, name_digest: u64) -> &Mutex<Shard> {
+        &self.shards[name_digest as usize % SHARDS]
+    }
+}
+
+/// Returns what the view shows of a row beside its record.
+fn visible(row: &Row, now_ms: u64) -> (Reachability, Option<ConfigVersion>, Option<u64>) {
+    (row.reachability(now_ms), row.config_version, row.next_change_ms(now_ms))
+}
+
+fn digest_of(host: &HostName) -> u64 {
+    rendezvous::digest(host.as_str().as_bytes())
+}
+
+/// Locks a mutex; a panic of another holder leaves rows that are still whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod error;
 pub mod ids;
 pub mod message;
+pub mod rendezvous;
 pub mod size;
