Route by the host table, and serve until the balancer has looked away

Cause: the daemon kept its own copy of the lagging list and refused callers the moment a drain began, though the balancer goes on sending for a while. A draining host is not ready at once, takes requests until the balancer's wait has passed, then refuses them as not run.

--- a/crates/camphorwardd/src/callers.rs
+++ b/crates/camphorwardd/src/callers.rs
@@ -76,10 +76,11 @@
 
 /// Returns why a call cannot be taken now, if it cannot.
 fn check_ready(call: &Call) -> Result<(), Failure> {
-    if call.node.flights.is_draining() {
+    // The balancer still sends requests for a while after the host stopped being ready.
+    if call.node.flights.is_closed() {
         return Err(Failure::new(ErrorKind::Draining, "this host is draining"));
     }
-    match call.node.not_ready_reason() {
+    match call.node.unable_reason() {
         Some(reason) => Err(Failure::new(ErrorKind::NotReady, reason)),
         None => Ok(()),
     }
--- a/crates/camphorwardd/src/callers/plain.rs
+++ b/crates/camphorwardd/src/callers/plain.rs
@@ -82,9 +82,9 @@
     plain: &PlainCall,
     request_id: &RequestId,
 ) -> Result<Response<Body>, Failure> {
-    let servers = call.node.hosts.servers(&plain.service);
+    let servers = call.node.hosts.servers(&plain.service, call.node.now_ms());
     let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
-    for (attempt, server) in servers.iter().filter(|server| !server.leaving).enumerate() {
+    for (attempt, server) in servers.iter().filter(|server| server.takes_work()).enumerate() {
         match send(call, plain, server, request_id, attempt).await {
             Ok(response) => return Ok(response),
             Err(error) => {
--- a/crates/camphorwardd/src/cli.rs
+++ b/crates/camphorwardd/src/cli.rs
@@ -60,12 +60,15 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot watch SIGINT")?;
     let daemon = Daemon::start(settings).await?;
     println!("{}", serde_json::to_string(&daemon.addresses())?);
-    next_signal(&mut terminate, &mut interrupt).await;
-    log::info!("signal received, draining; a second signal ends at once");
+    tokio::select! {
+        () = next_signal(&mut terminate, &mut interrupt) => {}
+        () = daemon.drain_ordered() => {}
+    }
+    log::info!("draining; a signal from now on ends the process at once");
     let end = tokio::select! {
         end = daemon.drain() => end,
         () = next_signal(&mut terminate, &mut interrupt) => {
-            log::warn!("second signal received, ending at once");
+            log::warn!("signal received while draining, ending at once");
             return Ok(ExitCode::from(EXIT_CUT_OFF));
         }
     };
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -68,6 +68,8 @@
     ConfigsConflicting => "configs.conflicting";
     /// Configuration records that did not pass the check.
     ConfigsInvalid => "configs.invalid";
+    /// Probes of entry hosts that got no answer.
+    ProbeFailures => "probes.failed";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/daemon.rs
+++ b/crates/camphorwardd/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Starts, drains and stops all parts of one daemon.
 
+use crate::clock::wall_ms;
 use crate::constants::DRAIN_POLL;
 use crate::node::{BoundAddresses, Node};
 use crate::{callers, follow, operators, peers, serve};
@@ -7,7 +8,7 @@
 use settings::process::ProcessSettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
@@ -108,12 +109,20 @@
         self.node.counters.values()
     }
 
+    /// Waits until the daemon is told to drain at the operators' listener.
+    pub async fn drain_ordered(&self) {
+        while !self.is_draining() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
     /// Stops taking requests, lets those under way finish within the bound, and stops.
     pub async fn drain(mut self) -> DrainEnd {
-        self.node.flights.start_drain();
+        self.node.start_drain();
         let settings = &self.node.settings.drain;
         let started = Instant::now();
         tokio::time::sleep(Duration::from_millis(settings.balancer_wait_ms)).await;
+        self.node.flights.close();
         let bound = started + Duration::from_millis(settings.bound_ms);
         let end = wait_for_flights(&self.node, bound).await;
         self.listeners.shutdown().await;
@@ -153,6 +162,5 @@
 
 /// A later start has a greater incarnation as long as the host's clock does not go back.
 fn new_incarnation() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+    Incarnation::new(wall_ms())
 }
--- a/crates/camphorwardd/src/flight.rs
+++ b/crates/camphorwardd/src/flight.rs
@@ -8,6 +8,7 @@
 pub struct Flights {
     count: Arc<AtomicU64>,
     draining: Arc<AtomicBool>,
+    closed: Arc<AtomicBool>,
 }
 
 impl Flights {
@@ -32,6 +33,16 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns whether new requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    /// Refuses new requests from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
     /// Marks the host as draining; returns whether it was so before.
     pub fn start_drain(&self) -> bool {
         self.draining.swap(true, Ordering::AcqRel)
--- a/crates/camphorwardd/src/follow.rs
+++ b/crates/camphorwardd/src/follow.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod host_list;
+pub(crate) mod peers;
 mod servers;
 
 use crate::node::Node;
@@ -12,5 +13,6 @@
 pub(crate) fn start(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
     tasks.spawn(configuration::follow(Arc::clone(node)));
     tasks.spawn(host_list::follow(Arc::clone(node)));
+    tasks.spawn(peers::follow(Arc::clone(node)));
     tasks.spawn(servers::follow(Arc::clone(node)));
 }
--- /dev/null
+++ b/crates/camphorwardd/src/follow/peers.rs
@@ -0,0 +1,82 @@
+//! Probes other entry hosts and compares host tables with them.
+
+use crate::counters::Counter;
+use crate::node::Node;
+use membership::limits::{PROBE_TIMEOUT_MS, TICK_MS};
+use membership::{ProbeOrder, ProbeTarget, Prober, exchange};
+use protocol::ids::{HostName, Incarnation};
+use protocol::message::probe::{Ack, Exchange, ExchangeAnswer};
+use rand::RngCore;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The peers' path for probes.
+pub(crate) const PROBE_PATH: &str = "/inner/probe";
+/// The peers' path for the comparison of host tables.
+pub(crate) const EXCHANGE_PATH: &str = "/inner/exchange";
+
+/// Probes for as long as the daemon runs.
+pub(crate) async fn follow(node: Arc<Node>) {
+    let mut prober = Prober::new();
+    let mut interval = tokio::time::interval(Duration::from_millis(TICK_MS));
+    loop {
+        interval.tick().await;
+        let random = rand::rng().next_u64();
+        for order in prober.tick(node.hosts.table(), node.now_ms(), random) {
+            // Servers are reached by the reads of their load.
+            if let ProbeOrder::Peer(target) = order {
+                tokio::spawn(probe_peer(Arc::clone(&node), target));
+            }
+        }
+        if !node.hosts.is_known(node.now_ms()) {
+            probe_seeds(&node);
+        }
+    }
+}
+
+/// Asks the peers named in the settings while nothing else is known.
+fn probe_seeds(node: &Arc<Node>) {
+    for address in &node.settings.seed_peers {
+        let (node, address) = (Arc::clone(node), *address);
+        tokio::spawn(async move { probe(&node, address, None).await });
+    }
+}
+
+async fn probe_peer(node: Arc<Node>, target: ProbeTarget) {
+    let probed = (target.host, target.incarnation);
+    if !probe(&node, target.address, Some(&probed)).await {
+        node.counters.count(Counter::ProbeFailures);
+        node.hosts.table().observe_failure(&probed.0, probed.1, node.now_ms());
+    }
+}
+
+/// Returns whether the peer answered.
+async fn probe(
+    node: &Arc<Node>,
+    address: SocketAddr,
+    probed: Option<&(HostName, Incarnation)>,
+) -> bool {
+    let table = node.hosts.table();
+    let message = exchange::probe(table, node.directory().version(), node.now_ms());
+    let peer = &node.clients.peer;
+    let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+    let Ok(ack) = peer.call::<Ack>(address, PROBE_PATH, &message, timeout).await else {
+        return false;
+    };
+    let probed = probed.map(|(host, incarnation)| (host, *incarnation));
+    if let Some(request) = exchange::accept_ack(table, probed, &ack, node.now_ms()) {
+        compare(node, address, &request).await;
+    }
+    true
+}
+
+async fn compare(node: &Node, address: SocketAddr, request: &Exchange) {
+    let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
+    let answer: Result<ExchangeAnswer, _> =
+        node.clients.peer.call(address, EXCHANGE_PATH, request, timeout).await;
+    match answer {
+        Ok(answer) => exchange::accept_answer(node.hosts.table(), &answer, node.now_ms()),
+        Err(error) => log::debug!("host tables not compared: {error}"),
+    }
+}
--- a/crates/camphorwardd/src/follow/servers.rs
+++ b/crates/camphorwardd/src/follow/servers.rs
@@ -33,7 +33,7 @@
 fn model_servers(node: &Node) -> Vec<Server> {
     let directory = node.directory();
     let services = directory.models().map(|(name, _)| name);
-    services.flat_map(|name| node.hosts.servers(name)).collect()
+    services.flat_map(|name| node.hosts.servers(name, node.now_ms())).collect()
 }
 
 async fn read_server(
@@ -46,6 +46,7 @@
         Err(error) => {
             node.counters.count(Counter::LoadReadFailures);
             node.placement.mark_unreachable(&server.host);
+            node.hosts.observe_failure(server, node.now_ms());
             log::debug!("server={} load not read: {error}", server.host);
             return None;
         }
@@ -59,7 +60,8 @@
 
 fn take_report(node: &Node, server: &Server, report: &LoadReport) {
     node.placement.mark_reachable(&server.host);
-    node.hosts.note_leaving(&server.host, report.leaving);
+    let (incarnation, now_ms) = (report.incarnation, node.now_ms());
+    node.hosts.table().observe_report(&server.host, incarnation, report.leaving, now_ms);
     let reported = ReportedLoad {
         incarnation: report.incarnation,
         running: report.running,
--- a/crates/camphorwardd/src/hosts.rs
+++ b/crates/camphorwardd/src/hosts.rs
@@ -1,10 +1,12 @@
-//! The hosts that this daemon knows of.
+//! The hosts that this daemon knows of, as routing sees them.
 
-use clients::wire::host_list::{HostEntry, HostList, HostRole, HostState};
+use clients::wire::host_list::{HostEntry, HostList, HostRole as ListedRole, HostState};
+use membership::{EntryHost, HostTable, HostView, Reachability, Source};
 use protocol::ids::{FailureDomain, HostName, Incarnation, Region, ServiceName};
-use std::collections::HashMap;
+use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole, ServerAddress};
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Describes one backend server or store host.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,113 +18,127 @@
     pub(crate) service: ServiceName,
     pub(crate) address: SocketAddr,
     pub(crate) leaving: bool,
+    pub(crate) reachability: Reachability,
 }
 
-/// Describes one entry host.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct EntryHost {
-    pub(crate) host: HostName,
-    pub(crate) region: Region,
-    pub(crate) failure_domain: FailureDomain,
-    pub(crate) peers: SocketAddr,
-    pub(crate) operators: SocketAddr,
-    pub(crate) leaving: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct View {
-    is_known: bool,
-    servers: HashMap<HostName, Server>,
-    entries: HashMap<HostName, EntryHost>,
+impl Server {
+    /// Returns whether the server may be given new work.
+    pub(crate) fn takes_work(&self) -> bool {
+        !self.leaving && self.reachability != Reachability::Unreachable
+    }
 }
 
-/// Holds the latest view of the hosts.
-#[derive(Debug, Default)]
+/// Holds the host table and whether anything besides the own host was learnt.
+#[derive(Debug)]
 pub(crate) struct Hosts {
-    view: RwLock<Arc<View>>,
+    table: HostTable,
+    list_read: AtomicBool,
 }
 
 impl Hosts {
-    /// Creates an empty view.
-    pub(crate) fn new() -> Self {
-        Self::default()
+    /// Creates a table that knows only the own host.
+    pub(crate) fn new(own: HostRecord, now_ms: u64) -> Self {
+        Self { table: HostTable::new(own, now_ms), list_read: AtomicBool::new(false) }
     }
 
-    /// Returns whether any list was read.
-    pub(crate) fn is_known(&self) -> bool {
-        self.view().is_known
+    /// Returns the table.
+    pub(crate) fn table(&self) -> &HostTable {
+        &self.table
     }
 
-    /// Takes over a list.
-    pub(crate) fn update(&self, list: HostList) {
-        let mut view = View { is_known: true, ..View::default() };
-        for entry in list.hosts {
-            add_entry(&mut view, entry);
-        }
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    /// Returns whether the platform's list or a peer's table was read.
+    pub(crate) fn is_known(&self, now_ms: u64) -> bool {
+        self.list_read.load(Ordering::Relaxed) || self.view(now_ms).servers().next().is_some()
     }
 
-    /// Notes that a server itself said that it leaves; that stands until the next list.
-    pub(crate) fn note_leaving(&self, host: &HostName, leaving: bool) {
-        let current = self.view();
-        let known = current.servers.get(host).is_some_and(|server| server.leaving);
-        if !leaving || known {
-            return;
-        }
-        let mut view = View::clone(&current);
-        if let Some(server) = view.servers.get_mut(host) {
-            server.leaving = true;
-        }
-        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    /// Takes in the platform's list.
+    pub(crate) fn merge_list(&self, list: HostList, now_ms: u64) {
+        let records: Vec<HostRecord> = list.hosts.into_iter().map(to_record).collect();
+        self.table.merge(&records, Source::List, now_ms);
+        self.list_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns all hosts as known now.
+    pub(crate) fn view(&self, now_ms: u64) -> Arc<HostView> {
+        self.table.view(now_ms)
     }
 
     /// Returns the servers of a service, in the order of their names.
-    pub(crate) fn servers(&self, service: &ServiceName) -> Vec<Server> {
-        let view = self.view();
-        let of_service = view.servers.values().filter(|server| server.service == *service);
-        let mut servers: Vec<Server> = of_service.cloned().collect();
-        servers.sort_by(|a, b| a.host.cmp(&b.host));
-        servers
+    pub(crate) fn servers(&self, service: &ServiceName, now_ms: u64) -> Vec<Server> {
+        let view = self.view(now_ms);
+        let servers = view.services.get(service).into_iter().flatten();
+        servers.map(|server| to_server(service, server)).collect()
     }
 
-    /// Returns all servers, in the order of their names.
-    pub(crate) fn all_servers(&self) -> Vec<Server> {
-        let mut servers: Vec<Server> = self.view().servers.values().cloned().collect();
-        servers.sort_by(|a, b| a.host.cmp(&b.host));
-        servers
+    /// Returns all servers, by service and name.
+    pub(crate) fn all_servers(&self, now_ms: u64) -> Vec<Server> {
+        let view = self.view(now_ms);
+        let of_service = |(service, servers): (&ServiceName, &Vec<membership::Server>)| {
+            let listed = servers.iter().map(|server| to_server(service, server));
+            listed.collect::<Vec<Server>>()
+        };
+        view.services.iter().flat_map(of_service).collect()
     }
 
     /// Returns a server by name.
     pub(crate) fn server(&self, host: &HostName) -> Option<Server> {
-        self.view().servers.get(host).cloned()
+        let record = self.table.record(host)?;
+        let HostRole::Server(at) = record.role else {
+            return None;
+        };
+        Some(Server {
+            host: record.host,
+            incarnation: record.incarnation,
+            region: record.region,
+            failure_domain: record.failure_domain,
+            service: at.service,
+            address: at.address,
+            leaving: record.leaving,
+            reachability: Reachability::Live,
+        })
+    }
+
+    /// Returns the entry hosts that can be reached, in the order of their names.
+    pub(crate) fn entry_hosts(&self, now_ms: u64) -> Vec<EntryHost> {
+        self.view(now_ms).usable_entry_hosts().cloned().collect()
     }
 
-    /// Returns the entry hosts, in the order of their names.
-    pub(crate) fn entry_hosts(&self) -> Vec<EntryHost> {
-        let mut entries: Vec<EntryHost> = self.view().entries.values().cloned().collect();
-        entries.sort_by(|a, b| a.host.cmp(&b.host));
-        entries
+    /// Notes that a call to a server could not reach it.
+    pub(crate) fn observe_failure(&self, server: &Server, now_ms: u64) {
+        self.table.observe_failure(&server.host, server.incarnation, now_ms);
     }
+}
 
-    fn view(&self) -> Arc<View> {
-        Arc::clone(&self.view.read().unwrap_or_else(PoisonError::into_inner))
+fn to_server(service: &ServiceName, server: &membership::Server) -> Server {
+    Server {
+        host: server.host.clone(),
+        incarnation: server.incarnation,
+        region: server.region.clone(),
+        failure_domain: server.failure_domain.clone(),
+        service: service.clone(),
+        address: server.address,
+        leaving: server.leaving,
+        reachability: server.reachability,
     }
 }
 
-fn add_entry(view: &mut View, entry: HostEntry) {
-    let HostEntry { host, incarnation, region, failure_domain, state, role } = entry;
-    let leaving = state == HostState::Leaving;
-    match role {
-        HostRole::Entry { peers, operators, .. } => {
-            let name = host.clone();
-            let entry = EntryHost { host, region, failure_domain, peers, operators, leaving };
-            view.entries.insert(name, entry);
+fn to_record(entry: HostEntry) -> HostRecord {
+    let role = match entry.role {
+        ListedRole::Entry { callers, peers, operators } => {
+            HostRole::Entry(EntryAddresses { callers, peers, operators })
         }
-        HostRole::Server { service, address } => {
-            let name = host.clone();
-            let server =
-                Server { host, incarnation, region, failure_domain, service, address, leaving };
-            view.servers.insert(name, server);
+        ListedRole::Server { service, address } => {
+            HostRole::Server(ServerAddress { service, address })
         }
+    };
+    HostRecord {
+        host: entry.host,
+        incarnation: entry.incarnation,
+        region: entry.region,
+        failure_domain: entry.failure_domain,
+        leaving: entry.state == HostState::Leaving,
+        refutations: 0,
+        suspected_at_ms: None,
+        role,
     }
 }
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod reply;
 
 mod callers;
+mod clock;
 mod connection;
 mod constants;
 mod follow;
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -1,5 +1,6 @@
 //! What all parts of one daemon share.
 
+use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::directory::Directory;
 use crate::explain::Explanations;
@@ -14,11 +15,11 @@
 use clients::store::StoreClient;
 use gotham::state::StateData;
 use protocol::ids::Incarnation;
+use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole};
 use settings::process::ProcessSettings;
 use std::net::SocketAddr;
 use std::panic::RefUnwindSafe;
 use std::sync::{Arc, PoisonError, RwLock};
-use std::time::Instant;
 
 /// Gives the addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
@@ -73,7 +74,7 @@
     pub(crate) hosts: Hosts,
     pub(crate) placement: PlacementState,
     directory: RwLock<Arc<Directory>>,
-    started: Instant,
+    clock: Clock,
 }
 
 impl Node {
@@ -87,15 +88,17 @@
         incarnation: Incarnation,
         addresses: BoundAddresses,
     ) -> std::io::Result<Self> {
+        let clock = Clock::new();
+        let own = own_record(&settings, incarnation, &addresses);
         Ok(Self {
             counters: Arc::new(Counters::new(settings.statsd)?),
             clients: Clients::new(&settings),
             flights: Flights::new(),
             explanations: Explanations::new(),
-            hosts: Hosts::new(),
+            hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
             directory: RwLock::default(),
-            started: Instant::now(),
+            clock,
             settings,
             incarnation,
             addresses,
@@ -112,9 +115,15 @@
         *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
     }
 
-    /// Returns the milliseconds since the daemon started.
+    /// Returns the milliseconds since the epoch; never goes back.
     pub(crate) fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.clock.now_ms()
+    }
+
+    /// Stops taking requests and tells the other hosts; returns whether that was so before.
+    pub(crate) fn start_drain(&self) -> bool {
+        self.hosts.table().set_draining(self.now_ms());
+        self.flights.start_drain()
     }
 
     /// Returns why the host takes no requests, if it takes none.
@@ -122,16 +131,39 @@
         if self.flights.is_draining() {
             return Some("draining");
         }
+        self.unable_reason()
+    }
+
+    /// Returns what the host lacks to serve requests, if it lacks anything.
+    pub(crate) fn unable_reason(&self) -> Option<&'static str> {
         if self.directory().version().value() == 0 {
             return Some("no configuration read yet from the log or a peer");
         }
-        if !self.hosts.is_known() {
+        if !self.hosts.is_known(self.now_ms()) {
             return Some("no host list read yet from the platform or a peer");
         }
         None
     }
 }
 
+fn own_record(
+    settings: &ProcessSettings,
+    incarnation: Incarnation,
+    addresses: &BoundAddresses,
+) -> HostRecord {
+    let BoundAddresses { callers, peers, operators } = *addresses;
+    HostRecord {
+        host: settings.host.clone(),
+        incarnation,
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        leaving: false,
+        refutations: 0,
+        suspected_at_ms: None,
+        role: HostRole::Entry(EntryAddresses { callers, peers, operators }),
+    }
+}
+
 /// Hands the node to the handlers of a request.
 #[derive(Clone)]
 pub(crate) struct NodeHandle(Arc<Node>);
--- a/crates/camphorwardd/src/operators.rs
+++ b/crates/camphorwardd/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' listener: status, counters, placement explanations and drain.
 
-use crate::hosts::{EntryHost, Server};
+use crate::hosts::Server;
 use crate::node::Node;
 use crate::reply;
 use crate::serve::{Call, build_node_router, handle};
@@ -8,6 +8,7 @@
 use gotham::router::Router;
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
 use http::{Response, StatusCode};
+use membership::EntryHost;
 use protocol::ids::RequestId;
 use protocol::message::operator::{
     Counters, DrainAnswer, EntryHostStatus, NodeStatus, OperatorError, OperatorRefusal,
@@ -40,16 +41,26 @@
         draining: node.flights.is_draining(),
         config_version: node.directory().version(),
         requests_in_flight: node.flights.in_flight(),
-        live_entry_hosts: node.hosts.entry_hosts().into_iter().map(to_entry_status).collect(),
-        servers: node.hosts.all_servers().into_iter().map(|s| to_server_status(node, s)).collect(),
+        live_entry_hosts: node
+            .hosts
+            .entry_hosts(node.now_ms())
+            .into_iter()
+            .map(to_entry_status)
+            .collect(),
+        servers: servers_status(node),
     };
     reply::json(StatusCode::OK, &status)
 }
 
+fn servers_status(node: &Node) -> Vec<ServerStatus> {
+    let servers = node.hosts.all_servers(node.now_ms()).into_iter();
+    servers.map(|server| to_server_status(node, server)).collect()
+}
+
 fn to_entry_status(entry: EntryHost) -> EntryHostStatus {
     EntryHostStatus {
         host: entry.host,
-        operators: entry.operators,
+        operators: entry.addresses.operators,
         failure_domain: Some(entry.failure_domain),
     }
 }
@@ -57,7 +68,7 @@
 fn to_server_status(node: &Node, server: Server) -> ServerStatus {
     let state = if server.leaving {
         ServerState::Leaving
-    } else if node.placement.is_unreachable(&server.host) {
+    } else if !server.takes_work() || node.placement.is_unreachable(&server.host) {
         ServerState::Unreachable
     } else {
         ServerState::Live
@@ -97,7 +108,7 @@
     let node = &call.node;
     let answer = DrainAnswer {
         host: node.settings.host.clone(),
-        already_draining: node.flights.start_drain(),
+        already_draining: node.start_drain(),
         requests_in_flight: node.flights.in_flight(),
         bound_ms: node.settings.drain.bound_ms,
     };
--- a/crates/camphorwardd/src/peers.rs
+++ b/crates/camphorwardd/src/peers.rs
@@ -1,5 +1,6 @@
 //! The peers' listener: messages of the inner protocol.
 
+use crate::follow::peers::{EXCHANGE_PATH, PROBE_PATH};
 use crate::node::Node;
 use crate::reply::{self, Failure};
 use crate::run::{self, FINISHED_PATH, PLACE_PATH};
@@ -9,7 +10,9 @@
 use gotham::router::Router;
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
 use http::{Response, StatusCode};
+use membership::exchange::{answer_exchange, answer_probe};
 use protocol::error::ErrorKind;
+use protocol::message::probe::{MAX_EXCHANGE_BYTES, MAX_PROBE_BYTES};
 use serde::Serialize;
 use std::sync::Arc;
 
@@ -17,6 +20,8 @@
 pub(crate) fn build_router(node: &Arc<Node>) -> Router {
     build_node_router(node, |route| {
         route.post(PLACE_PATH).to(|state| handle(state, |call| Box::pin(place(call))));
+        route.post(PROBE_PATH).to(|state| handle(state, |call| Box::pin(probe(call))));
+        route.post(EXCHANGE_PATH).to(|state| handle(state, |call| Box::pin(exchange(call))));
         route.post(FINISHED_PATH).to(|state| handle(state, |call| Box::pin(finished(call))));
     })
 }
@@ -31,6 +36,36 @@
     }
 }
 
+async fn probe(call: Call) -> Response<Body> {
+    if call.body.len() > MAX_PROBE_BYTES {
+        return too_large();
+    }
+    let node = &call.node;
+    match decode(&call.body) {
+        Ok(probe) => {
+            let version = node.directory().version();
+            answer(&answer_probe(node.hosts.table(), &probe, version, node.now_ms()))
+        }
+        Err(error) => malformed(&error),
+    }
+}
+
+async fn exchange(call: Call) -> Response<Body> {
+    if call.body.len() > MAX_EXCHANGE_BYTES {
+        return too_large();
+    }
+    match decode(&call.body) {
+        Ok(request) => {
+            answer(&answer_exchange(call.node.hosts.table(), &request, call.node.now_ms()))
+        }
+        Err(error) => malformed(&error),
+    }
+}
+
+fn too_large() -> Response<Body> {
+    reply::failure(&Failure::new(ErrorKind::BodyTooLarge, "the message is too large"))
+}
+
 async fn finished(call: Call) -> Response<Body> {
     match decode(&call.body) {
         Ok(notice) => {
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -77,8 +77,8 @@
 
 fn candidates(node: &Node, service: &ServiceName) -> Vec<Candidate> {
     let takes_work =
-        |server: &Server| !server.leaving && !node.placement.is_unreachable(&server.host);
-    let servers = node.hosts.servers(service).into_iter().filter(takes_work);
+        |server: &Server| server.takes_work() && !node.placement.is_unreachable(&server.host);
+    let servers = node.hosts.servers(service, node.now_ms()).into_iter().filter(takes_work);
     let candidate = |server: Server| Candidate {
         host: server.host,
         region: server.region,
@@ -117,8 +117,8 @@
         let Some((name, settings)) = service else {
             return Self { settings: None, stores: Vec::new() };
         };
-        let servers = node.hosts.servers(name).into_iter();
-        let in_region = servers.filter(|server| !server.leaving && server.region == *region);
+        let servers = node.hosts.servers(name, node.now_ms()).into_iter();
+        let in_region = servers.filter(|server| server.takes_work() && server.region == *region);
         let store = |server: Server| Store {
             host: server.host,
             region: server.region,
--- a/crates/camphorwardd/src/run/place.rs
+++ b/crates/camphorwardd/src/run/place.rs
@@ -2,10 +2,11 @@
 
 use crate::constants::{HOME_TIMEOUT, PEER_TIMEOUT};
 use crate::counters::Counter;
-use crate::hosts::{EntryHost, Server};
+use crate::hosts::Server;
 use crate::node::Node;
 use crate::reply::Failure;
 use crate::run::{Job, decide, take_notice};
+use membership::EntryHost;
 use placement::chain::{HomeKey, PrefixChain};
 use placement::rendezvous;
 use protocol::error::ErrorKind;
@@ -43,11 +44,10 @@
 }
 
 fn home_of(node: &Node, key: &ChainKey) -> Option<EntryHost> {
-    let region = &node.settings.region;
-    let entries = node.hosts.entry_hosts();
-    let in_region = entries.into_iter().filter(|entry| entry.region == *region && !entry.leaving);
+    let view = node.hosts.view(node.now_ms());
     let key = HomeKey::of_piece(key);
-    rendezvous::winner(key.as_bytes(), in_region, |entry| entry.host.as_str().as_bytes())
+    let homes = view.homes(&node.settings.region);
+    rendezvous::winner(key.as_bytes(), homes, |entry| entry.host.as_str().as_bytes()).cloned()
 }
 
 /// Finds a server for an attempt.
@@ -93,7 +93,7 @@
 async fn ask_home(node: &Arc<Node>, home: &EntryHost, request: &PlaceRequest) -> Option<Placed> {
     node.counters.count(Counter::HomeAsked);
     let peer = &node.clients.peer;
-    match peer.call(home.peers, PLACE_PATH, request, HOME_TIMEOUT).await {
+    match peer.call(home.addresses.peers, PLACE_PATH, request, HOME_TIMEOUT).await {
         Ok(reply) => to_placed(node, reply, DecidedBy::Home),
         Err(error) => {
             node.counters.count(Counter::HomeMissed);
@@ -124,7 +124,7 @@
         return take_notice(&node, notice).await;
     }
     let sent: Result<(), _> =
-        node.clients.peer.call(home.peers, FINISHED_PATH, &notice, PEER_TIMEOUT).await;
+        node.clients.peer.call(home.addresses.peers, FINISHED_PATH, &notice, PEER_TIMEOUT).await;
     if let Err(error) = sent {
         // The home learns of the pieces from the server's own cache events all the same.
         log::debug!("attempt={} home={} not told: {error}", notice.attempt_id, home.host);
