--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -10,17 +10,24 @@
 const STATSD_PREFIX: &str = "camphorward";
 
 macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident => $text:literal;)*) => {
+    ($(#[doc = $doc:literal] $name:ident => $text:literal;)*) => {
         /// Lists the counters besides those for refusals and retries.
         #[derive(Clone, Copy, Debug, Eq, PartialEq)]
         pub enum Counter {
-            $($(#[$doc])* $name,)*
+            $(#[doc = $doc] $name,)*
         }
 
         impl Counter {
             /// Holds every counter.
             pub const ALL: &'static [Counter] = &[$(Counter::$name,)*];
 
+            /// Returns what the counter counts, in one sentence.
+            pub fn description(self) -> &'static str {
+                match self {
+                    $(Counter::$name => $doc.trim(),)*
+                }
+            }
+
             /// Returns the counter's name.
             pub const fn as_str(self) -> &'static str {
                 match self {
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -38,12 +38,12 @@
 }
 
 macro_rules! error_kinds {
-    ($($(#[$doc:meta])* $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
+    ($(#[doc = $doc:literal] $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
         /// Lists every reason for which a request is refused, given up or retried.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(rename_all = "snake_case")]
         pub enum ErrorKind {
-            $($(#[$doc])* $name,)*
+            $(#[doc = $doc] $name,)*
         }
 
         impl ErrorKind {
@@ -57,6 +57,13 @@
                 }
             }
 
+            /// Returns what the kind means, in one sentence.
+            pub fn description(self) -> &'static str {
+                match self {
+                    $(ErrorKind::$name => $doc.trim(),)*
+                }
+            }
+
             /// Returns the answer for this kind.
             pub const fn answer(self) -> Answer {
                 match self {
