Add the stand-ins of the outside systems

Cause: the thin path needs a log, a host list, model engines, store hosts and order servers that behave as the wire types say and fail on demand.

Change: each is served by gotham on its own listener, which can be killed with all its connections and started again on the same address. Faults are set by a method or by POST /faults.

--- /dev/null
+++ b/crates/standins/src/order_service.rs
@@ -0,0 +1,258 @@
+//! A stand-in of an order service, whose orders must not be sent twice.
+//!
+//! | call | answer |
+//! |---|---|
+//! | `POST /orders` with any JSON object, `idempotency-key` and `x-attempt-id` | 201 with [`OrderAnswer`]; each arrival is executed |
+//! | `GET /orders/{key}` | [`OrderAnswer`] of the first execution; 404 if there was none |
+//! | `GET /stock/{item}` | [`StockAnswer`] |
+//! | `GET /ledger` | every [`Execution`] in order |
+//! | `GET /faults`, `POST /faults` with [`OrderFaults`] | the faults; 204 |
+//!
+//! Servers of one service share a [`Ledger`].
+
+use crate::reply;
+use crate::server::{Call, Handle, Server};
+use crate::switch::{Switch, lock, take_one};
+use futures_util::FutureExt;
+use gotham::helpers::http::Body;
+use http::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Configures an order server.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderConfig {
+    /// Where the server listens; port 0 takes any free port.
+    pub address: SocketAddr,
+    /// How long an order takes to execute, in milliseconds.
+    pub execution_ms: u64,
+}
+
+impl Default for OrderConfig {
+    fn default() -> Self {
+        Self { address: SocketAddr::from(([127, 0, 0, 1], 0)), execution_ms: 5 }
+    }
+}
+
+/// Selects an order server's faults.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderFaults {
+    /// Every call is answered with 503, and nothing is executed.
+    pub down: bool,
+    /// Every call is delayed by so many milliseconds before it is executed.
+    pub delay_ms: u64,
+    /// So many of the next orders are executed, and the connection closes without an answer.
+    pub lose_answers: u32,
+    /// So many of the next orders are executed, and no answer ever comes.
+    pub hang_answers: u32,
+}
+
+/// Answers an order.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OrderAnswer {
+    /// The number of the execution.
+    pub order_number: u64,
+    /// The idempotency key under which the order came.
+    pub key: String,
+    /// The attempt that was executed.
+    pub attempt_id: String,
+}
+
+/// Answers a question for stock.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StockAnswer {
+    /// The item.
+    pub item: String,
+    /// How many are left.
+    pub left: u64,
+}
+
+/// Records one executed order.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Execution {
+    /// What was answered.
+    pub answer: OrderAnswer,
+    /// The order.
+    pub order: serde_json::Value,
+}
+
+/// Records the executed orders of one service.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    executions: Mutex<Vec<Execution>>,
+}
+
+impl Ledger {
+    /// Creates an empty ledger.
+    pub fn new() -> Arc<Self> {
+        Arc::default()
+    }
+
+    /// Returns every execution in order.
+    pub fn executions(&self) -> Vec<Execution> {
+        lock(&self.executions).clone()
+    }
+
+    /// Returns how often each key was executed.
+    pub fn executions_by_key(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for execution in lock(&self.executions).iter() {
+            *counts.entry(execution.answer.key.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn execute(&self, key: &str, attempt_id: &str, order: serde_json::Value) -> OrderAnswer {
+        let mut executions = lock(&self.executions);
+        let answer = OrderAnswer {
+            order_number: executions.len() as u64 + 1,
+            key: key.to_owned(),
+            attempt_id: attempt_id.to_owned(),
+        };
+        executions.push(Execution { answer: answer.clone(), order });
+        answer
+    }
+
+    fn first(&self, key: &str) -> Option<OrderAnswer> {
+        let executions = lock(&self.executions);
+        executions.iter().find(|execution| execution.answer.key == key).map(|e| e.answer.clone())
+    }
+}
+
+struct State {
+    config: OrderConfig,
+    faults: Switch<OrderFaults>,
+    ledger: Arc<Ledger>,
+    stock_calls: AtomicU64,
+}
+
+/// Runs an order server.
+pub struct OrderServer {
+    server: Arc<Server>,
+    state: Arc<State>,
+}
+
+impl OrderServer {
+    /// Starts a server of the service that a ledger stands for.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(config: OrderConfig, ledger: Arc<Ledger>) -> io::Result<Self> {
+        let address = config.address;
+        let faults = Switch::default();
+        let state = Arc::new(State { config, faults, ledger, stock_calls: AtomicU64::new(0) });
+        let server = Server::start(address, handle(&state)).await?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: OrderFaults) {
+        self.state.faults.set(faults);
+    }
+
+    /// Returns how many questions for stock this server answered.
+    pub fn stock_calls(&self) -> u64 {
+        self.state.stock_calls.load(Ordering::Relaxed)
+    }
+
+    /// Stops accepting; open connections go on.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+
+    /// Closes the listener and all connections at once; the ledger stays.
+    pub fn kill(&self) {
+        self.server.kill();
+    }
+
+    /// Serves again on the same address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.server.resume().await
+    }
+}
+
+fn handle(state: &Arc<State>) -> Handle {
+    let state = Arc::clone(state);
+    Arc::new(move |call| answer(Arc::clone(&state), call).boxed())
+}
+
+async fn answer(state: Arc<State>, call: Call) -> Response<Body> {
+    let segments = call.segments();
+    if segments == ["faults"] {
+        return state.faults.answer(&call);
+    }
+    let faults = state.faults.get();
+    if faults.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    if faults.down {
+        return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    match (&call.method, segments.as_slice()) {
+        (&Method::POST, ["orders"]) => order(&state, &call).await,
+        (&Method::GET, ["orders", key]) => state.ledger.first(key).map_or_else(
+            || reply::empty(StatusCode::NOT_FOUND),
+            |answer| reply::json(StatusCode::OK, &answer),
+        ),
+        (&Method::GET, ["stock", item]) => stock(&state, item),
+        (&Method::GET, ["ledger"]) => reply::json(StatusCode::OK, &state.ledger.executions()),
+        _ => reply::empty(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn order(state: &Arc<State>, call: &Call) -> Response<Body> {
+    let order = match call.json() {
+        Ok(order) => order,
+        Err(refused) => return *refused,
+    };
+    let key = call.header("idempotency-key").to_owned();
+    let attempt_id = call.header(clients::wire::engine::ATTEMPT_HEADER).to_owned();
+    let answer = execute(Arc::clone(state), key, attempt_id, order).await;
+    if state.faults.update(|faults| take_one(&mut faults.lose_answers)) {
+        return call.lose_answer().await;
+    }
+    if state.faults.update(|faults| take_one(&mut faults.hang_answers)) {
+        return std::future::pending().await;
+    }
+    match answer {
+        Some(answer) => reply::json(StatusCode::CREATED, &answer),
+        None => reply::empty(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+/// Executes an order to its end even if the caller goes away meanwhile.
+async fn execute(
+    state: Arc<State>,
+    key: String,
+    attempt_id: String,
+    order: serde_json::Value,
+) -> Option<OrderAnswer> {
+    let executing = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(state.config.execution_ms)).await;
+        state.ledger.execute(&key, &attempt_id, order)
+    });
+    executing.await.ok()
+}
+
+fn stock(state: &State, item: &str) -> Response<Body> {
+    state.stock_calls.fetch_add(1, Ordering::Relaxed);
+    let left = u64::from(blake3::hash(item.as_bytes()).as_bytes()[0]);
+    reply::json(StatusCode::OK, &StockAnswer { item: item.to_owned(), left })
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,211 @@
+//! An HTTP server that can be killed and started again on its address.
+
+mod connections;
+
+use bytes::Bytes;
+use connections::{Connections, Tracked};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use gotham::handler::{Handler, HandlerFuture, NewHandler};
+use gotham::helpers::http::Body;
+use gotham::state::{FromState, State, client_addr};
+use http::{HeaderMap, Method, Response, StatusCode, Uri};
+use http_body_util::BodyExt;
+use serde::de::DeserializeOwned;
+use std::io;
+use std::net::SocketAddr;
+use std::panic::RefUnwindSafe;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+/// Answers the calls of one stand-in.
+pub type Handle = Arc<dyn Fn(Call) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
+
+/// Holds the answer to a call that was refused.
+pub type Refused = Box<Response<Body>>;
+
+/// Tells apart calls that were carried out and calls that were refused.
+pub type Answered = Result<Response<Body>, Refused>;
+
+/// Holds one request whose body was read as a whole.
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    peer: Option<SocketAddr>,
+    connections: Arc<Connections>,
+}
+
+impl Call {
+    /// Returns the path's segments.
+    pub fn segments(&self) -> Vec<&str> {
+        self.uri.path().split('/').filter(|segment| !segment.is_empty()).collect()
+    }
+
+    /// Returns a numeric query parameter, or `default` if it is absent or malformed.
+    pub fn query_u64(&self, name: &str, default: u64) -> u64 {
+        let pairs = self.uri.query().unwrap_or_default().split('&');
+        let mut found =
+            pairs.filter_map(|pair| pair.split_once('=')).filter(|(key, _)| *key == name);
+        found.next().and_then(|(_, value)| value.parse().ok()).unwrap_or(default)
+    }
+
+    /// Returns a header's text, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer for a malformed body.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Refused> {
+        serde_json::from_slice(&self.body).map_err(|error| {
+            Box::new(crate::reply::with_bytes(StatusCode::BAD_REQUEST, error.to_string()))
+        })
+    }
+
+    /// Closes the connection that the call came over, so that no answer reaches the caller.
+    pub async fn lose_answer(&self) -> Response<Body> {
+        if let Some(peer) = self.peer {
+            self.connections.close(peer);
+        }
+        std::future::pending().await
+    }
+}
+
+/// Serves HTTP on one address until it is killed or stopped.
+pub struct Server {
+    address: SocketAddr,
+    handle: Handle,
+    connections: Arc<Connections>,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Server {
+    /// Binds the address, port 0 for any, and serves in the background.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(address: SocketAddr, handle: Handle) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address).await?;
+        let server = Arc::new(Self {
+            address: listener.local_addr()?,
+            handle,
+            connections: Arc::default(),
+            accepting: Mutex::default(),
+        });
+        server.accept(listener);
+        Ok(server)
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting; open connections go on.
+    pub fn stop(&self) {
+        let accepting = self.accepting.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(task) = accepting {
+            task.abort();
+        }
+    }
+
+    /// Stops accepting and closes every open connection at once.
+    pub fn kill(&self) {
+        self.stop();
+        self.connections.close_all();
+    }
+
+    /// Serves again on the same address after [`Server::stop`] or [`Server::kill`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn resume(&self) -> io::Result<()> {
+        self.stop();
+        let listener = bind_again(self.address).await?;
+        self.accept(listener);
+        Ok(())
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let connections = Arc::clone(&self.connections);
+        let dispatch =
+            Dispatch { handle: Arc::clone(&self.handle), connections: Arc::clone(&connections) };
+        let task = tokio::spawn(async move {
+            let wrap = move |socket| std::future::ready(Tracked::new(socket, &connections));
+            gotham::bind_server(listener, dispatch, wrap).await
+        });
+        *self.accepting.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits for an aborted accept task to drop its listener.
+async fn bind_again(address: SocketAddr) -> io::Result<TcpListener> {
+    const TRIES: u32 = 200;
+    const WAIT: std::time::Duration = std::time::Duration::from_millis(5);
+    for _ in 0..TRIES {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
+                tokio::time::sleep(WAIT).await
+            }
+            other => return other,
+        }
+    }
+    TcpListener::bind(address).await
+}
+
+#[derive(Clone)]
+struct Dispatch {
+    handle: Handle,
+    connections: Arc<Connections>,
+}
+
+impl RefUnwindSafe for Dispatch {}
+
+impl NewHandler for Dispatch {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for Dispatch {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let peer = client_addr(&state);
+        let method = Method::take_from(&mut state);
+        let uri = Uri::take_from(&mut state);
+        let headers = HeaderMap::take_from(&mut state);
+        let body = Body::take_from(&mut state);
+        async move {
+            let response = match body.collect().await {
+                Ok(body) => {
+                    let connections = self.connections;
+                    let body = body.to_bytes();
+                    (self.handle)(Call { method, uri, headers, body, peer, connections }).await
+                }
+                Err(_) => crate::reply::empty(StatusCode::BAD_REQUEST),
+            };
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/server/connections.rs
@@ -0,0 +1,94 @@
+//! The open connections of a server, so that they can be closed from outside.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Holds a second descriptor of each open connection by the peer's address.
+#[derive(Default)]
+pub(crate) struct Connections {
+    open: Mutex<HashMap<SocketAddr, std::net::TcpStream>>,
+}
+
+impl Connections {
+    /// Closes the connection to a peer.
+    pub(crate) fn close(&self, peer: SocketAddr) {
+        if let Some(socket) = self.lock().get(&peer) {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Closes all connections.
+    pub(crate) fn close_all(&self) {
+        for socket in self.lock().values() {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, std::net::TcpStream>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Wraps an accepted socket and keeps it listed while it is open.
+pub(crate) struct Tracked {
+    socket: TcpStream,
+    peer: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+impl Tracked {
+    /// Lists the socket; an error drops it.
+    pub(crate) fn new(socket: TcpStream, connections: &Arc<Connections>) -> Result<Self, ()> {
+        Self::try_new(socket, connections).map_err(|_| ())
+    }
+
+    fn try_new(socket: TcpStream, connections: &Arc<Connections>) -> io::Result<Self> {
+        socket.set_nodelay(true)?;
+        let peer = socket.peer_addr()?;
+        let socket = socket.into_std()?;
+        let second = socket.try_clone()?;
+        let socket = TcpStream::from_std(socket)?;
+        connections.lock().insert(peer, second);
+        Ok(Self { socket, peer, connections: Arc::clone(connections) })
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.connections.lock().remove(&self.peer);
+    }
+}
+
+impl AsyncRead for Tracked {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for Tracked {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.socket).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(context)
+    }
+}
