Test the store, order and host list stand-ins and the links; describe them

Change: focused tests of expiry by the store host's clock, write-once commits, doubled and lost orders, the host list's lag, the site file, and links that are cut or go silent.

--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -69,9 +69,9 @@
     delay: Duration,
     forward: Arc<Direction>,
     backward: Arc<Direction>,
-    cut: watch::Sender<Cut>,
+    cut: Arc<watch::Sender<Cut>>,
     /// Connections of an earlier generation pass nothing for good.
-    generation: watch::Sender<u64>,
+    generation: Arc<watch::Sender<u64>>,
 }
 
 impl Link {
@@ -81,21 +81,21 @@
             delay: Duration::from_secs_f64(config.delay_ms.max(0.0) / 1_000.0),
             forward: Arc::new(Direction::new(&config)),
             backward: Arc::new(Direction::new(&config)),
-            cut: watch::Sender::default(),
-            generation: watch::Sender::default(),
+            cut: Arc::default(),
+            generation: Arc::default(),
         })
     }
 
     /// Creates a link that carries the same traffic, with client and target sides exchanged.
     ///
-    /// The rate of each way and the counters are shared with this link; cuts are not.
+    /// The rate of each way, the counters and the cuts are shared with this link.
     pub fn reversed(&self) -> Arc<Self> {
         Arc::new(Self {
             delay: self.delay,
             forward: Arc::clone(&self.backward),
             backward: Arc::clone(&self.forward),
-            cut: watch::Sender::default(),
-            generation: watch::Sender::default(),
+            cut: Arc::clone(&self.cut),
+            generation: Arc::clone(&self.generation),
         })
     }
 
--- a/crates/standins/tests/faults/main.rs
+++ b/crates/standins/tests/faults/main.rs
@@ -2,5 +2,9 @@
 
 mod engine;
 mod engine_faults;
+mod host_list;
 mod log_service;
+mod order_service;
+mod relay;
+mod store;
 mod support;
