--- a/crates/placement/tests/chain.rs
+++ b/crates/placement/tests/chain.rs
@@ -54,7 +54,9 @@
 #[test]
 fn names_that_join_to_the_same_text_have_keys_of_their_own() {
     let text = long_text("");
-    assert_ne!(chain("ab", "c", "v", &text).keys(), chain("a", "bc", "v", &text).keys());
+    let (first, second) = (chain("a", "bc", "d", &text), chain("a", "b", "cd", &text));
+    assert_ne!(first.keys(), second.keys());
+    assert_ne!(chain("ab", "c", "v", &text).cache_salt, chain("a", "bc", "v", &text).cache_salt);
 }
 
 #[test]
--- /dev/null
+++ b/crates/placement/tests/transfers.rs
@@ -0,0 +1,204 @@
+//! The link's budget, single transfers, and plans for exports, prefetches and lookups.
+
+mod common;
+
+use common::{checker, copy, host, key, view};
+use placement::export::{EndedRun, ExportPlan, ReturnChances, StorePressure, plan};
+use placement::index::ChainView;
+use placement::link::{Grant, LinkBudget, Urgency};
+use placement::rebuild::lookups;
+use placement::single_flight::{Role, SingleFlight, Transfer};
+use protocol::ids::{AttemptId, ChainKey, HostName};
+
+const SEED: u64 = 14;
+const LINK_BITS_PER_S: u64 = 30_000_000;
+const BOUND_MS: u64 = 5_000;
+
+#[test]
+fn nodes_together_stay_within_the_link() {
+    checker(SEED, 300).quickcheck(stays_within as fn(u8, Vec<(u16, bool, u8)>) -> bool);
+
+    /// Offers every node the same bytes and adds up what all of them sent.
+    fn stays_within(nodes: u8, offers: Vec<(u16, bool, u8)>) -> bool {
+        let nodes = u64::from(nodes % 50 + 1);
+        let mut budgets: Vec<LinkBudget> =
+            (0..nodes).map(|_| LinkBudget::new(LINK_BITS_PER_S, nodes, 0)).collect();
+        let (mut now_ms, mut sent_bytes) = (0, 0);
+        for (bytes, foreground, gap_ms) in offers {
+            now_ms += u64::from(gap_ms);
+            let urgency = if foreground { Urgency::Foreground } else { Urgency::Background };
+            for budget in &mut budgets {
+                if budget.take(u64::from(bytes), urgency, now_ms) == Grant::Now {
+                    sent_bytes += u64::from(bytes);
+                }
+            }
+        }
+        // What one second saved up and one second of overdraft may come on top.
+        sent_bytes <= LINK_BITS_PER_S / 8 * (now_ms + 2_000) / 1_000
+    }
+}
+
+#[test]
+fn background_bytes_leave_room_for_foreground_ones() {
+    let mut budget = LinkBudget::new(LINK_BITS_PER_S, 1, 0);
+    while budget.take(50_000, Urgency::Background, 0) == Grant::Now {}
+    assert_eq!(budget.take(1_500_000, Urgency::Foreground, 0), Grant::Now);
+    assert!(matches!(budget.take(50_000, Urgency::Background, 100), Grant::Later { .. }));
+}
+
+#[test]
+fn bytes_go_after_the_wait_that_was_told() {
+    let mut budget = LinkBudget::new(LINK_BITS_PER_S, 7, 0);
+    let mut now_ms = 0;
+    for _ in 0..50 {
+        let expected_ms = budget.wait_ms(400_000, now_ms);
+        if let Grant::Later { wait_ms } = budget.take(400_000, Urgency::Foreground, now_ms) {
+            assert_eq!(wait_ms, expected_ms);
+            now_ms += wait_ms;
+            assert_eq!(budget.take(400_000, Urgency::Foreground, now_ms), Grant::Now);
+        }
+    }
+    assert!(now_ms > 0);
+}
+
+#[test]
+fn a_transfer_larger_than_the_burst_is_sent_at_last() {
+    let mut budget = LinkBudget::new(LINK_BITS_PER_S, 350, 0);
+    assert_eq!(budget.take(80_000, Urgency::Foreground, 0), Grant::Now);
+    let Grant::Later { wait_ms } = budget.take(80_000, Urgency::Background, 0) else {
+        panic!("the burst was spent");
+    };
+    assert_eq!(budget.take(80_000, Urgency::Background, wait_ms), Grant::Now);
+}
+
+#[test]
+fn the_share_follows_the_number_of_live_nodes() {
+    let mut budget = LinkBudget::new(LINK_BITS_PER_S, 3, 0);
+    assert_eq!(budget.share_bits_per_s(), 9_000_000);
+    budget.set_live_nodes(6, 10);
+    assert_eq!(budget.share_bits_per_s(), 4_500_000);
+}
+
+fn attempt(number: u8) -> AttemptId {
+    format!("attempt-{number}").parse().unwrap()
+}
+
+fn import() -> Transfer {
+    Transfer::Import { server: host("server-a"), key: key(1) }
+}
+
+#[test]
+fn a_transfer_has_one_leader_and_tells_its_waiters() {
+    let mut flights = SingleFlight::new();
+    assert_eq!(flights.join(import(), &attempt(1), BOUND_MS, 0), Role::Leader);
+    let waiter = Role::Waiter { until_ms: BOUND_MS };
+    assert_eq!(flights.join(import(), &attempt(2), BOUND_MS, 10), waiter);
+    assert_eq!(flights.join(import(), &attempt(2), BOUND_MS, 20), waiter);
+    assert_eq!(flights.join(Transfer::Export { key: key(1) }, &attempt(3), 9, 20), Role::Leader);
+    assert_eq!(flights.finish(&import(), &attempt(1)).as_slice(), [attempt(2)]);
+    assert_eq!(flights.len(), 1);
+}
+
+#[test]
+fn a_dead_leader_is_replaced_and_its_late_end_changes_nothing() {
+    let mut flights = SingleFlight::new();
+    flights.join(import(), &attempt(1), BOUND_MS, 0);
+    flights.join(import(), &attempt(2), BOUND_MS, 0);
+    assert_eq!(flights.join(import(), &attempt(2), BOUND_MS, BOUND_MS), Role::Leader);
+    assert!(flights.finish(&import(), &attempt(1)).is_empty());
+    let role = flights.join(import(), &attempt(3), BOUND_MS, BOUND_MS + 1);
+    assert_eq!(role, Role::Waiter { until_ms: 2 * BOUND_MS });
+    flights.expire(2 * BOUND_MS);
+    assert!(flights.is_empty());
+}
+
+fn ended<'a>(chain: &'a [ChainKey], view: &'a ChainView, stores: &'a [HostName]) -> EndedRun<'a> {
+    EndedRun {
+        chain,
+        view,
+        live_stores: stores,
+        kv_bytes_per_token: 1_000,
+        prefill_tokens_per_s: 10_000,
+        store_bytes_per_s: 1_000_000_000,
+        expiry_ms: 3_600_000,
+        return_chance: 0.5,
+        now_ms: 0,
+    }
+}
+
+fn exported(plan: &ExportPlan) -> Vec<ChainKey> {
+    plan.exports.iter().map(|export| export.key).collect()
+}
+
+#[test]
+fn pieces_not_kept_are_exported_and_old_ones_renewed() {
+    let chain: Vec<ChainKey> = (0..4).map(key).collect();
+    let (mut fresh, old) = (copy("store-a", 1), copy("store-b", 1));
+    fresh.expires_at_ms = 3_000_000;
+    let view = view(&[], &[Some(fresh), Some(old), None, None]);
+    let stores = [host("store-a"), host("store-b")];
+    let plan = plan(&ended(&chain, &view, &stores), &StorePressure::new());
+    assert_eq!(exported(&plan), [key(2), key(3)]);
+    let renewed: Vec<ChainKey> = plan.renewals.iter().map(|renewal| renewal.key).collect();
+    assert_eq!(renewed, [key(1)]);
+}
+
+#[test]
+fn nothing_is_exported_that_is_sooner_computed_than_read() {
+    let chain = [key(0)];
+    let (view, stores) = (view(&[], &[]), [host("store-a")]);
+    let slow = EndedRun { store_bytes_per_s: 1_000_000, ..ended(&chain, &view, &stores) };
+    assert_eq!(plan(&slow, &StorePressure::new()), ExportPlan::default());
+}
+
+#[test]
+fn a_full_store_takes_only_what_is_worth_more_until_it_recovers() {
+    let chain = [key(0)];
+    let (view, stores) = (view(&[], &[]), [host("store-a")]);
+    let run = ended(&chain, &view, &stores);
+    let valuable = EndedRun { kv_bytes_per_token: 100, ..run.clone() };
+    let mut pressure = StorePressure::new();
+    pressure.refused(&stores[0], run.tokens_saved_per_megabyte(), 0);
+    assert!(exported(&plan(&run, &pressure)).is_empty());
+    assert_eq!(exported(&plan(&valuable, &pressure)), [key(0)]);
+    let later = EndedRun { now_ms: 60_000, ..run };
+    assert_eq!(exported(&plan(&later, &pressure)), [key(0)]);
+}
+
+#[test]
+fn a_block_goes_to_another_store_while_its_first_one_is_full() {
+    let chain = [key(0)];
+    let (view, stores) = (view(&[], &[]), [host("store-a"), host("store-b")]);
+    let run = ended(&chain, &view, &stores);
+    let mut pressure = StorePressure::new();
+    let first = plan(&run, &pressure).exports[0].store.clone();
+    pressure.refused(&first, run.tokens_saved_per_megabyte(), 0);
+    assert_ne!(plan(&run, &pressure).exports[0].store, first);
+}
+
+#[test]
+fn chances_of_return_are_kept_by_organisation() {
+    let chances = ReturnChances::new();
+    let (often, never) = ("often".parse().unwrap(), "never".parse().unwrap());
+    for _ in 0..5_000 {
+        chances.add(&often, true);
+        chances.add(&never, false);
+    }
+    assert!(chances.chance(&often) > 0.99);
+    assert!(chances.chance(&never) < 0.01);
+    assert_eq!(chances.chance(&"unknown".parse().unwrap()), 0.5);
+}
+
+#[test]
+fn a_new_home_asks_the_stores_that_blocks_were_written_to() {
+    let chain: Vec<ChainKey> = (0..3).map(key).collect();
+    let known = view(&[], &[Some(copy("store-a", 1)), None, None]);
+    let stores: Vec<HostName> = (0..5).map(|number| host(&format!("store-{number}"))).collect();
+    let nothing = view(&[], &[]);
+    let written = plan(&ended(&chain, &nothing, &stores), &StorePressure::new()).exports;
+    let asked = lookups(&chain, &known, &stores);
+    for export in &written[1..] {
+        assert!(asked[&export.store].iter().any(|block| block.name == export.name));
+    }
+    assert!(asked.values().flatten().all(|block| block.key != key(0)));
+}
