--- a/crates/membership/src/row.rs
+++ b/crates/membership/src/row.rs
@@ -173,7 +173,8 @@
     pub fn next_change_ms(&self, now_ms: u64) -> Option<u64> {
         let own = self.first_failure_ms.map(|first_ms| first_ms + UNREACHABLE_AFTER_MS);
         let heard = self.is_suspected_here().then_some(self.heard_ms + SUSPECT_FOR_MS);
-        [own, heard].into_iter().flatten().filter(|at_ms| *at_ms > now_ms).min()
+        let expiry = self.record.suspected_at_ms.map(|at_ms| at_ms.saturating_add(RETAIN_MS));
+        [own, heard, expiry].into_iter().flatten().filter(|at_ms| *at_ms > now_ms).min()
     }
 
     /// Returns whether the record is too old to be kept or passed on.
