Tell kinds of text apart and read the command line's settings

Cause: `camphorward check FILE` takes either kind of text, and the command line has settings of its own. Ruled out: telling by file name (operators name files as they like). Change: settings::kind counts known fields at the top; settings::client with its shape.

--- a/crates/settings/src/check_process.rs
+++ b/crates/settings/src/check_process.rs
@@ -3,6 +3,8 @@
 mod addresses;
 mod drain;
 
+pub(crate) use addresses::check_address_map;
+
 use crate::read::Check;
 
 /// Holds every check.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod check_process;
 mod check_services;
+pub mod client;
 mod findings;
 mod hint;
+pub mod kind;
 mod locate;
 pub mod problem;
 pub mod process;
@@ -13,6 +15,7 @@
 mod source;
 mod unique;
 
+use client::ClientSettings;
 use problem::Report;
 use process::ProcessSettings;
 use services::ServicesText;
@@ -35,6 +38,15 @@
     read::read(text, &services::shape::SERVICES_TEXT, check_services::CHECKS)
 }
 
+/// Reads and checks the settings of the operators' command line.
+///
+/// # Errors
+///
+/// Returns every problem found, with field, line and a hint, in the order of the text.
+pub fn parse_client_settings(text: &str) -> Result<ClientSettings, Report> {
+    read::read(text, &client::shape::CLIENT_SETTINGS, &[check_process::check_address_map])
+}
+
 /// Renders settings as JSON with every default filled in.
 ///
 /// # Errors
--- a/crates/settings/src/problem.rs
+++ b/crates/settings/src/problem.rs
@@ -1,9 +1,10 @@
 //! Problems found in a settings file, and how they are reported.
 
+use serde::Serialize;
 use std::fmt;
 
 /// Describes one problem.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Problem {
     /// The path of the field, such as `services[2].depends_on`; empty for the whole text.
     pub field: String,
--- a/crates/settings/tests/shapes.rs
+++ b/crates/settings/tests/shapes.rs
@@ -4,6 +4,8 @@
 
 use quickcheck::{Arbitrary, Gen};
 use serde_json::Value;
+use settings::client::shape::CLIENT_SETTINGS;
+use settings::kind::{TextKind, kind_of};
 use settings::problem::Report;
 use settings::process::shape::PROCESS_SETTINGS;
 use settings::services::shape::SERVICES_TEXT;
@@ -66,6 +68,21 @@
     assert_same_paths(&PROCESS_SETTINGS, &serde_json::to_value(settings).expect("JSON"));
 }
 
+#[test]
+fn client_settings_have_the_fields_of_their_shape() {
+    let settings = settings::client::ClientSettings::default();
+    assert_same_paths(&CLIENT_SETTINGS, &serde_json::to_value(settings).expect("JSON"));
+}
+
+#[test]
+fn a_text_is_told_from_its_fields() {
+    assert_eq!(kind_of(PROCESS), Ok(Some(TextKind::Process)));
+    assert_eq!(kind_of(SERVICES), Ok(Some(TextKind::Services)));
+    assert_eq!(kind_of("{ \"services\": [], \"host\": 1 }"), Ok(None));
+    assert_eq!(kind_of("7"), Ok(None));
+    assert!(kind_of("{").is_err());
+}
+
 #[test]
 fn the_services_text_has_the_fields_of_its_shape() {
     let services = settings::parse_services_text(SERVICES).expect("the text is valid");
