Add the quickstart: four placement policies side by side before stand-ins

Cause: a newcomer needs one command that shows returning prompts, doubly sent orders and a dying engine, and every later change needs a run to be measured by.

Ruled out: policies in turn, since five seconds each leave no time for prompts to return after eviction; reserving the daemons' ports at 127.0.0.1, where an outgoing connection took one before the daemon bound it (seen in the first run), so they are reserved at an address of the process.

Callers return to growing conversations after a gap, ask quick questions, and send each order twice through both regions. Engines get an address map, so that store reads between failure domains cross the links too.

--- /dev/null
+++ b/crates/standins/examples/quickstart/tally.rs
@@ -0,0 +1,89 @@
+//! What callers saw under one policy.
+
+use hdrhistogram::Histogram;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The longest time to the first token that is told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+/// The decimal digits that are told apart.
+const DIGITS: u8 = 3;
+const US_PER_MS: f64 = 1_000.0;
+
+/// Counts what callers saw.
+pub struct Tally {
+    requests: AtomicU64,
+    answered: AtomicU64,
+    wrong: AtomicU64,
+    lost: AtomicU64,
+    first_token_us: Mutex<Histogram<u64>>,
+}
+
+impl Tally {
+    /// Creates an empty tally.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the histogram's bounds do not suit the library.
+    pub fn new() -> eyre::Result<Self> {
+        Ok(Self {
+            requests: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
+            wrong: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+            first_token_us: Mutex::new(Histogram::new_with_bounds(1, LONGEST_US, DIGITS)?),
+        })
+    }
+
+    /// Counts a request, whatever becomes of it.
+    pub fn count_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a whole answer.
+    pub fn count_answer(&self, is_right: bool) {
+        self.answered.fetch_add(1, Ordering::Relaxed);
+        self.wrong.fetch_add(u64::from(!is_right), Ordering::Relaxed);
+    }
+
+    /// Counts a request that was given up.
+    pub fn count_lost(&self) {
+        self.lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the time from the caller's first try to the first token.
+    pub fn count_first_token(&self, waited: Duration) {
+        let waited_us = u64::try_from(waited.as_micros()).unwrap_or(LONGEST_US);
+        self.histogram().saturating_record(waited_us);
+    }
+
+    /// Returns the time to the first token that a share of the requests kept, in milliseconds.
+    pub fn first_token_ms(&self, quantile: f64) -> f64 {
+        self.histogram().value_at_quantile(quantile) as f64 / US_PER_MS
+    }
+
+    /// Returns the requests.
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the whole answers.
+    pub fn answered(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
+    /// Returns the whole answers that were wrong.
+    pub fn wrong(&self) -> u64 {
+        self.wrong.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests that were given up.
+    pub fn lost(&self) -> u64 {
+        self.lost.load(Ordering::Relaxed)
+    }
+
+    fn histogram(&self) -> MutexGuard<'_, Histogram<u64>> {
+        self.first_token_us.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -124,7 +124,7 @@
             weight_store,
             import_link: RateLimit::new(config.import_bytes_per_s),
             export_link: RateLimit::new(config.export_bytes_per_s),
-            blocks: BlockClient::new(),
+            blocks: BlockClient::new(config.address_map.clone()),
             server: OnceLock::new(),
             life: Mutex::new(Arc::new(life)),
             config,
--- a/crates/standins/src/engine/config.rs
+++ b/crates/standins/src/engine/config.rs
@@ -3,6 +3,7 @@
 use protocol::ids::{Incarnation, WeightVersion};
 use protocol::size::{BytesPerSecond, TokenCount, TokensPerSecond};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Configures an engine.
@@ -11,6 +12,8 @@
 pub struct EngineConfig {
     /// Where the engine listens; port 0 takes any free port.
     pub address: SocketAddr,
+    /// Store hosts that are reached under another address from here.
+    pub address_map: BTreeMap<SocketAddr, SocketAddr>,
     /// The incarnation of the first life.
     pub incarnation: Incarnation,
     /// The weight version that each life starts with.
@@ -57,6 +60,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            address_map: BTreeMap::new(),
             incarnation: Incarnation::new(1),
             weight_version: default_version(),
             prefill_rate: TokensPerSecond::new(20_000),
--- a/crates/standins/src/engine/transfer.rs
+++ b/crates/standins/src/engine/transfer.rs
@@ -19,6 +19,7 @@
 use protocol::ids::WeightVersion;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::time::sleep_until;
 
@@ -29,13 +30,14 @@
 
 /// Talks to store hosts.
 pub(super) struct BlockClient {
+    address_map: BTreeMap<SocketAddr, SocketAddr>,
     http: Client<HttpConnector, Full<Bytes>>,
 }
 
 impl BlockClient {
     /// Creates a client without connections.
-    pub(super) fn new() -> Self {
-        Self { http: Client::builder(TokioExecutor::new()).build_http() }
+    pub(super) fn new(address_map: BTreeMap<SocketAddr, SocketAddr>) -> Self {
+        Self { address_map, http: Client::builder(TokioExecutor::new()).build_http() }
     }
 
     async fn call(
@@ -45,7 +47,8 @@
         path: &str,
         body: Bytes,
     ) -> Option<(StatusCode, Bytes)> {
-        let uri = format!("http://{store}/blocks/{path}");
+        let reached = self.address_map.get(&store).copied().unwrap_or(store);
+        let uri = format!("http://{reached}/blocks/{path}");
         let request = Request::builder().method(method).uri(uri).body(Full::new(body)).ok()?;
         let response = self.http.request(request).await.ok()?;
         let status = response.status();
