Serve the whole path in separate processes, and retry where all servers failed once

Cause: the path had not been run. Run for the first time it showed two faults: a request whose every server had failed once was given up although attempts were left, and the router's own refusals (no such path, wrong method) ended in a panic, as no middleware has run before them. Ruled out: raising the number of attempts, as the exclusion, not the count, ended the request; drawing a catch-all route, which would hide the router's 405. Change: once each server has failed a request, all may be tried again within the same bound; the extenders of the router's refusals carry the node themselves. Tests start daemons as processes before stand-ins in the test's process: a prompt returns after eviction and is answered from imported blocks through another entry host; truncated, duplicated, crossed and silent streams and a killed server end in the right whole answer; a drain cuts off nothing; the log may be down. Conclusion: the thin path stands; orders are still forwarded once without the log's protection.

--- a/crates/camphorwardd/src/callers.rs
+++ b/crates/camphorwardd/src/callers.rs
@@ -17,9 +17,11 @@
 use gotham::helpers::http::Body;
 use gotham::router::Router;
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes};
-use gotham::state::{FromState, State};
+use gotham::state::State;
+use http::header::CONTENT_TYPE;
 use http::{Method, Response, StatusCode};
 use protocol::error::ErrorKind;
+use std::panic::RefUnwindSafe;
 use std::sync::Arc;
 
 /// Builds the router of the callers' listener.
@@ -40,8 +42,11 @@
             .to(|state| handle(state, |call| box_up(plain::answer(call))));
         route.get("/healthz").to(|state| handle(state, |call| box_up(health::answer_live(call))));
         route.get("/readyz").to(|state| handle(state, |call| box_up(health::answer_ready(call))));
-        route.add_response_extender(StatusCode::NOT_FOUND, replace_not_found);
-        route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, replace_wrong_method);
+        let not_found = replace_empty(node, ErrorKind::UnknownService, "no such path");
+        route.add_response_extender(StatusCode::NOT_FOUND, not_found);
+        let wrong_method =
+            replace_empty(node, ErrorKind::MethodNotAllowed, "the path takes another method");
+        route.add_response_extender(StatusCode::METHOD_NOT_ALLOWED, wrong_method);
     })
 }
 
@@ -51,26 +56,23 @@
     Box::pin(answer)
 }
 
-fn replace_not_found(state: &mut State, response: &mut Response<Body>) {
-    replace_empty(state, response, ErrorKind::UnknownService, "no such path");
-}
-
-fn replace_wrong_method(state: &mut State, response: &mut Response<Body>) {
-    replace_empty(state, response, ErrorKind::MethodNotAllowed, "the path takes another method");
-}
-
-/// Gives the router's own refusals the shape that all errors have.
-fn replace_empty(state: &State, response: &mut Response<Body>, kind: ErrorKind, message: &str) {
-    if response.headers().contains_key(http::header::CONTENT_TYPE) {
-        return;
+/// Gives the router's own refusals, which come before any handler, the shape of all errors.
+fn replace_empty(
+    node: &Arc<Node>,
+    kind: ErrorKind,
+    message: &'static str,
+) -> impl Fn(&mut State, &mut Response<Body>) + Send + Sync + RefUnwindSafe + 'static {
+    let node = NodeHandle::new(Arc::clone(node));
+    move |_state, response| {
+        if !response.headers().contains_key(CONTENT_TYPE) {
+            *response = refuse(&node.node(), &Failure::new(kind, message));
+        }
     }
-    NodeHandle::borrow_from(state).node().counters.count_refusal(kind);
-    *response = reply::failure(&Failure::new(kind, message));
 }
 
 /// Counts a refusal and builds its answer.
-pub(crate) fn refuse(call_node: &Node, failure: &Failure) -> Response<Body> {
-    call_node.counters.count_refusal(failure.kind);
+pub(crate) fn refuse(node: &Node, failure: &Failure) -> Response<Body> {
+    node.counters.count_refusal(failure.kind);
     reply::failure(failure)
 }
 
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -100,15 +100,12 @@
         let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
         for number in 0..MAX_ATTEMPTS {
             let attempt_id = self.attempt_id(number);
-            let placed =
-                match place::place(&self.node, &self.job, &self.chain, &attempt_id, &self.excluded)
-                    .await
-                {
-                    Ok(placed) => placed,
-                    // The reason why a server was tried and failed says more than that none is left.
-                    Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
-                    Err(_) => break,
-                };
+            let placed = match self.place(&attempt_id).await {
+                Ok(placed) => placed,
+                // The reason why a server was tried and failed says more than that none is left.
+                Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
+                Err(_) => break,
+            };
             match self.attempt(attempt_id, placed).await {
                 Ok(end) => return Ok(end),
                 Err(AttemptError::CallerGone) => return Err(RunError::CallerGone),
@@ -122,6 +119,17 @@
         Err(RunError::Failed(last.with_ran_before(self.ran_before)))
     }
 
+    /// Finds a server; once each has failed the request, all may be tried again.
+    async fn place(&mut self, attempt_id: &AttemptId) -> Result<Placed, Failure> {
+        let placed =
+            place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await;
+        if placed.is_ok() || self.excluded.is_empty() {
+            return placed;
+        }
+        self.excluded.clear();
+        place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await
+    }
+
     async fn attempt(
         &mut self,
         attempt_id: AttemptId,
--- /dev/null
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -0,0 +1,10 @@
+//! Tests with daemons as processes of their own, before stand-ins in the test's process.
+
+mod caller;
+mod daemon;
+mod site;
+mod wait;
+
+mod bad_input;
+mod faults;
+mod thin_path;
