Decide orders through the log: ledger, executor, committer

Cause: an order service never deduplicates, any process may die or pause, and the log's answers can be lost after taking effect; an order must still be executed at most once, and 'not run' be true.

Ruled out: a lease on each key (a paused holder outlives it); judging a key's age by the host's clock before the append (the append can land after the first intent was dropped by retention); queueing later intents behind the holder (each loser would need a Release of its own).

--- /dev/null
+++ b/crates/orders/src/coordinator.rs
@@ -0,0 +1,150 @@
+//! Ledger and executor of all keys, in shards that are locked one by one.
+
+use crate::executor::{Action, Dispatched, Executor, LogView, Order, Target};
+use crate::follower::{Entry, Follower, StreamPage};
+use crate::key::OrderKey;
+use crate::ledger::Ledger;
+use crate::limits::OrderLimits;
+use crate::record::{OrderAnswer, Owner, Record};
+use protocol::ids::{HostName, Incarnation, LogOffset};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+const SHARDS: usize = 16;
+
+/// Coordinates the orders of one host with all other hosts, through the stream.
+#[derive(Debug)]
+pub struct Coordinator {
+    follower: Mutex<Follower>,
+    shards: Vec<Mutex<Shard>>,
+}
+
+#[derive(Debug)]
+struct Shard {
+    ledger: Ledger,
+    executor: Executor,
+}
+
+impl Coordinator {
+    /// Creates a coordinator that has read nothing.
+    pub fn new(limits: OrderLimits, owner: Owner) -> Self {
+        Self::with_shards(limits, owner, SHARDS)
+    }
+
+    /// Creates a coordinator with a number of shards, at least one.
+    pub fn with_shards(limits: OrderLimits, owner: Owner, shards: usize) -> Self {
+        let shard = || {
+            let ledger = Ledger::new(limits);
+            let executor = Executor::new(limits, owner.clone());
+            Mutex::new(Shard { ledger, executor })
+        };
+        let shards = (0..shards.max(1)).map(|_| shard()).collect();
+        Self { follower: Mutex::default(), shards }
+    }
+
+    /// Returns the offset from which the stream is to be read.
+    pub fn next(&self) -> LogOffset {
+        lock(&self.follower).next()
+    }
+
+    /// Returns how many orders are under way here; a drain waits until there is none.
+    pub fn open(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).executor.open()).sum()
+    }
+
+    /// Returns how many keys are remembered.
+    pub fn remembered(&self) -> usize {
+        self.shards.iter().map(|shard| lock(shard).ledger.len()).sum()
+    }
+
+    /// Replaces the entry hosts believed live.
+    pub fn set_live(&self, live: &BTreeMap<HostName, Incarnation>) {
+        for shard in &self.shards {
+            lock(shard).executor.set_live(live.clone());
+        }
+    }
+
+    /// Takes an order; `log_up` says whether appends are expected to work.
+    pub fn submit(&self, order: Order, log_up: bool, now_ms: u64) -> Vec<Action> {
+        let log = LogView { up: log_up, covered_from_ms: lock(&self.follower).covered_from_ms() };
+        let mut shard = self.shard(&order.key);
+        let Shard { ledger, executor } = &mut *shard;
+        executor.submit(order, ledger, log, now_ms)
+    }
+
+    /// Applies a page of the stream; pages read twice change nothing.
+    pub fn apply(&self, page: &StreamPage, now_ms: u64) -> Applied {
+        let mut follower = lock(&self.follower);
+        let entries = follower.accept(page);
+        let mut applied = Applied::default();
+        for entry in entries {
+            self.apply_entry(entry, now_ms, &mut applied);
+        }
+        applied
+    }
+
+    /// Takes the result of an [`Action::Dispatch`].
+    pub fn dispatched(&self, target: &Target, result: Dispatched, now_ms: u64) -> Vec<Action> {
+        self.shard(&target.key).executor.dispatched(target, result, now_ms)
+    }
+
+    /// Takes the result of an [`Action::AskOutcome`]; `None` if the service knows no such order.
+    pub fn status_learnt(
+        &self,
+        target: &Target,
+        answer: Option<OrderAnswer>,
+        now_ms: u64,
+    ) -> Vec<Action> {
+        let mut shard = self.shard(&target.key);
+        let Shard { ledger, executor } = &mut *shard;
+        executor.status_learnt(target, answer, ledger, now_ms)
+    }
+
+    /// Lets time pass; to be called a few times a second.
+    pub fn tick(&self, now_ms: u64) -> Vec<Action> {
+        let tick_shard = |shard: &Mutex<Shard>| {
+            let mut shard = lock(shard);
+            let Shard { ledger, executor } = &mut *shard;
+            executor.tick(ledger, now_ms)
+        };
+        self.shards.iter().flat_map(tick_shard).collect()
+    }
+
+    fn apply_entry(&self, entry: Entry, now_ms: u64, applied: &mut Applied) {
+        for shard in &self.shards {
+            lock(shard).ledger.expire(entry.appended_at_ms);
+        }
+        for record in entry.records {
+            if let Some(key) = record.key() {
+                let mut shard = self.shard(key);
+                let Shard { ledger, executor } = &mut *shard;
+                let verdict = ledger.apply(record.clone(), entry.appended_at_ms);
+                let covered_from_ms = entry.covered_from_ms;
+                let actions = executor.applied(&record, verdict, ledger, covered_from_ms, now_ms);
+                applied.actions.extend(actions);
+            }
+            applied.records.push(record);
+        }
+    }
+
+    fn shard(&self, key: &OrderKey) -> MutexGuard<'_, Shard> {
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let index = hasher.finish() as usize % self.shards.len();
+        lock(&self.shards[index])
+    }
+}
+
+/// Holds what a page led to.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// What is to be done.
+    pub actions: Vec<Action>,
+    /// The records that are known to be in the log now, for the committer.
+    pub records: Vec<Record>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/orders/src/ledger.rs
@@ -0,0 +1,163 @@
+//! What the records read so far say about each key.
+
+use crate::key::{OrderDigest, OrderKey};
+use crate::limits::{KeyAge, OrderLimits};
+use crate::record::{Intent, OrderAnswer, Outcome, Owner, Record, Release};
+use protocol::ids::{AttemptId, ServiceName};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, HashMap};
+
+/// Says what one record changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The intent is the first unreleased one: its attempt holds the key.
+    Holds,
+    /// The intent came while another attempt held the key; it never counts.
+    Void,
+    /// The intent came after the key's window; it never counts.
+    Expired,
+    /// The intent's key is from the future; it never counts.
+    Future,
+    /// The attempt was released or void before this intent came; it never counts.
+    AlreadyDead,
+    /// The outcome of the holding attempt is known now.
+    Recorded,
+    /// The holding attempt was released: the key is free.
+    Freed,
+    /// The record changes nothing, or nothing yet.
+    Unchanged,
+}
+
+/// Describes the attempt that holds a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holder {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The order service.
+    pub service: ServiceName,
+    /// What is ordered.
+    pub digest: OrderDigest,
+    /// The process that may send it.
+    pub owner: Owner,
+    /// The answer, once it is recorded.
+    pub answer: Option<OrderAnswer>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct KeyState {
+    holder: Option<Holder>,
+    /// Attempts that can never hold the key, even if their intent is appended (again) later.
+    dead: SmallVec<[AttemptId; 1]>,
+}
+
+/// Holds the state of some keys, as told by the records applied so far.
+///
+/// Every reader that has seen all of a key's records comes to the same state, since only the
+/// records and the log's clock decide.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    limits: OrderLimits,
+    keys: HashMap<OrderKey, KeyState>,
+    expiries: BTreeMap<u64, Vec<OrderKey>>,
+}
+
+impl Ledger {
+    /// Creates a ledger without keys.
+    pub fn new(limits: OrderLimits) -> Self {
+        Self { limits, keys: HashMap::new(), expiries: BTreeMap::new() }
+    }
+
+    /// Returns the attempt that holds the key.
+    pub fn holder(&self, key: &OrderKey) -> Option<&Holder> {
+        self.keys.get(key)?.holder.as_ref()
+    }
+
+    /// Returns the number of keys remembered.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Applies the next record of the stream.
+    pub fn apply(&mut self, record: Record, appended_at_ms: u64) -> Verdict {
+        let Some(key) = record.key() else { return Verdict::Unchanged };
+        let age = self.limits.age(key.key, appended_at_ms);
+        if age == KeyAge::Expired {
+            return Verdict::Expired;
+        }
+        match record {
+            Record::Intent(_) if age == KeyAge::Future => Verdict::Future,
+            Record::Intent(intent) => self.apply_intent(intent),
+            Record::Outcome(outcome) => self.apply_outcome(outcome),
+            Record::Release(release) => self.apply_release(release),
+            Record::Mark => Verdict::Unchanged,
+        }
+    }
+
+    /// Forgets every key whose window has passed at a moment of the log's clock.
+    pub fn expire(&mut self, log_time_ms: u64) {
+        while let Some(entry) = self.expiries.first_entry() {
+            if *entry.key() >= log_time_ms {
+                return;
+            }
+            for key in entry.remove() {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    fn apply_intent(&mut self, intent: Intent) -> Verdict {
+        let state = self.state_mut(&intent.key);
+        if state.dead.contains(&intent.attempt) {
+            return Verdict::AlreadyDead;
+        }
+        if let Some(holder) = &state.holder {
+            if holder.attempt == intent.attempt {
+                return Verdict::Unchanged;
+            }
+            state.dead.push(intent.attempt);
+            return Verdict::Void;
+        }
+        state.holder = Some(Holder {
+            attempt: intent.attempt,
+            service: intent.service,
+            digest: intent.digest,
+            owner: intent.owner,
+            answer: None,
+        });
+        Verdict::Holds
+    }
+
+    fn apply_outcome(&mut self, outcome: Outcome) -> Verdict {
+        let holder = self.keys.get_mut(&outcome.key).and_then(|state| state.holder.as_mut());
+        match holder {
+            Some(holder) if holder.attempt == outcome.attempt && holder.answer.is_none() => {
+                holder.answer = Some(outcome.answer);
+                Verdict::Recorded
+            }
+            _ => Verdict::Unchanged,
+        }
+    }
+
+    fn apply_release(&mut self, release: Release) -> Verdict {
+        let state = self.state_mut(&release.key);
+        if state.dead.contains(&release.attempt) {
+            return Verdict::Unchanged;
+        }
+        let freed = state.holder.take_if(|holder| holder.attempt == release.attempt).is_some();
+        state.dead.push(release.attempt);
+        if freed { Verdict::Freed } else { Verdict::Unchanged }
+    }
+
+    fn state_mut(&mut self, key: &OrderKey) -> &mut KeyState {
+        if !self.keys.contains_key(key) {
+            let expires_at_ms = self.limits.expires_at_ms(key.key);
+            self.expiries.entry(expires_at_ms).or_default().push(key.clone());
+        }
+        self.keys.entry(key.clone()).or_default()
+    }
+}
