Bring back hosts that only this node had lost

Cause: mutations of the code survived: nothing tested that unreachable hosts are probed again, and reading why showed a fault. A server that this node does not watch and that nobody else suspects stayed unreachable here for good once the path broke, because only suspicions and entry hosts were followed up.

--- a/crates/membership/src/prober.rs
+++ b/crates/membership/src/prober.rs
@@ -5,7 +5,7 @@
     TICKS_PER_UNREACHABLE_PROBE, WATCH_GAP_MS,
 };
 use crate::table::HostTable;
-use crate::view::{EntryHost, HostView, Server};
+use crate::view::{EntryHost, HostView, Reachability, Server};
 use protocol::ids::{HostName, Incarnation};
 use protocol::message::hosts::HostRole;
 use protocol::rendezvous;
@@ -183,10 +183,15 @@
 }
 
 fn add_unreachable(view: &HostView, random: u64, orders: &mut ProbeOrders) {
-    let unreachable = view.entry_hosts.iter().filter(|host| !host.is_usable());
-    let weight = |host: &&EntryHost| rendezvous::weight(random, host.name_digest);
-    if let Some(host) = unreachable.max_by_key(weight) {
-        add(orders, ProbeOrder::peer(host));
+    let peers = view.entry_hosts.iter().filter(|host| !host.is_usable());
+    let servers = view.servers().filter(|server| server.reachability == Reachability::Unreachable);
+    let unreachable = peers.map(ProbeOrder::peer).chain(servers.map(ProbeOrder::server));
+    let weight = |order: &ProbeOrder| {
+        let name = order.target().host.as_str();
+        rendezvous::weight(random, rendezvous::digest(name.as_bytes()))
+    };
+    if let Some(order) = unreachable.max_by_key(weight) {
+        add(orders, order);
     }
 }
 
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -5,7 +5,7 @@
 use crate::rumours::Rumours;
 use crate::shard::Shard;
 use crate::view::{HostView, Reachability};
-use protocol::ids::{ConfigVersion, HostName, Incarnation};
+use protocol::ids::{ConfigVersion, FailureDomain, HostName, Incarnation};
 use protocol::message::hosts::HostRecord;
 use protocol::message::probe::{BUCKETS, Heartbeat};
 use protocol::rendezvous;
@@ -271,13 +271,28 @@
         let before = visible(row, now_ms);
         let change = apply(row);
         let after = visible(row, now_ms);
+        let domain = row.record.failure_domain.clone();
         drop(shard);
         if before != after {
             self.bump();
         }
+        if before.0 == Reachability::Unreachable && after.0 == Reachability::Live {
+            self.doubt_unreachable(&domain, now_ms);
+        }
         self.note(host, change);
     }
 
+    /// Has the unreachable hosts of a failure domain probed soon: the path there may be whole.
+    fn doubt_unreachable(&self, domain: &FailureDomain, now_ms: u64) {
+        for shard in &self.shards {
+            let mut shard = lock(shard);
+            for row in shard.rows.values_mut() {
+                let unreachable = row.reachability(now_ms) == Reachability::Unreachable;
+                row.doubtful |= unreachable && row.record.failure_domain == *domain;
+            }
+        }
+    }
+
     fn note(&self, host: &HostName, change: Change) {
         if change != Change::None {
             self.pass_on(host, change);
--- a/crates/membership/tests/rules.rs
+++ b/crates/membership/tests/rules.rs
@@ -7,6 +7,7 @@
 use membership::{HostTable, Reachability, Source, exchange};
 use protocol::ids::{ConfigVersion, Incarnation};
 use protocol::message::hosts::HostRecord;
+use std::slice;
 
 const NOW_MS: u64 = 1_000_000;
 
@@ -28,7 +29,7 @@
     for source in [Source::List, Source::Rumour, Source::Exchange] {
         let table = own_table("a", NOW_MS);
         let leaving = HostRecord { leaving: true, ..server("s", 5, 1) };
-        table.merge(&[leaving.clone()], Source::List, NOW_MS);
+        table.merge(slice::from_ref(&leaving), Source::List, NOW_MS);
         table.merge(&[server("s", 6, 1)], source, NOW_MS);
         table.merge(&[leaving], source, NOW_MS);
         assert_eq!(usable(&table, NOW_MS), ["s"], "{source:?}");
@@ -47,11 +48,24 @@
 
 #[test]
 fn an_old_record_for_an_address_does_not_come_back() {
+    // Names of both orders in every shard, so that either record may be met first.
+    for (old, new) in (0..40).map(|n| (format!("old-{n}"), format!("new-{n}"))) {
+        let table = own_table("a", NOW_MS);
+        table.merge(&[server(&new, 9, 1)], Source::List, NOW_MS);
+        table.merge(&[server(&old, 5, 1)], Source::Rumour, NOW_MS);
+        assert_eq!(usable(&table, NOW_MS), slice::from_ref(&new));
+        assert_eq!(reach(&table, &old, NOW_MS), None);
+    }
+}
+
+#[test]
+fn a_report_of_an_earlier_incarnation_is_no_sign_of_life() {
     let table = own_table("a", NOW_MS);
-    table.merge(&[server("new", 9, 1)], Source::List, NOW_MS);
-    table.merge(&[server("old", 5, 1)], Source::Rumour, NOW_MS);
-    assert_eq!(usable(&table, NOW_MS), ["new"]);
-    assert_eq!(reach(&table, "old", NOW_MS), None);
+    table.merge(&[entry("b", 6, 2)], Source::List, NOW_MS);
+    table.observe_failure(&name("b"), Incarnation::new(6), NOW_MS);
+    table.observe_report(&name("b"), Incarnation::new(5), true, NOW_MS);
+    assert_eq!(reach(&table, "b", NOW_MS), Some(Reachability::Suspect));
+    assert!(!table.record(&name("b")).expect("the row").leaving);
 }
 
 #[test]
@@ -125,7 +139,7 @@
 fn unreachable_hosts_are_kept_for_a_day_and_then_neither_kept_nor_taken_back() {
     let table = own_table("a", NOW_MS);
     let suspected = HostRecord { suspected_at_ms: Some(NOW_MS), ..entry("b", 5, 2) };
-    table.merge(&[suspected.clone()], Source::Exchange, NOW_MS);
+    table.merge(slice::from_ref(&suspected), Source::Exchange, NOW_MS);
     let last_ms = NOW_MS + RETAIN_MS - 1;
     assert_eq!(reach(&table, "b", last_ms), Some(Reachability::Unreachable));
     assert_eq!(reach(&table, "b", last_ms + 1), None);
