Add the operators' command line

Ruled out: asking entry hosts whether a publication won (they lag, and may be cut off): the command judges the log's records by control::configuration::ConfigLedger itself; holding the common options at each subcommand (argh has no flatten): one list at the top, moved to the front wherever it stands. Change: check, publish, show, history, status, drain, why, counters and digest-key, one a file; exit codes as a closed enum that the help prints. publish looks for its own publication id after an append whose answer is lost, and appends again only when it was not seen: a second copy does no harm, since its base is no longer in force.

--- /dev/null
+++ b/crates/camphorward/src/commands/history.rs
@@ -0,0 +1,93 @@
+//! `camphorward history`.
+
+use super::format_time;
+use crate::connections::Connections;
+use crate::console::Console;
+use crate::publications::{Publication, Publications};
+use crate::table::Table;
+use argh::FromArgs;
+use control::configuration::Verdict;
+use protocol::ids::{ConfigVersion, LogOffset};
+use serde::Serialize;
+use std::fmt;
+
+/// Lists every published record with its verdict.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub(crate) struct History {}
+
+/// Holds all records.
+#[derive(Debug, Serialize)]
+struct HistoryReport {
+    in_force: ConfigVersion,
+    records: Vec<HistoryRow>,
+}
+
+/// Holds one record.
+#[derive(Debug, Serialize)]
+struct HistoryRow {
+    offset: LogOffset,
+    appended_at_ms: u64,
+    verdict: &'static str,
+    version: Option<ConfigVersion>,
+    base: Option<ConfigVersion>,
+    publication_id: Option<String>,
+    detail: Option<String>,
+}
+
+impl HistoryRow {
+    fn new(publication: &Publication) -> Self {
+        let record = publication.record.as_ref();
+        let (verdict, version, detail) = match &publication.verdict {
+            Verdict::Accepted(version) => ("accepted", Some(*version), None),
+            Verdict::Conflict(current) => {
+                ("conflict", None, Some(format!("version {current} was in force")))
+            }
+            Verdict::Invalid(reason) => ("invalid", None, Some(reason.clone())),
+        };
+        Self {
+            offset: publication.offset,
+            appended_at_ms: publication.appended_at_ms,
+            verdict,
+            version,
+            base: record.map(|record| record.base),
+            publication_id: record.map(|record| record.publication_id.clone()),
+            detail,
+        }
+    }
+
+    fn cells(&self) -> Vec<String> {
+        let or_dash = |text: Option<String>| text.unwrap_or_else(|| "-".to_owned());
+        let detail = self.detail.as_deref().unwrap_or_default();
+        vec![
+            self.offset.to_string(),
+            format_time(self.appended_at_ms),
+            or_dash(self.base.map(|base| base.to_string())),
+            self.verdict.to_owned(),
+            or_dash(self.version.map(|version| version.to_string())),
+            or_dash(self.publication_id.clone()),
+            detail.lines().next().unwrap_or_default().to_owned(),
+        ]
+    }
+}
+
+impl fmt::Display for HistoryReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let heads = ["OFFSET", "APPENDED", "BASE", "VERDICT", "VERSION", "PUBLICATION", "DETAIL"];
+        let mut table = Table::new(&heads);
+        self.records.iter().for_each(|row| table.push(row.cells()));
+        table.fmt(f)
+    }
+}
+
+impl History {
+    pub(crate) async fn run(
+        self,
+        connections: &Connections,
+        console: &mut Console<'_>,
+    ) -> eyre::Result<()> {
+        let publications = Publications::read_all(connections.log()?).await?;
+        let records = publications.all().iter().map(HistoryRow::new).collect();
+        console.print(&HistoryReport { in_force: publications.in_force(), records })
+    }
+}
--- /dev/null
+++ b/crates/camphorward/src/exit.rs
@@ -0,0 +1,75 @@
+//! The exit codes.
+
+use std::fmt;
+use std::process::ExitCode;
+
+/// Tells scripts how a command ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Exit {
+    /// The command did what it was asked to.
+    Done = 0,
+    /// The result could not be written, or the program has a fault.
+    Failed = 1,
+    /// The command line or a file is wrong; nothing was changed.
+    InputWrong = 2,
+    /// Another configuration was accepted first; nothing was changed.
+    Conflict = 3,
+    /// The log or the entry hosts cannot be reached, or did not answer in time.
+    Unreachable = 4,
+    /// The log or an entry host refused, or there is no such version or request.
+    Refused = 5,
+}
+
+impl Exit {
+    /// Holds every exit code in order.
+    pub const ALL: &'static [Exit] = &[
+        Exit::Done,
+        Exit::Failed,
+        Exit::InputWrong,
+        Exit::Conflict,
+        Exit::Unreachable,
+        Exit::Refused,
+    ];
+
+    /// Returns the code.
+    pub const fn code(self) -> u8 {
+        self as u8
+    }
+
+    /// Returns the name used in JSON.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Exit::Done => "done",
+            Exit::Failed => "failed",
+            Exit::InputWrong => "input_wrong",
+            Exit::Conflict => "conflict",
+            Exit::Unreachable => "unreachable",
+            Exit::Refused => "refused",
+        }
+    }
+
+    /// Returns what the code means.
+    pub const fn meaning(self) -> &'static str {
+        match self {
+            Exit::Done => "done",
+            Exit::Failed => "the result could not be written, or a fault of the program",
+            Exit::InputWrong => "the command line or a file is wrong; nothing was changed",
+            Exit::Conflict => "another configuration was accepted first; nothing was changed",
+            Exit::Unreachable => "the log or the entry hosts did not answer in time",
+            Exit::Refused => "refused, or there is no such version or request",
+        }
+    }
+}
+
+impl fmt::Display for Exit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}  {}", self.code(), self.meaning())
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        ExitCode::from(exit.code())
+    }
+}
--- a/crates/camphorward/src/lib.rs
+++ b/crates/camphorward/src/lib.rs
@@ -1,1 +1,56 @@
-//! Placeholder.
+//! The operators' command line: checks, publishes and shows configurations, and asks the entry
+//! hosts for their state.
+
+pub mod args;
+mod commands;
+mod connections;
+mod console;
+mod error;
+mod exit;
+mod logging;
+mod nodes;
+mod publications;
+mod table;
+
+pub use connections::Environment;
+pub use exit::Exit;
+
+use args::{Parsed, TopLevel};
+use connections::Connections;
+use console::Console;
+use std::io::{Read, Write};
+
+/// Holds the standard streams of the process.
+pub struct Streams<'a> {
+    /// Where a bearer key is read from.
+    pub input: &'a mut dyn Read,
+    /// Where results go.
+    pub out: &'a mut dyn Write,
+    /// Where messages for people go.
+    pub err: &'a mut dyn Write,
+}
+
+/// Runs one command line, without the program's name.
+pub async fn run(args: Vec<String>, environment: &Environment, streams: Streams<'_>) -> Exit {
+    let top = match args::parse(&args) {
+        Parsed::Run(top) => top,
+        Parsed::Print(text) => return console::print_text(streams.out, &text),
+        Parsed::Wrong(message) => return console::print_usage_error(streams.err, &message),
+    };
+    logging::start(top.verbose);
+    let json = top.json;
+    let mut console = Console::new(json, streams);
+    match run_command(top, environment, &mut console).await {
+        Ok(()) => Exit::Done,
+        Err(report) => console.print_error(&report),
+    }
+}
+
+async fn run_command(
+    top: TopLevel,
+    environment: &Environment,
+    console: &mut Console<'_>,
+) -> eyre::Result<()> {
+    let connections = Connections::new(&top, environment)?;
+    commands::run(top.command, &connections, console).await
+}
--- a/crates/camphorward/src/main.rs
+++ b/crates/camphorward/src/main.rs
@@ -1,2 +1,15 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command line of camphorward.
+
+use camphorward::{Environment, Exit, Streams};
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let (mut input, mut out, mut err) = (std::io::stdin(), std::io::stdout(), std::io::stderr());
+    let streams = Streams { input: &mut input, out: &mut out, err: &mut err };
+    let Ok(args) = std::env::args_os().skip(1).map(|arg| arg.into_string()).collect() else {
+        eprintln!("error: an argument is no UTF-8 text");
+        return Exit::InputWrong.into();
+    };
+    camphorward::run(args, &Environment::from_process(), streams).await.into()
+}
--- /dev/null
+++ b/crates/camphorward/src/publications.rs
@@ -0,0 +1,100 @@
+//! Reads the configuration stream and judges its records as every entry host does.
+
+use crate::error::{CommandError, Conflict};
+use clients::error::ClientError;
+use clients::log::LogClient;
+use control::configuration::{CONFIGURATION_STREAM, ConfigLedger, ConfigRecord, Verdict};
+use protocol::ids::{ConfigVersion, LogOffset};
+use std::time::Duration;
+
+/// The records read at once.
+const PAGE_RECORDS: usize = 200;
+
+/// Holds one record of the configuration stream and what became of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Publication {
+    /// Where the record stands.
+    pub(crate) offset: LogOffset,
+    /// When the log took it, in milliseconds since the epoch.
+    pub(crate) appended_at_ms: u64,
+    /// The record, if it is one.
+    pub(crate) record: Option<ConfigRecord>,
+    /// What became of it.
+    pub(crate) verdict: Verdict,
+}
+
+/// Reads the configuration stream from its start.
+#[derive(Debug)]
+pub(crate) struct Publications {
+    log: LogClient,
+    ledger: ConfigLedger,
+    read: Vec<Publication>,
+}
+
+impl Publications {
+    /// Creates a reader that has read nothing.
+    pub(crate) fn new(log: LogClient) -> Self {
+        Self { log, ledger: ConfigLedger::new(), read: Vec::new() }
+    }
+
+    /// Creates a reader and reads all records that the log holds now.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError`] if the log does not answer.
+    pub(crate) async fn read_all(log: &LogClient) -> Result<Self, CommandError> {
+        let mut publications = Self::new(log.clone());
+        while publications.read_more(Duration::ZERO).await.map_err(CommandError::from_log)? {}
+        Ok(publications)
+    }
+
+    /// Reads the next records, waiting up to `wait` for a first one; tells whether more may follow.
+    ///
+    /// # Errors
+    ///
+    /// Returns any [`ClientError`].
+    pub(crate) async fn read_more(&mut self, wait: Duration) -> Result<bool, ClientError> {
+        let next = self.ledger.next();
+        let page = self.log.read(CONFIGURATION_STREAM, next, PAGE_RECORDS, wait).await?;
+        for record in page.records.into_iter().filter(|record| record.offset >= next) {
+            let verdict = self.ledger.apply(record.offset, &record.value);
+            self.read.push(Publication {
+                offset: record.offset,
+                appended_at_ms: record.appended_at_ms,
+                record: serde_json::from_str(&record.value).ok(),
+                verdict,
+            });
+        }
+        Ok(self.ledger.next() > next && self.ledger.next() < page.end)
+    }
+
+    /// Returns all records read so far.
+    pub(crate) fn all(&self) -> &[Publication] {
+        &self.read
+    }
+
+    /// Returns the version in force.
+    pub(crate) fn in_force(&self) -> ConfigVersion {
+        self.ledger.in_force().version
+    }
+
+    /// Returns the record that was accepted as a version.
+    pub(crate) fn accepted_as(&self, version: ConfigVersion) -> Option<&Publication> {
+        self.read.iter().find(|one| one.verdict == Verdict::Accepted(version))
+    }
+
+    /// Returns the first record of a publication.
+    pub(crate) fn find(&self, publication_id: &str) -> Option<&Publication> {
+        self.read.iter().find(|one| {
+            one.record.as_ref().is_some_and(|record| record.publication_id == publication_id)
+        })
+    }
+
+    /// Describes what is in force to the publisher of something else.
+    pub(crate) fn conflict(&self, base: ConfigVersion, in_force: ConfigVersion) -> CommandError {
+        let winner = self.accepted_as(in_force);
+        let id = winner.and_then(|one| one.record.as_ref()).map(|one| one.publication_id.clone());
+        let offset = winner.map(|one| one.offset);
+        CommandError::Conflict { conflict: Conflict { base, in_force, publication_id: id, offset } }
+    }
+}
--- /dev/null
+++ b/crates/camphorward/tests/nodes.rs
@@ -0,0 +1,134 @@
+//! `status`, `drain`, `why` and `counters` against entry hosts.
+
+mod support;
+
+use camphorward::{Environment, Exit};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use support::fake_node::{Config, FakeNode, REMEMBERED};
+use support::{Output, run, run_in, unused_address, write_file};
+
+/// Holds two entry hosts that list each other, and a third that is down.
+struct Site {
+    first: SocketAddr,
+    second: (Arc<FakeNode>, SocketAddr),
+    third: SocketAddr,
+}
+
+impl Site {
+    async fn start() -> Self {
+        let (first, first_address) = FakeNode::start("entry-1", Config::Fixed(2), false).await;
+        let second = FakeNode::start("entry-2", Config::Fixed(1), true).await;
+        let third = unused_address();
+        first.list("entry-2", second.1);
+        first.list("entry-3", third);
+        Self { first: first_address, second, third }
+    }
+
+    async fn run(&self, args: &[&str]) -> Output {
+        let environment = Environment { log: None, nodes: Some(self.first.to_string()) };
+        run_in(args, &environment, "").await
+    }
+
+    fn render(&self, output: &Output) -> String {
+        let (first, second) = (self.first.to_string(), self.second.1.to_string());
+        let third = self.third.to_string();
+        let names =
+            [(first.as_str(), "FIRST"), (second.as_str(), "SECOND"), (third.as_str(), "THIRD")];
+        output.render(&names)
+    }
+}
+
+#[tokio::test]
+async fn status_asks_all_nodes_that_one_lists() {
+    let site = Site::start().await;
+    let output = site.run(&["status"]).await;
+    insta::assert_snapshot!("status", without_padding(&site.render(&output)));
+    let output = site.run(&["status", "--json"]).await;
+    insta::assert_snapshot!("status_json", site.render(&output));
+}
+
+/// Joins runs of spaces, since addresses of other lengths change the columns.
+fn without_padding(text: &str) -> String {
+    let lines = text.lines().map(|line| line.split_whitespace().collect::<Vec<&str>>().join(" "));
+    lines.collect::<Vec<String>>().join("\n")
+}
+
+#[tokio::test]
+async fn a_watch_shows_the_status_again() {
+    let site = Site::start().await;
+    let args = ["status", "--watch", "--interval-s", "0", "--rounds", "3", "--json"];
+    let output = site.run(&args).await;
+    assert_eq!((output.exit, output.out.lines().count()), (Exit::Done, 3));
+}
+
+#[tokio::test]
+async fn nodes_come_from_a_settings_file_and_addresses_may_be_mapped() {
+    let site = Site::start().await;
+    let text = format!(
+        "{{ // outside\n \"nodes\": [\"10.9.9.9:1\"], \"address_map\": {{ \"10.9.9.9:1\": \"{}\" }} }}",
+        site.first
+    );
+    let file = write_file("client.jsonc", &text);
+    let output = run(&["status", "--client-settings", &file]).await;
+    assert_eq!(output.exit, Exit::Done, "{output:?}");
+    let file = write_file("client_wrong.jsonc", "{ \"node\": [] }");
+    let output = run(&["status", "--client-settings", &file]).await;
+    insta::assert_snapshot!(output.render(&[(&file, "FILE")]));
+}
+
+#[tokio::test]
+async fn drain_reaches_a_node_that_another_lists() {
+    let site = Site::start().await;
+    let output = site.run(&["drain", "entry-2"]).await;
+    insta::assert_snapshot!("drain", site.render(&output));
+    assert!(site.second.0.is_draining());
+    let output = site.run(&["drain", "entry-2", "--json"]).await;
+    insta::assert_snapshot!("drain_again_json", site.render(&output));
+    let output = site.run(&["drain", "entry-9"]).await;
+    insta::assert_snapshot!("drain_unknown", site.render(&output));
+    let output = site.run(&["drain", "entry-3"]).await;
+    assert_eq!(output.exit, Exit::Unreachable, "{output:?}");
+}
+
+#[tokio::test]
+async fn why_asks_all_nodes() {
+    let site = Site::start().await;
+    let output = site.run(&["why", REMEMBERED]).await;
+    insta::assert_snapshot!("why", site.render(&output));
+    let output = site.run(&["why", REMEMBERED, "--json"]).await;
+    insta::assert_snapshot!("why_json", site.render(&output));
+    let output = site.run(&["why", "request-2"]).await;
+    assert_eq!(output.exit, Exit::Unreachable, "a node that is down may remember it: {output:?}");
+}
+
+#[tokio::test]
+async fn a_request_that_nobody_remembers() {
+    let (_node, address) = FakeNode::start("entry-1", Config::Fixed(1), false).await;
+    let output = run(&["why", "request-2", "--nodes", &address.to_string(), "--json"]).await;
+    insta::assert_snapshot!(output.render(&[]));
+}
+
+#[tokio::test]
+async fn counters_are_summed() {
+    let site = Site::start().await;
+    let output = site.run(&["counters", "--json"]).await;
+    let sum = "\"total\":{\"refused.overloaded\":0,\"requests\":10}";
+    assert!(output.out.contains(sum), "{output:?}");
+    let output = site.run(&["counters", "--host", "entry-1"]).await;
+    insta::assert_snapshot!("counters_of_one", site.render(&output));
+    let output = site.run(&["counters", "--host", "entry-1", "--all", "--json"]).await;
+    insta::assert_snapshot!("counters_json", site.render(&output));
+    let output = site.run(&["counters", "--host", "entry-9"]).await;
+    assert_eq!(output.exit, Exit::InputWrong, "{output:?}");
+}
+
+#[tokio::test]
+async fn no_node_answers() {
+    let address = unused_address().to_string();
+    for args in [vec!["status"], vec!["counters"], vec!["why", "r"], vec!["drain", "entry-1"]] {
+        let output = run(&[args, vec!["--nodes", &address]].concat()).await;
+        assert_eq!(output.exit, Exit::Unreachable, "{output:?}");
+        assert!(output.err.starts_with("error: no entry host answers: "), "{output:?}");
+    }
+}
--- a/crates/settings/src/hint.rs
+++ b/crates/settings/src/hint.rs
@@ -1,7 +1,7 @@
 //! Advice on names that are not known: the nearest known one, or the right unit.
 
 /// The least likeness, from 0 to 1, at which a known name is proposed.
-const MIN_LIKENESS: f64 = 0.7;
+const MIN_LIKENESS: f64 = 0.8;
 
 /// Pairs each unit suffix with what it stands for; longer suffixes come first.
 const UNITS: &[(&str, &str)] = &[
