--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -38,12 +38,12 @@
 }
 
 macro_rules! error_kinds {
-    ($($(#[$doc:meta])* $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
+    ($(#[doc = $doc:literal] $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
         /// Lists every reason for which a request is refused, given up or retried.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(rename_all = "snake_case")]
         pub enum ErrorKind {
-            $($(#[$doc])* $name,)*
+            $(#[doc = $doc] $name,)*
         }
 
         impl ErrorKind {
@@ -57,6 +57,13 @@
                 }
             }
 
+            /// Returns what the kind means, in one sentence.
+            pub fn description(self) -> &'static str {
+                match self {
+                    $(ErrorKind::$name => $doc.trim(),)*
+                }
+            }
+
             /// Returns the answer for this kind.
             pub const fn answer(self) -> Answer {
                 match self {
@@ -127,6 +134,8 @@
     ServerRefused => "server_refused", 503, NotRun, OtherServer, Some(1);
     /// The backend server holds another weight version.
     WrongVersion => "wrong_version", 503, NotRun, OtherServer, Some(1);
+    /// The backend server began to answer with another weight version.
+    StaleVersion => "stale_version", 503, MayHaveRun, Resume, Some(1);
     /// The backend server closed the connection in mid-answer.
     ServerDied => "server_died", 502, MayHaveRun, Resume, Some(1);
     /// The connection to the backend server went silent.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,4 +1,6 @@
 //! Messages between entry hosts, sent as MessagePack over HTTP, and the operators' JSON bodies.
 
+pub mod hosts;
 pub mod operator;
 pub mod place;
+pub mod probe;
