Hold the quickstart's ports until all are found, and tell the share of new tokens

Cause: one start of three failed with `listen.operators: cannot listen on 127.0.0.1: address in use`, and one more after the ports had moved to an address of the process: a port that was given back at once could be found a second time. The recomputed share could not be judged without knowing how much of the prompts no engine can have seen.

Change: all ports of a site are held until the last is found. The table tells the share of prompt tokens that were new; the JSON keeps its named fields. Daemons that do not become ready end the example with an error.

--- a/crates/standins/examples/quickstart/conversation.rs
+++ b/crates/standins/examples/quickstart/conversation.rs
@@ -49,11 +49,15 @@
     let mut history = first_history(&context, organisation, &mut random);
     let first_gap_ms = random.random_range(0..=*scenario.gap_ms.end());
     context.pause(Duration::from_millis(first_gap_ms)).await;
+    let mut known_tokens = context.preamble_tokens(organisation);
     while !context.is_over() {
         let region = if random.random_ratio(AWAY_PERCENT, 100) { 1 - home } else { home };
         let hosts = shuffled_hosts(&context, region, &mut random);
         let max_tokens = scenario.answer_tokens;
         let asked = Asked { organisation, prompt: &history, max_tokens, priority: 0 };
+        let prompt_tokens = text::tokens(&history);
+        context.tally.count_prompt(prompt_tokens, prompt_tokens - known_tokens);
+        known_tokens = prompt_tokens;
         if let Some(answer) = ask(&context, &hosts, &asked).await {
             history.push_str(&answer);
         }
@@ -61,6 +65,7 @@
         history.push_str(&text::text(&mut random, added));
         if text::tokens(&history) > scenario.most_prompt_tokens {
             history = first_history(&context, organisation, &mut random);
+            known_tokens = PREAMBLE_TOKENS;
         }
         let gap_ms = random.random_range(scenario.gap_ms.clone());
         context.pause(Duration::from_millis(gap_ms)).await;
@@ -77,6 +82,7 @@
         let prompt = text::text(&mut random, QUICK_TOKENS);
         let max_tokens = QUICK_ANSWER_TOKENS;
         let asked = Asked { organisation, prompt: &prompt, max_tokens, priority: QUICK_PRIORITY };
+        context.tally.count_prompt(QUICK_TOKENS, QUICK_TOKENS);
         ask(&context, &hosts, &asked).await;
         context.pause(Duration::from_millis(QUICK_GAP_MS)).await;
     }
--- a/crates/standins/examples/quickstart/place.rs
+++ b/crates/standins/examples/quickstart/place.rs
@@ -1,49 +1,40 @@
 //! The places of one policy's run: links, stand-ins and daemons.
 
+mod entry_hosts;
 mod links;
+mod servers;
 mod services;
 
-use crate::scenario::{
-    CALLER_DELAY_MS, KV_BYTES_PER_TOKEN, PREFILL_RATE, STORE_RATE, Scenario, TOKEN_GAP_MS,
-};
+use crate::scenario::{CALLER_DELAY_MS, Scenario};
 use camphorwardd::Daemon;
 use clients::wire::host_list::HostEntry;
-use eyre::Result;
+use eyre::{Result, bail};
 use links::Links;
-use protocol::ids::{HostName, Incarnation, ServiceName, WeightVersion};
+use protocol::ids::WeightVersion;
 use protocol::size::ByteCount;
-use settings::process::{ListenSettings, PlacementPolicy, PlatformSettings, ProcessSettings};
+use servers::{Placed, addresses, list, start_engines, start_order_servers, start_stores};
+use settings::process::{PlacementPolicy, PlatformSettings};
 use standins::engine::{Engine, EngineConfig, EngineCounters};
 use standins::host_list::{HostListConfig, HostListService};
 use standins::log_service::{LogConfig, LogService};
-use standins::order_service::{Ledger, OrderConfig, OrderServer};
+use standins::order_service::{Ledger, OrderServer};
 use standins::relay::{Link, LinkConfig, Relay};
-use standins::site::{EntryHost, ServerEntry};
-use standins::store::{StoreConfig, StoreHost};
-use standins::weight_store::WeightStore;
+use standins::store::StoreHost;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// The failure domain that the platform's log and host list are in.
 const PLATFORM_DOMAIN: usize = 0;
 const HOST_LIST_LAG_MS: u64 = 500;
-const KEEPALIVE_MS: u64 = 200;
-const MAX_RUNNING: usize = 8;
-/// The order servers and store hosts of each failure domain.
-const SERVERS_PER_DOMAIN: usize = 1;
+/// How long daemons may take to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
 const START_POLL: Duration = Duration::from_millis(20);
 /// How long daemons are given to read the servers' load once they are ready.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
-/// Holds a host in its failure domain.
-struct Placed<T> {
-    domain: usize,
-    host: ServerEntry<()>,
-    server: T,
-}
-
 /// Runs the site of one policy.
 pub struct Place {
     engines: Vec<Placed<Engine>>,
@@ -72,7 +63,7 @@
         let stores = start_stores(scenario).await?;
         let order_servers = start_order_servers(scenario, &ledger).await?;
         let engines = start_engines(scenario, &mut links, &stores).await?;
-        let entry_hosts = reserve_entry_hosts(scenario)?;
+        let entry_hosts = entry_hosts::reserve(scenario)?;
 
         let mut listed: Vec<HostEntry> = list(&engines, |engine| engine.address());
         listed.extend(list(&stores, StoreHost::address));
@@ -94,12 +85,13 @@
         let (mut daemons, mut callers) = (Vec::new(), Vec::new());
         for (domain, host) in &entry_hosts {
             let address_map = links.address_map(*domain, &targets).await?;
-            let settings = daemon_settings(host, platform.clone(), address_map, policy);
+            let settings =
+                entry_hosts::daemon_settings(host, platform.clone(), address_map, policy);
             daemons.push(Daemon::start(settings).await?);
             let region = scenario.domains[*domain].region;
             callers.push((region, Relay::start(Arc::clone(&caller_link), host.callers).await?));
         }
-        wait_until_ready(&daemons).await;
+        wait_until_ready(&daemons).await?;
         Ok(Self {
             engines,
             daemons,
@@ -186,153 +178,14 @@
     }
 }
 
-async fn wait_until_ready(daemons: &[Daemon]) {
+async fn wait_until_ready(daemons: &[Daemon]) -> Result<()> {
+    let deadline = Instant::now() + READY_TIMEOUT;
     while !daemons.iter().all(Daemon::is_ready) {
+        if Instant::now() >= deadline {
+            bail!("a daemon was not ready after {} s", READY_TIMEOUT.as_secs());
+        }
         tokio::time::sleep(START_POLL).await;
     }
     tokio::time::sleep(SETTLE).await;
-}
-
-fn daemon_settings(
-    host: &EntryHost,
-    platform: PlatformSettings,
-    address_map: BTreeMap<SocketAddr, SocketAddr>,
-    policy: PlacementPolicy,
-) -> ProcessSettings {
-    let EntryHost { callers, peers, operators, .. } = *host;
-    ProcessSettings {
-        host: host.host.clone(),
-        failure_domain: host.failure_domain.clone(),
-        region: host.region.clone(),
-        listen: ListenSettings { callers, peers, operators },
-        platform,
-        seed_peers: Vec::new(),
-        address_map,
-        limits: settings::process::LimitSettings::default(),
-        drain: settings::process::DrainSettings::default(),
-        policy,
-        log_level: settings::process::LogLevel::Off,
-        statsd: None,
-    }
-}
-
-/// Reserves three free ports for each entry host, since peers list their addresses to each other.
-fn reserve_entry_hosts(scenario: &Scenario) -> Result<Vec<(usize, EntryHost)>> {
-    let mut hosts = Vec::new();
-    for (domain, plan) in scenario.domains.iter().enumerate() {
-        for number in 0..plan.entry_hosts {
-            let entry = host_entry(scenario, domain, "entry", number, "entry")?;
-            let host = EntryHost {
-                host: entry.host,
-                incarnation: Incarnation::new(1),
-                region: entry.region,
-                failure_domain: entry.failure_domain,
-                callers: free_address()?,
-                peers: free_address()?,
-                operators: free_address()?,
-            };
-            hosts.push((domain, host));
-        }
-    }
-    Ok(hosts)
-}
-
-/// Finds a free port at an address of this process alone, where no outgoing connection takes it.
-fn free_address() -> Result<SocketAddr> {
-    const NETWORK: [u8; 2] = [127, 77];
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let own = Ipv4Addr::new(NETWORK[0], NETWORK[1], high, low);
-    Ok(std::net::TcpListener::bind((own, 0))?.local_addr()?)
-}
-
-/// Describes the server `number` of a kind in a failure domain.
-fn host_entry(
-    scenario: &Scenario,
-    domain: usize,
-    kind: &str,
-    number: usize,
-    service: &str,
-) -> Result<ServerEntry<()>> {
-    let plan = &scenario.domains[domain];
-    let host: HostName = format!("{}-{kind}-{number}", plan.name).parse()?;
-    let service: ServiceName = service.parse()?;
-    Ok(ServerEntry {
-        host,
-        region: scenario.regions[plan.region].parse()?,
-        failure_domain: plan.name.parse()?,
-        service,
-        config: (),
-    })
-}
-
-fn list<T>(servers: &[Placed<T>], address: impl Fn(&T) -> SocketAddr) -> Vec<HostEntry> {
-    let entry =
-        |placed: &Placed<T>| placed.host.host_entry(address(&placed.server), Incarnation::new(1));
-    servers.iter().map(entry).collect()
-}
-
-fn addresses<T>(
-    servers: &[Placed<T>],
-    address: impl Fn(&T) -> SocketAddr,
-) -> Vec<(usize, SocketAddr)> {
-    servers.iter().map(|placed| (placed.domain, address(&placed.server))).collect()
-}
-
-async fn start_stores(scenario: &Scenario) -> Result<Vec<Placed<StoreHost>>> {
-    let mut stores = Vec::new();
-    for domain in 0..scenario.domains.len() {
-        for number in 0..SERVERS_PER_DOMAIN {
-            let host = host_entry(scenario, domain, "store", number, scenario.store_service)?;
-            let server = StoreHost::start(StoreConfig::default()).await?;
-            stores.push(Placed { domain, host, server });
-        }
-    }
-    Ok(stores)
-}
-
-async fn start_order_servers(
-    scenario: &Scenario,
-    ledger: &Arc<Ledger>,
-) -> Result<Vec<Placed<OrderServer>>> {
-    let mut servers = Vec::new();
-    for domain in 0..scenario.domains.len() {
-        for number in 0..SERVERS_PER_DOMAIN {
-            let host = host_entry(scenario, domain, "order", number, scenario.order_service)?;
-            let server = OrderServer::start(OrderConfig::default(), Arc::clone(ledger)).await?;
-            servers.push(Placed { domain, host, server });
-        }
-    }
-    Ok(servers)
-}
-
-async fn start_engines(
-    scenario: &Scenario,
-    links: &mut Links,
-    stores: &[Placed<StoreHost>],
-) -> Result<Vec<Placed<Engine>>> {
-    let weight_store = WeightStore::new();
-    let targets = addresses(stores, StoreHost::address);
-    let mut engines = Vec::new();
-    for domain in 0..scenario.domains.len() {
-        let address_map = links.address_map(domain, &targets).await?;
-        for number in 0..scenario.engines_per_domain {
-            let host = host_entry(scenario, domain, "engine", number, scenario.model_service)?;
-            let config = EngineConfig {
-                address_map: address_map.clone(),
-                prefill_rate: PREFILL_RATE,
-                token_gap_ms: TOKEN_GAP_MS,
-                max_running: MAX_RUNNING,
-                cache_size: scenario.engine_cache,
-                keepalive_ms: KEEPALIVE_MS,
-                kv_bytes_per_token: KV_BYTES_PER_TOKEN,
-                full_size_blocks: true,
-                import_bytes_per_s: STORE_RATE,
-                export_bytes_per_s: STORE_RATE,
-                ..EngineConfig::default()
-            };
-            let server = Engine::start(config, Arc::clone(&weight_store)).await?;
-            engines.push(Placed { domain, host, server });
-        }
-    }
-    Ok(engines)
+    Ok(())
 }
--- /dev/null
+++ b/crates/standins/examples/quickstart/place/entry_hosts.rs
@@ -0,0 +1,84 @@
+//! The entry hosts of a site and their daemons' settings.
+
+use super::servers::describe;
+use crate::scenario::Scenario;
+use eyre::Result;
+use protocol::ids::Incarnation;
+use settings::process::{
+    DrainSettings, LimitSettings, ListenSettings, LogLevel, PlacementPolicy, PlatformSettings,
+    ProcessSettings,
+};
+use standins::site::EntryHost;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+
+/// The callers', peers' and operators' listeners.
+const LISTENERS: usize = 3;
+/// The first bytes of the address at which daemons listen.
+const NETWORK: [u8; 2] = [127, 77];
+
+/// Describes the entry hosts of all failure domains, each with free ports.
+///
+/// Daemons tell each other their addresses, so relays between them need the ports in advance.
+///
+/// # Errors
+///
+/// Returns an error if no port is free.
+pub fn reserve(scenario: &Scenario) -> Result<Vec<(usize, EntryHost)>> {
+    let count: usize = scenario.domains.iter().map(|domain| domain.entry_hosts).sum();
+    let addresses = free_addresses(count * LISTENERS)?;
+    let mut addresses = addresses.chunks_exact(LISTENERS);
+    let mut hosts = Vec::new();
+    for (domain, plan) in scenario.domains.iter().enumerate() {
+        for number in 0..plan.entry_hosts {
+            let Some([callers, peers, operators]) = addresses.next() else {
+                continue;
+            };
+            let described = describe(scenario, domain, "entry", number, "entry")?;
+            let host = EntryHost {
+                host: described.host,
+                incarnation: Incarnation::new(1),
+                region: described.region,
+                failure_domain: described.failure_domain,
+                callers: *callers,
+                peers: *peers,
+                operators: *operators,
+            };
+            hosts.push((domain, host));
+        }
+    }
+    Ok(hosts)
+}
+
+/// Finds free ports at an address of this process alone, where no outgoing connection takes them.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(NETWORK[0], NETWORK[1], high, low);
+    // All are held until the last is found, or the same port could be found twice.
+    let held = (0..count).map(|_| TcpListener::bind((own, 0))).collect::<Result<Vec<_>, _>>()?;
+    Ok(held.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?)
+}
+
+/// Returns the settings of an entry host's daemon.
+pub fn daemon_settings(
+    host: &EntryHost,
+    platform: PlatformSettings,
+    address_map: BTreeMap<SocketAddr, SocketAddr>,
+    policy: PlacementPolicy,
+) -> ProcessSettings {
+    let EntryHost { callers, peers, operators, .. } = *host;
+    ProcessSettings {
+        host: host.host.clone(),
+        failure_domain: host.failure_domain.clone(),
+        region: host.region.clone(),
+        listen: ListenSettings { callers, peers, operators },
+        platform,
+        seed_peers: Vec::new(),
+        address_map,
+        limits: LimitSettings::default(),
+        drain: DrainSettings::default(),
+        policy,
+        log_level: LogLevel::Off,
+        statsd: None,
+    }
+}
--- a/crates/standins/examples/quickstart/report.rs
+++ b/crates/standins/examples/quickstart/report.rs
@@ -21,6 +21,8 @@
     orders_lost: u64,
     retries: u64,
     refusals: u64,
+    #[serde(skip)]
+    new_share: f64,
 }
 
 impl PolicyReport {
@@ -40,6 +42,7 @@
             orders_lost: orders.lost(&executions),
             retries: place.count("retries."),
             refusals: place.count("refusals."),
+            new_share: tally.new_share(),
         }
     }
 
@@ -114,6 +117,10 @@
                 policy.refusals,
             );
         }
+        for (name, policy) in &self.policies {
+            let new_percent = policy.new_share * 100.0;
+            let _ = writeln!(table, "{name:<12} {new_percent:>5.1}% of prompt tokens were new");
+        }
         table
     }
 }
--- a/crates/standins/examples/quickstart/run.rs
+++ b/crates/standins/examples/quickstart/run.rs
@@ -6,11 +6,12 @@
 use crate::orders;
 use crate::place::Place;
 use crate::report::{PolicyReport, Report};
-use crate::scenario::Scenario;
+use crate::scenario::{PREAMBLE_TOKENS, Scenario};
 use crate::tally::Tally;
 use eyre::{Result, eyre};
 use settings::process::PlacementPolicy;
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until};
@@ -42,6 +43,7 @@
     pub tally: Tally,
     started: Instant,
     ends: Instant,
+    started_organisations: Mutex<HashSet<usize>>,
 }
 
 impl Context {
@@ -50,6 +52,13 @@
         Instant::now() >= self.ends
     }
 
+    /// Returns how many tokens of a new conversation an earlier one of the organisation held.
+    pub fn preamble_tokens(&self, organisation: usize) -> u64 {
+        let started = self.started_organisations.lock();
+        let is_first = started.unwrap_or_else(PoisonError::into_inner).insert(organisation);
+        if is_first { 0 } else { PREAMBLE_TOKENS }
+    }
+
     /// Waits, at most until the run ends.
     pub async fn pause(&self, gap: Duration) {
         sleep_until((Instant::now() + gap).min(self.ends)).await;
@@ -85,6 +94,7 @@
             tally: Tally::new()?,
             started,
             ends: started + Duration::from_secs(options.seconds),
+            started_organisations: Mutex::default(),
         }));
     }
     let progress = tokio::spawn(show_progress(contexts.clone()));
--- a/crates/standins/examples/quickstart/tally.rs
+++ b/crates/standins/examples/quickstart/tally.rs
@@ -17,6 +17,8 @@
     answered: AtomicU64,
     wrong: AtomicU64,
     lost: AtomicU64,
+    prompt_tokens: AtomicU64,
+    new_tokens: AtomicU64,
     first_token_us: Mutex<Histogram<u64>>,
 }
 
@@ -32,6 +34,8 @@
             answered: AtomicU64::new(0),
             wrong: AtomicU64::new(0),
             lost: AtomicU64::new(0),
+            prompt_tokens: AtomicU64::new(0),
+            new_tokens: AtomicU64::new(0),
             first_token_us: Mutex::new(Histogram::new_with_bounds(1, LONGEST_US, DIGITS)?),
         })
     }
@@ -41,6 +45,18 @@
         self.requests.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts the tokens of a prompt, and those that no earlier prompt of the run held.
+    pub fn count_prompt(&self, prompt_tokens: u64, new_tokens: u64) {
+        self.prompt_tokens.fetch_add(prompt_tokens, Ordering::Relaxed);
+        self.new_tokens.fetch_add(new_tokens, Ordering::Relaxed);
+    }
+
+    /// Returns the share of prompt tokens that no earlier prompt of the run held.
+    pub fn new_share(&self) -> f64 {
+        let prompt_tokens = self.prompt_tokens.load(Ordering::Relaxed).max(1);
+        self.new_tokens.load(Ordering::Relaxed) as f64 / prompt_tokens as f64
+    }
+
     /// Counts a whole answer.
     pub fn count_answer(&self, is_right: bool) {
         self.answered.fetch_add(1, Ordering::Relaxed);
