Let a call kill any stand-in

Cause: all stand-ins of a site share one process, so a test of separate processes could not kill the log or a store host alone.

Change: POST /kill closes the listener and all connections at once, and starts again after the time that the body names. A killed store host loses its blocks.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,7 +1,8 @@
 //! A stand-in of a model engine with a prefix cache in limited memory.
 //!
 //! Besides the calls of `clients::wire::engine` it answers `GET /faults` and `POST /faults` with
-//! [`EngineFaults`], `GET /counters` with [`EngineCounters`], and `POST /kill` with [`Kill`].
+//! [`EngineFaults`], `GET /counters` with [`EngineCounters`], and `POST /kill` with
+//! [`Kill`](crate::server::Kill).
 
 mod cache;
 mod config;
@@ -12,7 +13,7 @@
 mod transfer;
 mod weights;
 
-pub use config::{EngineConfig, EngineCounters, EngineFaults, Kill};
+pub use config::{EngineConfig, EngineCounters, EngineFaults};
 
 use crate::rate::RateLimit;
 use crate::server::{Handle, Server};
--- a/crates/standins/src/engine/config.rs
+++ b/crates/standins/src/engine/config.rs
@@ -120,14 +120,6 @@
     pub ignores_cancel: bool,
 }
 
-/// Ends an engine as if its process were killed.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Kill {
-    /// How long afterwards the engine starts again, in milliseconds; never if absent.
-    pub restart_after_ms: Option<u64>,
-}
-
 /// Counts what an engine did over all its lives.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
--- a/crates/standins/src/engine/handlers.rs
+++ b/crates/standins/src/engine/handlers.rs
@@ -1,10 +1,9 @@
 //! The calls that an engine answers.
 
-use super::config::Kill;
 use super::life::Life;
 use super::{Core, runs, transfer, weights};
 use crate::reply;
-use crate::server::{Answered, Call, Refused};
+use crate::server::{Answered, Call, Kill, Refused};
 use crate::switch::lock;
 use bytes::Bytes;
 use clients::wire::engine::{
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -7,6 +7,7 @@
 //! | `POST /hosts/{host}/leaving` | 204; 404 if the host is not listed |
 //! | `DELETE /hosts/{host}` | 204 |
 //! | `GET /faults`, `POST /faults` with [`HostListFaults`] | the faults; 204 |
+//! | `POST /kill` with [`Kill`](crate::server::Kill) | none |
 
 use crate::clock::now_ms;
 use crate::reply;
@@ -190,6 +191,7 @@
 async fn answer(state: Arc<State>, call: Call) -> Response<Body> {
     match (&call.method, call.segments().as_slice()) {
         (_, ["faults"]) => state.faults.answer(&call),
+        (&Method::POST, ["kill"]) => call.kill_server().await,
         (&Method::GET, ["hosts"]) => list(&state).await,
         (&Method::POST, ["hosts"]) => change(&call, |entry| state.put(entry)),
         (&Method::POST, ["hosts", host, "leaving"]) => {
--- a/crates/standins/src/log_service.rs
+++ b/crates/standins/src/log_service.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform's append-only log.
 //!
 //! Besides the calls of `clients::wire::log` it answers `GET /faults` and `POST /faults` with
-//! [`LogFaults`], also while the log is down.
+//! [`LogFaults`], also while the log is down, and `POST /kill` with [`Kill`](crate::server::Kill).
 
 mod streams;
 
@@ -143,8 +143,10 @@
 
 async fn answer(state: Arc<State>, call: Call) -> Response<Body> {
     let segments = call.segments();
-    if segments == ["faults"] {
-        return state.faults.answer(&call);
+    match segments.as_slice() {
+        ["faults"] => return state.faults.answer(&call),
+        ["kill"] => return call.kill_server().await,
+        _ => {}
     }
     let faults = state.faults.get();
     if faults.delay_ms > 0 {
--- a/crates/standins/src/order_service.rs
+++ b/crates/standins/src/order_service.rs
@@ -7,6 +7,7 @@
 //! | `GET /stock/{item}` | [`StockAnswer`] |
 //! | `GET /ledger` | every [`Execution`] in order |
 //! | `GET /faults`, `POST /faults` with [`OrderFaults`] | the faults; 204 |
+//! | `POST /kill` with [`Kill`](crate::server::Kill) | none |
 //!
 //! Servers of one service share a [`Ledger`].
 
@@ -195,8 +196,10 @@
 
 async fn answer(state: Arc<State>, call: Call) -> Response<Body> {
     let segments = call.segments();
-    if segments == ["faults"] {
-        return state.faults.answer(&call);
+    match segments.as_slice() {
+        ["faults"] => return state.faults.answer(&call),
+        ["kill"] => return call.kill_server().await,
+        _ => {}
     }
     let faults = state.faults.get();
     if faults.delay_ms > 0 {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -12,11 +12,13 @@
 use http::{HeaderMap, Method, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
 use std::panic::RefUnwindSafe;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -29,6 +31,14 @@
 /// Tells apart calls that were carried out and calls that were refused.
 pub type Answered = Result<Response<Body>, Refused>;
 
+/// Ends a stand-in as if its process were killed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Kill {
+    /// How long afterwards the stand-in starts again, in milliseconds; never if absent.
+    pub restart_after_ms: Option<u64>,
+}
+
 /// Holds one request whose body was read as a whole.
 pub struct Call {
     /// The method.
@@ -41,6 +51,7 @@
     pub body: Bytes,
     peer: Option<SocketAddr>,
     connections: Arc<Connections>,
+    server: Weak<Server>,
 }
 
 impl Call {
@@ -73,6 +84,18 @@
         })
     }
 
+    /// Kills the server that took the call, and starts it again if the body says when.
+    pub async fn kill_server(&self) -> Response<Body> {
+        let kill: Kill = match self.json() {
+            Ok(kill) => kill,
+            Err(refused) => return *refused,
+        };
+        if let Some(server) = self.server.upgrade() {
+            tokio::spawn(async move { server.kill_and_resume(kill).await });
+        }
+        std::future::pending().await
+    }
+
     /// Closes the connection that the call came over, so that no answer reaches the caller.
     pub async fn lose_answer(&self) -> Response<Body> {
         if let Some(peer) = self.peer {
@@ -127,22 +150,36 @@
         self.connections.close_all();
     }
 
+    async fn kill_and_resume(self: Arc<Self>, kill: Kill) {
+        self.kill();
+        let Some(delay_ms) = kill.restart_after_ms else {
+            return;
+        };
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        if let Err(error) = self.resume().await {
+            log::error!("a stand-in could not bind its address again: {error}");
+        }
+    }
+
     /// Serves again on the same address after [`Server::stop`] or [`Server::kill`].
     ///
     /// # Errors
     ///
     /// Returns the error of binding the address.
-    pub async fn resume(&self) -> io::Result<()> {
+    pub async fn resume(self: &Arc<Self>) -> io::Result<()> {
         self.stop();
         let listener = bind_again(self.address).await?;
         self.accept(listener);
         Ok(())
     }
 
-    fn accept(&self, listener: TcpListener) {
+    fn accept(self: &Arc<Self>, listener: TcpListener) {
         let connections = Arc::clone(&self.connections);
-        let dispatch =
-            Dispatch { handle: Arc::clone(&self.handle), connections: Arc::clone(&connections) };
+        let dispatch = Dispatch {
+            handle: Arc::clone(&self.handle),
+            connections: Arc::clone(&connections),
+            server: Arc::downgrade(self),
+        };
         let task = tokio::spawn(async move {
             let wrap = move |socket| std::future::ready(Tracked::new(socket, &connections));
             gotham::bind_server(listener, dispatch, wrap).await
@@ -160,7 +197,7 @@
 /// Waits for an aborted accept task to drop its listener.
 async fn bind_again(address: SocketAddr) -> io::Result<TcpListener> {
     const TRIES: u32 = 200;
-    const WAIT: std::time::Duration = std::time::Duration::from_millis(5);
+    const WAIT: Duration = Duration::from_millis(5);
     for _ in 0..TRIES {
         match TcpListener::bind(address).await {
             Err(error) if error.kind() == io::ErrorKind::AddrInUse => {
@@ -176,6 +213,7 @@
 struct Dispatch {
     handle: Handle,
     connections: Arc<Connections>,
+    server: Weak<Server>,
 }
 
 impl RefUnwindSafe for Dispatch {}
@@ -198,9 +236,9 @@
         async move {
             let response = match body.collect().await {
                 Ok(body) => {
-                    let connections = self.connections;
+                    let Self { handle, connections, server } = self;
                     let body = body.to_bytes();
-                    (self.handle)(Call { method, uri, headers, body, peer, connections }).await
+                    handle(Call { method, uri, headers, body, peer, connections, server }).await
                 }
                 Err(_) => crate::reply::empty(StatusCode::BAD_REQUEST),
             };
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -1,7 +1,8 @@
 //! A stand-in of a store host.
 //!
 //! Besides the calls of `clients::wire::store` it answers `GET /faults` and `POST /faults` with
-//! [`StoreFaults`], and `GET /counters` with [`StoreCounters`].
+//! [`StoreFaults`], and `GET /counters` with [`StoreCounters`], and
+//! `POST /kill` with [`Kill`](crate::server::Kill).
 
 mod blocks;
 
@@ -161,6 +162,10 @@
     let segments = call.segments();
     match segments.as_slice() {
         ["faults"] => return state.faults.answer(&call),
+        ["kill"] => {
+            *lock(&state.blocks) = Blocks::default();
+            return call.kill_server().await;
+        }
         ["counters"] => return reply::json(StatusCode::OK, &state.counters()),
         _ => {}
     }
--- a/crates/standins/tests/faults/log_service.rs
+++ b/crates/standins/tests/faults/log_service.rs
@@ -5,7 +5,9 @@
 use clients::wire::log::{Appended, RecordPage};
 use http::{Method, StatusCode};
 use standins::log_service::{LogConfig, LogFaults, LogService};
+use standins::server::Kill;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 const RECORDS: &str = "/streams/orders/records";
 
@@ -72,3 +74,15 @@
     log.restart().await.unwrap();
     assert_eq!(values(&caller, log.address(), "from=0").await, ["one"]);
 }
+
+#[tokio::test]
+async fn a_log_killed_by_a_call_starts_again_when_told() {
+    let (caller, log) = (Caller::new(), LogService::start(LogConfig::default()).await.unwrap());
+    append(&caller, log.address(), "one").await;
+    let kill = Kill { restart_after_ms: Some(20) };
+    assert_eq!(caller.post(log.address(), "/kill", &kill).await, None);
+    while caller.raw(Method::GET, log.address(), RECORDS, Bytes::new()).await.is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(values(&caller, log.address(), "from=0").await, ["one"]);
+}
