--- a/crates/camphorward/src/commands/drain.rs
+++ b/crates/camphorward/src/commands/drain.rs
@@ -63,9 +63,9 @@
 }
 
 fn sort_error(host: &HostName, error: &ClientError) -> CommandError {
-    let message = format!("{host}: {}", explain(error));
+    let reason = explain(error);
     match error {
-        ClientError::Refused { .. } => CommandError::Refused(message),
-        _ => CommandError::Nodes(message),
+        ClientError::Refused { .. } => CommandError::Refused(format!("{host}: {reason}")),
+        _ => CommandError::Node { host: host.clone(), reason },
     }
 }
--- a/crates/camphorward/src/error.rs
+++ b/crates/camphorward/src/error.rs
@@ -2,7 +2,7 @@
 
 use crate::exit::Exit;
 use clients::error::ClientError;
-use protocol::ids::{ConfigVersion, LogOffset};
+use protocol::ids::{ConfigVersion, HostName, LogOffset};
 use serde::Serialize;
 use settings::problem::{Problem, Report};
 use thiserror::Error;
@@ -50,6 +50,14 @@
     /// No entry host answers.
     #[error("no entry host answers: {0}")]
     Nodes(String),
+    /// The entry host that a command is for does not answer.
+    #[error("{host} does not answer: {reason}")]
+    Node {
+        /// The entry host.
+        host: HostName,
+        /// What went wrong.
+        reason: String,
+    },
     /// Some reachable entry hosts do not have the configuration in force yet.
     #[error("version {version} is accepted but not yet in force on {}", hosts.join(", "))]
     Lagging {
@@ -85,9 +93,11 @@
         match self {
             Self::File { .. } | Self::InvalidText { .. } | Self::Usage(_) => Exit::InputWrong,
             Self::Conflict { .. } => Exit::Conflict,
-            Self::Log(_) | Self::AppendUnknown { .. } | Self::Nodes(_) | Self::Lagging { .. } => {
-                Exit::Unreachable
-            }
+            Self::Log(_)
+            | Self::AppendUnknown { .. }
+            | Self::Nodes(_)
+            | Self::Node { .. }
+            | Self::Lagging { .. } => Exit::Unreachable,
             Self::Refused(_) | Self::NotThere(_) => Exit::Refused,
         }
     }
--- a/crates/camphorward/tests/nodes.rs
+++ b/crates/camphorward/tests/nodes.rs
@@ -88,7 +88,7 @@
     let output = site.run(&["drain", "entry-9"]).await;
     insta::assert_snapshot!("drain_unknown", site.render(&output));
     let output = site.run(&["drain", "entry-3"]).await;
-    assert_eq!(output.exit, Exit::Unreachable, "{output:?}");
+    insta::assert_snapshot!("drain_of_a_node_that_is_down", site.render(&output));
 }
 
 #[tokio::test]
