Ask the homes in other regions when little is known here

Cause: a prompt that returns through the other region found a home that knew nothing of it, and a home never saw kept blocks of the other region's store hosts, which its own prompts leave there when they run on that region's servers. Ruled out: telling both homes of every finished attempt, which at 4,100 requests/s would put 11 Mb/s of notices on a 30 Mb/s link. Servers in other regions are read an eighth as often. Chain keys travel as bare digests in MessagePack, half their size. An attempt is counted once on its server, no longer twice where the entry host is the home.

--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -14,6 +14,12 @@
 pub(crate) const LOG_PAGE_RECORDS: usize = 256;
 /// How long the home of a prompt may take to answer.
 pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long the home of a prompt in another region may take to answer.
+pub(crate) const FAR_HOME_TIMEOUT: Duration = Duration::from_millis(120);
+/// From how many missing pieces on the homes in other regions are asked.
+pub(crate) const FAR_HOME_MISSING_PIECES: usize = 3;
+/// Every how many reads of load a server in another region is read.
+pub(crate) const FAR_LOAD_EVERY: u64 = 8;
 /// How long a peer may take to answer any other message.
 pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The most attempts at one request.
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -49,6 +49,8 @@
     CallersGone => "callers_gone";
     /// Placements asked of another entry host.
     HomeAsked => "home.asked";
+    /// Placements asked of an entry host in another region.
+    FarHomeAsked => "home.far_asked";
     /// Placements decided here since the home did not answer in time.
     HomeMissed => "home.missed";
     /// Placements decided here for another entry host.
--- a/crates/camphorwardd/src/follow/servers.rs
+++ b/crates/camphorwardd/src/follow/servers.rs
@@ -1,6 +1,6 @@
 //! Follows the load and the cache events of the model engines.
 
-use crate::constants::LOAD_INTERVAL;
+use crate::constants::{FAR_LOAD_EVERY, LOAD_INTERVAL};
 use crate::counters::Counter;
 use crate::hosts::Server;
 use crate::node::Node;
@@ -19,28 +19,40 @@
 /// Reads all model engines at intervals for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
     let mut next_events = NextEvents::new();
-    loop {
-        let servers = model_servers(&node);
+    for round in 0_u64.. {
+        let servers = servers_of_round(&node, round);
         let reads = servers.iter().map(|server| {
             let next = next_events.get(&server.host).copied();
             read_server(&node, server, next)
         });
-        next_events = join_all(reads).await.into_iter().flatten().collect();
+        let read = join_all(reads).await;
+        for (server, next) in servers.iter().zip(read) {
+            match next {
+                Some(next) => next_events.insert(server.host.clone(), next),
+                None => next_events.remove(&server.host),
+            };
+        }
         tokio::time::sleep(LOAD_INTERVAL).await;
     }
 }
 
+/// Servers in other regions are read less often, since the link is paid by volume.
+fn servers_of_round(node: &Node, round: u64) -> Vec<Server> {
+    let mut servers = model_servers(node);
+    if !round.is_multiple_of(FAR_LOAD_EVERY) {
+        servers.retain(|server| server.region == node.settings.region);
+    }
+    servers
+}
+
 fn model_servers(node: &Node) -> Vec<Server> {
     let directory = node.directory();
     let services = directory.models().map(|(name, _)| name);
     services.flat_map(|name| node.hosts.servers(name, node.now_ms())).collect()
 }
 
-async fn read_server(
-    node: &Node,
-    server: &Server,
-    next_event: Option<u64>,
-) -> Option<(HostName, u64)> {
+/// Returns the next cache event to read; `None` asks for a snapshot.
+async fn read_server(node: &Node, server: &Server, next_event: Option<u64>) -> Option<u64> {
     match node.clients.engine.load(server.address).await {
         Ok(report) => take_report(node, server, &report),
         Err(error) => {
@@ -51,11 +63,10 @@
             return None;
         }
     }
-    let next = match next_event {
+    match next_event {
         Some(next) => read_events(node, server, next).await,
         None => read_snapshot(node, server).await,
-    };
-    next.map(|next| (server.host.clone(), next))
+    }
 }
 
 fn take_report(node: &Node, server: &Server, report: &LoadReport) {
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -6,7 +6,7 @@
 mod finish;
 mod place;
 
-pub(crate) use decide::decide;
+pub(crate) use decide::decide_for_peer;
 pub(crate) use finish::take_notice;
 pub(crate) use place::{FINISHED_PATH, PLACE_PATH, is_home};
 
@@ -16,6 +16,7 @@
 use crate::reply::Failure;
 use attempt::{Attempt, AttemptError};
 use clients::wire::engine::End;
+use membership::EntryHost;
 use place::Placed;
 use placement::chain::PrefixChain;
 use protocol::error::{ErrorKind, Execution, InnerRetry};
@@ -141,7 +142,7 @@
         let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
         let missing = attempt.into_missing();
         self.note_outcome(&attempt_id, &server, &result);
-        self.notify_home(attempt_id, server, result.is_ok(), missing);
+        self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
         result
     }
 
@@ -186,9 +187,11 @@
         self.node.explanations.add_attempt(request_id, attempt);
     }
 
-    /// Tells the home what the attempt left behind, without making the caller wait.
-    fn notify_home(
+    /// Tells the homes what the attempt left behind, without making the caller wait: the one in
+    /// this region, which the prompt returns to, and the one that decided.
+    fn notify_homes(
         &self,
+        decider: Option<EntryHost>,
         attempt_id: AttemptId,
         server: HostName,
         completed: bool,
@@ -202,9 +205,11 @@
             completed,
             missing,
         };
-        let node = Arc::clone(&self.node);
-        let home = place::find_home(&node, &self.chain);
-        tokio::spawn(place::notify(node, home, notice));
+        let near = place::find_home(&self.node, &self.chain);
+        let far = decider.filter(|home| near.as_ref().is_none_or(|near| near.host != home.host));
+        for home in near.into_iter().chain(far) {
+            tokio::spawn(place::notify(Arc::clone(&self.node), home, notice.clone()));
+        }
     }
 
     async fn end(self, outcome: Result<End, RunError>) {
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counter;
 use crate::node::Node;
 use crate::reply::Failure;
+use crate::run::decide::note_sent;
 use crate::run::failure::from_client_error;
 use crate::run::place::Placed;
 use crate::run::{Job, Part, PartSender};
@@ -13,7 +14,6 @@
     CompletionRequest, End, Import, ImportBlock, Piece, StreamBody, StreamEvent, Token,
 };
 use placement::chain::PrefixChain;
-use placement::load::SentAttempt;
 use protocol::error::ErrorKind;
 use protocol::ids::AttemptId;
 use protocol::message::place::KeptBlock;
@@ -67,7 +67,7 @@
         passed_tokens: &mut u64,
         parts: &PartSender,
     ) -> Result<End, AttemptError> {
-        self.note_sent();
+        note_sent(self.node, self.attempt_id, &self.placed.answer);
         self.import().await;
         let mut stream = self.send(*passed_tokens).await.map_err(AttemptError::Failed)?;
         let result = self.pass_on(&mut stream, passed_tokens, parts).await;
@@ -77,16 +77,6 @@
         result
     }
 
-    fn note_sent(&self) {
-        let sent = SentAttempt {
-            attempt_id: self.attempt_id.clone(),
-            recomputed_tokens: self.placed.answer.recomputed_tokens,
-            expected_first_token_ms: self.placed.answer.expected_first_token_ms,
-            sent_at_ms: self.node.now_ms(),
-        };
-        self.node.placement.loads.sent(&self.placed.server.host, sent);
-    }
-
     async fn import(&mut self) {
         let blocks = self.import_blocks();
         if blocks.is_empty() {
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -16,20 +16,22 @@
 use placement::index::ChainView;
 use placement::load::SentAttempt;
 use placement::rebuild::{self, PossibleBlock};
-use protocol::ids::{ChainKey, HostName, Region, ServiceName};
+use protocol::ids::{AttemptId, ChainKey, HostName, Region, ServiceName};
 use protocol::message::operator::CandidateExplanation;
 use protocol::message::place::{KeptBlock, PlaceAnswer, PlaceReply, PlaceRequest};
 use settings::process::PlacementPolicy;
 use settings::services::{ModelService, StoreService};
 
+const MS_PER_S: u64 = 1_000;
+
 /// Chooses a server for a prompt.
 pub(crate) async fn decide(node: &Node, request: &PlaceRequest) -> PlaceReply {
     let directory = node.directory();
     let Some(model) = directory.model_service(&request.service) else {
         return PlaceReply::UnknownService;
     };
-    let stores = StoreSite::find(node, &directory, model, &request.region);
-    let view = view_chain(node, &stores, &request.chain).await;
+    let stores = StoreSite::find(node, &directory, model);
+    let view = view_chain(node, &stores, &request.region, &request.chain).await;
     let candidates = candidates(node, &request.service);
     let paths = paths(&directory, &request.region);
     let surroundings = Surroundings {
@@ -50,10 +52,7 @@
         turn: node.placement.next_turn(),
     };
     match choose(node.settings.policy, &choice_request, &surroundings) {
-        Ok(choice) => {
-            note_sent(node, request, &choice);
-            PlaceReply::Placed(to_answer(choice))
-        }
+        Ok(choice) => PlaceReply::Placed(to_answer(choice)),
         Err(_) => PlaceReply::NoServer,
     }
 }
@@ -64,15 +63,24 @@
     HomeKey::of_piece(request.chain.first().unwrap_or(&short_prompt))
 }
 
-/// The home counts what it sends until it hears of the end.
-fn note_sent(node: &Node, request: &PlaceRequest, choice: &Choice) {
+/// Chooses a server for another entry host and counts the attempt until its end is heard of.
+pub(crate) async fn decide_for_peer(node: &Node, request: &PlaceRequest) -> PlaceReply {
+    let reply = decide(node, request).await;
+    if let PlaceReply::Placed(answer) = &reply {
+        note_sent(node, &request.attempt_id, answer);
+    }
+    reply
+}
+
+/// Counts an attempt on its server.
+pub(crate) fn note_sent(node: &Node, attempt_id: &AttemptId, answer: &PlaceAnswer) {
     let sent = SentAttempt {
-        attempt_id: request.attempt_id.clone(),
-        recomputed_tokens: choice.recomputed_tokens,
-        expected_first_token_ms: choice.expected_first_token_ms,
+        attempt_id: attempt_id.clone(),
+        recomputed_tokens: answer.recomputed_tokens,
+        expected_first_token_ms: answer.expected_first_token_ms,
         sent_at_ms: node.now_ms(),
     };
-    node.placement.loads.sent(&choice.server, sent);
+    node.placement.loads.sent(&answer.server, sent);
 }
 
 fn candidates(node: &Node, service: &ServiceName) -> Vec<Candidate> {
@@ -98,39 +106,40 @@
     regions.iter().map(path).collect()
 }
 
-/// Holds the store hosts that keep a model's work in one region.
+/// Holds the store hosts that keep a model's work.
 pub(crate) struct StoreSite {
     pub(crate) settings: Option<StoreService>,
     pub(crate) stores: Vec<Store>,
 }
 
 impl StoreSite {
-    /// Finds the live store hosts of a model in a region.
-    pub(crate) fn find(
-        node: &Node,
-        directory: &Directory,
-        model: &ModelService,
-        region: &Region,
-    ) -> Self {
+    /// Finds the live store hosts of a model.
+    pub(crate) fn find(node: &Node, directory: &Directory, model: &ModelService) -> Self {
         let named = model.kept_work.as_ref();
         let service = named.and_then(|name| Some((name, directory.store_service(name)?)));
         let Some((name, settings)) = service else {
             return Self { settings: None, stores: Vec::new() };
         };
         let servers = node.hosts.servers(name, node.now_ms()).into_iter();
-        let in_region = servers.filter(|server| server.takes_work() && server.region == *region);
+        let live = servers.filter(Server::takes_work);
         let store = |server: Server| Store {
             host: server.host,
             region: server.region,
             bytes_per_s: settings.bytes_per_s,
             pending_bytes: 0,
         };
-        Self { stores: in_region.map(store).collect(), settings: Some(settings.clone()) }
+        Self { stores: live.map(store).collect(), settings: Some(settings.clone()) }
+    }
+
+    /// Returns the names of the store hosts in a region.
+    pub(crate) fn hosts_in(&self, region: &Region) -> Vec<HostName> {
+        let in_region = self.stores.iter().filter(|store| store.region == *region);
+        in_region.map(|store| store.host.clone()).collect()
     }
 
-    /// Returns the names of the store hosts.
-    pub(crate) fn hosts(&self) -> Vec<HostName> {
-        self.stores.iter().map(|store| store.host.clone()).collect()
+    /// Returns how long a block is kept after its last use, in milliseconds.
+    pub(crate) fn expiry_ms(&self) -> u64 {
+        self.settings.as_ref().map_or(0, |settings| settings.expiry_s * MS_PER_S)
     }
 
     /// Returns what one store host delivers, in bytes a second.
@@ -140,14 +149,19 @@
 }
 
 /// Shows what is known of a prompt's pieces; asks the store hosts if nothing is.
-async fn view_chain(node: &Node, stores: &StoreSite, chain: &[ChainKey]) -> ChainView {
+async fn view_chain(
+    node: &Node,
+    stores: &StoreSite,
+    region: &Region,
+    chain: &[ChainKey],
+) -> ChainView {
     let view = node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms());
     let is_known = !view.held.is_empty() || view.kept.iter().any(|copies| !copies.is_empty());
     let imports = node.settings.policy == PlacementPolicy::Camphorward;
     if is_known || !imports || chain.is_empty() || stores.stores.is_empty() {
         return view;
     }
-    let lookups = rebuild::lookups(chain, &view, &stores.hosts());
+    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(region));
     join_all(lookups.into_iter().map(|(store, blocks)| look_up(node, store, blocks))).await;
     node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms())
 }
--- a/crates/camphorwardd/src/run/finish.rs
+++ b/crates/camphorwardd/src/run/finish.rs
@@ -12,7 +12,6 @@
 use settings::services::ModelService;
 use std::collections::BTreeMap;
 
-const MS_PER_S: u64 = 1_000;
 /// The chance that a prompt returns, until returns are counted.
 const RETURN_CHANCE: f64 = 0.5;
 
@@ -37,12 +36,9 @@
     let Some(server) = node.hosts.server(&notice.server) else {
         return;
     };
-    let site = StoreSite::find(node, &directory, model, &server.region);
-    let Some(settings) = &site.settings else {
-        return;
-    };
-    let expiry_ms = settings.expiry_s * MS_PER_S;
-    let plan = plan_exports(node, notice, model, &site, expiry_ms);
+    let site = StoreSite::find(node, &directory, model);
+    let expiry_ms = site.expiry_ms();
+    let plan = plan_exports(node, notice, model, &site, &site.hosts_in(&server.region));
     renew(node, &plan, expiry_ms).await;
     for (store, pieces) in by_store(plan.exports) {
         let claimed = claim(node, &notice.attempt_id, pieces);
@@ -56,18 +52,18 @@
     notice: &FinishedNotice,
     model: &ModelService,
     site: &StoreSite,
-    expiry_ms: u64,
+    live_stores: &[HostName],
 ) -> ExportPlan {
     let now_ms = node.now_ms();
     let view = node.placement.index.view(&notice.chain, site.bytes_per_s(), now_ms);
     let run = EndedRun {
         chain: &notice.chain,
         view: &view,
-        live_stores: &site.hosts(),
+        live_stores,
         kv_bytes_per_token: model.kv_bytes_per_token,
         prefill_tokens_per_s: prefill_rate(node, &notice.server),
         store_bytes_per_s: site.bytes_per_s(),
-        expiry_ms,
+        expiry_ms: site.expiry_ms(),
         return_chance: RETURN_CHANCE,
         now_ms,
     };
--- a/crates/camphorwardd/src/run/place.rs
+++ b/crates/camphorwardd/src/run/place.rs
@@ -1,20 +1,23 @@
 //! Finds a server for a prompt: asks the prompt's home, or decides here.
 
-use crate::constants::{HOME_TIMEOUT, PEER_TIMEOUT};
+use crate::constants::{FAR_HOME_MISSING_PIECES, FAR_HOME_TIMEOUT, HOME_TIMEOUT, PEER_TIMEOUT};
 use crate::counters::Counter;
 use crate::hosts::Server;
 use crate::node::Node;
 use crate::reply::Failure;
-use crate::run::{Job, decide, take_notice};
+use crate::run::decide::decide;
+use crate::run::{Job, take_notice};
+use futures_util::future::join_all;
 use membership::EntryHost;
 use placement::chain::{HomeKey, PrefixChain};
 use placement::rendezvous;
 use protocol::error::ErrorKind;
-use protocol::ids::{AttemptId, ChainKey, HostName};
+use protocol::ids::{AttemptId, ChainKey, HostName, Region};
 use protocol::message::operator::DecidedBy;
 use protocol::message::place::{FinishedNotice, PlaceAnswer, PlaceReply, PlaceRequest};
 use settings::process::PlacementPolicy;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The peers' path for placements.
 pub(crate) const PLACE_PATH: &str = "/inner/place";
@@ -27,6 +30,14 @@
     pub(crate) server: Server,
     pub(crate) answer: PlaceAnswer,
     pub(crate) decided_by: DecidedBy,
+    /// The other entry host that decided and counts the attempt, if one did.
+    pub(crate) home: Option<EntryHost>,
+}
+
+impl Placed {
+    fn first_token_ms(&self) -> u64 {
+        self.answer.expected_first_token_ms
+    }
 }
 
 /// Returns the home of a prompt; `None` if the prompt has no whole piece or a baseline decides.
@@ -44,9 +55,13 @@
 }
 
 fn home_of(node: &Node, key: &ChainKey) -> Option<EntryHost> {
+    home_in(node, &node.settings.region, key)
+}
+
+fn home_in(node: &Node, region: &Region, key: &ChainKey) -> Option<EntryHost> {
     let view = node.hosts.view(node.now_ms());
     let key = HomeKey::of_piece(key);
-    let homes = view.homes(&node.settings.region);
+    let homes = view.homes(region);
     rendezvous::winner(key.as_bytes(), homes, |entry| entry.host.as_str().as_bytes()).cloned()
 }
 
@@ -71,30 +86,99 @@
         region: node.settings.region.clone(),
         excluded: excluded.to_vec(),
     };
+    let near = place_in_region(node, chain, &request).await;
+    let mut placements: Vec<Placed> = near.into_iter().collect();
+    if !placements.iter().any(|placed| knows_enough(&placed.answer, chain)) {
+        placements.extend(ask_other_regions(node, chain, &request).await);
+    }
+    let soonest = placements.iter().enumerate().min_by_key(|(_, placed)| placed.first_token_ms());
+    let index = soonest.map(|(index, _)| index).ok_or_else(no_server)?;
+    let chosen = placements.swap_remove(index);
+    for unused in placements {
+        withdraw(node, &request, unused);
+    }
+    Ok(chosen)
+}
+
+/// Tells the home of a placement that is not used, which counts the attempt on its server.
+fn withdraw(node: &Arc<Node>, request: &PlaceRequest, placed: Placed) {
+    let Some(home) = placed.home else {
+        return;
+    };
+    let notice = FinishedNotice {
+        service: request.service.clone(),
+        attempt_id: request.attempt_id.clone(),
+        server: placed.server.host,
+        chain: Vec::new(),
+        completed: false,
+        missing: Vec::new(),
+    };
+    tokio::spawn(notify(Arc::clone(node), home, notice));
+}
+
+/// Asks the home in the own region, or decides here.
+async fn place_in_region(
+    node: &Arc<Node>,
+    chain: &PrefixChain,
+    request: &PlaceRequest,
+) -> Option<Placed> {
     let home = find_home(node, chain).filter(|home| home.host != node.settings.host);
     if let Some(home) = &home
-        && let Some(placed) = ask_home(node, home, &request).await
+        && let Some(placed) = ask_home(node, home, request, HOME_TIMEOUT).await
     {
-        return Ok(placed);
+        return Some(placed);
     }
     let decided_by = match (node.settings.policy, home) {
         (PlacementPolicy::Camphorward, Some(_)) => DecidedBy::Entry,
         (PlacementPolicy::Camphorward, None) => DecidedBy::Home,
         _ => DecidedBy::Baseline,
     };
-    let reply = decide(node, &request).await;
-    to_placed(node, reply, decided_by).ok_or_else(no_server)
+    to_placed(node, decide(node, request).await, decided_by, None)
+}
+
+/// Returns whether so little is to be computed that no other region is worth the way.
+fn knows_enough(answer: &PlaceAnswer, chain: &PrefixChain) -> bool {
+    let present_pieces = answer.cached_pieces + answer.imports.len();
+    present_pieces + FAR_HOME_MISSING_PIECES > chain.pieces.len()
+}
+
+/// Asks the prompt's homes in the other regions, where its kept work may be.
+async fn ask_other_regions(
+    node: &Arc<Node>,
+    chain: &PrefixChain,
+    request: &PlaceRequest,
+) -> Vec<Placed> {
+    let Some(first) = chain.pieces.first() else {
+        return Vec::new();
+    };
+    if node.settings.policy != PlacementPolicy::Camphorward {
+        return Vec::new();
+    }
+    let directory = node.directory();
+    let regions = directory.text().regions.iter().map(|region| &region.name);
+    let others = regions.filter(|region| **region != node.settings.region);
+    let homes = others.filter_map(|region| home_in(node, region, &first.key));
+    let asked = homes.map(|home| async move {
+        node.counters.count(Counter::FarHomeAsked);
+        ask_home(node, &home, request, FAR_HOME_TIMEOUT).await
+    });
+    join_all(asked).await.into_iter().flatten().collect()
 }
 
 fn no_server() -> Failure {
     Failure::new(ErrorKind::NoServer, "no server of the service can take the request")
 }
 
-async fn ask_home(node: &Arc<Node>, home: &EntryHost, request: &PlaceRequest) -> Option<Placed> {
+async fn ask_home(
+    node: &Arc<Node>,
+    home: &EntryHost,
+    request: &PlaceRequest,
+    timeout: Duration,
+) -> Option<Placed> {
     node.counters.count(Counter::HomeAsked);
     let peer = &node.clients.peer;
-    match peer.call(home.addresses.peers, PLACE_PATH, request, HOME_TIMEOUT).await {
-        Ok(reply) => to_placed(node, reply, DecidedBy::Home),
+    match peer.call(home.addresses.peers, PLACE_PATH, request, timeout).await {
+        Ok(reply) => to_placed(node, reply, DecidedBy::Home, Some(home.clone())),
         Err(error) => {
             node.counters.count(Counter::HomeMissed);
             let (attempt, home) = (&request.attempt_id, &home.host);
@@ -105,21 +189,23 @@
 }
 
 /// A choice of a server that is unknown here is no choice.
-fn to_placed(node: &Node, reply: PlaceReply, decided_by: DecidedBy) -> Option<Placed> {
+fn to_placed(
+    node: &Node,
+    reply: PlaceReply,
+    decided_by: DecidedBy,
+    home: Option<EntryHost>,
+) -> Option<Placed> {
     match reply {
         PlaceReply::Placed(answer) => {
             let server = node.hosts.server(&answer.server)?;
-            Some(Placed { server, answer, decided_by })
+            Some(Placed { server, answer, decided_by, home })
         }
         PlaceReply::NoServer | PlaceReply::UnknownService => None,
     }
 }
 
 /// Tells a prompt's home that an attempt finished.
-pub(crate) async fn notify(node: Arc<Node>, home: Option<EntryHost>, notice: FinishedNotice) {
-    let Some(home) = home else {
-        return;
-    };
+pub(crate) async fn notify(node: Arc<Node>, home: EntryHost, notice: FinishedNotice) {
     if home.host == node.settings.host {
         return take_notice(&node, notice).await;
     }
--- a/crates/protocol/src/ids.rs
+++ b/crates/protocol/src/ids.rs
@@ -1,6 +1,7 @@
 //! Typed names and ids that travel between processes.
 
-use serde::{Deserialize, Serialize};
+use serde::de::{self, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::str::FromStr;
 use thiserror::Error;
@@ -176,8 +177,7 @@
 ///
 /// The key is a keyed hash over the organisation, the model, the weight version and the text up
 /// to the end of the piece, so keys of two organisations or versions never match.
-#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ChainKey([u8; CHAIN_KEY_BYTES]);
 
 impl ChainKey {
@@ -221,16 +221,41 @@
     }
 }
 
-impl TryFrom<String> for ChainKey {
-    type Error = IdError;
+// Written by hand since a placement carries one key a piece: hexadecimal digits in JSON, the bare
+// digest in MessagePack, which halves the message.
+impl Serialize for ChainKey {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        serializer.serialize_bytes(&self.0)
+    }
+}
 
-    fn try_from(text: String) -> Result<Self, IdError> {
-        text.parse()
+impl<'de> Deserialize<'de> for ChainKey {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            return deserializer.deserialize_str(ChainKeyVisitor);
+        }
+        deserializer.deserialize_bytes(ChainKeyVisitor)
     }
 }
 
-impl From<ChainKey> for String {
-    fn from(key: ChainKey) -> String {
-        key.to_string()
+struct ChainKeyVisitor;
+
+impl Visitor<'_> for ChainKeyVisitor {
+    type Value = ChainKey;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a digest of {CHAIN_KEY_BYTES} bytes or its hexadecimal digits")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<ChainKey, E> {
+        text.parse().map_err(E::custom)
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<ChainKey, E> {
+        let digest = <[u8; CHAIN_KEY_BYTES]>::try_from(bytes);
+        digest.map(ChainKey).map_err(|_| E::invalid_length(bytes.len(), &self))
     }
 }
