--- a/crates/orders/src/committer.rs
+++ b/crates/orders/src/committer.rs
@@ -102,6 +102,14 @@
         self.queue.push_back(Queued { record, exposed: false });
     }
 
+    /// Takes a mark, unless one waits already.
+    pub fn push_mark(&mut self) {
+        let waiting = self.queue.iter().chain(&self.in_flight);
+        if !waiting.into_iter().any(|queued| queued.record == Record::Mark) {
+            self.push(Record::Mark);
+        }
+    }
+
     /// Returns the records of the next append, if one is due.
     pub fn next_batch(&mut self, now_ms: u64) -> Option<Vec<Record>> {
         if !self.in_flight.is_empty() || (now_ms as f64) < self.next_append_at_ms {
@@ -162,7 +170,7 @@
         let idle_ms = now_ms.saturating_sub(self.last_seen_at_ms);
         if self.queue.is_empty() && idle_ms >= self.limits.mark_after_ms {
             self.last_seen_at_ms = now_ms;
-            self.push(Record::Mark);
+            self.push_mark();
         }
     }
 }
--- a/crates/orders/src/coordinator.rs
+++ b/crates/orders/src/coordinator.rs
@@ -48,6 +48,13 @@
         lock(&self.follower).next()
     }
 
+    /// Returns whether the stream gave any record from which time is covered.
+    ///
+    /// If it did not, nothing can be ordered until the committer has appended a mark.
+    pub fn is_covered(&self) -> bool {
+        lock(&self.follower).covered_from_ms().is_some()
+    }
+
     /// Returns how many orders are under way here; a drain waits until there is none.
     pub fn open(&self) -> usize {
         self.shards.iter().map(|shard| lock(shard).executor.open()).sum()
--- a/crates/orders/tests/histories/world/oracle.rs
+++ b/crates/orders/tests/histories/world/oracle.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns whether every caller whose process lives got a reply.
+    pub fn is_answered(&self) -> bool {
+        self.orders.keys().all(|waiter| self.replies.contains_key(waiter))
+    }
+
     /// Checks at the end that every caller heard back and that no key is stuck.
     pub fn check_settled(&mut self, resent: &[OrderKey]) {
         for (waiter, (order, _)) in &self.orders {
