--- a/crates/orders/src/limits.rs
+++ b/crates/orders/src/limits.rs
@@ -63,9 +63,9 @@
     /// Returns whether a reader that missed nothing since a moment has seen every claim of a key.
     ///
     /// A claim counts only if the log took it no earlier than the clock bound before the key's own
-    /// time, so the reader must have started at a record at least that old.
+    /// time, so the reader must have started at an older record.
     pub const fn covers(&self, covered_from_ms: u64, key: IdempotencyKey) -> bool {
-        covered_from_ms.saturating_add(self.clock_bound_ms) <= key.created_at_ms()
+        covered_from_ms.saturating_add(self.clock_bound_ms) < key.created_at_ms()
             || covered_from_ms == 0
     }
 }
