--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -11,9 +11,9 @@
 use std::collections::HashMap;
 
 /// Returns the probe to send to any entry host now.
-pub fn probe(table: &HostTable, config_version: ConfigVersion, now_ms: u64) -> Probe {
-    let records = table.take_rumours(MAX_PROBE_RECORDS, now_ms);
-    Probe { heartbeat: heartbeat(table, config_version, now_ms), records }
+pub fn probe(table: &HostTable, config_version: ConfigVersion) -> Probe {
+    let records = table.take_rumours(MAX_PROBE_RECORDS);
+    Probe { heartbeat: heartbeat(table, config_version), records }
 }
 
 /// Takes in a peer's probe and returns the answer.
@@ -25,10 +25,10 @@
 ) -> Ack {
     merge_bounded(table, &probe.records, MAX_PROBE_RECORDS, Source::Rumour, now_ms);
     table.observe_heartbeat(&probe.heartbeat, now_ms);
-    let records = table.take_rumours(MAX_PROBE_RECORDS, now_ms);
-    let heartbeat = heartbeat(table, config_version, now_ms);
+    let records = table.take_rumours(MAX_PROBE_RECORDS);
+    let heartbeat = heartbeat(table, config_version);
     let differs = heartbeat.table_digest != probe.heartbeat.table_digest;
-    let bucket_digests = if differs { table.summary(now_ms).buckets.to_vec() } else { Vec::new() };
+    let bucket_digests = if differs { table.bucket_digests() } else { Vec::new() };
     Ack { heartbeat, records, bucket_digests }
 }
 
@@ -72,12 +72,12 @@
     merge_bounded(table, &answer.records, MAX_EXCHANGE_RECORDS, Source::Exchange, now_ms);
 }
 
-fn heartbeat(table: &HostTable, config_version: ConfigVersion, now_ms: u64) -> Heartbeat {
+fn heartbeat(table: &HostTable, config_version: ConfigVersion) -> Heartbeat {
     Heartbeat {
         host: table.own().clone(),
         incarnation: table.own_incarnation(),
         config_version,
-        table_digest: table.digest(now_ms),
+        table_digest: table.digest(),
         draining: table.is_draining(),
     }
 }
@@ -96,12 +96,12 @@
     if theirs.len() != BUCKETS {
         return Vec::new();
     }
-    let ours = table.summary(now_ms);
+    let ours = table.bucket_digests();
     // Starts elsewhere each time, so that a bucket that never agrees does not hold up the rest.
     let start = now_ms as usize % BUCKETS;
     let order = (0..BUCKETS).map(|step| (start + step) % BUCKETS);
     order
-        .filter(|bucket| ours.buckets[*bucket] != theirs[*bucket])
+        .filter(|bucket| ours[*bucket] != theirs[*bucket])
         .take(BUCKETS_PER_EXCHANGE)
         .map(|bucket| bucket as u8)
         .collect()
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,7 +14,7 @@
 //! | a server reported its load | [`HostTable::observe_report`] |
 //! | [`HostView::is_list_reader`] and a second passed | read the platform's list, [`HostTable::merge`] it |
 //! | the daemon drains | [`HostTable::set_draining`] |
-//! | a request is routed | [`HostTable::view`] |
+//! | a request is routed | [`HostTable::recent_view`] |
 //!
 //! `now_ms` counts milliseconds since the epoch but never goes back: the wall clock at the start
 //! plus what a monotonic clock has counted since.
--- a/crates/membership/src/limits.rs
+++ b/crates/membership/src/limits.rs
@@ -13,7 +13,7 @@
 /// The most watched servers probed in one tick.
 pub const SERVER_PROBES_PER_TICK: usize = 2;
 /// The most doubtful hosts probed in one tick.
-pub const CHECKS_PER_TICK: usize = 2;
+pub const CHECKS_PER_TICK: usize = 6;
 /// The number of entry hosts that probe a server.
 pub const WATCHERS_PER_SERVER: usize = 2;
 /// The number of entry hosts of a failure domain that read the platform's list.
@@ -30,6 +30,8 @@
 pub const REFUTED_FOR_MS: u64 = 60_000;
 /// The least time between two exchanges that one node begins, in milliseconds.
 pub const EXCHANGE_GAP_MS: u64 = 1_000;
+/// The most that a recent view lags behind the table, in milliseconds.
+pub const VIEW_GAP_MS: u64 = 50;
 /// The least time between two changes of the servers that one node watches, in milliseconds.
 pub const WATCH_GAP_MS: u64 = 1_000;
 /// An unreachable host is kept in the table for this long, in milliseconds.
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -1,13 +1,13 @@
 //! The host table: all rows in shards, and the cached view of them.
 
-use crate::limits::SHARDS;
+use crate::limits::{SHARDS, VIEW_GAP_MS};
 use crate::row::{Change, Row};
 use crate::rumours::Rumours;
-use crate::shard::Shard;
+use crate::shard::{Shard, shard_of};
 use crate::view::{HostView, Reachability};
 use protocol::ids::{ConfigVersion, FailureDomain, HostName, Incarnation};
 use protocol::message::hosts::HostRecord;
-use protocol::message::probe::{BUCKETS, Heartbeat};
+use protocol::message::probe::Heartbeat;
 use protocol::rendezvous;
 use std::array;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -37,26 +37,18 @@
     cached: Mutex<Cached>,
 }
 
-/// Holds what was computed from all rows at one generation.
-#[derive(Clone, Debug)]
+/// Holds the view that was computed at one generation.
+#[derive(Clone, Debug, Default)]
 struct Cached {
     generation: u64,
+    computed_ms: u64,
     valid_until_ms: u64,
-    summary: Arc<Summary>,
-}
-
-/// Holds the view and the digests of all rows.
-#[derive(Debug)]
-pub(crate) struct Summary {
-    pub view: Arc<HostView>,
-    pub buckets: [u32; BUCKETS],
-    pub digest: u64,
+    view: Arc<HostView>,
 }
 
 impl HostTable {
     /// Creates a table that knows only its own host.
     pub fn new(own: HostRecord, now_ms: u64) -> Self {
-        let summary = Summary { view: Arc::default(), buckets: [0; BUCKETS], digest: 0 };
         let table = Self {
             own: own.host.clone(),
             own_incarnation: own.incarnation,
@@ -65,11 +57,7 @@
             rumours: Mutex::default(),
             generation: AtomicU64::new(1),
             last_exchange_ms: AtomicU64::new(0),
-            cached: Mutex::new(Cached {
-                generation: 0,
-                valid_until_ms: 0,
-                summary: Arc::new(summary),
-            }),
+            cached: Mutex::default(),
         };
         table.insert_own(own, now_ms);
         table
@@ -79,7 +67,7 @@
         let name_digest = digest_of(&own.host);
         lock(&self.rumours).add(&own.host, true);
         let row = Row::new(own, name_digest, now_ms);
-        lock(self.shard(name_digest)).rows.insert(self.own.clone(), row);
+        lock(self.shard(name_digest)).insert(row);
     }
 
     /// Returns the name of the node's own host.
@@ -100,7 +88,7 @@
     /// Returns whether any source has said that the node's own host is leaving.
     pub fn is_draining(&self) -> bool {
         let shard = lock(self.shard(digest_of(&self.own)));
-        shard.rows.get(&self.own).is_some_and(|row| row.record.leaving)
+        shard.row(&self.own).is_some_and(|row| row.record.leaving)
     }
 
     /// Marks the node's own host as leaving.
@@ -121,21 +109,19 @@
         }
         let name_digest = digest_of(&record.host);
         let mut shard = lock(self.shard(name_digest));
-        let Some(row) = shard.rows.get_mut(&record.host) else {
-            let row = Row::new(record.clone(), name_digest, now_ms);
-            if row.is_expired(now_ms) {
-                return;
-            }
-            shard.rows.insert(record.host.clone(), row);
+        if let Some(change) = shard.update(&record.host, |row| row.merge(record, now_ms)) {
             drop(shard);
-            let change = if source == Source::Exchange { Change::None } else { Change::Slow };
-            self.pass_on(&record.host, change);
-            self.bump();
+            return self.note(&record.host, change);
+        }
+        let row = Row::new(record.clone(), name_digest, now_ms);
+        if row.is_expired(now_ms) {
             return;
-        };
-        let change = row.merge(record, now_ms);
+        }
+        shard.insert(row);
         drop(shard);
-        self.note(&record.host, change);
+        let change = if source == Source::Exchange { Change::None } else { Change::Slow };
+        self.pass_on(&record.host, change);
+        self.bump();
     }
 
     fn merge_own(&self, record: &HostRecord, now_ms: u64) {
@@ -183,7 +169,7 @@
         let mut found = Vec::new();
         for shard in &self.shards {
             let shard = lock(shard);
-            let doubtful = shard.rows.values().filter(|row| row.doubtful);
+            let doubtful = shard.rows().filter(|row| row.doubtful);
             found.extend(doubtful.take(count - found.len()).map(|row| row.record.clone()));
             if found.len() >= count {
                 break;
@@ -194,12 +180,26 @@
 
     /// Returns all hosts as known now.
     pub fn view(&self, now_ms: u64) -> Arc<HostView> {
-        self.summary(now_ms).view.clone()
+        self.view_within(0, now_ms)
+    }
+
+    /// Returns all hosts as known at most [`VIEW_GAP_MS`] ago; cheap enough for each request.
+    pub fn recent_view(&self, now_ms: u64) -> Arc<HostView> {
+        self.view_within(VIEW_GAP_MS, now_ms)
     }
 
     /// Returns a digest of all records; equal for equal tables.
-    pub fn digest(&self, now_ms: u64) -> u64 {
-        self.summary(now_ms).digest
+    pub fn digest(&self) -> u64 {
+        self.bucket_sums().iter().fold(0, |digest, sum| rendezvous::mix(digest ^ sum))
+    }
+
+    /// Returns one digest a bucket.
+    pub(crate) fn bucket_digests(&self) -> Vec<u32> {
+        self.bucket_sums().into_iter().map(|sum| rendezvous::mix(sum) as u32).collect()
+    }
+
+    fn bucket_sums(&self) -> Vec<u64> {
+        self.shards.iter().flat_map(|shard| *lock(shard).sums()).collect()
     }
 
     /// Returns whether a change is waiting that others are to be told at once.
@@ -218,8 +218,8 @@
     }
 
     /// Returns records that are to be passed on, at most `count`.
-    pub(crate) fn take_rumours(&self, count: usize, now_ms: u64) -> Vec<HostRecord> {
-        let hosts = self.view(now_ms).entry_hosts.len() as u64;
+    pub(crate) fn take_rumours(&self, count: usize) -> Vec<HostRecord> {
+        let hosts = lock(&self.cached).view.entry_hosts.len() as u64;
         let sends = 2 * (u64::BITS - hosts.leading_zeros());
         let names = lock(&self.rumours).take(count, sends);
         names.iter().filter_map(|name| self.record(name)).collect()
@@ -228,7 +228,7 @@
     /// Returns the record of a host.
     pub fn record(&self, host: &HostName) -> Option<HostRecord> {
         let shard = lock(self.shard(digest_of(host)));
-        shard.rows.get(host).map(|row| row.record.clone())
+        shard.row(host).map(|row| row.record.clone())
     }
 
     /// Returns the records in some buckets.
@@ -236,43 +236,41 @@
         self.shards.iter().flat_map(|shard| lock(shard).records_in(buckets, now_ms)).collect()
     }
 
-    /// Returns the view and the digests, computed anew only after a change.
-    pub(crate) fn summary(&self, now_ms: u64) -> Arc<Summary> {
+    fn view_within(&self, gap_ms: u64, now_ms: u64) -> Arc<HostView> {
         let generation = self.generation.load(Ordering::Acquire);
         let mut cached = lock(&self.cached);
-        if cached.generation != generation || now_ms >= cached.valid_until_ms {
+        let current = cached.generation == generation && now_ms < cached.valid_until_ms;
+        let recent = now_ms < cached.computed_ms.saturating_add(gap_ms);
+        if !current && !recent {
             *cached = self.compute(generation, now_ms);
         }
-        cached.summary.clone()
+        cached.view.clone()
     }
 
     fn compute(&self, generation: u64, now_ms: u64) -> Cached {
         let mut rows = Vec::new();
-        let mut sums = [0; BUCKETS];
         for shard in &self.shards {
             let mut shard = lock(shard);
             shard.remove_expired(now_ms);
-            shard.add_digests(now_ms, &mut sums);
-            rows.extend(shard.rows.values().cloned());
+            rows.extend(shard.rows().cloned());
         }
         let next_change = rows.iter().filter_map(|row| row.next_change_ms(now_ms)).min();
         let view = Arc::new(HostView::from_rows(rows, &self.own, now_ms));
-        let buckets = sums.map(|sum| rendezvous::mix(sum) as u32);
-        let digest = sums.iter().fold(0, |digest, sum| rendezvous::mix(digest ^ sum));
-        let summary = Arc::new(Summary { view, buckets, digest });
-        Cached { generation, valid_until_ms: next_change.unwrap_or(u64::MAX), summary }
+        let valid_until_ms = next_change.unwrap_or(u64::MAX);
+        Cached { generation, computed_ms: now_ms, valid_until_ms, view }
     }
 
     fn update(&self, host: &HostName, now_ms: u64, apply: impl FnOnce(&mut Row) -> Change) {
         let mut shard = lock(self.shard(digest_of(host)));
-        let Some(row) = shard.rows.get_mut(host) else {
+        let updated = shard.update(host, |row| {
+            let before = visible(row, now_ms);
+            let change = apply(row);
+            (before, change, visible(row, now_ms), row.record.failure_domain.clone())
+        });
+        drop(shard);
+        let Some((before, change, after, domain)) = updated else {
             return;
         };
-        let before = visible(row, now_ms);
-        let change = apply(row);
-        let after = visible(row, now_ms);
-        let domain = row.record.failure_domain.clone();
-        drop(shard);
         if before != after {
             self.bump();
         }
@@ -285,11 +283,10 @@
     /// Has the unreachable hosts of a failure domain probed soon: the path there may be whole.
     fn doubt_unreachable(&self, domain: &FailureDomain, now_ms: u64) {
         for shard in &self.shards {
-            let mut shard = lock(shard);
-            for row in shard.rows.values_mut() {
+            lock(shard).doubt(|row| {
                 let unreachable = row.reachability(now_ms) == Reachability::Unreachable;
-                row.doubtful |= unreachable && row.record.failure_domain == *domain;
-            }
+                unreachable && row.record.failure_domain == *domain
+            });
         }
     }
 
@@ -313,7 +310,7 @@
     }
 
     fn shard(&self, name_digest: u64) -> &Mutex<Shard> {
-        &self.shards[name_digest as usize % SHARDS]
+        &self.shards[shard_of(name_digest)]
     }
 }
 
--- a/crates/membership/tests/histories.rs
+++ b/crates/membership/tests/histories.rs
@@ -202,7 +202,7 @@
             match order {
                 ProbeOrder::Server(_) => self.ask_server(index, &order),
                 ProbeOrder::Peer(_) => {
-                    let probe = exchange::probe(&self.nodes[index].table, CONFIG, self.now_ms);
+                    let probe = exchange::probe(&self.nodes[index].table, CONFIG);
                     let to = self.node_at(&order);
                     let mail =
                         Mail { from: index, to, to_incarnation: None, body: Body::Probe(probe) };
@@ -346,7 +346,7 @@
             usable.sort();
             assert_eq!(usable, expected, "{} sees {view:#?}", node.table.own());
             assert_eq!(view.usable_entry_hosts().count(), NODES, "{view:#?}");
-            assert_eq!(node.table.digest(self.now_ms), self.nodes[0].table.digest(self.now_ms));
+            assert_eq!(node.table.digest(), self.nodes[0].table.digest());
         }
     }
 }
--- a/crates/membership/tests/recovery.rs
+++ b/crates/membership/tests/recovery.rs
@@ -40,7 +40,7 @@
     lose_contact(&a, "b", NOW_MS);
     lose_contact(&b, "a", NOW_MS);
     let now_ms = tick_until_probed(&a, "b", NOW_MS + UNREACHABLE_AFTER_MS);
-    let probe = exchange::probe(&a, CONFIG, now_ms);
+    let probe = exchange::probe(&a, CONFIG);
     let ack = exchange::answer_probe(&b, &probe, CONFIG, now_ms);
     exchange::accept_ack(&a, Some((&name("b"), ONE)), &ack, now_ms);
     for (table, other) in [(&a, "b"), (&b, "a")] {
@@ -106,10 +106,10 @@
     let hosts: Vec<HostRecord> = (0..250).map(|n| server(&format!("server-{n}"), 1, n)).collect();
     old.merge(&hosts, Source::Exchange, NOW_MS);
     let mut now_ms = NOW_MS;
-    while fresh.digest(now_ms) != old.digest(now_ms) {
+    while fresh.digest() != old.digest() {
         now_ms += 1_000;
         assert!(now_ms < NOW_MS + 30_000, "the tables still differ");
-        let probe = exchange::probe(&fresh, CONFIG, now_ms);
+        let probe = exchange::probe(&fresh, CONFIG);
         let ack = exchange::answer_probe(&old, &probe, CONFIG, now_ms);
         if let Some(request) = exchange::accept_ack(&fresh, None, &ack, now_ms) {
             let answer = exchange::answer_exchange(&old, &request, now_ms);
--- a/crates/membership/tests/rules.rs
+++ b/crates/membership/tests/rules.rs
@@ -152,7 +152,7 @@
     let table = own_table("a", NOW_MS);
     table.merge(&[entry("b", 5, 2)], Source::List, NOW_MS);
     let other = own_table("c", NOW_MS);
-    let probe = exchange::probe(&table, ConfigVersion::new(1), NOW_MS);
+    let probe = exchange::probe(&table, ConfigVersion::new(1));
     let ack = exchange::answer_probe(&other, &probe, ConfigVersion::new(1), NOW_MS);
     let probed = name("b");
     exchange::accept_ack(&table, Some((&probed, Incarnation::new(5))), &ack, NOW_MS);
