--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -164,6 +164,17 @@
         }
     }
 
+    /// Returns the configuration version that each entry host last told, where one did.
+    pub fn config_versions(&self) -> Vec<(HostName, ConfigVersion)> {
+        let mut versions = Vec::new();
+        for shard in &self.shards {
+            let shard = lock(shard);
+            let told = shard.rows().filter_map(|row| Some((row, row.config_version?)));
+            versions.extend(told.map(|(row, version)| (row.record.host.clone(), version)));
+        }
+        versions
+    }
+
     /// Returns up to `count` hosts that are to be probed out of turn.
     pub fn doubtful(&self, count: usize) -> Vec<HostRecord> {
         let mut found = Vec::new();
@@ -315,8 +326,8 @@
 }
 
 /// Returns what the view shows of a row beside its record.
-fn visible(row: &Row, now_ms: u64) -> (Reachability, Option<ConfigVersion>, Option<u64>) {
-    (row.reachability(now_ms), row.config_version, row.next_change_ms(now_ms))
+fn visible(row: &Row, now_ms: u64) -> (Reachability, Option<u64>) {
+    (row.reachability(now_ms), row.next_change_ms(now_ms))
 }
 
 fn digest_of(host: &HostName) -> u64 {
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::limits::{LIST_READERS_PER_DOMAIN, WATCHERS_PER_SERVER};
 use crate::row::Row;
-use protocol::ids::{ConfigVersion, FailureDomain, HostName, Incarnation, Region, ServiceName};
+use protocol::ids::{FailureDomain, HostName, Incarnation, Region, ServiceName};
 use protocol::message::hosts::{EntryAddresses, HostRole};
 use protocol::rendezvous;
 use smallvec::SmallVec;
@@ -41,8 +41,6 @@
     pub reachability: Reachability,
     /// Where the host listens.
     pub addresses: EntryAddresses,
-    /// The configuration version in the last heartbeat heard from the host.
-    pub config_version: Option<ConfigVersion>,
 }
 
 /// Describes a server of a service.
@@ -120,7 +118,6 @@
                 leaving,
                 reachability,
                 addresses,
-                config_version: row.config_version,
             }),
             HostRole::Server(at) => self.services.entry(at.service).or_default().push(Server {
                 host: record.host,
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between entry hosts, sent as MessagePack over HTTP.
 
+pub mod configuration;
 pub mod hosts;
 pub mod place;
 pub mod probe;
