--- a/crates/camphorward/src/commands/why.rs
+++ b/crates/camphorward/src/commands/why.rs
@@ -51,6 +51,5 @@
     if faults.is_empty() {
         return Err(CommandError::NotThere(format!("no entry host remembers request {request}")));
     }
-    let faults = faults.join("; ");
-    Err(CommandError::Nodes(format!("the others do not remember request {request}; {faults}")))
+    Err(CommandError::NotFoundYet { request: request.clone(), silent: faults.join("; ") })
 }
--- a/crates/camphorward/src/error.rs
+++ b/crates/camphorward/src/error.rs
@@ -2,7 +2,7 @@
 
 use crate::exit::Exit;
 use clients::error::ClientError;
-use protocol::ids::{ConfigVersion, HostName, LogOffset};
+use protocol::ids::{ConfigVersion, HostName, LogOffset, RequestId};
 use serde::Serialize;
 use settings::problem::{Problem, Report};
 use thiserror::Error;
@@ -58,6 +58,16 @@
         /// What went wrong.
         reason: String,
     },
+    /// The entry hosts that answer do not remember a request; others do not answer.
+    #[error(
+        "the entry hosts that answer do not remember request {request}; without an answer: {silent}"
+    )]
+    NotFoundYet {
+        /// The request.
+        request: RequestId,
+        /// The entry hosts that do not answer, with the reasons.
+        silent: String,
+    },
     /// Some reachable entry hosts do not have the configuration in force yet.
     #[error("version {version} is accepted but not yet in force on {}", hosts.join(", "))]
     Lagging {
@@ -97,6 +107,7 @@
             | Self::AppendUnknown { .. }
             | Self::Nodes(_)
             | Self::Node { .. }
+            | Self::NotFoundYet { .. }
             | Self::Lagging { .. } => Exit::Unreachable,
             Self::Refused(_) | Self::NotThere(_) => Exit::Refused,
         }
