Check large services texts in time that grows with their size

Cause: every entry host checks each record of the log itself. Ruled out: a bound on the number of services (arbitrary; the cost was the algorithm's). Change: cycles are found by removing what has no open need (check_services/cycles), names are compared through a map, and a report lists at most 100 problems and counts the rest.

--- a/crates/settings/src/check_services.rs
+++ b/crates/settings/src/check_services.rs
@@ -1,6 +1,7 @@
 //! Checks of a services text across its entries.
 
 mod calls;
+mod cycles;
 mod dependencies;
 mod names;
 
--- a/crates/settings/src/check_services/dependencies.rs
+++ b/crates/settings/src/check_services/dependencies.rs
@@ -1,10 +1,11 @@
 //! Finds dependencies on services that are not there, and cycles.
 
+use super::cycles;
 use crate::findings::Findings;
 use crate::hint;
 use crate::locate::Node;
 use crate::unique::Unique;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 /// Holds one service's name, kind and dependencies.
 struct Service<'a> {
@@ -78,72 +79,26 @@
 
 /// Reports each cycle once, at the first of its services in the text.
 fn check_cycles(services: &[Service<'_>], findings: &mut Findings) {
-    let mut left: BTreeMap<usize, &Service<'_>> = services.iter().enumerate().collect();
-    loop {
-        remove_acyclic(&mut left);
-        let Some(start) = left.keys().next().copied() else {
-            return;
-        };
-        let cycle = walk_to_cycle(&left, start);
-        report_cycle(&left, &cycle, findings);
-        for index in cycle {
-            left.remove(&index);
-        }
-    }
-}
-
-/// Removes services without a dependency among those that are left, until none is found.
-fn remove_acyclic(left: &mut BTreeMap<usize, &Service<'_>>) {
-    loop {
-        let names: HashMap<&str, usize> = index_by_name(left);
-        let before = left.len();
-        left.retain(|_, service| first_need(service, &names).is_some());
-        if left.len() == before {
-            return;
-        }
-    }
-}
-
-fn index_by_name<'a>(left: &BTreeMap<usize, &Service<'a>>) -> HashMap<&'a str, usize> {
     // The first of two services with one name counts; the second is reported elsewhere.
-    left.iter().rev().map(|(index, service)| (service.name, *index)).collect()
-}
-
-fn first_need<'s, 'a>(
-    service: &'s Service<'a>,
-    names: &HashMap<&str, usize>,
-) -> Option<(&'s Node<'a>, usize)> {
-    service.needs.iter().find_map(|(node, name)| names.get(name).map(|index| (node, *index)))
-}
-
-/// Follows first dependencies until a service comes again; returns the cycle, earliest first.
-fn walk_to_cycle(left: &BTreeMap<usize, &Service<'_>>, start: usize) -> Vec<usize> {
-    let names = index_by_name(left);
-    let mut path = vec![start];
-    let mut at = start;
-    while let Some((_, next)) = left.get(&at).and_then(|service| first_need(service, &names)) {
-        if let Some(place) = path.iter().position(|index| *index == next) {
-            let mut cycle = path.split_off(place);
-            let earliest = cycle.iter().enumerate().min_by_key(|(_, index)| **index);
-            let turn = earliest.map_or(0, |(place, _)| place);
-            cycle.rotate_left(turn);
-            return cycle;
-        }
-        path.push(next);
-        at = next;
+    let indices: HashMap<&str, usize> =
+        services.iter().enumerate().rev().map(|(index, service)| (service.name, index)).collect();
+    let needs = services.iter().map(|service| {
+        service.needs.iter().filter_map(|(_, name)| indices.get(name).copied()).collect()
+    });
+    for cycle in cycles::find(needs.collect()) {
+        report_cycle(services, &cycle, findings);
     }
-    path
 }
 
-fn report_cycle(left: &BTreeMap<usize, &Service<'_>>, cycle: &[usize], findings: &mut Findings) {
-    let names = index_by_name(left);
-    let first = cycle.first().and_then(|index| left.get(index)).copied();
-    let Some((service, (node, _))) = first.zip(first.and_then(|one| first_need(one, &names)))
-    else {
+fn report_cycle(services: &[Service<'_>], cycle: &[usize], findings: &mut Findings) {
+    let names: Vec<&str> = cycle.iter().map(|index| services[*index].name).collect();
+    let (Some(first), Some(next)) = (cycle.first(), names.get(1).or(names.first())) else {
+        return;
+    };
+    let Some((node, _)) = services[*first].needs.iter().find(|(_, name)| name == next) else {
         return;
     };
-    let members = cycle.iter().filter_map(|index| left.get(index)).map(|member| member.name);
-    let path: Vec<&str> = members.chain([service.name]).collect();
+    let path = [names.as_slice(), &names[..1]].concat().join(" -> ");
     let hint = Some("remove one of these dependencies".to_owned());
-    findings.add(node, format!("the services depend on each other: {}", path.join(" -> ")), hint);
+    findings.add(node, format!("the services depend on each other: {path}"), hint);
 }
--- a/crates/settings/src/findings.rs
+++ b/crates/settings/src/findings.rs
@@ -3,6 +3,9 @@
 use crate::locate::Node;
 use crate::problem::{Problem, Report};
 
+/// The most problems that a report lists.
+const MAX_LISTED: usize = 100;
+
 /// Collects problems with the place of each.
 #[derive(Debug)]
 pub(crate) struct Findings {
@@ -42,7 +45,13 @@
     /// Returns the report, if there is any problem.
     pub(crate) fn into_report(mut self) -> Option<Report> {
         self.found.sort_by_key(|(offset, _)| *offset);
-        let problems: Vec<Problem> = self.found.into_iter().map(|(_, problem)| problem).collect();
+        let more = self.found.len().saturating_sub(MAX_LISTED);
+        let listed = self.found.into_iter().take(MAX_LISTED).map(|(_, problem)| problem);
+        let mut problems: Vec<Problem> = listed.collect();
+        if let Some(last) = problems.last().filter(|_| more > 0) {
+            let message = format!("{more} further problems are not listed");
+            problems.push(Problem { field: String::new(), line: last.line, message, hint: None });
+        }
         (!problems.is_empty()).then_some(Report { problems })
     }
 }
--- a/crates/settings/src/shape.rs
+++ b/crates/settings/src/shape.rs
@@ -4,6 +4,7 @@
 //! tables find every fault with its place. A test holds tables and types together.
 
 mod check;
+mod names;
 mod scalar;
 
 pub(crate) use check::check;
--- a/crates/settings/src/shape/check.rs
+++ b/crates/settings/src/shape/check.rs
@@ -1,12 +1,12 @@
 //! Walks a text's tree along its shape and finds every value that does not fit.
 
+use super::names::{self, KnownNames};
 use super::scalar;
 use super::{Field, Need, Shape, Tagged};
 use crate::findings::Findings;
 use crate::hint;
 use crate::locate::{Node, join};
-use jsonc_parser::ast::{Object, ObjectProp, ObjectPropName, Value};
-use jsonc_parser::common::Ranged;
+use jsonc_parser::ast::Value;
 
 /// Checks a value against a shape.
 pub(crate) fn check(node: &Node<'_>, shape: &Shape, findings: &mut Findings) {
@@ -101,64 +101,14 @@
     let Some(object) = node.as_object() else {
         return;
     };
-    let fields = tables.iter().copied().flatten().map(|field| field.name);
-    let known: Vec<&str> = tagged.map(|tagged| tagged.tag).into_iter().chain(fields).collect();
-    for (index, property) in object.properties.iter().enumerate() {
+    let known = KnownNames::new(object, tables, tagged);
+    for property in &object.properties {
         let name = property.name.as_str();
-        if !known.contains(&name) {
-            let of_other_kind = tagged.and_then(|tagged| hint_of_other_kind(name, tagged));
-            let hint = of_other_kind.or_else(|| hint_of_name(name, &known, object));
-            report_name(node, property, "is not a known field", hint, findings);
+        if !known.contains(name) {
+            names::report(node, property, "is not a known field", known.hint(name), findings);
         }
-        report_repeated(node, &object.properties[..index], property, findings);
     }
-}
-
-fn hint_of_other_kind(name: &str, tagged: &Tagged) -> Option<String> {
-    let has_name = |field: &Field| field.name == name;
-    let variant = tagged.variants.iter().find(|variant| variant.fields.iter().any(has_name))?;
-    Some(format!("only {} `{}` has this field", tagged.tag, variant.word))
-}
-
-/// Returns advice on an unknown name; a name that is there already is not proposed again.
-fn hint_of_name(name: &str, known: &[&str], object: &Object<'_>) -> Option<String> {
-    let (given, free): (Vec<&str>, Vec<&str>) =
-        known.iter().copied().partition(|other| object.get(other).is_some());
-    if let Some(near) = hint::nearest(name, &given).filter(|_| hint::nearest(name, &free).is_none())
-    {
-        return Some(format!("`{near}` is there already; remove this one"));
-    }
-    hint::for_unknown_field(name, &free)
-}
-
-fn report_repeated(
-    node: &Node<'_>,
-    earlier: &[ObjectProp<'_>],
-    property: &ObjectProp<'_>,
-    findings: &mut Findings,
-) {
-    let name = property.name.as_str();
-    let Some(first) = earlier.iter().find(|other| other.name.as_str() == name) else {
-        return;
-    };
-    let line = findings.line_of(first.start());
-    let hint = Some(format!("the first is on line {line}"));
-    report_name(node, property, "is given twice", hint, findings);
-}
-
-fn report_name(
-    node: &Node<'_>,
-    property: &ObjectProp<'_>,
-    message: &str,
-    hint: Option<String>,
-    findings: &mut Findings,
-) {
-    let offset = match &property.name {
-        ObjectPropName::String(literal) => literal.start(),
-        ObjectPropName::Word(literal) => literal.start(),
-    };
-    let field = join(node.path(), property.name.as_str());
-    findings.add_at(offset, field, message.to_owned(), hint);
+    names::report_repeated(node, object, findings);
 }
 
 fn check_list(node: &Node<'_>, element: &Shape, findings: &mut Findings) {
@@ -174,11 +124,11 @@
     let Some(object) = node.as_object() else {
         return report_kind(node, "an object that maps addresses to addresses", findings);
     };
-    for (index, property) in object.properties.iter().enumerate() {
+    names::report_repeated(node, object, findings);
+    for property in &object.properties {
         if let Err(fault) = scalar::check_target(property.name.as_str()) {
-            report_name(node, property, &fault.message, fault.hint, findings);
+            names::report(node, property, &fault.message, fault.hint, findings);
         }
-        report_repeated(node, &object.properties[..index], property, findings);
         scalar::check(&node.property(property), &super::Scalar::TargetAddress, findings);
     }
 }
--- a/crates/settings/tests/process_reports.rs
+++ b/crates/settings/tests/process_reports.rs
@@ -89,6 +89,19 @@
     insta::assert_snapshot!(parse_process_settings(&text).expect_err("too deep"));
 }
 
+#[test]
+fn a_long_report_is_cut_off() {
+    let unknown: Vec<String> = (0..150).map(|number| format!("\"unknown_{number}\": 0")).collect();
+    let text = format!("{{\n{}\n}}", unknown.join(",\n"));
+    let report = parse_process_settings(&text).expect_err("the text is faulty");
+    insta::assert_snapshot!(format!(
+        "{} problems; the last:\n{}\n{}",
+        report.problems.len(),
+        report.problems[99],
+        report.problems[100]
+    ));
+}
+
 #[test]
 fn merged_settings_name_every_default() {
     let text = r#"{
