Refuse to judge a configuration stream whose first records are gone

Cause: the log keeps records for a limited time; read from a later offset, every record is judged by the wrong version, and publish would call any base a conflict. Ruled out: starting from the first retained record (entry hosts that read earlier ones would differ). Figures: 120 records in three pages are read whole.

--- a/crates/camphorward/src/commands/publish/append.rs
+++ b/crates/camphorward/src/commands/publish/append.rs
@@ -52,6 +52,7 @@
             let until = deadline.min(Instant::now() + READ_BACK);
             read_until_seen(&mut publications, &record.publication_id, until).await?;
         }
+        publications.check_whole()?;
         if let Some(verdict) = verdict(&publications, record) {
             return verdict;
         }
--- a/crates/camphorward/src/publications.rs
+++ b/crates/camphorward/src/publications.rs
@@ -7,8 +7,8 @@
 use protocol::ids::{ConfigVersion, LogOffset};
 use std::time::Duration;
 
-/// The records read at once.
-const PAGE_RECORDS: usize = 200;
+/// The records read at once; each may hold several hundred kilobytes.
+const PAGE_RECORDS: usize = 50;
 
 /// Holds one record of the configuration stream and what became of it.
 #[derive(Clone, Debug)]
@@ -29,25 +29,43 @@
     log: LogClient,
     ledger: ConfigLedger,
     read: Vec<Publication>,
+    /// The first record that was still there when earlier ones were to be read and were gone.
+    after_gap: Option<LogOffset>,
 }
 
 impl Publications {
     /// Creates a reader that has read nothing.
     pub(crate) fn new(log: LogClient) -> Self {
-        Self { log, ledger: ConfigLedger::new(), read: Vec::new() }
+        Self { log, ledger: ConfigLedger::new(), read: Vec::new(), after_gap: None }
     }
 
     /// Creates a reader and reads all records that the log holds now.
     ///
     /// # Errors
     ///
-    /// Returns [`CommandError`] if the log does not answer.
+    /// Returns [`CommandError`] if the log does not answer, or no longer holds all records.
     pub(crate) async fn read_all(log: &LogClient) -> Result<Self, CommandError> {
         let mut publications = Self::new(log.clone());
         while publications.read_more(Duration::ZERO).await.map_err(CommandError::from_log)? {}
+        publications.check_whole()?;
         Ok(publications)
     }
 
+    /// Checks that no record was gone before it could be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CommandError::Refused`], since a later record would be judged against the wrong
+    /// version.
+    pub(crate) fn check_whole(&self) -> Result<(), CommandError> {
+        let Some(first) = self.after_gap else {
+            return Ok(());
+        };
+        Err(CommandError::Refused(format!(
+            "records before offset {first} are gone from the log, so versions cannot be told"
+        )))
+    }
+
     /// Reads the next records, waiting up to `wait` for a first one; tells whether more may follow.
     ///
     /// # Errors
@@ -56,6 +74,9 @@
     pub(crate) async fn read_more(&mut self, wait: Duration) -> Result<bool, ClientError> {
         let next = self.ledger.next();
         let page = self.log.read(CONFIGURATION_STREAM, next, PAGE_RECORDS, wait).await?;
+        if page.first_retained > next {
+            self.after_gap = Some(page.first_retained);
+        }
         for record in page.records.into_iter().filter(|record| record.offset >= next) {
             let verdict = self.ledger.apply(record.offset, &record.value);
             self.read.push(Publication {
--- a/crates/camphorward/tests/publish.rs
+++ b/crates/camphorward/tests/publish.rs
@@ -196,6 +196,25 @@
     assert!(log.records().is_empty());
 }
 
+#[tokio::test]
+async fn a_log_that_has_lost_its_first_records() {
+    let (log, address) = FakeLog::start().await;
+    let address = address.to_string();
+    for base in 0..120 {
+        log.push(record(base, "earlier", SERVICES));
+    }
+    let history = run(&["history", "--log", &address, "--json"]).await;
+    assert!(history.out.starts_with("{\"in_force\":120,"), "several pages are read: {history:?}");
+    log.forget_before(7);
+    let file = write_file("gap.jsonc", SERVICES);
+    let output = publish(&file, &address, "120", &[]).await;
+    insta::assert_snapshot!(render(&output, &log));
+    for command in ["show", "history"] {
+        assert_eq!(run(&[command, "--log", &address]).await.exit, Exit::Refused);
+    }
+    assert_eq!(log.records().len(), 120, "nothing is appended");
+}
+
 #[tokio::test]
 async fn published_texts_are_shown() {
     let (log, address) = FakeLog::start().await;
--- a/crates/camphorward/tests/support/fake_log.rs
+++ b/crates/camphorward/tests/support/fake_log.rs
@@ -31,6 +31,7 @@
 pub struct FakeLog {
     records: Mutex<Vec<LogRecord>>,
     faults: Mutex<VecDeque<Fault>>,
+    first_retained: Mutex<u64>,
 }
 
 impl FakeLog {
@@ -55,7 +56,12 @@
         offset
     }
 
-    /// Returns all records.
+    /// Forgets all records before an offset.
+    pub fn forget_before(&self, offset: u64) {
+        *self.first_retained.lock().expect("no panic") = offset;
+    }
+
+    /// Returns all records, forgotten ones included.
     pub fn records(&self) -> Vec<LogRecord> {
         self.records.lock().expect("no panic").clone()
     }
@@ -91,10 +97,12 @@
         let from: usize = number("from").expect("a read names its start");
         let limit: usize = number("limit").expect("a read names its limit");
         let records = self.records();
+        let first = *self.first_retained.lock().expect("no panic");
+        let start = from.max(usize::try_from(first).expect("an index"));
         let page = RecordPage {
-            first_retained: LogOffset::new(0),
+            first_retained: LogOffset::new(first),
             end: LogOffset::new(records.len() as u64),
-            records: records.into_iter().skip(from).take(limit).collect(),
+            records: records.into_iter().skip(start).take(limit).collect(),
         };
         (200, serde_json::to_string(&page).expect("JSON"))
     }
