--- a/crates/camphorward/src/console.rs
+++ b/crates/camphorward/src/console.rs
@@ -69,6 +69,15 @@
         Ok(bytes)
     }
 
+    /// Prints why a command line cannot be understood, and where help is.
+    pub(crate) fn print_usage(&mut self, message: String) -> Exit {
+        let error = CommandError::Usage(message.trim().to_owned());
+        let exit = self.print_error(&error.into());
+        let _ =
+            writeln!(self.streams.err, "`camphorward --help` lists the commands and their options");
+        exit
+    }
+
     /// Prints a failure and returns its exit code.
     pub(crate) fn print_error(&mut self, report: &eyre::Report) -> Exit {
         if is_broken_pipe(report) {
@@ -103,13 +112,6 @@
     }
 }
 
-/// Prints why a command line cannot be understood.
-pub(crate) fn print_usage_error(err: &mut dyn Write, message: &str) -> Exit {
-    let _ = writeln!(err, "error: {}", message.trim());
-    let _ = writeln!(err, "`camphorward --help` lists the commands and their options");
-    Exit::InputWrong
-}
-
 fn is_broken_pipe(report: &eyre::Report) -> bool {
     let io_error = report.downcast_ref::<io::Error>();
     io_error.is_some_and(|error| error.kind() == io::ErrorKind::BrokenPipe)
--- a/crates/camphorward/src/lib.rs
+++ b/crates/camphorward/src/lib.rs
@@ -35,7 +35,9 @@
     let top = match args::parse(&args) {
         Parsed::Run(top) => top,
         Parsed::Print(text) => return console::print_text(streams.out, &text),
-        Parsed::Wrong(message) => return console::print_usage_error(streams.err, &message),
+        Parsed::Wrong(message) => {
+            return Console::new(has_json(&args), streams).print_usage(message);
+        }
     };
     logging::start(top.verbose);
     let json = top.json;
@@ -46,6 +48,11 @@
     }
 }
 
+/// Tells whether JSON is asked for on a command line that cannot be parsed.
+fn has_json(args: &[String]) -> bool {
+    args.iter().any(|arg| arg == "--json")
+}
+
 async fn run_command(
     top: TopLevel,
     environment: &Environment,
--- a/crates/camphorward/tests/command_line.rs
+++ b/crates/camphorward/tests/command_line.rs
@@ -43,6 +43,28 @@
     insta::assert_snapshot!(rendered.join("\n"));
 }
 
+#[tokio::test]
+async fn a_command_line_that_cannot_be_understood_is_told_as_json() {
+    let output = run(&["publish", "FILE", "--json"]).await;
+    insta::assert_snapshot!(output.render(&[]));
+}
+
+#[test]
+fn the_program_reads_its_environment_and_returns_the_exit_code() {
+    let program = env!("CARGO_BIN_EXE_camphorward");
+    let run = |args: &[&str], log: &str| {
+        let mut command = std::process::Command::new(program);
+        command.args(args).env("CAMPHORWARD_LOG", log).env_remove("CAMPHORWARD_NODES");
+        command.output().expect("the program starts")
+    };
+    assert_eq!(run(&["--version"], "").status.code(), Some(0));
+    let output = run(&["show"], "nowhere");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("`nowhere` is not an address"));
+    let nobody = support::unused_address().to_string();
+    assert_eq!(run(&["show"], &nobody).status.code(), Some(4));
+}
+
 #[tokio::test]
 async fn files_are_checked() {
     let services = write_file("check_services.jsonc", SERVICES);
--- a/crates/settings/src/check_services/cycles.rs
+++ b/crates/settings/src/check_services/cycles.rs
@@ -1,11 +1,15 @@
 //! Finds the cycles of a graph, in time that grows with its size.
 
+use smallvec::SmallVec;
 use std::collections::HashMap;
 
+/// Lists the nodes that one node needs, or that need it.
+pub(super) type Neighbours = SmallVec<[usize; 4]>;
+
 /// Holds what is left of a graph while its nodes are removed.
 struct Graph {
-    needs: Vec<Vec<usize>>,
-    needed_by: Vec<Vec<usize>>,
+    needs: Vec<Neighbours>,
+    needed_by: Vec<Neighbours>,
     /// How many needs of each node are left.
     open_needs: Vec<usize>,
     is_removed: Vec<bool>,
@@ -13,7 +17,7 @@
 
 /// Returns cycles that share no node, each from its least node on, such that without them the
 /// graph has none.
-pub(super) fn find(needs: Vec<Vec<usize>>) -> Vec<Vec<usize>> {
+pub(super) fn find(needs: Vec<Neighbours>) -> Vec<Vec<usize>> {
     let mut graph = Graph::new(needs);
     let free = (0..graph.needs.len()).filter(|node| graph.open_needs[*node] == 0).collect();
     graph.remove(free);
@@ -30,12 +34,12 @@
 }
 
 impl Graph {
-    fn new(needs: Vec<Vec<usize>>) -> Self {
-        let mut needed_by = vec![Vec::new(); needs.len()];
+    fn new(needs: Vec<Neighbours>) -> Self {
+        let mut needed_by = vec![Neighbours::new(); needs.len()];
         for (node, needs) in needs.iter().enumerate() {
             needs.iter().for_each(|need| needed_by[*need].push(node));
         }
-        let open_needs = needs.iter().map(Vec::len).collect();
+        let open_needs = needs.iter().map(Neighbours::len).collect();
         let is_removed = vec![false; needs.len()];
         Self { needs, needed_by, open_needs, is_removed }
     }
--- a/crates/settings/src/shape/check.rs
+++ b/crates/settings/src/shape/check.rs
@@ -7,6 +7,7 @@
 use crate::hint;
 use crate::locate::{Node, join};
 use jsonc_parser::ast::Value;
+use smallvec::{SmallVec, smallvec};
 
 /// Checks a value against a shape.
 pub(crate) fn check(node: &Node<'_>, shape: &Shape, findings: &mut Findings) {
@@ -39,7 +40,7 @@
     }
     report_tag(node, word, tagged, findings);
     // Without a kind, a field of any kind may be right; only unknown names are certain faults.
-    let mut tables = vec![tagged.common];
+    let mut tables: SmallVec<[&[Field]; 4]> = smallvec![tagged.common];
     tables.extend(tagged.variants.iter().map(|variant| variant.fields));
     report_unknown(node, &tables, Some(tagged), findings);
 }
