Add the decisions on admission: deadline, shares, retries, quarantine

Cause: nothing refused early, shared out overload, bounded retries or stopped a request that crashes the servers running it. Change: early refusal with a Retry-After from the backlog; fair shares by organisation; a reserve for quick questions (kind reserved_for_quick); the closed retry table with truthful refusals and budgets; suspects counted at the homes of their prompts, isolation, crash limits by organisation; their messages in protocol. Taking the crash of an isolated run as conclusive refused innocent requests beside a fresh copy; it is conclusive on probation only.

--- /dev/null
+++ b/crates/admission/src/crash_limit/restrictions.rs
@@ -0,0 +1,76 @@
+//! Restrictions of organisations that an entry host was told of.
+
+use crate::refusal::Refusal;
+use protocol::error::ErrorKind;
+use protocol::ids::{OrganisationId, ServiceName};
+use protocol::message::suspect::CrashRestriction;
+use std::collections::HashMap;
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Key {
+    organisation: OrganisationId,
+    service: ServiceName,
+}
+
+/// Says how an organisation's requests to a service may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Restriction {
+    /// Like any others.
+    None,
+    /// Isolated like suspects.
+    Isolated,
+    /// Not for a short while.
+    Refused(Refusal),
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Until {
+    refused_ms: u64,
+    isolated_ms: u64,
+}
+
+/// Holds the restrictions that an entry host was told of.
+#[derive(Debug, Default)]
+pub struct Restrictions {
+    until: HashMap<Key, Until>,
+}
+
+impl Restrictions {
+    /// Creates a table without restrictions.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a restriction; a shorter one does not end a longer one.
+    pub fn apply(&mut self, restriction: &CrashRestriction, now_ms: u64) {
+        self.until.retain(|_, until| until.isolated_ms > now_ms);
+        let key = Key {
+            organisation: restriction.organisation.clone(),
+            service: restriction.service.clone(),
+        };
+        let until = self.until.entry(key).or_default();
+        until.refused_ms = until.refused_ms.max(now_ms + restriction.refused_for_ms);
+        until.isolated_ms = until.isolated_ms.max(now_ms + restriction.isolated_for_ms);
+    }
+
+    /// Tells how an organisation's requests to a service may run.
+    pub fn restriction(
+        &self,
+        organisation: &OrganisationId,
+        service: &ServiceName,
+        random: f64,
+        now_ms: u64,
+    ) -> Restriction {
+        if self.until.is_empty() {
+            return Restriction::None;
+        }
+        let key = Key { organisation: organisation.clone(), service: service.clone() };
+        let until = self.until.get(&key).copied().unwrap_or_default();
+        if until.refused_ms > now_ms {
+            let left_ms = (until.refused_ms - now_ms) as f64;
+            let refusal = Refusal::new(ErrorKind::CrashLimit).with_wait(left_ms, random);
+            return Restriction::Refused(refusal);
+        }
+        if until.isolated_ms > now_ms { Restriction::Isolated } else { Restriction::None }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/quarantine.rs
@@ -0,0 +1,277 @@
+//! Requests that crash servers, resent through any entry host, and the innocent ones beside them.
+
+mod common;
+
+use admission::crash_limit::{CrashLimits, REFUSED_MS, Restriction, Restrictions};
+use admission::isolation::{GRANT_MS, IsolationTable, TAKE_OVER_MS};
+use admission::quarantine::{
+    QUARANTINE_MS, Quarantine, ReportOutcome, SUSPECT_LIFE_MS, Standing, StartedRun,
+};
+use common::crash_site::{Scenario, play};
+use common::{attempt, checker, host, organisation, service};
+use protocol::error::ErrorKind;
+use protocol::ids::{HostName, Incarnation};
+use protocol::message::suspect::{
+    ConfirmedCrash, IsolateAnswer, IsolateRelease, IsolateRequest, SuspectDigest,
+};
+use quickcheck::{Arbitrary, Gen};
+
+const SEED: u64 = 23;
+const SCENARIOS: u64 = 2_000;
+
+#[test]
+fn a_crashing_request_takes_down_two_servers_at_most_and_the_innocent_finish() {
+    checker(SEED, SCENARIOS).quickcheck(is_contained as fn(Scenario) -> bool);
+
+    fn is_contained(scenario: Scenario) -> bool {
+        let outcome = play(&scenario);
+        outcome.deaths <= 2 && outcome.unanswered == 0 && outcome.wrongly_refused == 0
+    }
+}
+
+#[test]
+fn altered_prompts_take_down_few_servers_and_others_go_on() {
+    checker(SEED, 200).quickcheck(is_limited as fn(Scenario) -> bool);
+
+    fn is_limited(scenario: Scenario) -> bool {
+        let end_ms = 60_000;
+        let scenario = Scenario { altered: true, copies: 1, host_death: None, end_ms, ..scenario };
+        let outcome = play(&scenario);
+        let further = (end_ms / REFUSED_MS) as usize;
+        outcome.deaths <= 4 + further && outcome.unanswered == 0
+    }
+}
+
+fn digest(text: &str) -> SuspectDigest {
+    SuspectDigest::new(&organisation("member"), &service(), text.as_bytes())
+}
+
+fn run(text: &str, number: u64, server: &str, on_probation: bool) -> StartedRun {
+    StartedRun {
+        digest: digest(text),
+        organisation: organisation("member"),
+        service: service(),
+        attempt_id: attempt(number),
+        entry: host("entry"),
+        server: host(server),
+        incarnation: Incarnation::new(1),
+        on_probation,
+    }
+}
+
+fn standing(quarantine: &Quarantine, text: &str, now_ms: u64) -> Standing {
+    quarantine.standing(&digest(text), |_| false, 0.0, now_ms)
+}
+
+/// Lets a request run on a server that dies, and reports it.
+fn crash(quarantine: &Quarantine, number: u64, server: &str, now_ms: u64) -> ReportOutcome {
+    quarantine.started(run("text", number, server, false));
+    let reports = quarantine.server_died(&host(server), Incarnation::new(1));
+    quarantine.report(&reports[0], now_ms)
+}
+
+#[test]
+fn the_second_crash_refuses_and_the_refusal_says_when_to_come_back() {
+    let quarantine = Quarantine::new();
+    assert_eq!(crash(&quarantine, 1, "server-a", 0), ReportOutcome::Suspect);
+    assert_eq!(standing(&quarantine, "text", 0), Standing::Suspect);
+    let outcome = crash(&quarantine, 2, "server-b", 0);
+    assert!(matches!(outcome, ReportOutcome::Confirmed(_)));
+    let Standing::Refused(refusal) = standing(&quarantine, "text", QUARANTINE_MS - 20_000) else {
+        panic!("not refused");
+    };
+    assert_eq!((refusal.kind, refusal.retry_after_s), (ErrorKind::Quarantined, Some(20)));
+    assert_eq!(standing(&quarantine, "text", QUARANTINE_MS), Standing::Suspect);
+    assert_eq!(standing(&quarantine, "other", 0), Standing::Clear);
+}
+
+#[test]
+fn a_further_crash_refuses_for_twice_the_time() {
+    let quarantine = Quarantine::new();
+    crash(&quarantine, 1, "server-a", 0);
+    crash(&quarantine, 2, "server-b", 0);
+    crash(&quarantine, 3, "server-c", QUARANTINE_MS);
+    let later_ms = QUARANTINE_MS + 2 * QUARANTINE_MS - 1;
+    assert!(matches!(standing(&quarantine, "text", later_ms), Standing::Refused(_)));
+}
+
+#[test]
+fn one_death_reported_twice_counts_once() {
+    let quarantine = Quarantine::new();
+    quarantine.started(run("text", 1, "server-a", false));
+    let reports = quarantine.server_died(&host("server-a"), Incarnation::new(1));
+    assert_eq!(quarantine.report(&reports[0], 0), ReportOutcome::Suspect);
+    assert_eq!(quarantine.report(&reports[0], 10), ReportOutcome::Known);
+}
+
+#[test]
+fn a_clean_run_clears_a_suspect_and_a_cancelled_one_does_not() {
+    let quarantine = Quarantine::new();
+    crash(&quarantine, 1, "server-a", 0);
+    quarantine.started(run("text", 2, "server-b", false));
+    quarantine.finished(&digest("text"), &attempt(2), false);
+    assert_eq!(standing(&quarantine, "text", 0), Standing::Suspect);
+    quarantine.started(run("text", 3, "server-b", false));
+    quarantine.finished(&digest("text"), &attempt(3), true);
+    assert_eq!(standing(&quarantine, "text", 0), Standing::Clear);
+}
+
+#[test]
+fn a_suspect_is_forgotten_in_the_end() {
+    let quarantine = Quarantine::new();
+    crash(&quarantine, 1, "server-a", 0);
+    assert_eq!(standing(&quarantine, "text", SUSPECT_LIFE_MS), Standing::Clear);
+    quarantine.sweep(SUSPECT_LIFE_MS);
+    assert_eq!(crash(&quarantine, 2, "server-b", SUSPECT_LIFE_MS), ReportOutcome::Suspect);
+}
+
+#[test]
+fn one_crash_suffices_on_probation() {
+    let quarantine = Quarantine::new();
+    quarantine.started(run("text", 1, "server-a", true));
+    let reports = quarantine.server_died(&host("server-a"), Incarnation::new(1));
+    assert!(matches!(quarantine.report(&reports[0], 0), ReportOutcome::Confirmed(_)));
+}
+
+#[test]
+fn a_request_whose_entry_host_died_is_a_suspect_only_if_the_server_died_too() {
+    let quarantine = Quarantine::new();
+    quarantine.started(run("text", 1, "server-a", false));
+    quarantine.entry_died(&host("entry"), 0);
+    assert_eq!(standing(&quarantine, "text", 0), Standing::Clear);
+    let gone = |server: &HostName| server.as_str() == "server-a";
+    assert_eq!(quarantine.standing(&digest("text"), gone, 0.0, 0), Standing::Suspect);
+    assert_eq!(quarantine.server_died(&host("server-a"), Incarnation::new(1)).len(), 1);
+}
+
+#[test]
+fn a_server_that_lives_on_clears_what_broke_off_there() {
+    let quarantine = Quarantine::new();
+    quarantine.broke_off(run("text", 1, "server-a", false), 0);
+    quarantine.server_lives(&host("server-a"), Incarnation::new(1));
+    assert_eq!(standing(&quarantine, "text", 0), Standing::Clear);
+}
+
+#[test]
+fn a_copy_of_a_suspect_waits_while_another_one_runs() {
+    let quarantine = Quarantine::new();
+    crash(&quarantine, 1, "server-a", 0);
+    quarantine.started(run("text", 2, "server-b", false));
+    assert!(matches!(standing(&quarantine, "text", 0), Standing::Undecided { .. }));
+}
+
+#[test]
+fn no_copy_starts_while_a_second_death_is_likely() {
+    let quarantine = Quarantine::new();
+    crash(&quarantine, 1, "server-a", 0);
+    quarantine.broke_off(run("text", 2, "server-b", false), 0);
+    assert!(matches!(standing(&quarantine, "text", 0), Standing::Undecided { .. }));
+}
+
+#[test]
+fn a_run_that_broke_off_makes_a_suspect_before_the_death_is_known() {
+    let quarantine = Quarantine::new();
+    quarantine.started(run("text", 1, "server-a", false));
+    let pinned = Standing::Pinned { server: host("server-a") };
+    assert_eq!(standing(&quarantine, "text", 0), pinned);
+    let gone = |server: &HostName| server.as_str() == "server-a";
+    assert_eq!(quarantine.standing(&digest("text"), gone, 0.0, 0), Standing::Suspect);
+    quarantine.broke_off(run("text", 1, "server-a", false), 0);
+    assert_eq!(standing(&quarantine, "text", 500), Standing::Suspect);
+    assert_eq!(standing(&quarantine, "text", 60_000), Standing::Clear);
+    assert_eq!(quarantine.server_died(&host("server-a"), Incarnation::new(1)).len(), 1);
+}
+
+#[test]
+fn runs_of_a_later_incarnation_are_not_reported() {
+    let quarantine = Quarantine::new();
+    quarantine.started(run("text", 1, "server-a", false));
+    assert_eq!(quarantine.server_died(&host("server-a"), Incarnation::new(0)), []);
+    assert_eq!(quarantine.server_died(&host("server-b"), Incarnation::new(1)), []);
+}
+
+fn isolate(text: &str, number: u64) -> IsolateRequest {
+    IsolateRequest {
+        service: service(),
+        digest: digest(text),
+        attempt_id: attempt(number),
+        holds: None,
+        preferred: vec![host("server-a"), host("server-b")],
+    }
+}
+
+#[test]
+fn no_two_suspects_share_a_server_and_no_content_runs_twice() {
+    let mut table = IsolationTable::new(0);
+    let start_ms = TAKE_OVER_MS;
+    let granted = |server| IsolateAnswer::Granted { server: host(server) };
+    assert_eq!(table.request(&isolate("first", 1), start_ms), granted("server-a"));
+    assert_eq!(table.request(&isolate("first", 1), start_ms), granted("server-a"));
+    assert!(matches!(table.request(&isolate("first", 2), start_ms), IsolateAnswer::Busy { .. }));
+    assert_eq!(table.request(&isolate("second", 3), start_ms), granted("server-b"));
+    assert!(matches!(table.request(&isolate("third", 4), start_ms), IsolateAnswer::Busy { .. }));
+    assert_eq!(table.granted(start_ms).count(), 2);
+    let (digest, attempt_id) = (digest("first"), attempt(1));
+    table.release(&IsolateRelease { service: service(), digest, attempt_id });
+    assert_eq!(table.request(&isolate("third", 4), start_ms), granted("server-a"));
+    assert_eq!(table.request(&isolate("first", 5), start_ms + GRANT_MS), granted("server-a"));
+}
+
+#[test]
+fn a_new_home_takes_over_grants_before_it_gives_any() {
+    let mut table = IsolationTable::new(0);
+    assert!(matches!(table.request(&isolate("second", 2), 0), IsolateAnswer::Busy { .. }));
+    let held = IsolateRequest { holds: Some(host("server-a")), ..isolate("first", 1) };
+    assert!(matches!(table.request(&held, 10), IsolateAnswer::Granted { .. }));
+    let granted = IsolateAnswer::Granted { server: host("server-b") };
+    assert_eq!(table.request(&isolate("second", 2), TAKE_OVER_MS), granted);
+}
+
+fn confirmed(text: &str) -> ConfirmedCrash {
+    let (organisation, service) = (organisation("member"), service());
+    ConfirmedCrash { digest: digest(text), organisation, service }
+}
+
+#[test]
+fn an_organisation_is_isolated_first_then_refused_for_a_short_time() {
+    let (mut limits, mut restrictions) = (CrashLimits::new(service()), Restrictions::new());
+    let restriction = |restrictions: &Restrictions, name: &str, now_ms| {
+        restrictions.restriction(&organisation(name), &service(), 0.0, now_ms)
+    };
+    restrictions.apply(&limits.confirm(&confirmed("first"), 0), 0);
+    assert_eq!(restriction(&restrictions, "member", 0), Restriction::Isolated);
+    restrictions.apply(&limits.confirm(&confirmed("first"), 0), 0);
+    assert_eq!(restriction(&restrictions, "member", 0), Restriction::Isolated);
+    restrictions.apply(&limits.confirm(&confirmed("second"), 0), 0);
+    assert!(matches!(
+        restriction(&restrictions, "member", 0),
+        Restriction::Refused(refusal) if refusal.kind == ErrorKind::CrashLimit && refusal.not_run
+    ));
+    assert_eq!(restriction(&restrictions, "member", REFUSED_MS), Restriction::Isolated);
+    assert_eq!(restriction(&restrictions, "member", 10 * REFUSED_MS), Restriction::None);
+    assert_eq!(restriction(&restrictions, "other", 0), Restriction::None);
+    limits.sweep(u64::MAX);
+    assert_eq!(limits.confirm(&confirmed("third"), u64::MAX).refused_for_ms, 0);
+}
+
+#[test]
+fn digests_differ_by_organisation_service_and_content() {
+    checker(SEED, 300).quickcheck(is_apart as fn(Vec<u8>, u8) -> bool);
+
+    fn is_apart(content: Vec<u8>, extra: u8) -> bool {
+        let of = |name: &str, service: &str, content: &[u8]| {
+            SuspectDigest::new(&organisation(name), &service.parse().unwrap(), content)
+        };
+        let mut longer = content.clone();
+        longer.push(extra);
+        let digest = of("ab", "c", &content);
+        let others = [of("a", "bc", &content), of("ab", "d", &content), of("ab", "c", &longer)];
+        digest == of("ab", "c", &content) && others.iter().all(|other| *other != digest)
+    }
+}
+
+#[test]
+fn a_scenario_is_the_same_for_the_same_seed() {
+    let scenario = Scenario::arbitrary(&mut Gen::from_size_and_seed(10, SEED));
+    assert_eq!(format!("{:?}", play(&scenario)), format!("{:?}", play(&scenario)));
+}
--- /dev/null
+++ b/crates/admission/tests/retry.rs
@@ -0,0 +1,140 @@
+//! Retries: the closed table, truthful refusals, deadlines and budgets.
+
+mod common;
+
+use admission::retry::{FailedAttempt, MAX_ATTEMPTS, RetryDecision, next};
+use admission::retry_budget::{BudgetKey, MAX_SAVED_RETRIES, RETRIES_PER_FIRST_TRY, RetryBudgets};
+use common::{checker, organisation, service};
+use protocol::error::{ErrorKind, Execution};
+
+const SEED: u64 = 22;
+
+fn key() -> BudgetKey {
+    BudgetKey { organisation: organisation("member"), service: service() }
+}
+
+fn failed(kind: ErrorKind, budget: &BudgetKey) -> FailedAttempt<'_> {
+    FailedAttempt {
+        kind,
+        attempt: 1,
+        idempotent: true,
+        earlier_may_have_run: false,
+        remaining_ms: 10_000,
+        budget,
+    }
+}
+
+fn decide(failed: &FailedAttempt<'_>) -> RetryDecision {
+    next(failed, &RetryBudgets::new(), 0.5, 0)
+}
+
+fn gave_up(failed: &FailedAttempt<'_>) -> (ErrorKind, bool) {
+    match decide(failed) {
+        RetryDecision::GiveUp(refusal) => (refusal.kind, refusal.not_run),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn each_kind_is_treated_as_documented() {
+    let key = key();
+    let lines = ErrorKind::ALL.iter().map(|kind| {
+        let idempotent = failed(*kind, &key);
+        let single = FailedAttempt { idempotent: false, ..idempotent };
+        let (idempotent, single) = (decide(&idempotent), decide(&single));
+        format!("{kind}: {} / {}", describe(&idempotent), describe(&single))
+    });
+    insta::assert_snapshot!(lines.collect::<Vec<_>>().join("\n"));
+}
+
+fn describe(decision: &RetryDecision) -> String {
+    match decision {
+        RetryDecision::GiveUp(refusal) if refusal.not_run => format!("{} not run", refusal.kind),
+        RetryDecision::GiveUp(refusal) => refusal.kind.to_string(),
+        RetryDecision::OtherServer { .. } => "other server".to_owned(),
+        RetryDecision::Resume { .. } => "resume".to_owned(),
+    }
+}
+
+#[test]
+fn what_may_have_run_is_never_called_not_run_and_a_single_call_is_never_repeated() {
+    checker(SEED, 2_000).quickcheck(is_truthful as fn(usize, bool, bool, u8, u16) -> bool);
+
+    fn is_truthful(kind: usize, idempotent: bool, earlier: bool, attempt: u8, left: u16) -> bool {
+        let key = key();
+        let kind = ErrorKind::ALL[kind % ErrorKind::ALL.len()];
+        let may_have_run = earlier || kind.answer().execution == Execution::MayHaveRun;
+        let decision = decide(&FailedAttempt {
+            kind,
+            attempt: u32::from(attempt % 6 + 1),
+            idempotent,
+            earlier_may_have_run: earlier,
+            remaining_ms: u64::from(left),
+            budget: &key,
+        });
+        match decision {
+            RetryDecision::GiveUp(refusal) => !(refusal.not_run && may_have_run),
+            RetryDecision::OtherServer { wait_ms } | RetryDecision::Resume { wait_ms } => {
+                (idempotent || kind.answer().execution == Execution::NotRun)
+                    && wait_ms < u64::from(left)
+            }
+        }
+    }
+}
+
+#[test]
+fn the_last_attempt_is_answered_with_its_own_kind() {
+    let key = key();
+    let last = FailedAttempt { attempt: MAX_ATTEMPTS, ..failed(ErrorKind::ServerDied, &key) };
+    assert_eq!(gave_up(&last), (ErrorKind::ServerDied, false));
+}
+
+#[test]
+fn no_retry_starts_that_the_deadline_would_cut() {
+    let key = key();
+    let late = FailedAttempt { remaining_ms: 10, ..failed(ErrorKind::ServerUnreachable, &key) };
+    assert_eq!(gave_up(&late).0, ErrorKind::DeadlineExceeded);
+}
+
+#[test]
+fn an_earlier_attempt_that_may_have_run_is_remembered() {
+    let key = key();
+    let refused = FailedAttempt {
+        earlier_may_have_run: true,
+        attempt: MAX_ATTEMPTS,
+        ..failed(ErrorKind::ServerRefused, &key)
+    };
+    assert_eq!(gave_up(&refused), (ErrorKind::ServerRefused, false));
+}
+
+#[test]
+fn retries_stay_a_share_of_first_tries() {
+    checker(SEED, 500).quickcheck(is_bounded as fn(Vec<bool>) -> bool);
+
+    fn is_bounded(tries: Vec<bool>) -> bool {
+        let (budgets, key) = (RetryBudgets::new(), key());
+        for (now_ms, first) in tries.iter().cycle().take(20 * tries.len()).enumerate() {
+            if *first {
+                budgets.first_try(&key, now_ms as u64);
+            } else {
+                budgets.try_take(&key, now_ms as u64);
+            }
+        }
+        let counts = budgets.counts(&key);
+        let bound = MAX_SAVED_RETRIES + RETRIES_PER_FIRST_TRY * counts.first_tries as f64;
+        counts.retries as f64 <= bound
+    }
+}
+
+#[test]
+fn a_spent_budget_denies_retries_of_its_own_organisation_only() {
+    let (budgets, spent) = (RetryBudgets::new(), key());
+    let other = BudgetKey { organisation: organisation("other"), ..key() };
+    while budgets.try_take(&spent, 0) {}
+    let decision = next(&failed(ErrorKind::ServerUnreachable, &spent), &budgets, 0.5, 0);
+    assert!(matches!(decision, RetryDecision::GiveUp(r) if r.kind == ErrorKind::RetryBudgetSpent));
+    let decision = next(&failed(ErrorKind::ServerUnreachable, &other), &budgets, 0.5, 0);
+    assert_eq!(decision, RetryDecision::OtherServer { wait_ms: 0 });
+    budgets.sweep(u64::MAX);
+    assert!(budgets.try_take(&spent, 0));
+}
--- a/crates/placement/src/chain.rs
+++ b/crates/placement/src/chain.rs
@@ -2,6 +2,7 @@
 
 use protocol::ids::{CHAIN_KEY_BYTES, ChainKey, ModelName, OrganisationId, WeightVersion};
 use protocol::size::{TEXT_BYTES_PER_TOKEN, TokenCount};
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// The length of a whole piece in tokens.
@@ -19,7 +20,8 @@
 ///
 /// Every [`ChainKey`] of the prompt starts with it, so the home of a piece is known from the
 /// piece's key alone.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
 pub struct HomeKey([u8; HOME_KEY_BYTES]);
 
 impl HomeKey {
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -120,6 +120,8 @@
     Overloaded => "overloaded", 429, NotRun, Never, Some(2);
     /// The organisation has used its fair share while others wait.
     OverFairShare => "over_fair_share", 429, NotRun, Never, Some(2);
+    /// The room that is left in the queue is kept for quick questions.
+    ReservedForQuick => "reserved_for_quick", 429, NotRun, Never, Some(2);
     /// The retry budget of the organisation and service is spent.
     RetryBudgetSpent => "retry_budget_spent", 503, MayHaveRun, Never, Some(5);
     /// The request has crashed backend servers and is refused for a while.
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -4,3 +4,4 @@
 pub mod operator;
 pub mod place;
 pub mod probe;
+pub mod suspect;
