--- a/crates/camphorwardd/src/follow/peers.rs
+++ b/crates/camphorwardd/src/follow/peers.rs
@@ -58,7 +58,7 @@
     probed: Option<&(HostName, Incarnation)>,
 ) -> bool {
     let table = node.hosts.table();
-    let message = exchange::probe(table, node.directory().version(), node.now_ms());
+    let message = exchange::probe(table, node.directory().version());
     let peer = &node.clients.peer;
     let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
     let Ok(ack) = peer.call::<Ack>(address, PROBE_PATH, &message, timeout).await else {
