Execute non-idempotent calls through the log in the daemon

Cause: the thin path forwarded orders as they came, so a resend was executed again.

Change: the daemon follows the orders stream, commits records under its share of 300 appends a second, and sends an order only once its intent was read back; idempotent calls go on as before and while the log is down. Calls of plain services carry `x-organisation`, and the stand-in tells an outcome only to the organisation that ordered. A drain waits for open orders and their records.

Ruled out: hashing organisation and key into the key that the service sees (callers could no longer ask the service by their own key); recording a 5xx answer as the outcome (it does not say whether the order ran: the status call decides, and no answer there is 'outcome unknown').

--- a/crates/camphorwardd/src/callers/plain.rs
+++ b/crates/camphorwardd/src/callers/plain.rs
@@ -5,17 +5,19 @@
 use crate::directory::Directory;
 use crate::hosts::Server;
 use crate::node::Node;
+use crate::orders::{self, OrderCall, OrderRequest};
 use crate::reply::{self, Failure, REQUEST_HEADER};
 use crate::serve::Call;
 use bytes::Bytes;
 use clients::error::ClientError;
 use clients::http::{build_request, read_body};
 use clients::wire::engine::ATTEMPT_HEADER;
+use clients::wire::order::{IDEMPOTENCY_HEADER, ORGANISATION_HEADER};
 use gotham::helpers::http::Body;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method, Response, StatusCode};
 use protocol::error::ErrorKind;
-use protocol::ids::{RequestId, ServiceName};
+use protocol::ids::{OrganisationId, RequestId, ServiceName};
 use settings::services::{CallEntry, OrderService};
 use std::time::Duration;
 
@@ -24,6 +26,7 @@
 
 /// Holds one call of a plain service, matched to its entry.
 struct PlainCall {
+    organisation: OrganisationId,
     service: ServiceName,
     settings: OrderService,
     entry: CallEntry,
@@ -34,7 +37,8 @@
 pub(crate) async fn answer(call: Call) -> Response<Body> {
     let request_id = new_request_id();
     let result = match prepare(&call) {
-        Ok(plain) => forward(&call, &plain, &request_id).await,
+        Ok(plain) if plain.entry.idempotent => forward(&call, &plain, &request_id).await,
+        Ok(plain) => order(&call, plain).await,
         Err(failure) => Err(failure),
     };
     let mut response = result.unwrap_or_else(|failure| refuse(&call.node, &failure));
@@ -45,11 +49,15 @@
 fn prepare(call: &Call) -> Result<PlainCall, Failure> {
     check_ready(call)?;
     let directory = call.node.directory();
-    auth::find_organisation(&call.headers, &directory)?;
-    match_call(call, &directory)
+    let organisation = auth::find_organisation(&call.headers, &directory)?;
+    match_call(call, &directory, organisation)
 }
 
-fn match_call(call: &Call, directory: &Directory) -> Result<PlainCall, Failure> {
+fn match_call(
+    call: &Call,
+    directory: &Directory,
+    organisation: OrganisationId,
+) -> Result<PlainCall, Failure> {
     let rest = call.uri.path().strip_prefix(PREFIX).unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let unknown = |message: &str| Failure::new(ErrorKind::UnknownService, message);
@@ -65,7 +73,8 @@
         let message = "the call takes another method";
         return Err(Failure::new(ErrorKind::MethodNotAllowed, message));
     };
-    Ok(PlainCall { entry: entry.clone(), settings: settings.clone(), service, path })
+    let (entry, settings) = (entry.clone(), settings.clone());
+    Ok(PlainCall { organisation, service, settings, entry, path })
 }
 
 /// Matches a path to a pattern whose last segment may be `*`.
@@ -76,7 +85,29 @@
     }
 }
 
-/// Sends the call; an idempotent one to another server if the first cannot be reached.
+/// Executes a call that must not be sent twice.
+async fn order(call: &Call, plain: PlainCall) -> Result<Response<Body>, Failure> {
+    let key = call.headers.get(IDEMPOTENCY_HEADER);
+    let order = OrderCall {
+        organisation: plain.organisation,
+        service: plain.service,
+        deadline_ms: plain.settings.deadline_ms,
+        key: key.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned()),
+        request: OrderRequest {
+            method: call.method.clone(),
+            path: with_query(call, &plain.path),
+            content_type: content_type(call),
+            body: call.body.clone(),
+            deadline_ms: plain.settings.deadline_ms,
+        },
+    };
+    let answer = orders::execute(&call.node, order).await?;
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let content_type = answer.content_type.as_deref().unwrap_or(reply::JSON);
+    Ok(reply::bytes_answer(status, content_type, answer.body.into()))
+}
+
+/// Sends an idempotent call, to another server if the first fails.
 async fn forward(
     call: &Call,
     plain: &PlainCall,
@@ -88,15 +119,12 @@
         match send(call, plain, server, request_id, attempt).await {
             Ok(response) => return Ok(response),
             Err(error) => {
-                let kind = sort_error(&error, plain.entry.idempotent);
+                let kind = sort_error(&error);
                 log::warn!(
                     "request={request_id} server={} failed kind={kind}: {error}",
                     server.host
                 );
                 last = Failure::new(kind, "the server of the service failed");
-                if !plain.entry.idempotent && !error.is_unsent() {
-                    return Err(last);
-                }
                 call.node.counters.count_retry(kind);
             }
         }
@@ -104,10 +132,9 @@
     Err(last)
 }
 
-fn sort_error(error: &ClientError, idempotent: bool) -> ErrorKind {
+fn sort_error(error: &ClientError) -> ErrorKind {
     match error {
         ClientError::Unreachable(_) => ErrorKind::ServerUnreachable,
-        _ if !idempotent => ErrorKind::OutcomeUnknown,
         ClientError::Silent(_) => ErrorKind::ServerSilent,
         ClientError::Broken(_) => ErrorKind::ServerDied,
         ClientError::Refused { .. } | ClientError::Malformed(_) => ErrorKind::BadServerAnswer,
@@ -121,8 +148,7 @@
     request_id: &RequestId,
     attempt: usize,
 ) -> Result<Response<Body>, ClientError> {
-    let query = call.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
-    let path = format!("{}{query}", plain.path);
+    let path = with_query(call, &plain.path);
     let content_type = content_type(call);
     let body = call.body.clone();
     let mut request =
@@ -131,15 +157,12 @@
     if let Ok(value) = HeaderValue::from_str(&attempt_id) {
         request.headers_mut().insert(ATTEMPT_HEADER, value);
     }
-    if let Some(key) = call.headers.get(IDEMPOTENCY_HEADER) {
-        request.headers_mut().insert(IDEMPOTENCY_HEADER, key.clone());
+    if let Ok(value) = HeaderValue::from_str(plain.organisation.as_str()) {
+        request.headers_mut().insert(ORGANISATION_HEADER, value);
     }
     exchange(&call.node, server, request, Duration::from_millis(plain.settings.deadline_ms)).await
 }
 
-/// The header that names an order across its resends.
-pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
-
 async fn exchange(
     node: &Node,
     server: &Server,
@@ -156,6 +179,11 @@
     Ok(reply::bytes_answer(status, content_type.unwrap_or(reply::JSON), body))
 }
 
+fn with_query(call: &Call, path: &str) -> String {
+    let query = call.uri.query().map(|query| format!("?{query}")).unwrap_or_default();
+    format!("{path}{query}")
+}
+
 fn content_type(call: &Call) -> String {
     if call.method == Method::GET {
         return String::new();
--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -38,3 +38,17 @@
 pub(crate) const DEFAULT_ANSWER_TOKENS: u64 = 256;
 /// How long a store host may take to say which blocks it keeps, while a caller waits.
 pub(crate) const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long the log keeps order records at the least, in milliseconds.
+pub(crate) const ORDER_LOG_RETENTION_MS: u64 = 60 * 60 * 1_000;
+/// The appends of order records a second over all entry hosts.
+pub(crate) const ORDER_LOG_APPENDS_PER_S: f64 = 300.0;
+/// How long an append of order records may take.
+pub(crate) const ORDER_APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often the committer looks for work without being woken.
+pub(crate) const ORDER_COMMIT_IDLE: Duration = Duration::from_millis(1_000);
+/// How often time passes for open orders.
+pub(crate) const ORDER_TICK: Duration = Duration::from_millis(50);
+/// How many ticks lie between two looks at the live entry hosts.
+pub(crate) const ORDER_TICKS_PER_VIEW: u64 = 10;
+/// How long a server may take to tell an order's outcome.
+pub(crate) const ORDER_STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -75,6 +75,16 @@
     ConfigsConflicting => "configs.conflicting";
     /// Configuration records that did not pass the check.
     ConfigsInvalid => "configs.invalid";
+    /// Orders sent to a server.
+    OrderDispatches => "orders.dispatches";
+    /// Outcomes asked of an order service.
+    OrderStatusChecks => "orders.status_checks";
+    /// Appends of order records to the platform's log.
+    OrderAppends => "orders.appends";
+    /// Order records appended.
+    OrderRecords => "orders.records";
+    /// Appends of order records that failed or got no answer.
+    OrderAppendFailures => "orders.append_failures";
     /// Probes of entry hosts that got no answer.
     ProbeFailures => "probes.failed";
     /// Connections accepted.
--- a/crates/camphorwardd/src/daemon.rs
+++ b/crates/camphorwardd/src/daemon.rs
@@ -141,7 +141,7 @@
 async fn wait_for_flights(node: &Node, bound: Instant) -> DrainEnd {
     loop {
         let in_flight = node.flights.in_flight();
-        if in_flight == 0 {
+        if in_flight == 0 && node.orders.is_settled() {
             return DrainEnd::Finished;
         }
         if Instant::now() >= bound {
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -18,6 +18,7 @@
 mod follow;
 mod hosts;
 mod operators;
+mod orders;
 mod peers;
 mod placement_state;
 mod run;
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -6,6 +6,7 @@
 use crate::explain::Explanations;
 use crate::flight::Flights;
 use crate::hosts::Hosts;
+use crate::orders::Orders;
 use crate::placement_state::PlacementState;
 use clients::engine::EngineClient;
 use clients::host_list::HostListClient;
@@ -14,6 +15,7 @@
 use clients::peer::PeerClient;
 use clients::store::StoreClient;
 use gotham::state::StateData;
+use orders::record::Owner;
 use protocol::ids::Incarnation;
 use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole};
 use settings::process::ProcessSettings;
@@ -73,6 +75,7 @@
     pub(crate) explanations: Explanations,
     pub(crate) hosts: Hosts,
     pub(crate) placement: PlacementState,
+    pub(crate) orders: Orders,
     directory: RwLock<Arc<Directory>>,
     clock: Clock,
 }
@@ -89,6 +92,7 @@
         addresses: BoundAddresses,
     ) -> std::io::Result<Self> {
         let clock = Clock::new();
+        let owner = Owner { host: settings.host.clone(), incarnation };
         let own = own_record(&settings, incarnation, &addresses);
         Ok(Self {
             counters: Arc::new(Counters::new(settings.statsd)?),
@@ -97,6 +101,7 @@
             explanations: Explanations::new(),
             hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
+            orders: Orders::new(owner, clock.now_ms()),
             directory: RwLock::default(),
             clock,
             settings,
--- /dev/null
+++ b/crates/camphorwardd/src/orders/send.rs
@@ -0,0 +1,154 @@
+//! Sends orders to the servers of their service, and asks these for outcomes.
+
+use super::{OrderRequest, act, lock};
+use crate::constants::ORDER_STATUS_TIMEOUT;
+use crate::counters::Counter;
+use crate::hosts::Server;
+use crate::node::Node;
+use bytes::Bytes;
+use clients::error::ClientError;
+use clients::http::{build_request, read_body};
+use clients::wire::engine::{ATTEMPT_HEADER, Refusal};
+use clients::wire::order::{IDEMPOTENCY_HEADER, ORGANISATION_HEADER};
+use http::{HeaderValue, Method, Request, header};
+use http_body_util::Full;
+use orders::executor::{Dispatched, Target};
+use orders::record::OrderAnswer;
+use protocol::error::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// The part of an outcome path that stands for the idempotency key.
+const KEY_PLACEHOLDER: &str = "{key}";
+/// The first status by which a server says that the fault is its own.
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// Sends an attempt, once, and tells the coordinator what became of it.
+pub(crate) async fn dispatch(node: Arc<Node>, target: Target) {
+    let request = lock(&node.orders.requests).remove(&target.attempt);
+    let result = match request {
+        Some(request) => send_once(&node, &target, &request).await,
+        None => Dispatched::NotRun(ErrorKind::Internal),
+    };
+    node.counters.count(Counter::OrderDispatches);
+    let actions = node.orders.coordinator.dispatched(&target, result, node.now_ms());
+    act(&node, actions);
+}
+
+/// Tries one server after the other until one may have received the order.
+async fn send_once(node: &Node, target: &Target, request: &OrderRequest) -> Dispatched {
+    let mut last = ErrorKind::NoServer;
+    for server in servers(node, target) {
+        let sent = order_request(target, request, server.address);
+        let timeout = Duration::from_millis(request.deadline_ms);
+        let result = match sent {
+            Ok(sent) => exchange(node, server.address, sent, timeout).await,
+            Err(error) => Err(error),
+        };
+        match judge(result) {
+            Dispatched::NotRun(kind) => {
+                log::warn!("attempt={} server={} not run: {kind}", target.attempt, server.host);
+                node.counters.count_retry(kind);
+                last = kind;
+            }
+            done => return done,
+        }
+    }
+    Dispatched::NotRun(last)
+}
+
+/// Sorts an exchange: an answer, not run for certain, or lost.
+fn judge(result: Result<OrderAnswer, ClientError>) -> Dispatched {
+    match result {
+        Err(error) if error.is_unsent() => Dispatched::NotRun(ErrorKind::ServerUnreachable),
+        Err(_) => Dispatched::Lost,
+        Ok(answer) if answer.status < FIRST_SERVER_ERROR => Dispatched::Answered(answer),
+        Ok(answer) if says_not_run(&answer) => Dispatched::NotRun(ErrorKind::ServerRefused),
+        Ok(_) => Dispatched::Lost,
+    }
+}
+
+fn says_not_run(answer: &OrderAnswer) -> bool {
+    serde_json::from_str::<Refusal>(&answer.body).is_ok_and(|refusal| refusal.not_run)
+}
+
+/// Asks the service's servers for the outcome until one of them answers.
+pub(crate) async fn ask_outcome(node: Arc<Node>, target: Target) {
+    node.counters.count(Counter::OrderStatusChecks);
+    let answer = find_outcome(&node, &target).await;
+    let actions = node.orders.coordinator.status_learnt(&target, answer, node.now_ms());
+    act(&node, actions);
+}
+
+async fn find_outcome(node: &Node, target: &Target) -> Option<OrderAnswer> {
+    let directory = node.directory();
+    let path = directory.order_service(&target.service)?.outcome_path.clone()?;
+    let path = path.replace(KEY_PLACEHOLDER, &target.key.key.to_string());
+    for server in servers(node, target) {
+        let request = build_request(Method::GET, server.address, &path, "", Bytes::new());
+        let mut request = request.ok()?;
+        set_order_headers(&mut request, target);
+        match exchange(node, server.address, request, ORDER_STATUS_TIMEOUT).await {
+            Ok(answer) if answer.status < FIRST_SERVER_ERROR => {
+                return (answer.status / 100 == 2).then_some(answer);
+            }
+            _ => continue,
+        }
+    }
+    None
+}
+
+/// Returns the servers that take work, beginning with another one each time.
+fn servers(node: &Node, target: &Target) -> Vec<Server> {
+    let mut servers = node.hosts.servers(&target.service, node.now_ms());
+    servers.retain(Server::takes_work);
+    if !servers.is_empty() {
+        let turn = node.orders.next_server.fetch_add(1, Ordering::Relaxed) as usize;
+        let first = turn % servers.len();
+        servers.rotate_left(first);
+    }
+    servers
+}
+
+fn order_request(
+    target: &Target,
+    request: &OrderRequest,
+    address: SocketAddr,
+) -> Result<Request<Full<Bytes>>, ClientError> {
+    let OrderRequest { method, path, content_type, body, .. } = request.clone();
+    let mut sent = build_request(method, address, &path, &content_type, body)?;
+    set_order_headers(&mut sent, target);
+    Ok(sent)
+}
+
+fn set_order_headers(request: &mut Request<Full<Bytes>>, target: &Target) {
+    let key = target.key.key.to_string();
+    let headers = [
+        (IDEMPOTENCY_HEADER, key.as_str()),
+        (ORGANISATION_HEADER, target.key.organisation.as_str()),
+        (ATTEMPT_HEADER, target.attempt.as_str()),
+    ];
+    for (name, value) in headers {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            request.headers_mut().insert(name, value);
+        }
+    }
+}
+
+async fn exchange(
+    node: &Node,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<OrderAnswer, ClientError> {
+    let answer = node.clients.fresh_http.send(address, request, timeout).await?;
+    let (head, body) = answer.into_parts();
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let body = tokio::time::timeout(timeout, read_body(body)).await;
+    let body = body.map_err(|_| ClientError::Silent(timeout))??;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    Ok(OrderAnswer { status: head.status.as_u16(), content_type, body })
+}
--- a/crates/clients/src/wire.rs
+++ b/crates/clients/src/wire.rs
@@ -5,4 +5,5 @@
 pub mod engine;
 pub mod host_list;
 pub mod log;
+pub mod order;
 pub mod store;
--- a/crates/orders/src/committer.rs
+++ b/crates/orders/src/committer.rs
@@ -126,6 +126,12 @@
         Some(self.in_flight.iter().map(|queued| queued.record.clone()).collect())
     }
 
+    /// Returns how long until an append may be due; `None` if no record waits.
+    pub fn due_in_ms(&self, now_ms: u64) -> Option<u64> {
+        let gap_ms = (self.next_append_at_ms - now_ms as f64).max(0.0).ceil();
+        (!self.queue.is_empty()).then_some(gap_ms as u64)
+    }
+
     /// Takes what became of the append under way.
     ///
     /// Records that may not be in the log are appended again, which does no harm.
--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -109,9 +109,9 @@
         self.live = live;
     }
 
-    /// Returns how many orders are under way here.
+    /// Returns how many orders are under way here that will still come to an end.
     pub fn open(&self) -> usize {
-        self.work.len()
+        self.work.values().filter(|work| work.is_open()).count()
     }
 
     /// Takes an order.
@@ -319,7 +319,8 @@
         if holder.owner.host == self.owner.host {
             return holder.owner.incarnation != self.owner.incarnation;
         }
-        self.live.get(&holder.owner.host) != Some(&holder.owner.incarnation)
+        let live = self.live.get(&holder.owner.host);
+        live.is_none_or(|incarnation| *incarnation > holder.owner.incarnation)
     }
 }
 
--- a/crates/orders/src/executor/work.rs
+++ b/crates/orders/src/executor/work.rs
@@ -42,6 +42,12 @@
         taken
     }
 
+    /// Returns whether the order is to be waited for; one whose answer was lost is not.
+    pub(super) fn is_open(&self) -> bool {
+        let runs = self.own.as_ref().is_some_and(|own| own.phase != Phase::Uncertain);
+        runs || !self.waiters.is_empty()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.own.is_none() && self.waiters.is_empty()
     }
--- a/crates/orders/src/key.rs
+++ b/crates/orders/src/key.rs
@@ -84,17 +84,6 @@
     pub const fn new(organisation: OrganisationId, key: IdempotencyKey) -> Self {
         Self { organisation, key }
     }
-
-    /// Returns a name for the order that differs between organisations with the same key.
-    ///
-    /// It is what an order service sees, so a service that knows nothing of organisations cannot
-    /// mix up their orders either.
-    pub fn scoped_name(&self) -> String {
-        let mut hasher = blake3::Hasher::new();
-        hash_field(&mut hasher, self.organisation.as_str().as_bytes());
-        hash_field(&mut hasher, self.key.0.as_bytes());
-        hasher.finalize().to_hex().to_string()
-    }
 }
 
 impl fmt::Display for OrderKey {
