--- a/crates/control/src/configuration/snapshot.rs
+++ b/crates/control/src/configuration/snapshot.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 /// The number of records after which a new snapshot is due early.
-pub const SNAPSHOT_AFTER_RECORDS: u64 = 256;
+pub const SNAPSHOT_AFTER_RECORDS: u64 = 16;
 /// The share of the log's retention after which a new snapshot is due.
 const RETENTION_SHARE: u64 = 4;
 /// What the rendezvous hash for the writer is keyed by.
--- a/crates/control/tests/configuration.rs
+++ b/crates/control/tests/configuration.rs
@@ -180,3 +180,27 @@
     let last = ledger.apply(LogOffset::new(2), &publication(1, 2));
     assert_eq!(last, Verdict::Conflict(ConfigVersion::new(2)));
 }
+
+#[test]
+fn a_page_with_a_hole_is_not_judged_over_the_hole() {
+    let records = [publication(0, 0), publication(0, 1), publication(1, 2)];
+    let mut node = Configuration::new();
+    read(&mut node, &[], 0, &records[..1]);
+    let order = node.next_read();
+    let mut holed = page(0, 1, &records);
+    holed.records.remove(0);
+    assert!(node.take_page(order, &holed).is_empty());
+    assert!(node.ledger().is_none());
+}
+
+#[test]
+fn a_late_page_does_not_make_a_node_read_again() {
+    let records = [publication(0, 0)];
+    let mut node = Configuration::new();
+    read(&mut node, &[], 0, &[]);
+    let order = node.next_read();
+    let late = page(0, 0, &records);
+    assert_eq!(node.take_page(order, &late).len(), 1);
+    assert!(node.take_page(order, &late).is_empty());
+    assert!(node.ledger().is_some());
+}
