--- /dev/null
+++ b/crates/control/tests/leases.rs
@@ -0,0 +1,157 @@
+//! The rules of leases.
+
+use control::leases::{
+    HOLD_MS, LEASE_MS, LeaseLedger, LeaseRecord, LeaseVerdict, RENEW_AFTER_MS, Steward,
+    takeover_rank,
+};
+use membership::{HostTable, Source};
+use protocol::ids::{HostName, Incarnation, LogOffset, ServiceName};
+use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole};
+use std::net::{Ipv4Addr, SocketAddr};
+
+fn service() -> ServiceName {
+    "shades".parse().expect("a service")
+}
+
+fn host(index: usize) -> HostName {
+    format!("node-{index}").parse().expect("a host name")
+}
+
+fn steward(index: usize) -> Steward {
+    Steward::new(service(), host(index), Incarnation::new(1))
+}
+
+fn whole() -> LeaseLedger {
+    LeaseLedger::new(LogOffset::default(), 0)
+}
+
+fn append(ledger: &mut LeaseLedger, record: &LeaseRecord, at_ms: u64) -> LeaseVerdict {
+    let value = serde_json::to_string(record).expect("a record");
+    ledger.apply(ledger.next(), at_ms, &value, at_ms)
+}
+
+/// Has a steward claim at one moment and the log take the record at another.
+fn claim(ledger: &mut LeaseLedger, steward: &mut Steward, sent_ms: u64, at_ms: u64) {
+    let record = steward.next_record(ledger, 0, format!("claim-{sent_ms}"), sent_ms);
+    assert_eq!(append(ledger, &record.expect("due"), at_ms), LeaseVerdict::Granted);
+}
+
+#[test]
+fn a_holder_counts_from_before_the_append_and_stops_early() {
+    let (mut ledger, mut one) = (whole(), steward(1));
+    claim(&mut ledger, &mut one, 1_000, 4_000);
+    assert_eq!(one.token(&ledger, 1_000 + HOLD_MS - 1), Some(LogOffset::new(0)));
+    assert_eq!(one.token(&ledger, 1_000 + HOLD_MS), None);
+    const { assert!(HOLD_MS * 3 == LEASE_MS * 2) };
+}
+
+#[test]
+fn nobody_takes_over_before_the_lease_has_run_out_and_the_token_grows() {
+    let (mut ledger, mut one, mut two) = (whole(), steward(1), steward(2));
+    claim(&mut ledger, &mut one, 0, 0);
+    let id = || "early".to_owned();
+    assert_eq!(two.next_record(&ledger, 0, id(), LEASE_MS - 1), None);
+    assert_eq!(two.next_record(&ledger, 1, id(), LEASE_MS), None);
+    claim(&mut ledger, &mut two, LEASE_MS, LEASE_MS);
+    assert_eq!(two.token(&ledger, LEASE_MS), Some(LogOffset::new(1)));
+    assert_eq!(one.token(&ledger, LEASE_MS), None);
+}
+
+#[test]
+fn a_claim_that_lands_while_another_holds_is_refused() {
+    let (mut ledger, mut one, mut two) = (whole(), steward(1), steward(2));
+    let late = two.next_record(&ledger, 0, "late".to_owned(), 0).expect("due");
+    claim(&mut ledger, &mut one, 0, 0);
+    assert_eq!(append(&mut ledger, &late, LEASE_MS - 1), LeaseVerdict::Refused);
+    assert_eq!(two.token(&ledger, 1), None);
+}
+
+#[test]
+fn a_restarted_holder_is_another_holder() {
+    let (mut ledger, mut one) = (whole(), steward(1));
+    claim(&mut ledger, &mut one, 0, 0);
+    let mut reborn = Steward::new(service(), host(1), Incarnation::new(2));
+    assert_eq!(reborn.token(&ledger, 1), None);
+    assert_eq!(reborn.next_record(&ledger, 0, "soon".to_owned(), 1), None);
+}
+
+#[test]
+fn a_released_lease_is_free_at_once() {
+    let (mut ledger, mut one, mut two) = (whole(), steward(1), steward(2));
+    claim(&mut ledger, &mut one, 0, 0);
+    let release = one.release(&ledger, "end".to_owned()).expect("held");
+    assert_eq!(one.token(&ledger, 1), None);
+    assert_eq!(append(&mut ledger, &release, 1), LeaseVerdict::Released);
+    claim(&mut ledger, &mut two, 2, 2);
+}
+
+#[test]
+fn a_renewal_extends_and_a_late_one_is_refused() {
+    let (mut ledger, mut one) = (whole(), steward(1));
+    claim(&mut ledger, &mut one, 0, 0);
+    claim(&mut ledger, &mut one, RENEW_AFTER_MS, RENEW_AFTER_MS);
+    assert_eq!(one.token(&ledger, HOLD_MS), Some(LogOffset::new(1)));
+    let renewal = one.next_record(&ledger, 0, "late".to_owned(), 2 * RENEW_AFTER_MS).expect("due");
+    let late_ms = RENEW_AFTER_MS + LEASE_MS;
+    assert_eq!(append(&mut ledger, &renewal, late_ms), LeaseVerdict::Refused);
+}
+
+#[test]
+fn a_reader_that_starts_in_the_middle_decides_only_what_it_can_know() {
+    let (mut full, mut one, mut two) = (whole(), steward(1), steward(2));
+    let mut cold = LeaseLedger::new(LogOffset::new(1), 0);
+    claim(&mut full, &mut one, 0, 0);
+    let late = two.next_record(&whole(), 0, "late".to_owned(), 1).expect("due");
+    for ledger in [&mut full, &mut cold] {
+        append(ledger, &late, 1);
+    }
+    assert!(!cold.is_certain(&service()));
+    assert_eq!(two.token(&cold, 2), None);
+    let renewals = [RENEW_AFTER_MS, 2 * RENEW_AFTER_MS];
+    for at_ms in renewals {
+        let record = one.next_record(&full, 0, format!("renewal-{at_ms}"), at_ms).expect("due");
+        append(&mut full, &record, at_ms);
+        append(&mut cold, &record, at_ms);
+    }
+    assert_eq!(
+        cold.lease(&service()).map(|lease| &lease.claim_id),
+        full.lease(&service()).map(|lease| &lease.claim_id)
+    );
+    assert!(cold.is_certain(&service()));
+}
+
+#[test]
+fn a_lease_is_claimed_again_when_the_log_has_forgotten_it() {
+    let mut one = steward(1);
+    let mut cold = LeaseLedger::new(LogOffset::new(9), 0);
+    assert_eq!(one.next_record(&cold, 0, "early".to_owned(), LEASE_MS - 1), None);
+    let first = one.next_record(&cold, 0, "first".to_owned(), LEASE_MS).expect("due");
+    assert_eq!(append(&mut cold, &first, LEASE_MS), LeaseVerdict::Undecided);
+    claim(&mut cold, &mut one, 2 * LEASE_MS, 2 * LEASE_MS);
+    assert!(one.token(&cold, 2 * LEASE_MS).is_some());
+}
+
+#[test]
+fn staying_hosts_have_distinct_ranks() {
+    let entry = |index: usize| {
+        let at = |port| SocketAddr::from((Ipv4Addr::new(127, 0, 0, index as u8), port));
+        let addresses = EntryAddresses { callers: at(1), peers: at(2), operators: at(3) };
+        HostRecord {
+            host: host(index),
+            incarnation: Incarnation::new(1),
+            region: "north".parse().expect("a region"),
+            failure_domain: "north-1".parse().expect("a domain"),
+            leaving: index == 3,
+            refutations: 0,
+            suspected_at_ms: None,
+            role: HostRole::Entry(addresses),
+        }
+    };
+    let table = HostTable::new(entry(0), 0);
+    table.merge(&[entry(1), entry(2), entry(3)], Source::List, 0);
+    let rank = |index| takeover_rank(&table.view(0), &service(), &host(index));
+    let mut ranks = [0, 1, 2].map(rank);
+    ranks.sort();
+    assert_eq!(ranks, [Some(0), Some(1), Some(2)]);
+    assert_eq!(rank(3), None);
+}
