--- a/crates/camphorward/src/commands/history.rs
+++ b/crates/camphorward/src/commands/history.rs
@@ -3,10 +3,10 @@
 use super::format_time;
 use crate::connections::Connections;
 use crate::console::Console;
-use crate::publications::{Publication, Publications};
+use crate::publications::{Extent, Publication, Publications};
 use crate::table::Table;
 use argh::FromArgs;
-use control::configuration::Verdict;
+use control::configuration::{ConfigSnapshot, Verdict};
 use protocol::ids::{ConfigVersion, LogOffset};
 use serde::Serialize;
 use std::fmt;
@@ -20,9 +20,23 @@
 #[derive(Debug, Serialize)]
 struct HistoryReport {
     in_force: ConfigVersion,
+    start: Option<HistoryStart>,
     records: Vec<HistoryRow>,
 }
 
+/// Says what was in force before the first record that is listed.
+#[derive(Debug, Serialize)]
+struct HistoryStart {
+    version: ConfigVersion,
+    as_of: LogOffset,
+}
+
+impl HistoryStart {
+    fn new(snapshot: &ConfigSnapshot) -> Self {
+        Self { version: snapshot.version, as_of: snapshot.as_of }
+    }
+}
+
 /// Holds one record.
 #[derive(Debug, Serialize)]
 struct HistoryRow {
@@ -73,6 +87,9 @@
 
 impl fmt::Display for HistoryReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(HistoryStart { version, as_of }) = &self.start {
+            writeln!(f, "version {version} was in force before offset {as_of}, by a snapshot\n")?;
+        }
         let heads = ["OFFSET", "APPENDED", "BASE", "VERDICT", "VERSION", "PUBLICATION", "DETAIL"];
         let mut table = Table::new(&heads);
         self.records.iter().for_each(|row| table.push(row.cells()));
@@ -86,8 +103,9 @@
         connections: &Connections,
         console: &mut Console<'_>,
     ) -> eyre::Result<()> {
-        let publications = Publications::read_all(connections.log()?).await?;
+        let publications = Publications::read(connections.log()?, Extent::All).await?;
         let records = publications.all().iter().map(HistoryRow::new).collect();
-        console.print(&HistoryReport { in_force: publications.in_force(), records })
+        let start = publications.start().map(HistoryStart::new);
+        console.print(&HistoryReport { in_force: publications.in_force(), start, records })
     }
 }
--- a/crates/camphorward/src/commands/publish.rs
+++ b/crates/camphorward/src/commands/publish.rs
@@ -8,7 +8,7 @@
 use crate::connections::Connections;
 use crate::console::Console;
 use crate::error::CommandError;
-use crate::publications::Publications;
+use crate::publications::{Extent, Publications};
 use append::Accepted;
 use argh::FromArgs;
 use control::configuration::ConfigRecord;
@@ -64,7 +64,7 @@
         deadline: Instant,
     ) -> Result<Accepted, CommandError> {
         let log = connections.log()?;
-        let publications = Publications::read_all(log).await?;
+        let publications = Publications::read(log, Extent::Newest).await?;
         let in_force = publications.in_force();
         if in_force != self.base {
             return Err(publications.conflict(self.base, in_force));
--- a/crates/camphorward/src/commands/show.rs
+++ b/crates/camphorward/src/commands/show.rs
@@ -3,8 +3,9 @@
 use crate::connections::Connections;
 use crate::console::Console;
 use crate::error::CommandError;
-use crate::publications::{Publication, Publications};
+use crate::publications::{Extent, Publication, Publications};
 use argh::FromArgs;
+use control::configuration::ConfigRecord;
 use protocol::ids::{ConfigVersion, LogOffset};
 use serde::Serialize;
 use std::fmt;
@@ -22,11 +23,18 @@
 #[derive(Debug, Serialize)]
 struct ShowReport {
     version: ConfigVersion,
+    text: String,
+    /// The record, if the log still holds it.
+    record: Option<ShownRecord>,
+}
+
+/// Describes the record of an accepted text.
+#[derive(Debug, Serialize)]
+struct ShownRecord {
     offset: LogOffset,
     appended_at_ms: u64,
     base: ConfigVersion,
     publication_id: String,
-    text: String,
 }
 
 impl fmt::Display for ShowReport {
@@ -41,32 +49,36 @@
         connections: &Connections,
         console: &mut Console<'_>,
     ) -> eyre::Result<()> {
-        let publications = Publications::read_all(connections.log()?).await?;
+        let extent = if self.at.is_some() { Extent::All } else { Extent::Newest };
+        let publications = Publications::read(connections.log()?, extent).await?;
         let version = self.at.unwrap_or(publications.in_force());
-        let report = publications.accepted_as(version).and_then(|one| new_report(version, one));
-        let Some(report) = report else {
+        let Some(report) = find(&publications, version) else {
             return Err(not_there(version, publications.in_force()).into());
         };
         console.print(&report)
     }
 }
 
+fn find(publications: &Publications, version: ConfigVersion) -> Option<ShowReport> {
+    let accepted = publications.accepted_as(version);
+    if let Some(report) = accepted.and_then(|one| new_report(version, one)) {
+        return Some(report);
+    }
+    let snapshot = publications.start().filter(|snapshot| snapshot.version == version)?;
+    Some(ShowReport { version, text: snapshot.text.clone(), record: None })
+}
+
 fn new_report(version: ConfigVersion, publication: &Publication) -> Option<ShowReport> {
-    let record = publication.record.clone()?;
-    Some(ShowReport {
-        version,
-        offset: publication.offset,
-        appended_at_ms: publication.appended_at_ms,
-        base: record.base,
-        publication_id: record.publication_id,
-        text: record.text,
-    })
+    let ConfigRecord { base, publication_id, text } = publication.record.clone()?;
+    let Publication { offset, appended_at_ms, .. } = *publication;
+    let record = Some(ShownRecord { offset, appended_at_ms, base, publication_id });
+    Some(ShowReport { version, text, record })
 }
 
 fn not_there(version: ConfigVersion, in_force: ConfigVersion) -> CommandError {
     let message = match in_force.value() {
         0 => "no configuration has been accepted yet".to_owned(),
-        _ => format!("there is no version {version}; version {in_force} is in force"),
+        _ => format!("the log holds no version {version}; version {in_force} is in force"),
     };
     CommandError::NotThere(message)
 }
--- a/crates/camphorward/src/publications.rs
+++ b/crates/camphorward/src/publications.rs
@@ -1,15 +1,28 @@
 //! Reads the configuration stream and judges its records as every entry host does.
 
+mod start;
+
 use crate::error::{CommandError, Conflict};
 use clients::error::ClientError;
 use clients::log::LogClient;
-use control::configuration::{CONFIGURATION_STREAM, ConfigLedger, ConfigRecord, Verdict};
+use control::configuration::{
+    CONFIGURATION_STREAM, ConfigLedger, ConfigRecord, ConfigSnapshot, Verdict,
+};
 use protocol::ids::{ConfigVersion, LogOffset};
 use std::time::Duration;
 
 /// The records read at once; each may hold several hundred kilobytes.
 const PAGE_RECORDS: usize = 50;
 
+/// Says how much of the stream is needed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Extent {
+    /// What tells the version in force: the newest snapshot and the records after it.
+    Newest,
+    /// Everything that the log holds and that can be judged.
+    All,
+}
+
 /// Holds one record of the configuration stream and what became of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Publication {
@@ -23,29 +36,29 @@
     pub(crate) verdict: Verdict,
 }
 
-/// Reads the configuration stream from its start.
+/// Reads the configuration stream from its start or from a snapshot.
 #[derive(Debug)]
 pub(crate) struct Publications {
     log: LogClient,
+    start: Option<ConfigSnapshot>,
     ledger: ConfigLedger,
     read: Vec<Publication>,
-    /// The first record that was still there when earlier ones were to be read and were gone.
+    /// The oldest record that was still there when earlier ones were to be read and were gone.
     after_gap: Option<LogOffset>,
 }
 
 impl Publications {
-    /// Creates a reader that has read nothing.
-    pub(crate) fn new(log: LogClient) -> Self {
-        Self { log, ledger: ConfigLedger::new(), read: Vec::new(), after_gap: None }
-    }
-
-    /// Creates a reader and reads all records that the log holds now.
+    /// Reads what the log holds now.
     ///
     /// # Errors
     ///
-    /// Returns [`CommandError`] if the log does not answer, or no longer holds all records.
-    pub(crate) async fn read_all(log: &LogClient) -> Result<Self, CommandError> {
-        let mut publications = Self::new(log.clone());
+    /// Returns [`CommandError`] if the log does not answer, or no longer holds what is needed to
+    /// judge its records.
+    pub(crate) async fn read(log: &LogClient, extent: Extent) -> Result<Self, CommandError> {
+        let ledger = start::find(log, extent).await?;
+        let start = ledger.snapshot();
+        let mut publications =
+            Self { log: log.clone(), start, ledger, read: Vec::new(), after_gap: None };
         while publications.read_more(Duration::ZERO).await.map_err(CommandError::from_log)? {}
         publications.check_whole()?;
         Ok(publications)
@@ -58,12 +71,7 @@
     /// Returns [`CommandError::Refused`], since a later record would be judged against the wrong
     /// version.
     pub(crate) fn check_whole(&self) -> Result<(), CommandError> {
-        let Some(first) = self.after_gap else {
-            return Ok(());
-        };
-        Err(CommandError::Refused(format!(
-            "records before offset {first} are gone from the log, so versions cannot be told"
-        )))
+        self.after_gap.map_or(Ok(()), |first| Err(gap_error(first)))
     }
 
     /// Reads the next records, waiting up to `wait` for a first one; tells whether more may follow.
@@ -89,6 +97,11 @@
         Ok(self.ledger.next() > next && self.ledger.next() < page.end)
     }
 
+    /// Returns the snapshot before the first record read, if there is one.
+    pub(crate) fn start(&self) -> Option<&ConfigSnapshot> {
+        self.start.as_ref()
+    }
+
     /// Returns all records read so far.
     pub(crate) fn all(&self) -> &[Publication] {
         &self.read
@@ -119,3 +132,10 @@
         CommandError::Conflict { conflict: Conflict { base, in_force, publication_id: id, offset } }
     }
 }
+
+fn gap_error(first_retained: LogOffset) -> CommandError {
+    CommandError::Refused(format!(
+        "records before offset {first_retained} are gone from the log and no snapshot covers them, \
+         so versions cannot be told"
+    ))
+}
--- a/crates/camphorward/tests/publish.rs
+++ b/crates/camphorward/tests/publish.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use camphorward::Exit;
-use support::fake_log::{FakeLog, Fault, record};
+use support::fake_log::{FakeLog, Fault, record, snapshot};
 use support::fake_node::{Config, FakeNode};
 use support::{Output, SERVICES, run, unused_address, write_file};
 
@@ -215,6 +215,39 @@
     assert_eq!(log.records().len(), 120, "nothing is appended");
 }
 
+#[tokio::test]
+async fn snapshots_stand_for_records_that_are_gone() {
+    let (log, address) = FakeLog::start().await;
+    let address = address.to_string();
+    for base in 0..6 {
+        log.push(record(base, &format!("publication-{base}"), SERVICES));
+    }
+    log.push_snapshot(snapshot(2, 2, SERVICES));
+    log.push_snapshot("nonsense".to_owned());
+    log.push_snapshot(snapshot(5, 5, &SERVICES.replace("// One store.", "// Snapshot.")));
+    log.push_snapshot(snapshot(4, 4, SERVICES));
+    log.forget_before(3);
+    let mut rendered = Vec::new();
+    for args in [
+        vec!["show", "--json"],
+        vec!["show", "--at", "4", "--json"],
+        vec!["show", "--at", "2"],
+        vec!["history"],
+        vec!["history", "--json"],
+    ] {
+        let output = run(&[args, vec!["--log", &address]].concat()).await;
+        rendered.push(render(&output, &log));
+    }
+    insta::assert_snapshot!(rendered.join("\n\n"));
+    log.forget_before(6);
+    log.push_snapshot(snapshot(6, 6, SERVICES));
+    let file = write_file("snapshots.jsonc", SERVICES);
+    let output = publish(&file, &address, "5", &[]).await;
+    insta::assert_snapshot!("conflict_with_a_snapshot", render(&output, &log));
+    let output = publish(&file, &address, "6", &[]).await;
+    assert_eq!(output.exit, Exit::Done, "{output:?}");
+}
+
 #[tokio::test]
 async fn published_texts_are_shown() {
     let (log, address) = FakeLog::start().await;
--- a/crates/camphorward/tests/support/fake_log.rs
+++ b/crates/camphorward/tests/support/fake_log.rs
@@ -2,7 +2,7 @@
 
 use super::server::{Handler, serve};
 use clients::wire::log::{Appended, LogRecord, RecordPage};
-use control::configuration::ConfigRecord;
+use control::configuration::{CONFIGURATION_STREAM, ConfigRecord, ConfigSnapshot, SNAPSHOT_STREAM};
 use protocol::ids::{ConfigVersion, LogOffset};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -32,6 +32,7 @@
     records: Mutex<Vec<LogRecord>>,
     faults: Mutex<VecDeque<Fault>>,
     first_retained: Mutex<u64>,
+    snapshots: Mutex<Vec<LogRecord>>,
 }
 
 impl FakeLog {
@@ -56,6 +57,13 @@
         offset
     }
 
+    /// Appends a record to the stream of snapshots.
+    pub fn push_snapshot(&self, value: String) {
+        let mut snapshots = self.snapshots.lock().expect("no panic");
+        let offset = LogOffset::new(snapshots.len() as u64);
+        snapshots.push(LogRecord { offset, appended_at_ms: FIRST_APPEND_MS, value });
+    }
+
     /// Forgets all records before an offset.
     pub fn forget_before(&self, offset: u64) {
         *self.first_retained.lock().expect("no panic") = offset;
@@ -89,15 +97,17 @@
         (!is_lost).then_some((200, answer))
     }
 
-    fn read(&self, query: &str) -> (u16, String) {
+    fn read(&self, stream: &str, query: &str) -> (u16, String) {
+        let (records, first) = match stream {
+            SNAPSHOT_STREAM => (self.snapshots.lock().expect("no panic").clone(), 0),
+            _ => (self.records(), *self.first_retained.lock().expect("no panic")),
+        };
         let number = |name: &str| {
             let value = query.split('&').find_map(|part| part.strip_prefix(name));
             value.and_then(|value| value.strip_prefix('=')).and_then(|value| value.parse().ok())
         };
         let from: usize = number("from").expect("a read names its start");
         let limit: usize = number("limit").expect("a read names its limit");
-        let records = self.records();
-        let first = *self.first_retained.lock().expect("no panic");
         let start = from.max(usize::try_from(first).expect("an index"));
         let page = RecordPage {
             first_retained: LogOffset::new(first),
@@ -111,9 +121,12 @@
 impl Handler for FakeLog {
     fn answer(&self, method: &str, path: &str, body: String) -> Option<(u16, String)> {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
-        match (method, path) {
-            ("POST", "/streams/configuration/records") => self.append(body),
-            ("GET", "/streams/configuration/records") => Some(self.read(query)),
+        let stream = path.strip_prefix("/streams/").and_then(|path| path.strip_suffix("/records"));
+        match (method, stream) {
+            ("POST", Some(CONFIGURATION_STREAM)) => self.append(body),
+            ("GET", Some(stream @ (CONFIGURATION_STREAM | SNAPSHOT_STREAM))) => {
+                Some(self.read(stream, query))
+            }
             _ => Some((404, String::new())),
         }
     }
@@ -126,3 +139,10 @@
         ConfigRecord { base, publication_id: publication_id.to_owned(), text: text.to_owned() };
     serde_json::to_string(&record).expect("JSON")
 }
+
+/// Renders a record of the stream of snapshots.
+pub fn snapshot(version: u64, as_of: u64, text: &str) -> String {
+    let (version, as_of) = (ConfigVersion::new(version), LogOffset::new(as_of));
+    let snapshot = ConfigSnapshot { version, as_of, text: text.to_owned() };
+    serde_json::to_string(&snapshot).expect("JSON")
+}
