Relay the configuration between hosts and read it past the log's retention

Cause: a host cut off from the log kept its old configuration although its peers had a later one, a restarted host stayed not ready while the log was down (seen by hand for 2 s), and records lost to retention were judged over a gap. A connection that went silent before the head of an answer was only noticed after the first token's deadline. Ruled out: more frequent reads of the log, which help nobody who cannot reach it. Change: probes carry the version; a host that hears of a later one fetches it from that peer. Pages of the log hold 48 records, below the client's bound at 2,800 organisations. The head of an answer may take two silences.

Before: the first two cases had no mechanism. Not seen failing: the silent connection, which was resumed before as well, only later. Conclusion: a failure domain without the platform follows its peers; publishing still needs the log.

--- a/crates/camphorwardd/src/callers/health.rs
+++ b/crates/camphorwardd/src/callers/health.rs
@@ -9,7 +9,7 @@
 #[derive(Serialize)]
 struct Health {
     ready: bool,
-    reason: Option<&'static str>,
+    reason: Option<String>,
 }
 
 /// Answers that the process runs.
@@ -20,6 +20,7 @@
 /// Answers whether the host takes requests.
 pub(crate) async fn answer_ready(call: Call) -> Response<Body> {
     let reason = call.node.not_ready_reason();
-    let status = reason.map_or(StatusCode::OK, |_| StatusCode::SERVICE_UNAVAILABLE);
-    reply::json(status, &Health { ready: reason.is_none(), reason })
+    let ready = reason.is_none();
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    reply::json(status, &Health { ready, reason })
 }
--- a/crates/camphorwardd/src/cli.rs
+++ b/crates/camphorwardd/src/cli.rs
@@ -1,5 +1,6 @@
 //! The daemon's command line.
 
+use crate::daemon::StartError;
 use crate::daemon::{Daemon, DrainEnd};
 use argh::FromArgs;
 use eyre::WrapErr;
@@ -11,6 +12,8 @@
 
 /// The exit code for settings that do not pass the check.
 const EXIT_INPUT_WRONG: u8 = 2;
+/// The exit code for a listener or socket that cannot be opened.
+const EXIT_CANNOT_START: u8 = 4;
 /// The exit code for a drain that cut requests off.
 const EXIT_CUT_OFF: u8 = 6;
 
@@ -25,6 +28,27 @@
     pub check: bool,
 }
 
+/// Reads the command line and runs the daemon.
+///
+/// # Errors
+///
+/// Returns an error if the daemon cannot start.
+pub fn run_from_env() -> eyre::Result<ExitCode> {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match Arguments::from_args(&words[..1], &words[1..]) {
+        Ok(arguments) => run(&arguments),
+        Err(early) if early.status.is_ok() => {
+            println!("{}", early.output);
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(early) => {
+            eprintln!("{}", early.output);
+            Ok(ExitCode::from(EXIT_INPUT_WRONG))
+        }
+    }
+}
+
 /// Runs the daemon until a signal ends it.
 ///
 /// # Errors
@@ -58,7 +82,10 @@
 async fn serve_until_signal(settings: ProcessSettings) -> eyre::Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot watch SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot watch SIGINT")?;
-    let daemon = Daemon::start(settings).await?;
+    let daemon = match Daemon::start(settings).await {
+        Ok(daemon) => daemon,
+        Err(error) => return Ok(report_start_error(&error)),
+    };
     println!("{}", serde_json::to_string(&daemon.addresses())?);
     tokio::select! {
         () = next_signal(&mut terminate, &mut interrupt) => {}
@@ -78,6 +105,11 @@
     })
 }
 
+fn report_start_error(error: &StartError) -> ExitCode {
+    eprintln!("camphorwardd: {error}");
+    ExitCode::from(EXIT_CANNOT_START)
+}
+
 async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -8,10 +8,14 @@
 pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 /// How long one read of the log waits for a record.
 pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
+/// How long the log may take to answer an append.
+pub(crate) const LOG_APPEND_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// How long the log keeps records, in milliseconds.
+pub(crate) const LOG_RETENTION_MS: u64 = ORDER_LOG_RETENTION_MS;
 /// The pause after a failed read of the log.
 pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The most records read at once.
-pub(crate) const LOG_PAGE_RECORDS: usize = 256;
+pub(crate) const LOG_PAGE_RECORDS: usize = 48;
 /// How long the home of a prompt may take to answer.
 pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long the home of a prompt in another region may take to answer.
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -89,6 +89,10 @@
     OrderAppendFailures => "orders.append_failures";
     /// Probes of entry hosts that got no answer.
     ProbeFailures => "probes.failed";
+    /// Configurations taken from a peer.
+    ConfigsRelayed => "configs.relayed";
+    /// Configurations appended again before the log forgets them.
+    SnapshotsWritten => "configs.carried_forward";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/daemon.rs
+++ b/crates/camphorwardd/src/daemon.rs
@@ -18,14 +18,14 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// A listener's address cannot be taken.
-    #[error("listen.{listener}: cannot listen on {address}: {source}")]
+    #[error("listen.{listener}: cannot listen on {address}: {cause}")]
     Listen {
         /// The field of the settings.
         listener: &'static str,
         /// The address.
         address: SocketAddr,
         /// The cause.
-        source: std::io::Error,
+        cause: std::io::Error,
     },
     /// No socket can be opened for the counters.
     #[error("statsd: cannot open a socket: {0}")]
@@ -153,7 +153,7 @@
 
 async fn listen(listener: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| StartError::Listen { listener, address, source })
+    bound.map_err(|cause| StartError::Listen { listener, address, cause })
 }
 
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
--- a/crates/camphorwardd/src/follow/peers.rs
+++ b/crates/camphorwardd/src/follow/peers.rs
@@ -1,10 +1,12 @@
 //! Probes other entry hosts and compares host tables with them.
 
+use crate::constants::PEER_TIMEOUT;
 use crate::counters::Counter;
 use crate::node::Node;
 use membership::limits::{PROBE_TIMEOUT_MS, TICK_MS};
 use membership::{ProbeOrder, ProbeTarget, Prober, exchange};
 use protocol::ids::{HostName, Incarnation};
+use protocol::message::configuration::{ConfigAsk, ConfigRelay};
 use protocol::message::probe::{Ack, Exchange, ExchangeAnswer};
 use rand::RngCore;
 use std::net::SocketAddr;
@@ -16,6 +18,9 @@
 /// The peers' path for the comparison of host tables.
 pub(crate) const EXCHANGE_PATH: &str = "/inner/exchange";
 
+/// The peers' path for the configuration in force.
+pub(crate) const CONFIGURATION_PATH: &str = "/inner/configuration";
+
 /// Probes for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
     let mut prober = Prober::new();
@@ -65,12 +70,36 @@
         return false;
     };
     let probed = probed.map(|(host, incarnation)| (host, *incarnation));
+    if ack.heartbeat.config_version > node.configuration.version() {
+        catch_up(node, address).await;
+    }
     if let Some(request) = exchange::accept_ack(table, probed, &ack, node.now_ms()) {
         compare(node, address, &request).await;
     }
     true
 }
 
+/// Takes a later configuration from a peer, which may reach the log when this host cannot.
+pub(crate) async fn catch_up(node: &Node, address: SocketAddr) {
+    let ask = ConfigAsk { known: node.configuration.version() };
+    let asked = node.clients.peer.call(address, CONFIGURATION_PATH, &ask, PEER_TIMEOUT).await;
+    let relay: ConfigRelay = match asked {
+        Ok(relay) => relay,
+        Err(error) => {
+            log::debug!("no configuration from the peer at {address}: {error}");
+            return;
+        }
+    };
+    match node.configuration.take_relay(&relay) {
+        Ok(true) => {
+            node.counters.count(Counter::ConfigsRelayed);
+            log::info!("configuration version {} is in force, from a peer", relay.version);
+        }
+        Ok(false) => {}
+        Err(error) => log::warn!("{error}"),
+    }
+}
+
 async fn compare(node: &Node, address: SocketAddr, request: &Exchange) {
     let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
     let answer: Result<ExchangeAnswer, _> =
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod clock;
+mod configuration;
 mod connection;
 mod constants;
 mod follow;
--- a/crates/camphorwardd/src/main.rs
+++ b/crates/camphorwardd/src/main.rs
@@ -1,5 +1,5 @@
 //! Starts the daemon of one entry host.
 
 fn main() -> eyre::Result<std::process::ExitCode> {
-    camphorwardd::cli::run(&argh::from_env())
+    camphorwardd::cli::run_from_env()
 }
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -1,6 +1,7 @@
 //! What all parts of one daemon share.
 
 use crate::clock::Clock;
+use crate::configuration::ConfigState;
 use crate::counters::Counters;
 use crate::directory::Directory;
 use crate::explain::Explanations;
@@ -21,7 +22,7 @@
 use settings::process::ProcessSettings;
 use std::net::SocketAddr;
 use std::panic::RefUnwindSafe;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 
 /// Gives the addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
@@ -76,7 +77,7 @@
     pub(crate) hosts: Hosts,
     pub(crate) placement: PlacementState,
     pub(crate) orders: Orders,
-    directory: RwLock<Arc<Directory>>,
+    pub(crate) configuration: ConfigState,
     clock: Clock,
 }
 
@@ -102,7 +103,7 @@
             hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
             orders: Orders::new(owner, clock.now_ms()),
-            directory: RwLock::default(),
+            configuration: ConfigState::new(),
             clock,
             settings,
             incarnation,
@@ -112,12 +113,7 @@
 
     /// Returns the configuration in force.
     pub(crate) fn directory(&self) -> Arc<Directory> {
-        Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub(crate) fn set_directory(&self, directory: Directory) {
-        *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
+        self.configuration.directory()
     }
 
     /// Returns the milliseconds since the epoch; never goes back.
@@ -132,22 +128,21 @@
     }
 
     /// Returns why the host takes no requests, if it takes none.
-    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+    pub(crate) fn not_ready_reason(&self) -> Option<String> {
         if self.flights.is_draining() {
-            return Some("draining");
+            return Some("draining".to_owned());
         }
         self.unable_reason()
     }
 
     /// Returns what the host lacks to serve requests, if it lacks anything.
-    pub(crate) fn unable_reason(&self) -> Option<&'static str> {
-        if self.directory().version().value() == 0 {
-            return Some("no configuration read yet from the log or a peer");
-        }
-        if !self.hosts.is_known(self.now_ms()) {
-            return Some("no host list read yet from the platform or a peer");
+    pub(crate) fn unable_reason(&self) -> Option<String> {
+        let missing = self.configuration.missing_reason();
+        if missing.is_some() {
+            return missing;
         }
-        None
+        let is_known = self.hosts.is_known(self.now_ms());
+        (!is_known).then(|| "no host list read yet from the platform or a peer".to_owned())
     }
 }
 
--- a/crates/camphorwardd/src/operators.rs
+++ b/crates/camphorwardd/src/operators.rs
@@ -37,7 +37,7 @@
         failure_domain: node.settings.failure_domain.clone(),
         region: node.settings.region.clone(),
         ready: reason.is_none(),
-        not_ready_reason: reason.map(str::to_owned),
+        not_ready_reason: reason,
         draining: node.flights.is_draining(),
         config_version: node.directory().version(),
         requests_in_flight: node.flights.in_flight(),
--- a/crates/camphorwardd/src/peers.rs
+++ b/crates/camphorwardd/src/peers.rs
@@ -1,6 +1,6 @@
 //! The peers' listener: messages of the inner protocol.
 
-use crate::follow::peers::{EXCHANGE_PATH, PROBE_PATH};
+use crate::follow::peers::{CONFIGURATION_PATH, EXCHANGE_PATH, PROBE_PATH, catch_up};
 use crate::node::Node;
 use crate::reply::{self, Failure};
 use crate::run::{self, FINISHED_PATH, PLACE_PATH};
@@ -12,7 +12,7 @@
 use http::{Response, StatusCode};
 use membership::exchange::{answer_exchange, answer_probe};
 use protocol::error::ErrorKind;
-use protocol::message::probe::{MAX_EXCHANGE_BYTES, MAX_PROBE_BYTES};
+use protocol::message::probe::{MAX_EXCHANGE_BYTES, MAX_PROBE_BYTES, Probe};
 use serde::Serialize;
 use std::sync::Arc;
 
@@ -21,6 +21,9 @@
     build_node_router(node, |route| {
         route.post(PLACE_PATH).to(|state| handle(state, |call| Box::pin(place(call))));
         route.post(PROBE_PATH).to(|state| handle(state, |call| Box::pin(probe(call))));
+        route
+            .post(CONFIGURATION_PATH)
+            .to(|state| handle(state, |call| Box::pin(configuration(call))));
         route.post(EXCHANGE_PATH).to(|state| handle(state, |call| Box::pin(exchange(call))));
         route.post(FINISHED_PATH).to(|state| handle(state, |call| Box::pin(finished(call))));
     })
@@ -43,13 +46,34 @@
     let node = &call.node;
     match decode(&call.body) {
         Ok(probe) => {
-            let version = node.directory().version();
+            learn_later(node, &probe);
+            let version = node.configuration.version();
             answer(&answer_probe(node.hosts.table(), &probe, version, node.now_ms()))
         }
         Err(error) => malformed(&error),
     }
 }
 
+/// Fetches the configuration of a sender that has a later one.
+fn learn_later(node: &Arc<Node>, probe: &Probe) {
+    if probe.heartbeat.config_version <= node.configuration.version() {
+        return;
+    }
+    let view = node.hosts.view(node.now_ms());
+    let Some(sender) = view.entry_host(&probe.heartbeat.host) else {
+        return;
+    };
+    let (node, address) = (Arc::clone(node), sender.addresses.peers);
+    tokio::spawn(async move { catch_up(&node, address).await });
+}
+
+async fn configuration(call: Call) -> Response<Body> {
+    match decode(&call.body) {
+        Ok(ask) => answer(&call.node.configuration.answer(ask)),
+        Err(error) => malformed(&error),
+    }
+}
+
 async fn exchange(call: Call) -> Response<Body> {
     if call.body.len() > MAX_EXCHANGE_BYTES {
         return too_large();
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -20,8 +20,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How much longer than expected the head of an answer may take, as a factor.
-const HEAD_FACTOR: u64 = 4;
+/// How many times the silence of a stream the head of an answer may take. An engine sends it when
+/// it has taken the request, before the queue.
+const HEAD_SILENCES: u32 = 2;
 
 /// Says why an attempt ended without its end mark.
 #[derive(Debug)]
@@ -120,7 +121,7 @@
     async fn send(&self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
         let request = self.request(passed_tokens);
         let silence = self.silence();
-        let head_bound = self.expected() * HEAD_FACTOR as u32 + self.deadline() + silence;
+        let head_bound = silence * HEAD_SILENCES;
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
@@ -250,8 +251,4 @@
     fn expected(&self) -> Duration {
         Duration::from_millis(self.placed.answer.expected_first_token_ms)
     }
-
-    fn deadline(&self) -> Duration {
-        Duration::from_millis(self.job.model.first_token_deadline_ms)
-    }
 }
--- a/crates/camphorwardd/tests/process/bad_input.rs
+++ b/crates/camphorwardd/tests/process/bad_input.rs
@@ -3,6 +3,7 @@
 use crate::caller::{Answer, complete, prompt, right_answer, send};
 use crate::daemon::Daemon;
 use crate::site::{self, KEY_A, MODEL};
+use crate::wait;
 use http::Method;
 use serde_json::json;
 use standins::engine::EngineConfig;
@@ -29,6 +30,11 @@
     };
     let body = json!({ "model": MODEL, "prompt": "hello", "max_tokens": 1 }).to_string();
     let mut seen = Vec::new();
+    wait::until("the log was read to its end", || async {
+        let reason = daemon.status().await.and_then(|status| status.not_ready_reason);
+        reason.as_deref() == Some("no configuration has been published yet")
+    })
+    .await;
     seen.push(summary(
         "before the first configuration",
         &post(completions, vec![AUTH], body.clone()).await,
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -6,5 +6,6 @@
 mod wait;
 
 mod bad_input;
+mod cut_off;
 mod faults;
 mod thin_path;
--- a/crates/camphorwardd/tests/process/site.rs
+++ b/crates/camphorwardd/tests/process/site.rs
@@ -38,9 +38,14 @@
 
 /// Publishes the services text of the site.
 pub async fn publish(site: &Site) {
+    publish_on(site, 0).await;
+}
+
+/// Publishes the services text of the site as the successor of a version.
+pub async fn publish_on(site: &Site, base: u64) {
     let record = ConfigRecord {
-        base: ConfigVersion::new(0),
-        publication_id: "test".to_owned(),
+        base: ConfigVersion::new(base),
+        publication_id: format!("test-{base}"),
         text: services_text(),
     };
     let log = LogClient::new(Arc::new(HttpClient::new()), site.log.address());
--- a/crates/clients/src/http.rs
+++ b/crates/clients/src/http.rs
@@ -259,9 +259,18 @@
 }
 
 fn sort_error(error: &hyper_util::client::legacy::Error) -> ClientError {
-    if error.is_connect() {
-        ClientError::Unreachable(error.to_string())
-    } else {
-        ClientError::Broken(error.to_string())
+    let causes = describe_causes(error);
+    if error.is_connect() { ClientError::Unreachable(causes) } else { ClientError::Broken(causes) }
+}
+
+/// Joins an error with its causes, as the outermost one alone says little.
+fn describe_causes(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
     }
+    text
 }
