--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -49,6 +49,8 @@
 /// How often time passes for open orders.
 pub(crate) const ORDER_TICK: Duration = Duration::from_millis(50);
 /// How many ticks lie between two looks at the live entry hosts.
-pub(crate) const ORDER_TICKS_PER_VIEW: u64 = 10;
+pub(crate) const ORDER_TICKS_PER_VIEW: u64 = 4;
 /// How long a server may take to tell an order's outcome.
 pub(crate) const ORDER_STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a read of the orders stream waits for a record before any time is covered.
+pub(crate) const ORDER_FIRST_WAIT: Duration = Duration::from_millis(50);
--- a/crates/camphorwardd/src/orders/follow.rs
+++ b/crates/camphorwardd/src/orders/follow.rs
@@ -2,8 +2,8 @@
 
 use super::act;
 use crate::constants::{
-    LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT, ORDER_LOG_APPENDS_PER_S, ORDER_TICK,
-    ORDER_TICKS_PER_VIEW,
+    LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT, ORDER_FIRST_WAIT, ORDER_LOG_APPENDS_PER_S,
+    ORDER_TICK, ORDER_TICKS_PER_VIEW,
 };
 use crate::counters::Counter;
 use crate::node::Node;
@@ -18,7 +18,9 @@
 pub(crate) async fn follow(node: Arc<Node>) {
     loop {
         let from = node.orders.coordinator.next();
-        let read = node.clients.log.read(ORDERS_STREAM, from, LOG_PAGE_RECORDS, LOG_WAIT).await;
+        let covered = node.orders.coordinator.is_covered();
+        let wait = if covered { LOG_WAIT } else { ORDER_FIRST_WAIT };
+        let read = node.clients.log.read(ORDERS_STREAM, from, LOG_PAGE_RECORDS, wait).await;
         match read {
             Ok(page) => apply_page(&node, page),
             Err(error) => {
--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -192,6 +192,9 @@
     }
 
     /// Takes the result of an [`Action::AskOutcome`]; `None` if the service knows no such order.
+    ///
+    /// A service may still be executing what a dead owner sent, so it is asked twice before the
+    /// outcome is called unknown.
     pub fn status_learnt(
         &mut self,
         target: &Target,
@@ -206,7 +209,9 @@
                 work.learn(answer.clone(), now_ms);
                 vec![append_outcome(target, answer)]
             }
-            None if gone && work.learnt.is_none() => self.report_unknown(&target.key),
+            None if gone && work.unknown && work.learnt.is_none() => {
+                self.report_unknown(&target.key)
+            }
             None => {
                 work.unknown = true;
                 Vec::new()
@@ -246,7 +251,8 @@
     fn log_refusal(&self, order: &Order, log: LogView) -> Option<ErrorKind> {
         match log.covered_from_ms {
             _ if !log.up => Some(ErrorKind::LogUnavailable),
-            None => Some(ErrorKind::LogUnavailable),
+            // Nothing was read yet: what is read back together with the intent decides.
+            None => None,
             Some(covered_from_ms) if self.limits.covers(covered_from_ms, order.key.key) => None,
             Some(_) => Some(ErrorKind::IdempotencyKeyExpired),
         }
--- a/crates/orders/src/executor/work.rs
+++ b/crates/orders/src/executor/work.rs
@@ -15,7 +15,7 @@
     pub(super) waiters: SmallVec<[Waiter; 1]>,
     /// When the service was last asked for the outcome.
     pub(super) asked_at_ms: Option<u64>,
-    /// Whether the service, when last asked, did not know the order.
+    /// Whether the service was asked and did not know the order.
     pub(super) unknown: bool,
     /// The answer, learnt from the service, whose outcome record was not read back yet.
     pub(super) learnt: Option<Learnt>,
