--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -8,4 +8,5 @@
 mod bad_input;
 mod cut_off;
 mod faults;
+mod orders;
 mod thin_path;
