--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -73,6 +73,10 @@
     let mut reborn = Steward::new(service(), host(1), Incarnation::new(2));
     assert_eq!(reborn.token(&ledger, 1), None);
     assert_eq!(reborn.next_record(&ledger, 0, "soon".to_owned(), 1), None);
+    assert_eq!(reborn.release(&ledger, "end".to_owned()), None);
+    let renewal = one.next_record(&ledger, 0, "renewal".to_owned(), RENEW_AFTER_MS).expect("due");
+    let other_life = LeaseRecord { incarnation: Incarnation::new(2), ..renewal };
+    assert_eq!(append(&mut ledger, &other_life, RENEW_AFTER_MS), LeaseVerdict::Refused);
 }
 
 #[test]
--- a/crates/control/tests/swap.rs
+++ b/crates/control/tests/swap.rs
@@ -78,6 +78,19 @@
     assert_eq!(orders(&servers, NOW_MS + ORDER_SHOWS_MS), [load(0)]);
 }
 
+#[test]
+fn no_third_server_drains_or_loads_however_low_the_floor() {
+    let wanted = weights("v2");
+    let mut servers = [0, 1, 2, 3].map(|index| server(index, "v1"));
+    let low = SwapView { floor: 0, ..view(&wanted, &servers) };
+    assert_eq!(next_orders(&low, NOW_MS).len(), MAX_LOADS);
+    servers[0].loading = true;
+    servers[1].loading = true;
+    servers[2] = SwapServer { running: 0, draining_since_ms: Some(0), ..servers[2].clone() };
+    let low = SwapView { floor: 0, ..view(&wanted, &servers) };
+    assert!(next_orders(&low, NOW_MS).is_empty());
+}
+
 #[test]
 fn a_server_that_obeyed_a_stale_order_is_swapped_again() {
     let servers = [server(0, "v2"), server(1, "v1"), server(2, "v2")];
