--- a/crates/admission/tests/quarantine.rs
+++ b/crates/admission/tests/quarantine.rs
@@ -12,7 +12,8 @@
 use protocol::error::ErrorKind;
 use protocol::ids::{HostName, Incarnation};
 use protocol::message::suspect::{
-    ConfirmedCrash, IsolateAnswer, IsolateRelease, IsolateRequest, SuspectDigest,
+    ConfirmedCrash, IsolateAnswer, IsolateRelease, IsolateRequest, SuspectCleared, SuspectDigest,
+    SuspectReport,
 };
 use quickcheck::{Arbitrary, Gen};
 
@@ -254,6 +255,31 @@
     assert_eq!(limits.confirm(&confirmed("third"), u64::MAX).refused_for_ms, 0);
 }
 
+#[test]
+fn cleared_suspects_leave_the_blame_to_the_organisation_whose_requests_never_end() {
+    let mut limits = CrashLimits::new(service());
+    let mut restricted = Vec::new();
+    for number in 0..4 {
+        let report = |name: &str| SuspectReport {
+            digest: digest(&format!("{name} {number}")),
+            organisation: organisation(name),
+            service: service(),
+            server: host(&format!("server-{number}")),
+            incarnation: Incarnation::new(1),
+            on_probation: false,
+        };
+        let cleared = SuspectCleared { digest: report("innocent").digest, service: service() };
+        let verdicts = [
+            limits.report(&report("innocent"), 0),
+            limits.report(&report("guilty"), 0),
+            limits.cleared(&cleared, 0),
+        ];
+        let restrictions = verdicts.into_iter().flat_map(|verdict| verdict.restrictions);
+        restricted.extend(restrictions.map(|restriction| (number, restriction.organisation)));
+    }
+    assert_eq!(restricted, [(2, organisation("guilty"))]);
+}
+
 #[test]
 fn digests_differ_by_organisation_service_and_content() {
     checker(SEED, 300).quickcheck(is_apart as fn(Vec<u8>, u8) -> bool);
--- a/crates/admission/tests/retry.rs
+++ b/crates/admission/tests/retry.rs
@@ -126,6 +126,14 @@
     }
 }
 
+#[test]
+fn a_long_calm_saves_no_storm_of_retries() {
+    let (budgets, key) = (RetryBudgets::new(), key());
+    (0..10_000).for_each(|now_ms| budgets.first_try(&key, now_ms));
+    let allowed = (0..100).filter(|_| budgets.try_take(&key, 10_000)).count();
+    assert_eq!(allowed as f64, MAX_SAVED_RETRIES);
+}
+
 #[test]
 fn a_spent_budget_denies_retries_of_its_own_organisation_only() {
     let (budgets, spent) = (RetryBudgets::new(), key());
