--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -6,8 +6,10 @@
 mod least_load;
 mod prefix_hash;
 mod round_robin;
+mod scene;
 
 use crate::chain::{HomeKey, block_name};
+use crate::choice::scene::Scene;
 use crate::index::{ChainView, KeptCopy};
 use crate::load::LoadTable;
 use protocol::ids::{ChainKey, FailureDomain, HostName, Region};
@@ -163,11 +165,12 @@
     if allowed.is_empty() {
         return Err(NoServer::AllExcluded);
     }
+    let scene = Scene::new(request, surroundings);
     Ok(match policy {
-        PlacementPolicy::Camphorward => first_token::choose(request, surroundings, &allowed),
-        PlacementPolicy::RoundRobin => round_robin::choose(request, surroundings, &allowed),
-        PlacementPolicy::LeastLoad => least_load::choose(request, surroundings, &allowed),
-        PlacementPolicy::PrefixHash => prefix_hash::choose(request, surroundings, &allowed),
+        PlacementPolicy::Camphorward => first_token::choose(&scene, &allowed),
+        PlacementPolicy::RoundRobin => round_robin::choose(&scene, &allowed),
+        PlacementPolicy::LeastLoad => least_load::choose(&scene, &allowed),
+        PlacementPolicy::PrefixHash => prefix_hash::choose(&scene, &allowed),
     })
 }
 
@@ -189,13 +192,8 @@
 }
 
 /// Puts together the choice of a baseline, which imports nothing.
-fn baseline(
-    policy: PlacementPolicy,
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    route: Route<'_>,
-) -> Choice {
-    let cost = Cost::without_imports(request, surroundings, route);
+fn baseline<'a>(policy: PlacementPolicy, scene: &Scene<'a>, route: Route<'a>) -> Choice {
+    let cost = Cost::without_imports(scene, route);
     let explanation = Explanation::of_baseline(policy, &cost);
-    cost.into_choice(request, explanation)
+    cost.into_choice(scene, explanation)
 }
--- a/crates/placement/src/choice/cost.rs
+++ b/crates/placement/src/choice/cost.rs
@@ -1,16 +1,10 @@
 //! Expected time to the first token on one server.
 
-use super::{
-    Candidate, Choice, ChoiceRequest, Explanation, ImportPiece, RegionPath, Route, Surroundings,
-};
+use super::scene::Scene;
+use super::{Candidate, Choice, ChoiceRequest, Explanation, ImportPiece, RegionPath, Route};
 use crate::chain::PIECE_TOKENS;
-use crate::index::KeptCopy;
 use crate::load::LoadEstimate;
 
-/// The time that one import takes besides its transfer, in milliseconds.
-const IMPORT_OVERHEAD_MS: f64 = 2.0;
-/// What a server in a failure domain that failed the request before counts more, in milliseconds.
-const FAILED_DOMAIN_MS: f64 = 2_000.0;
 /// What a kilobyte over the link between regions counts more, as it is paid by volume.
 const LINK_PRICE_MS_PER_KILOBYTE: f64 = 2.0;
 const BYTES_PER_KILOBYTE: f64 = 1_000.0;
@@ -51,38 +45,30 @@
     pub penalty_ms: f64,
     /// How the prompt's work is brought about.
     pub start: Start,
-    copies: Vec<&'a KeptCopy>,
 }
 
 impl<'a> Cost<'a> {
     /// Works out the least cost over all numbers of imported pieces.
-    pub(super) fn new(
-        request: &ChoiceRequest<'_>,
-        surroundings: &Surroundings<'a>,
-        route: Route<'a>,
-    ) -> Self {
-        let mut cost = Self::without_imports(request, surroundings, route);
-        cost.add_imports(request, surroundings);
+    pub(super) fn new(scene: &Scene<'a>, route: Route<'a>) -> Self {
+        let mut cost = Self::without_imports(scene, route);
+        cost.add_imports(scene);
         cost
     }
 
     /// Works out the cost if the server imports nothing.
-    pub(super) fn without_imports(
-        request: &ChoiceRequest<'_>,
-        surroundings: &Surroundings<'a>,
-        route: Route<'a>,
-    ) -> Self {
+    pub(super) fn without_imports(scene: &Scene<'a>, route: Route<'a>) -> Self {
         let candidate = route.candidate;
+        let surroundings = scene.surroundings;
         let load = surroundings.loads.estimate(&candidate.host, surroundings.now_ms);
         let cached_pieces = surroundings.view.held_pieces(&candidate.host);
+        let text_bytes = scene.request.text_bytes;
         Self {
             candidate,
             load,
-            path_ms: path_ms(route.path, request.text_bytes),
-            penalty_ms: price_ms(route.path, request.text_bytes)
-                + failed_domain_ms(request, surroundings, candidate),
-            start: recompute(request, cached_pieces, 0, load.prefill_tokens_per_s),
-            copies: Vec::new(),
+            path_ms: path_ms(route.path, text_bytes),
+            penalty_ms: price_ms(route.path, text_bytes)
+                + scene.failed_domain_ms(&candidate.failure_domain),
+            start: recompute(scene.request, cached_pieces, 0, load.prefill_tokens_per_s),
         }
     }
 
@@ -96,18 +82,15 @@
         self.first_token_ms() + self.penalty_ms
     }
 
-    pub(super) fn into_choice(
-        self,
-        request: &ChoiceRequest<'_>,
-        explanation: Explanation,
-    ) -> Choice {
-        let keys = request.chain.iter().skip(self.start.cached_pieces);
-        let imports = keys.zip(&self.copies).take(self.start.imported_pieces);
+    pub(super) fn into_choice(self, scene: &Scene<'a>, explanation: Explanation) -> Choice {
+        let keys = scene.request.chain.iter().skip(self.start.cached_pieces);
+        let imports = keys.zip(scene.imports(&self.candidate.region, self.start.cached_pieces));
         Choice {
             server: self.candidate.host.clone(),
             cached_pieces: self.start.cached_pieces,
             imports: imports
-                .map(|(key, copy)| ImportPiece { key: *key, copy: (*copy).clone() })
+                .take(self.start.imported_pieces)
+                .map(|(key, import)| ImportPiece { key: *key, copy: import.copy.clone() })
                 .collect(),
             recomputed_tokens: self.start.recomputed_tokens,
             expected_first_token_ms: self.first_token_ms().ceil() as u64,
@@ -116,19 +99,14 @@
     }
 
     /// Tries each number of pieces that can be imported one after the other.
-    fn add_imports(&mut self, request: &ChoiceRequest<'_>, surroundings: &Surroundings<'a>) {
+    fn add_imports(&mut self, scene: &Scene<'a>) {
         let cached_pieces = self.start.cached_pieces;
+        let rate = self.load.prefill_tokens_per_s;
         let mut import_ms = 0.0;
-        for copies in surroundings.view.kept.iter().skip(cached_pieces) {
-            let Some((copy, copy_ms)) = fastest(copies, surroundings, self.candidate) else {
-                break;
-            };
-            import_ms += copy_ms;
-            self.copies.push(copy);
-            let imported_pieces = self.copies.len();
-            let rate = self.load.prefill_tokens_per_s;
+        for (position, import) in scene.imports(&self.candidate.region, cached_pieces).enumerate() {
+            import_ms += import.time_ms;
             let split =
-                Start { import_ms, ..recompute(request, cached_pieces, imported_pieces, rate) };
+                Start { import_ms, ..recompute(scene.request, cached_pieces, position + 1, rate) };
             if split.total_ms() < self.start.total_ms() {
                 self.start = split;
             }
@@ -153,21 +131,6 @@
     }
 }
 
-/// Returns the copy that is read soonest; one in another region never crosses the link.
-fn fastest<'a>(
-    copies: &'a [KeptCopy],
-    surroundings: &Surroundings<'_>,
-    candidate: &Candidate,
-) -> Option<(&'a KeptCopy, f64)> {
-    let timed = copies.iter().filter_map(|copy| {
-        let store = surroundings.stores.iter().find(|store| store.host == copy.store)?;
-        let bytes = copy.length_bytes.saturating_add(store.pending_bytes);
-        let transfer_ms = bytes as f64 * MS_PER_S / store.bytes_per_s.max(1) as f64;
-        (store.region == candidate.region).then_some((copy, IMPORT_OVERHEAD_MS + transfer_ms))
-    });
-    timed.min_by(|(_, a_ms), (_, b_ms)| a_ms.total_cmp(b_ms))
-}
-
 fn path_ms(path: &RegionPath, text_bytes: u64) -> f64 {
     let transfer_ms = path.bits_per_s.map_or(0.0, |bits_per_s| {
         text_bytes as f64 * BITS_PER_BYTE * MS_PER_S / bits_per_s.max(1) as f64
@@ -179,14 +142,3 @@
     let kilobytes = text_bytes as f64 / BYTES_PER_KILOBYTE;
     path.bits_per_s.map_or(0.0, |_| kilobytes * LINK_PRICE_MS_PER_KILOBYTE)
 }
-
-fn failed_domain_ms(
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    candidate: &Candidate,
-) -> f64 {
-    let failed = surroundings.candidates.iter().any(|other| {
-        other.failure_domain == candidate.failure_domain && request.excluded.contains(&other.host)
-    });
-    if failed { FAILED_DOMAIN_MS } else { 0.0 }
-}
--- a/crates/placement/src/choice/first_token.rs
+++ b/crates/placement/src/choice/first_token.rs
@@ -1,7 +1,8 @@
 //! The default policy: the least expected time to the first token.
 
 use super::cost::Cost;
-use super::{Choice, ChoiceRequest, Explanation, Reason, Routes, Surroundings};
+use super::scene::Scene;
+use super::{Choice, ChoiceRequest, Explanation, Reason, Routes};
 use crate::rendezvous;
 
 /// How far above the least cost a server still counts as equal, as a share of the cost.
@@ -11,16 +12,11 @@
 /// How far above the mean the attempts of a server may lie before others go first.
 const LOAD_BOUND: f64 = 1.25;
 
-pub(super) fn choose(
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    routes: &Routes<'_>,
-) -> Choice {
-    let mut costs: Vec<Cost<'_>> =
-        routes.iter().map(|route| Cost::new(request, surroundings, *route)).collect();
-    let (chosen, reason) = pick(request, &costs);
+pub(super) fn choose<'a>(scene: &Scene<'a>, routes: &Routes<'a>) -> Choice {
+    let mut costs: Vec<Cost<'a>> = routes.iter().map(|route| Cost::new(scene, *route)).collect();
+    let (chosen, reason) = pick(scene.request, &costs);
     let explanation = Explanation::new(&costs, chosen, reason);
-    costs.swap_remove(chosen).into_choice(request, explanation)
+    costs.swap_remove(chosen).into_choice(scene, explanation)
 }
 
 fn pick(request: &ChoiceRequest<'_>, costs: &[Cost<'_>]) -> (usize, Reason) {
--- a/crates/placement/src/choice/least_load.rs
+++ b/crates/placement/src/choice/least_load.rs
@@ -1,17 +1,15 @@
 //! Baseline: the server with the least load.
 
-use super::{Choice, ChoiceRequest, Route, Routes, Surroundings};
+use super::scene::Scene;
+use super::{Choice, Route, Routes};
 use settings::process::PlacementPolicy;
 
 /// # Panics
 ///
 /// Panics without routes; the caller has checked that there are some.
-pub(super) fn choose(
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    routes: &Routes<'_>,
-) -> Choice {
+pub(super) fn choose<'a>(scene: &Scene<'a>, routes: &Routes<'a>) -> Choice {
     let load = |route: &Route<'_>| {
+        let surroundings = scene.surroundings;
         let estimate = surroundings.loads.estimate(&route.candidate.host, surroundings.now_ms);
         (estimate.queue_ms, estimate.attempts)
     };
@@ -23,5 +21,5 @@
             (best, best_load) = (*route, route_load);
         }
     }
-    super::baseline(PlacementPolicy::LeastLoad, request, surroundings, best)
+    super::baseline(PlacementPolicy::LeastLoad, scene, best)
 }
--- a/crates/placement/src/choice/round_robin.rs
+++ b/crates/placement/src/choice/round_robin.rs
@@ -1,13 +1,10 @@
 //! Baseline: each server in turn.
 
-use super::{Choice, ChoiceRequest, Routes, Surroundings};
+use super::scene::Scene;
+use super::{Choice, Routes};
 use settings::process::PlacementPolicy;
 
-pub(super) fn choose(
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    routes: &Routes<'_>,
-) -> Choice {
-    let turn = (request.turn % routes.len() as u64) as usize;
-    super::baseline(PlacementPolicy::RoundRobin, request, surroundings, routes[turn])
+pub(super) fn choose<'a>(scene: &Scene<'a>, routes: &Routes<'a>) -> Choice {
+    let turn = (scene.request.turn % routes.len() as u64) as usize;
+    super::baseline(PlacementPolicy::RoundRobin, scene, routes[turn])
 }
