--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -6,7 +6,7 @@
 mod finish;
 mod place;
 
-pub(crate) use decide::decide;
+pub(crate) use decide::decide_for_peer;
 pub(crate) use finish::take_notice;
 pub(crate) use place::{FINISHED_PATH, PLACE_PATH, is_home};
 
@@ -16,6 +16,7 @@
 use crate::reply::Failure;
 use attempt::{Attempt, AttemptError};
 use clients::wire::engine::End;
+use membership::EntryHost;
 use place::Placed;
 use placement::chain::PrefixChain;
 use protocol::error::{ErrorKind, Execution, InnerRetry};
@@ -100,15 +101,12 @@
         let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
         for number in 0..MAX_ATTEMPTS {
             let attempt_id = self.attempt_id(number);
-            let placed =
-                match place::place(&self.node, &self.job, &self.chain, &attempt_id, &self.excluded)
-                    .await
-                {
-                    Ok(placed) => placed,
-                    // The reason why a server was tried and failed says more than that none is left.
-                    Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
-                    Err(_) => break,
-                };
+            let placed = match self.place(&attempt_id).await {
+                Ok(placed) => placed,
+                // The reason why a server was tried and failed says more than that none is left.
+                Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
+                Err(_) => break,
+            };
             match self.attempt(attempt_id, placed).await {
                 Ok(end) => return Ok(end),
                 Err(AttemptError::CallerGone) => return Err(RunError::CallerGone),
@@ -122,6 +120,17 @@
         Err(RunError::Failed(last.with_ran_before(self.ran_before)))
     }
 
+    /// Finds a server; once each has failed the request, all may be tried again.
+    async fn place(&mut self, attempt_id: &AttemptId) -> Result<Placed, Failure> {
+        let placed =
+            place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await;
+        if placed.is_ok() || self.excluded.is_empty() {
+            return placed;
+        }
+        self.excluded.clear();
+        place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await
+    }
+
     async fn attempt(
         &mut self,
         attempt_id: AttemptId,
@@ -133,7 +142,7 @@
         let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
         let missing = attempt.into_missing();
         self.note_outcome(&attempt_id, &server, &result);
-        self.notify_home(attempt_id, server, result.is_ok(), missing);
+        self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
         result
     }
 
@@ -178,9 +187,11 @@
         self.node.explanations.add_attempt(request_id, attempt);
     }
 
-    /// Tells the home what the attempt left behind, without making the caller wait.
-    fn notify_home(
+    /// Tells the homes what the attempt left behind, without making the caller wait: the one in
+    /// this region, which the prompt returns to, and the one that decided.
+    fn notify_homes(
         &self,
+        decider: Option<EntryHost>,
         attempt_id: AttemptId,
         server: HostName,
         completed: bool,
@@ -194,9 +205,11 @@
             completed,
             missing,
         };
-        let node = Arc::clone(&self.node);
-        let home = place::find_home(&node, &self.chain);
-        tokio::spawn(place::notify(node, home, notice));
+        let near = place::find_home(&self.node, &self.chain);
+        let far = decider.filter(|home| near.as_ref().is_none_or(|near| near.host != home.host));
+        for home in near.into_iter().chain(far) {
+            tokio::spawn(place::notify(Arc::clone(&self.node), home, notice.clone()));
+        }
     }
 
     async fn end(self, outcome: Result<End, RunError>) {
--- a/crates/protocol/src/message.rs
+++ b/crates/protocol/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between entry hosts, sent as MessagePack over HTTP, and the operators' JSON bodies.
 
+pub mod configuration;
 pub mod hosts;
 pub mod operator;
 pub mod place;
