--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -129,6 +129,8 @@
     pub recomputed_tokens: u64,
     /// The expected time to the first token.
     pub expected_first_token_ms: u64,
+    /// The part of it that is spent in the server's queue.
+    pub expected_queue_ms: u64,
     /// How the choice came about.
     pub explanation: Explanation,
 }
