Spread equal servers one attempt at a time; tell the time of imports

Cause: the bound for ties let a second attempt join the first on an otherwise idle service, which shows with short prompts, since all of them share one hash. And an attempt that imports first was counted from the moment of placing, so a report made during the imports hid it. Change: the bound is rounded up instead of raised by one; a choice tells the time of its imports, and `sent_at_ms` is the moment at which the attempt reaches the queue.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -131,6 +131,8 @@
     pub expected_first_token_ms: u64,
     /// The part of it that is spent in the server's queue.
     pub expected_queue_ms: u64,
+    /// The part of it that is spent on imports, before the prompt reaches the server's queue.
+    pub expected_import_ms: u64,
     /// How the choice came about.
     pub explanation: Explanation,
 }
--- a/crates/placement/src/choice/cost.rs
+++ b/crates/placement/src/choice/cost.rs
@@ -95,6 +95,7 @@
             recomputed_tokens: self.start.recomputed_tokens,
             expected_first_token_ms: self.first_token_ms().ceil() as u64,
             expected_queue_ms: self.load.queue_ms.ceil() as u64,
+            expected_import_ms: self.start.import_ms.ceil() as u64,
             explanation,
         }
     }
--- a/crates/placement/src/choice/first_token.rs
+++ b/crates/placement/src/choice/first_token.rs
@@ -57,5 +57,5 @@
 /// Returns the number of attempts from which on a server no longer wins a tie.
 fn load_bound(costs: &[Cost<'_>]) -> f64 {
     let attempts: f64 = costs.iter().map(|cost| f64::from(cost.load.attempts)).sum();
-    LOAD_BOUND * (attempts + 1.0) / costs.len() as f64 + 1.0
+    (LOAD_BOUND * (attempts + 1.0) / costs.len() as f64).ceil()
 }
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -33,9 +33,10 @@
     pub attempt_id: AttemptId,
     /// The prompt tokens that the server has to compute.
     pub recomputed_tokens: u64,
-    /// When the first token was expected at the time of sending.
+    /// When the first token is expected, counted from `sent_at_ms`.
     pub expected_first_token_ms: u64,
-    /// When the attempt was sent.
+    /// When the attempt reaches the server's queue: after the imports that come before it, or a
+    /// report made during the imports would be taken to include it.
     pub sent_at_ms: u64,
 }
 
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -11,7 +11,7 @@
 use placement::load::{LoadTable, ReportedLoad, SentAttempt};
 use protocol::ids::{ChainKey, HostName, Incarnation};
 use settings::process::PlacementPolicy;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const NOW_MS: u64 = 100_000;
 const LINK_BITS_PER_S: u64 = 30_000_000;
@@ -86,10 +86,19 @@
 
     /// Sends a prompt where it is chosen to run, and returns the server.
     fn send(&self, number: usize) -> HostName {
+        self.send_tokens(number, self.chosen().recomputed_tokens)
+    }
+
+    /// Sends a prompt that takes next to no time to compute.
+    fn send_short(&self, number: usize) -> HostName {
+        self.send_tokens(number, 5)
+    }
+
+    fn send_tokens(&self, number: usize, recomputed_tokens: u64) -> HostName {
         let choice = self.chosen();
         let attempt = SentAttempt {
             attempt_id: format!("attempt-{number}").parse().unwrap(),
-            recomputed_tokens: choice.recomputed_tokens,
+            recomputed_tokens,
             expected_first_token_ms: choice.expected_first_token_ms,
             sent_at_ms: NOW_MS,
         };
@@ -245,3 +254,10 @@
     assert!(choices.iter().all(|choice| choice.imports.is_empty()));
     insta::assert_debug_snapshot!(choices.map(|choice| choice.server));
 }
+
+#[test]
+fn short_prompts_that_come_together_go_to_different_servers() {
+    let site = Site::new();
+    let near: BTreeSet<HostName> = (0..2).map(|number| site.send_short(number)).collect();
+    assert_eq!(near.len(), 2);
+}
