--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -8,10 +8,14 @@
 pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 /// How long one read of the log waits for a record.
 pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
+/// How long the log may take to answer an append.
+pub(crate) const LOG_APPEND_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// How long the log keeps records, in milliseconds.
+pub(crate) const LOG_RETENTION_MS: u64 = ORDER_LOG_RETENTION_MS;
 /// The pause after a failed read of the log.
 pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The most records read at once.
-pub(crate) const LOG_PAGE_RECORDS: usize = 256;
+pub(crate) const LOG_PAGE_RECORDS: usize = 48;
 /// How long the home of a prompt may take to answer.
 pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long the home of a prompt in another region may take to answer.
@@ -44,3 +48,19 @@
 pub(crate) const DEFAULT_ANSWER_TOKENS: u64 = 256;
 /// How long a store host may take to say which blocks it keeps, while a caller waits.
 pub(crate) const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long the log keeps order records at the least, in milliseconds.
+pub(crate) const ORDER_LOG_RETENTION_MS: u64 = 60 * 60 * 1_000;
+/// The appends of order records a second over all entry hosts.
+pub(crate) const ORDER_LOG_APPENDS_PER_S: f64 = 300.0;
+/// How long an append of order records may take.
+pub(crate) const ORDER_APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often the committer looks for work without being woken.
+pub(crate) const ORDER_COMMIT_IDLE: Duration = Duration::from_millis(1_000);
+/// How often time passes for open orders.
+pub(crate) const ORDER_TICK: Duration = Duration::from_millis(50);
+/// How many ticks lie between two looks at the live entry hosts.
+pub(crate) const ORDER_TICKS_PER_VIEW: u64 = 4;
+/// How long a server may take to tell an order's outcome.
+pub(crate) const ORDER_STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long a read of the orders stream waits for a record before any time is covered.
+pub(crate) const ORDER_FIRST_WAIT: Duration = Duration::from_millis(50);
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -77,8 +77,22 @@
     ConfigsConflicting => "configs.conflicting";
     /// Configuration records that did not pass the check.
     ConfigsInvalid => "configs.invalid";
+    /// Orders sent to a server.
+    OrderDispatches => "orders.dispatches";
+    /// Outcomes asked of an order service.
+    OrderStatusChecks => "orders.status_checks";
+    /// Appends of order records to the platform's log.
+    OrderAppends => "orders.appends";
+    /// Order records appended.
+    OrderRecords => "orders.records";
+    /// Appends of order records that failed or got no answer.
+    OrderAppendFailures => "orders.append_failures";
     /// Probes of entry hosts that got no answer.
     ProbeFailures => "probes.failed";
+    /// Configurations taken from a peer.
+    ConfigsRelayed => "configs.relayed";
+    /// Configurations appended again before the log forgets them.
+    SnapshotsWritten => "configs.carried_forward";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -13,11 +13,13 @@
 
 mod callers;
 mod clock;
+mod configuration;
 mod connection;
 mod constants;
 mod follow;
 mod hosts;
 mod operators;
+mod orders;
 mod peers;
 mod placement_state;
 mod run;
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -6,5 +6,7 @@
 mod wait;
 
 mod bad_input;
+mod cut_off;
 mod faults;
+mod orders;
 mod thin_path;
