Set the log's retention and the worker threads in the settings

Cause: the retention that bounds orders and carries the configuration forward stood in the code, and the daemon took a thread for each core of whatever host it ran on. Change: platform.log_retention_s (an hour by default) and worker_threads (4 by default).

--- a/crates/camphorwardd/examples/overhead/daemon.rs
+++ b/crates/camphorwardd/examples/overhead/daemon.rs
@@ -39,10 +39,12 @@
 
 impl DaemonProcess {
     /// Starts a daemon and waits until it is ready.
-    pub async fn start(site: &Site) -> eyre::Result<Self> {
+    pub async fn start(site: &Site, worker_threads: Option<u32>) -> eyre::Result<Self> {
         publish(site).await?;
+        let threads = worker_threads.map(|threads| format!(" \"worker_threads\": {threads},"));
+        let threads = threads.unwrap_or_default();
         let settings = format!(
-            r#"{{ "host": "e1", "failure_domain": "d", "region": "r", "log_level": "warn",
+            r#"{{ "host": "e1", "failure_domain": "d", "region": "r", "log_level": "warn",{threads}
   "listen": {{ "callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "operators": "127.0.0.1:0" }},
   "platform": {{ "log": "{}", "host_list": "{}" }} }}"#,
             site.log.address(),
--- a/crates/camphorwardd/examples/overhead/main.rs
+++ b/crates/camphorwardd/examples/overhead/main.rs
@@ -31,6 +31,9 @@
     /// tokens of each answer (default 12, which makes 6,000 tokens a second)
     #[argh(option, default = "12")]
     answer_tokens: u64,
+    /// worker threads of the daemon (default: its own default)
+    #[argh(option)]
+    worker_threads: Option<u32>,
     /// bytes of each prompt (default 9,000, one whole piece)
     #[argh(option, default = "9000")]
     prompt_bytes: usize,
@@ -40,7 +43,7 @@
 async fn main() -> eyre::Result<()> {
     let arguments: Arguments = argh::from_env();
     let site = start_site().await?;
-    let daemon = DaemonProcess::start(&site).await?;
+    let daemon = DaemonProcess::start(&site, arguments.worker_threads).await?;
     let load = Load {
         requests: arguments.requests_per_s * arguments.seconds,
         gap: Duration::from_secs(1) / arguments.requests_per_s,
--- a/crates/camphorwardd/src/cli.rs
+++ b/crates/camphorwardd/src/cli.rs
@@ -67,7 +67,10 @@
         return Ok(ExitCode::SUCCESS);
     }
     start_log(settings.log_level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads as usize)
+        .enable_all()
+        .build()?;
     let code = runtime.block_on(serve_until_signal(settings))?;
     // Tasks of finished requests may still tell other hosts; they need not be waited for.
     runtime.shutdown_background();
--- a/crates/camphorwardd/src/orders.rs
+++ b/crates/camphorwardd/src/orders.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use call::{OrderCall, OrderRequest, execute};
 
-use crate::constants::{ORDER_LOG_APPENDS_PER_S, ORDER_LOG_RETENTION_MS};
+use crate::constants::ORDER_LOG_APPENDS_PER_S;
 use crate::node::Node;
 use orders::committer::{CommitLimits, Committer};
 use orders::coordinator::Coordinator;
@@ -39,11 +39,11 @@
 
 impl Orders {
     /// Creates the state of a host that has read nothing.
-    pub(crate) fn new(owner: Owner, now_ms: u64) -> Self {
+    pub(crate) fn new(owner: Owner, log_retention_ms: u64, now_ms: u64) -> Self {
         let limits =
             CommitLimits { appends_per_s: ORDER_LOG_APPENDS_PER_S, ..CommitLimits::default() };
         Self {
-            coordinator: Coordinator::new(OrderLimits::new(ORDER_LOG_RETENTION_MS), owner),
+            coordinator: Coordinator::new(OrderLimits::new(log_retention_ms), owner),
             committer: Mutex::new(Committer::new(limits, now_ms)),
             committer_wake: Notify::new(),
             waiters: Mutex::default(),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -36,6 +36,9 @@
     /// How prompts are placed.
     #[serde(default)]
     pub policy: PlacementPolicy,
+    /// The threads that serve requests.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: u32,
     /// What is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -64,6 +67,28 @@
     pub log: SocketAddr,
     /// The list of live and leaving hosts.
     pub host_list: SocketAddr,
+    /// How long the log keeps records, in seconds.
+    #[serde(default = "default_log_retention_s")]
+    pub log_retention_s: u64,
+}
+
+impl PlatformSettings {
+    /// Returns how long the log keeps records, in milliseconds.
+    pub const fn log_retention_ms(&self) -> u64 {
+        self.log_retention_s * MS_PER_S
+    }
+}
+
+const MS_PER_S: u64 = 1_000;
+
+/// An hour is the shortest retention that leaves half an hour to send an order again.
+const fn default_log_retention_s() -> u64 {
+    3_600
+}
+
+/// Fewer threads let a burst of requests wait behind each other's prompts.
+const fn default_worker_threads() -> u32 {
+    4
 }
 
 /// Bounds what callers may send.
--- a/crates/settings/src/process/shape.rs
+++ b/crates/settings/src/process/shape.rs
@@ -10,6 +10,13 @@
 /// The longest answer that a setting may allow, in tokens.
 const MAX_ANSWER_TOKENS: u64 = 1 << 24;
 
+/// The shortest retention of the log in which orders can be remembered, in seconds.
+const MIN_LOG_RETENTION_S: u64 = 60;
+/// The longest retention of the log that a setting may state, in seconds: a year.
+const MAX_LOG_RETENTION_S: u64 = 366 * 86_400;
+/// The most threads that serve requests.
+const MAX_WORKER_THREADS: u64 = 1_024;
+
 /// Describes the process settings.
 pub const PROCESS_SETTINGS: Shape = Shape::Object(&[
     Field::new("host", name(|text| text.parse::<HostName>().map(drop))),
@@ -22,6 +29,7 @@
     Field::new("limits", Shape::Object(LIMITS)).with_default(),
     Field::new("drain", Shape::Object(DRAIN)).with_default(),
     Field::new("policy", Shape::Scalar(Scalar::Word(POLICIES))).with_default(),
+    Field::new("worker_threads", whole(1, MAX_WORKER_THREADS)).with_default(),
     Field::new("log_level", Shape::Scalar(Scalar::Word(LOG_LEVELS))).with_default(),
     Field::new("statsd", TARGET).with_null(),
 ]);
@@ -32,7 +40,11 @@
     Field::new("operators", Shape::Scalar(Scalar::ListenAddress)),
 ];
 
-const PLATFORM: &[Field] = &[Field::new("log", TARGET), Field::new("host_list", TARGET)];
+const PLATFORM: &[Field] = &[
+    Field::new("log", TARGET),
+    Field::new("host_list", TARGET),
+    Field::new("log_retention_s", whole(MIN_LOG_RETENTION_S, MAX_LOG_RETENTION_S)).with_default(),
+];
 
 const LIMITS: &[Field] = &[
     Field::new("body_bytes", whole(1, MAX_BODY_BYTES)).with_default(),
--- a/crates/standins/examples/quickstart/place.rs
+++ b/crates/standins/examples/quickstart/place.rs
@@ -29,6 +29,8 @@
 /// The failure domain that the platform's log and host list are in.
 const PLATFORM_DOMAIN: usize = 0;
 const HOST_LIST_LAG_MS: u64 = 500;
+/// How long the log keeps records, in seconds; longer than any run.
+const LOG_RETENTION_S: u64 = 3_600;
 /// How long daemons may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 const START_POLL: Duration = Duration::from_millis(20);
@@ -78,7 +80,11 @@
         targets.extend(entry_hosts.iter().map(|(domain, host)| (*domain, host.peers)));
         targets.push((PLATFORM_DOMAIN, log.address()));
         targets.push((PLATFORM_DOMAIN, host_list.address()));
-        let platform = PlatformSettings { log: log.address(), host_list: host_list.address() };
+        let platform = PlatformSettings {
+            log: log.address(),
+            host_list: host_list.address(),
+            log_retention_s: LOG_RETENTION_S,
+        };
         services::publish(scenario, log.address()).await?;
 
         let caller_link = Link::new(LinkConfig { delay_ms: CALLER_DELAY_MS, bytes_per_s: None });
--- a/crates/standins/examples/quickstart/place/entry_hosts.rs
+++ b/crates/standins/examples/quickstart/place/entry_hosts.rs
@@ -78,6 +78,7 @@
         limits: LimitSettings::default(),
         drain: DrainSettings::default(),
         policy,
+        worker_threads: 2,
         log_level: LogLevel::Off,
         statsd: None,
     }
