--- /dev/null
+++ b/crates/camphorwardd/examples/order_cost/main.rs
@@ -0,0 +1,111 @@
+//! Measures what an order costs: appends, added latency, and the rate that a budget carries.
+//!
+//! Seven daemons run in this process, five of them close to the log and two in another region.
+
+mod place;
+
+use argh::FromArgs;
+use hdrhistogram::Histogram;
+use place::{Host, Place};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// The precision of the recorded times.
+const SIGNIFICANT_DIGITS: u8 = 3;
+/// How long is waited for the last records after each load.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Measures the cost of orders.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// orders a second, one load after the other (default 10 100 500 1000 2000)
+    #[argh(positional)]
+    rates: Vec<u32>,
+    /// how long each load lasts, in seconds (default 5)
+    #[argh(option, default = "5")]
+    seconds: u32,
+}
+
+const DEFAULT_RATES: [u32; 5] = [10, 100, 500, 1_000, 2_000];
+
+/// Holds what came of one load.
+struct Outcome {
+    near_us: Histogram<u64>,
+    far_us: Histogram<u64>,
+    answered: u32,
+    refused: u32,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let arguments: Arguments = argh::from_env();
+    let rates =
+        if arguments.rates.is_empty() { DEFAULT_RATES.to_vec() } else { arguments.rates.clone() };
+    let place = Place::start().await?;
+    println!(
+        "orders/s  answered  refused  executed  appends  appends/order  appends/s  \
+         near p50/p95 ms  far p50/p95 ms"
+    );
+    for rate in rates {
+        run(&place, rate, arguments.seconds).await?;
+    }
+    Ok(())
+}
+
+async fn run(place: &Place, rate: u32, seconds: u32) -> eyre::Result<()> {
+    let (appends, executed) = (place.appends(), place.executed());
+    let started = Instant::now();
+    let outcome = send_all(place, rate * seconds, Duration::from_secs(1) / rate).await?;
+    let elapsed_s = started.elapsed().as_secs_f64();
+    tokio::time::sleep(SETTLE).await;
+    let (appends, executed) = (place.appends() - appends, place.executed() - executed);
+    println!(
+        "{rate:8}  {:8}  {:7}  {executed:8}  {appends:7}  {:13.3}  {:9.0}  {:>15}  {:>14}",
+        outcome.answered,
+        outcome.refused,
+        appends as f64 / executed.max(1) as f64,
+        appends as f64 / elapsed_s,
+        spread_ms(&outcome.near_us),
+        spread_ms(&outcome.far_us),
+    );
+    Ok(())
+}
+
+async fn send_all(place: &Place, orders: u32, gap: Duration) -> eyre::Result<Outcome> {
+    let started = Instant::now();
+    let mut sends = JoinSet::new();
+    for number in 0..orders {
+        tokio::time::sleep_until((started + gap * number).into()).await;
+        let host = place.hosts[number as usize % place.hosts.len()].clone();
+        let http = Arc::clone(&place.http);
+        sends.spawn(async move { order(&http, host).await });
+    }
+    let mut outcome = Outcome {
+        near_us: Histogram::new(SIGNIFICANT_DIGITS)?,
+        far_us: Histogram::new(SIGNIFICANT_DIGITS)?,
+        answered: 0,
+        refused: 0,
+    };
+    for (host, elapsed, answered) in sends.join_all().await {
+        if !answered {
+            outcome.refused += 1;
+            continue;
+        }
+        outcome.answered += 1;
+        let times = if host.is_far { &mut outcome.far_us } else { &mut outcome.near_us };
+        times.record(u64::try_from(elapsed.as_micros())?)?;
+    }
+    Ok(outcome)
+}
+
+async fn order(http: &clients::http::HttpClient, host: Host) -> (Host, Duration, bool) {
+    let started = Instant::now();
+    let answered = place::order(http, host.callers).await;
+    (host, started.elapsed(), answered)
+}
+
+fn spread_ms(times: &Histogram<u64>) -> String {
+    let at = |quantile| times.value_at_quantile(quantile) as f64 / 1_000.0;
+    format!("{:.1}/{:.1}", at(0.50), at(0.95))
+}
