--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -8,16 +8,26 @@
 pub(crate) const LOAD_INTERVAL: Duration = Duration::from_millis(250);
 /// How long one read of the log waits for a record.
 pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
+/// How long the log may take to answer an append.
+pub(crate) const LOG_APPEND_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// How long the log keeps records, in milliseconds.
+pub(crate) const LOG_RETENTION_MS: u64 = ORDER_LOG_RETENTION_MS;
 /// The pause after a failed read of the log.
 pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The most records read at once.
-pub(crate) const LOG_PAGE_RECORDS: usize = 256;
+pub(crate) const LOG_PAGE_RECORDS: usize = 48;
 /// How long the home of a prompt may take to answer.
 pub(crate) const HOME_TIMEOUT: Duration = Duration::from_millis(60);
+/// How long the home of a prompt in another region may take to answer.
+pub(crate) const FAR_HOME_TIMEOUT: Duration = Duration::from_millis(120);
+/// From how many missing pieces on the homes in other regions are asked.
+pub(crate) const FAR_HOME_MISSING_PIECES: usize = 3;
+/// Every how many reads of load a server in another region is read.
+pub(crate) const FAR_LOAD_EVERY: u64 = 8;
 /// How long a peer may take to answer any other message.
 pub(crate) const PEER_TIMEOUT: Duration = Duration::from_millis(500);
-/// The most attempts at one request.
-pub(crate) const MAX_ATTEMPTS: u32 = 5;
+/// How long the last answer's bytes are given to leave before the process ends.
+pub(crate) const DRAIN_LINGER: Duration = Duration::from_millis(200);
 /// How many usual token gaps without a byte make a connection silent.
 pub(crate) const SILENCE_TOKEN_GAPS: u32 = 25;
 /// The shortest time without a byte that makes a connection silent.
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -49,6 +49,8 @@
     CallersGone => "callers_gone";
     /// Placements asked of another entry host.
     HomeAsked => "home.asked";
+    /// Placements asked of an entry host in another region.
+    FarHomeAsked => "home.far_asked";
     /// Placements decided here since the home did not answer in time.
     HomeMissed => "home.missed";
     /// Placements decided here for another entry host.
@@ -87,6 +89,10 @@
     OrderAppendFailures => "orders.append_failures";
     /// Probes of entry hosts that got no answer.
     ProbeFailures => "probes.failed";
+    /// Configurations taken from a peer.
+    ConfigsRelayed => "configs.relayed";
+    /// Configurations appended again before the log forgets them.
+    SnapshotsWritten => "configs.carried_forward";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -1,24 +1,27 @@
 //! Runs one prompt: places it, passes its tokens on, resumes it elsewhere when a server fails.
 
+mod admit;
 mod attempt;
 mod decide;
 mod failure;
 mod finish;
 mod place;
 
-pub(crate) use decide::decide;
+pub(crate) use admit::{Progress, after_failure};
+pub(crate) use decide::decide_and_count;
 pub(crate) use finish::take_notice;
 pub(crate) use place::{FINISHED_PATH, PLACE_PATH, is_home};
 
-use crate::constants::MAX_ATTEMPTS;
 use crate::counters::Counter;
 use crate::node::Node;
 use crate::reply::Failure;
+use admission::retry_budget::BudgetKey;
 use attempt::{Attempt, AttemptError};
 use clients::wire::engine::End;
+use membership::EntryHost;
 use place::Placed;
 use placement::chain::PrefixChain;
-use protocol::error::{ErrorKind, Execution, InnerRetry};
+use protocol::error::{ErrorKind, Execution};
 use protocol::ids::{AttemptId, HostName, OrganisationId, RequestId, ServiceName};
 use protocol::message::operator::{AttemptExplanation, PlacementExplanation};
 use protocol::message::place::{FinishedNotice, KeptBlock};
@@ -97,28 +100,44 @@
     }
 
     async fn drive(&mut self) -> Result<End, RunError> {
+        let allowed_ms = admit::time_allowed_ms(&self.job.model, self.job.max_tokens);
+        let give_up_at_ms = self.node.now_ms() + allowed_ms;
+        let budget = BudgetKey {
+            organisation: self.job.organisation.clone(),
+            service: self.job.service.clone(),
+        };
         let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
-        for number in 0..MAX_ATTEMPTS {
-            let attempt_id = self.attempt_id(number);
-            let placed = match self.place(&attempt_id).await {
-                Ok(placed) => placed,
+        for attempt in 1.. {
+            let attempt_id = self.attempt_id(attempt);
+            let Ok(placed) = self.place(&attempt_id).await else {
                 // The reason why a server was tried and failed says more than that none is left.
-                Err(failure) if number == 0 => return Err(RunError::Failed(failure)),
-                Err(_) => break,
+                break;
             };
-            match self.attempt(attempt_id, placed).await {
+            if attempt == 1 {
+                self.admit(&attempt_id, &placed).map_err(RunError::Failed)?;
+                self.node.admission.budgets.first_try(&budget, self.node.now_ms());
+            }
+            last = match self.attempt(attempt_id, placed).await {
                 Ok(end) => return Ok(end),
                 Err(AttemptError::CallerGone) => return Err(RunError::CallerGone),
-                Err(AttemptError::Failed(failure)) => last = failure,
-            }
-            if last.kind.answer().inner_retry == InnerRetry::Never {
-                break;
-            }
-            self.node.counters.count_retry(last.kind);
+                Err(AttemptError::Failed(failure)) => failure,
+            };
+            let progress = Progress { attempt, ran_before: self.ran_before, give_up_at_ms };
+            let wait = admit::after_failure(&self.node, &budget, &last, progress);
+            tokio::time::sleep(wait.map_err(RunError::Failed)?).await;
         }
         Err(RunError::Failed(last.with_ran_before(self.ran_before)))
     }
 
+    /// Admits a placed request; one that is refused no longer counts on its server.
+    fn admit(&self, attempt_id: &AttemptId, placed: &Placed) -> Result<(), Failure> {
+        let admitted = admit::admit(&self.node, &self.job, placed);
+        if admitted.is_err() {
+            place::withdraw(&self.node, &self.job.service, attempt_id, placed);
+        }
+        admitted
+    }
+
     /// Finds a server; once each has failed the request, all may be tried again.
     async fn place(&mut self, attempt_id: &AttemptId) -> Result<Placed, Failure> {
         let placed =
@@ -141,7 +160,7 @@
         let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
         let missing = attempt.into_missing();
         self.note_outcome(&attempt_id, &server, &result);
-        self.notify_home(attempt_id, server, result.is_ok(), missing);
+        self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
         result
     }
 
@@ -186,9 +205,11 @@
         self.node.explanations.add_attempt(request_id, attempt);
     }
 
-    /// Tells the home what the attempt left behind, without making the caller wait.
-    fn notify_home(
+    /// Tells the homes what the attempt left behind, without making the caller wait: the one in
+    /// this region, which the prompt returns to, and the one that decided.
+    fn notify_homes(
         &self,
+        decider: Option<EntryHost>,
         attempt_id: AttemptId,
         server: HostName,
         completed: bool,
@@ -202,9 +223,11 @@
             completed,
             missing,
         };
-        let node = Arc::clone(&self.node);
-        let home = place::find_home(&node, &self.chain);
-        tokio::spawn(place::notify(node, home, notice));
+        let near = place::find_home(&self.node, &self.chain);
+        let far = decider.filter(|home| near.as_ref().is_none_or(|near| near.host != home.host));
+        for home in near.into_iter().chain(far) {
+            tokio::spawn(place::notify(Arc::clone(&self.node), home, notice.clone()));
+        }
     }
 
     async fn end(self, outcome: Result<End, RunError>) {
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -4,6 +4,7 @@
 use crate::counters::Counter;
 use crate::node::Node;
 use crate::reply::Failure;
+use crate::run::decide::note_sent;
 use crate::run::failure::from_client_error;
 use crate::run::place::Placed;
 use crate::run::{Job, Part, PartSender};
@@ -13,15 +14,15 @@
     CompletionRequest, End, Import, ImportBlock, Piece, StreamBody, StreamEvent, Token,
 };
 use placement::chain::PrefixChain;
-use placement::load::SentAttempt;
 use protocol::error::ErrorKind;
 use protocol::ids::AttemptId;
 use protocol::message::place::KeptBlock;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How much longer than expected the head of an answer may take, as a factor.
-const HEAD_FACTOR: u64 = 4;
+/// How many times the silence of a stream the head of an answer may take. An engine sends it when
+/// it has taken the request, before the queue.
+const HEAD_SILENCES: u32 = 2;
 
 /// Says why an attempt ended without its end mark.
 #[derive(Debug)]
@@ -67,7 +68,10 @@
         passed_tokens: &mut u64,
         parts: &PartSender,
     ) -> Result<End, AttemptError> {
-        self.note_sent();
+        // A placement made here is counted already.
+        if self.placed.home.is_some() {
+            note_sent(self.node, self.attempt_id, &self.placed.answer);
+        }
         self.import().await;
         let mut stream = self.send(*passed_tokens).await.map_err(AttemptError::Failed)?;
         let result = self.pass_on(&mut stream, passed_tokens, parts).await;
@@ -77,16 +81,6 @@
         result
     }
 
-    fn note_sent(&self) {
-        let sent = SentAttempt {
-            attempt_id: self.attempt_id.clone(),
-            recomputed_tokens: self.placed.answer.recomputed_tokens,
-            expected_first_token_ms: self.placed.answer.expected_first_token_ms,
-            sent_at_ms: self.node.now_ms(),
-        };
-        self.node.placement.loads.sent(&self.placed.server.host, sent);
-    }
-
     async fn import(&mut self) {
         let blocks = self.import_blocks();
         if blocks.is_empty() {
@@ -130,7 +124,7 @@
     async fn send(&self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
         let request = self.request(passed_tokens);
         let silence = self.silence();
-        let head_bound = self.expected() * HEAD_FACTOR as u32 + self.deadline() + silence;
+        let head_bound = silence * HEAD_SILENCES;
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
@@ -260,8 +254,4 @@
     fn expected(&self) -> Duration {
         Duration::from_millis(self.placed.answer.expected_first_token_ms)
     }
-
-    fn deadline(&self) -> Duration {
-        Duration::from_millis(self.job.model.first_token_deadline_ms)
-    }
 }
