Set the log's retention and the orders' share of appends in the settings

Cause: the retention was a constant of an hour; a log that keeps less would let a key outlive its records and an order run twice.

Change: platform.log_retention_ms (at least ten minutes) and platform.log_appends_per_s, with the old values as defaults; the configuration's carry-forward uses the same retention.

--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -10,8 +10,6 @@
 pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
 /// How long the log may take to answer an append.
 pub(crate) const LOG_APPEND_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// How long the log keeps records, in milliseconds.
-pub(crate) const LOG_RETENTION_MS: u64 = ORDER_LOG_RETENTION_MS;
 /// The pause after a failed read of the log.
 pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The most records read at once.
@@ -48,10 +46,6 @@
 pub(crate) const DEFAULT_ANSWER_TOKENS: u64 = 256;
 /// How long a store host may take to say which blocks it keeps, while a caller waits.
 pub(crate) const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
-/// How long the log keeps order records at the least, in milliseconds.
-pub(crate) const ORDER_LOG_RETENTION_MS: u64 = 60 * 60 * 1_000;
-/// The appends of order records a second over all entry hosts.
-pub(crate) const ORDER_LOG_APPENDS_PER_S: f64 = 300.0;
 /// How long an append of order records may take.
 pub(crate) const ORDER_APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How often the committer looks for work without being woken.
--- a/crates/camphorwardd/src/follow/configuration.rs
+++ b/crates/camphorwardd/src/follow/configuration.rs
@@ -1,8 +1,6 @@
 //! Follows the configuration streams of the platform's log and carries the newest forward.
 
-use crate::constants::{
-    LOG_APPEND_TIMEOUT, LOG_PAGE_RECORDS, LOG_RETENTION_MS, LOG_RETRY_PAUSE, LOG_WAIT,
-};
+use crate::constants::{LOG_APPEND_TIMEOUT, LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT};
 use crate::counters::Counter;
 use crate::node::Node;
 use clients::error::ClientError;
@@ -16,7 +14,7 @@
 
 /// Reads the streams for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
-    let mut carry_forward = CarryForward::new(LOG_RETENTION_MS);
+    let mut carry_forward = CarryForward::new(node.settings.platform.log_retention_ms);
     loop {
         let order = node.configuration.next_read();
         match read(&node, order).await {
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -105,7 +105,7 @@
             hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
             admission: AdmissionState::new(),
-            orders: Orders::new(owner, clock.now_ms()),
+            orders: Orders::new(&settings.platform, owner, clock.now_ms()),
             configuration: ConfigState::new(),
             clock,
             settings,
--- a/crates/camphorwardd/src/orders.rs
+++ b/crates/camphorwardd/src/orders.rs
@@ -7,7 +7,6 @@
 
 pub(crate) use call::{OrderCall, OrderRequest, execute};
 
-use crate::constants::{ORDER_LOG_APPENDS_PER_S, ORDER_LOG_RETENTION_MS};
 use crate::node::Node;
 use orders::committer::{CommitLimits, Committer};
 use orders::coordinator::Coordinator;
@@ -16,6 +15,7 @@
 use orders::record::{OrderAnswer, Owner, Record};
 use protocol::error::ErrorKind;
 use protocol::ids::AttemptId;
+use settings::process::PlatformSettings;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,11 +39,11 @@
 
 impl Orders {
     /// Creates the state of a host that has read nothing.
-    pub(crate) fn new(owner: Owner, now_ms: u64) -> Self {
-        let limits =
-            CommitLimits { appends_per_s: ORDER_LOG_APPENDS_PER_S, ..CommitLimits::default() };
+    pub(crate) fn new(platform: &PlatformSettings, owner: Owner, now_ms: u64) -> Self {
+        let appends_per_s = platform.log_appends_per_s as f64;
+        let limits = CommitLimits { appends_per_s, ..CommitLimits::default() };
         Self {
-            coordinator: Coordinator::new(OrderLimits::new(ORDER_LOG_RETENTION_MS), owner),
+            coordinator: Coordinator::new(OrderLimits::new(platform.log_retention_ms), owner),
             committer: Mutex::new(Committer::new(limits, now_ms)),
             committer_wake: Notify::new(),
             waiters: Mutex::default(),
--- a/crates/camphorwardd/src/orders/follow.rs
+++ b/crates/camphorwardd/src/orders/follow.rs
@@ -2,8 +2,7 @@
 
 use super::act;
 use crate::constants::{
-    LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT, ORDER_FIRST_WAIT, ORDER_LOG_APPENDS_PER_S,
-    ORDER_TICK, ORDER_TICKS_PER_VIEW,
+    LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT, ORDER_FIRST_WAIT, ORDER_TICK, ORDER_TICKS_PER_VIEW,
 };
 use crate::counters::Counter;
 use crate::node::Node;
@@ -77,7 +76,8 @@
     let is_live = |host: &&membership::EntryHost| host.reachability != Reachability::Unreachable;
     let live = view.entry_hosts.iter().filter(is_live);
     let live: BTreeMap<_, _> = live.map(|host| (host.host.clone(), host.incarnation)).collect();
-    let share = ORDER_LOG_APPENDS_PER_S / live.len().max(1) as f64;
+    let budget = node.settings.platform.log_appends_per_s as f64;
+    let share = budget / live.len().max(1) as f64;
     node.orders.committer().set_appends_per_s(share);
     node.orders.coordinator.set_live(&live);
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -64,6 +64,32 @@
     pub log: SocketAddr,
     /// The list of live and leaving hosts.
     pub host_list: SocketAddr,
+    /// How long the log keeps a record at the least, in milliseconds.
+    #[serde(default = "default_log_retention_ms")]
+    pub log_retention_ms: u64,
+    /// The appends a second that all entry hosts together may make for orders.
+    #[serde(default = "default_log_appends_per_s")]
+    pub log_appends_per_s: u64,
+}
+
+impl PlatformSettings {
+    /// Creates settings with a log of default retention and budget.
+    pub const fn new(log: SocketAddr, host_list: SocketAddr) -> Self {
+        Self {
+            log,
+            host_list,
+            log_retention_ms: default_log_retention_ms(),
+            log_appends_per_s: default_log_appends_per_s(),
+        }
+    }
+}
+
+const fn default_log_retention_ms() -> u64 {
+    3_600_000
+}
+
+const fn default_log_appends_per_s() -> u64 {
+    300
 }
 
 /// Bounds what callers may send.
--- a/crates/settings/src/process/shape.rs
+++ b/crates/settings/src/process/shape.rs
@@ -7,6 +7,12 @@
 const MAX_SPAN_MS: u64 = 86_400_000;
 /// The largest body that a setting may allow, in bytes.
 const MAX_BODY_BYTES: u64 = 1 << 30;
+/// The shortest retention of the log, in milliseconds: ten minutes.
+const MIN_RETENTION_MS: u64 = 600_000;
+/// The longest retention of the log, in milliseconds: thirty days.
+const MAX_RETENTION_MS: u64 = 30 * MAX_SPAN_MS;
+/// The most appends a second that a setting may allow.
+const MAX_APPENDS_PER_S: u64 = 100_000;
 /// The longest answer that a setting may allow, in tokens.
 const MAX_ANSWER_TOKENS: u64 = 1 << 24;
 
@@ -32,7 +38,12 @@
     Field::new("operators", Shape::Scalar(Scalar::ListenAddress)),
 ];
 
-const PLATFORM: &[Field] = &[Field::new("log", TARGET), Field::new("host_list", TARGET)];
+const PLATFORM: &[Field] = &[
+    Field::new("log", TARGET),
+    Field::new("host_list", TARGET),
+    Field::new("log_retention_ms", whole(MIN_RETENTION_MS, MAX_RETENTION_MS)).with_default(),
+    Field::new("log_appends_per_s", whole(1, MAX_APPENDS_PER_S)).with_default(),
+];
 
 const LIMITS: &[Field] = &[
     Field::new("body_bytes", whole(1, MAX_BODY_BYTES)).with_default(),
--- a/crates/standins/examples/quickstart/place.rs
+++ b/crates/standins/examples/quickstart/place.rs
@@ -78,7 +78,7 @@
         targets.extend(entry_hosts.iter().map(|(domain, host)| (*domain, host.peers)));
         targets.push((PLATFORM_DOMAIN, log.address()));
         targets.push((PLATFORM_DOMAIN, host_list.address()));
-        let platform = PlatformSettings { log: log.address(), host_list: host_list.address() };
+        let platform = PlatformSettings::new(log.address(), host_list.address());
         services::publish(scenario, log.address()).await?;
 
         let caller_link = Link::new(LinkConfig { delay_ms: CALLER_DELAY_MS, bytes_per_s: None });
