Write up orders; count a log's clock that goes back as standing still

Cause: ledgers forget a key by the log's clock. A clock that went back would let an intent claim a forgotten key again, and the order would run twice.

Change: the follower hands out the latest time read so far.

--- a/crates/orders/src/follower.rs
+++ b/crates/orders/src/follower.rs
@@ -26,7 +26,7 @@
 /// Holds the order records of one log record.
 #[derive(Clone, Debug)]
 pub struct Entry {
-    /// When the log took them.
+    /// When the log took them, or the latest such time read before.
     pub appended_at_ms: u64,
     /// Since when, by the log's clock, the reader has missed nothing.
     pub covered_from_ms: u64,
@@ -39,6 +39,7 @@
 pub struct Follower {
     next: LogOffset,
     covered_from_ms: Option<u64>,
+    log_time_ms: u64,
 }
 
 impl Follower {
@@ -86,6 +87,8 @@
             log::warn!("skipping record {} of the orders stream: {error}", record.offset);
             Vec::new()
         });
-        Some(Entry { appended_at_ms: record.appended_at_ms, covered_from_ms, records })
+        // A log's clock that went back must not revive a key that was forgotten.
+        self.log_time_ms = self.log_time_ms.max(record.appended_at_ms);
+        Some(Entry { appended_at_ms: self.log_time_ms, covered_from_ms, records })
     }
 }
