--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -274,7 +274,7 @@
         };
         let work = self.work.entry(order.key).or_default();
         work.own = Some(own);
-        work.waiters.push(Waiter::new(order.waiter, order.digest, order.deadline_ms, now_ms));
+        work.waiters.push(Waiter::new(order.waiter, order.deadline_ms, now_ms));
         vec![Action::Append(Record::Intent(intent))]
     }
 
--- a/crates/orders/src/executor/replies.rs
+++ b/crates/orders/src/executor/replies.rs
@@ -11,21 +11,19 @@
     /// Lets a caller wait for an order that is under way already, here or elsewhere.
     pub(super) fn join(&mut self, order: Order, ledger: &Ledger, now_ms: u64) -> Vec<Action> {
         let work = self.work.entry(order.key.clone()).or_default();
-        work.waiters.push(Waiter::new(order.waiter, order.digest, order.deadline_ms, now_ms));
+        work.waiters.push(Waiter::new(order.waiter, order.deadline_ms, now_ms));
         self.ask_if_due(&order.key, ledger, now_ms)
     }
 
-    /// Refuses the callers whose order differs from the one that holds the key now.
+    /// Reacts to another attempt that holds the key now.
     ///
-    /// An own attempt at such an order is given up, or it could claim the key after a release.
+    /// An own attempt at a different order is given up, or it could claim the key after a release.
     pub(super) fn other_holds(&mut self, key: &OrderKey, digest: OrderDigest) -> Vec<Action> {
         let own = self.work.get(key).and_then(|work| work.own.as_ref());
         if own.is_some_and(|own| own.digest != digest) {
             return self.give_up(key, ErrorKind::IdempotencyKeyReused);
         }
-        let actions = self.refuse_reused(key, digest);
-        self.forget_if_done(key);
-        actions
+        Vec::new()
     }
 
     /// Waits for the attempt that holds the key in place of the own one, which never counts.
@@ -39,13 +37,10 @@
             work.own = None;
         }
         let Some(holder) = ledger.holder(key) else { return Vec::new() };
-        let mut actions = self.refuse_reused(key, holder.digest);
         match holder.answer.clone() {
-            Some(answer) => actions.extend(self.finish(key, answer)),
-            None => actions.extend(self.ask_if_due(key, ledger, now_ms)),
+            Some(answer) => self.finish(key, answer),
+            None => self.ask_if_due(key, ledger, now_ms),
         }
-        self.forget_if_done(key);
-        actions
     }
 
     /// Reacts to the release of the attempt that callers here were waiting for.
@@ -123,13 +118,6 @@
         late.into_iter().map(|waiter| Action::Reply(waiter.id, reply.clone())).collect()
     }
 
-    fn refuse_reused(&mut self, key: &OrderKey, digest: OrderDigest) -> Vec<Action> {
-        let Some(work) = self.work.get_mut(key) else { return Vec::new() };
-        let reused = work.take_waiters(|waiter| waiter.digest != digest);
-        let refusal = Err(ErrorKind::IdempotencyKeyReused);
-        reused.into_iter().map(|waiter| Action::Reply(waiter.id, refusal.clone())).collect()
-    }
-
     /// Asks the service for the outcome if nobody else is going to record it soon.
     fn ask_if_due(&mut self, key: &OrderKey, ledger: &Ledger, now_ms: u64) -> Vec<Action> {
         let gone = self.sender_is_gone(key, ledger);
--- a/crates/orders/src/executor/work.rs
+++ b/crates/orders/src/executor/work.rs
@@ -91,18 +91,12 @@
 #[derive(Debug)]
 pub(super) struct Waiter {
     pub(super) id: WaiterId,
-    pub(super) digest: OrderDigest,
     pub(super) deadline_ms: u64,
     pub(super) since_ms: u64,
 }
 
 impl Waiter {
-    pub(super) const fn new(
-        id: WaiterId,
-        digest: OrderDigest,
-        deadline_ms: u64,
-        since_ms: u64,
-    ) -> Self {
-        Self { id, digest, deadline_ms, since_ms }
+    pub(super) const fn new(id: WaiterId, deadline_ms: u64, since_ms: u64) -> Self {
+        Self { id, deadline_ms, since_ms }
     }
 }
