--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -46,8 +46,6 @@
 pub(crate) const DEFAULT_ANSWER_TOKENS: u64 = 256;
 /// How long a store host may take to say which blocks it keeps, while a caller waits.
 pub(crate) const STORE_LOOKUP_TIMEOUT: Duration = Duration::from_millis(50);
-/// The appends of order records a second over all entry hosts.
-pub(crate) const ORDER_LOG_APPENDS_PER_S: f64 = 300.0;
 /// How long an append of order records may take.
 pub(crate) const ORDER_APPEND_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How often the committer looks for work without being woken.
--- a/crates/camphorwardd/src/follow/configuration.rs
+++ b/crates/camphorwardd/src/follow/configuration.rs
@@ -14,7 +14,7 @@
 
 /// Reads the streams for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
-    let mut carry_forward = CarryForward::new(node.settings.platform.log_retention_ms());
+    let mut carry_forward = CarryForward::new(node.settings.platform.log_retention_ms);
     loop {
         let order = node.configuration.next_read();
         match read(&node, order).await {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -67,28 +67,32 @@
     pub log: SocketAddr,
     /// The list of live and leaving hosts.
     pub host_list: SocketAddr,
-    /// How long the log keeps records, in seconds.
-    #[serde(default = "default_log_retention_s")]
-    pub log_retention_s: u64,
+    /// How long the log keeps a record at the least, in milliseconds.
+    #[serde(default = "default_log_retention_ms")]
+    pub log_retention_ms: u64,
+    /// The appends a second that all entry hosts together may make for orders.
+    #[serde(default = "default_log_appends_per_s")]
+    pub log_appends_per_s: u64,
 }
 
 impl PlatformSettings {
-    /// Returns how long the log keeps records, in milliseconds.
-    pub const fn log_retention_ms(&self) -> u64 {
-        self.log_retention_s * MS_PER_S
+    /// Creates settings with a log of default retention and budget.
+    pub const fn new(log: SocketAddr, host_list: SocketAddr) -> Self {
+        Self {
+            log,
+            host_list,
+            log_retention_ms: default_log_retention_ms(),
+            log_appends_per_s: default_log_appends_per_s(),
+        }
     }
 }
 
-const MS_PER_S: u64 = 1_000;
-
-/// An hour is the shortest retention that leaves half an hour to send an order again.
-const fn default_log_retention_s() -> u64 {
-    3_600
+const fn default_log_retention_ms() -> u64 {
+    3_600_000
 }
 
-/// Fewer threads let a burst of requests wait behind each other's prompts.
-const fn default_worker_threads() -> u32 {
-    4
+const fn default_log_appends_per_s() -> u64 {
+    300
 }
 
 /// Bounds what callers may send.
