--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// Fewer threads let a burst of requests wait behind each other's prompts.
+const fn default_worker_threads() -> u32 {
+    4
+}
+
 const fn default_log_retention_ms() -> u64 {
     3_600_000
 }
