--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -231,7 +231,7 @@
     /// Returns records that are to be passed on, at most `count`.
     pub(crate) fn take_rumours(&self, count: usize) -> Vec<HostRecord> {
         let hosts = lock(&self.cached).view.entry_hosts.len() as u64;
-        let sends = 2 * (u64::BITS - hosts.leading_zeros());
+        let sends = 1 + u64::BITS - hosts.leading_zeros();
         let names = lock(&self.rumours).take(count, sends);
         names.iter().filter_map(|name| self.record(name)).collect()
     }
