--- /dev/null
+++ b/crates/camphorwardd/src/follow.rs
@@ -0,0 +1,20 @@
+//! Background tasks that follow the platform and the backend servers.
+
+mod configuration;
+mod host_list;
+pub(crate) mod peers;
+mod servers;
+
+use crate::node::Node;
+use crate::orders;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+/// Starts all background tasks.
+pub(crate) fn start(node: &Arc<Node>, tasks: &mut JoinSet<()>) {
+    tasks.spawn(configuration::follow(Arc::clone(node)));
+    tasks.spawn(host_list::follow(Arc::clone(node)));
+    tasks.spawn(peers::follow(Arc::clone(node)));
+    tasks.spawn(servers::follow(Arc::clone(node)));
+    orders::start(node, tasks);
+}
--- /dev/null
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -0,0 +1,13 @@
+//! Tests with daemons as processes of their own, before stand-ins in the test's process.
+
+mod caller;
+mod daemon;
+mod site;
+mod wait;
+
+mod bad_input;
+mod cut_off;
+mod faults;
+mod orders;
+mod overload;
+mod thin_path;
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -38,12 +38,12 @@
 }
 
 macro_rules! error_kinds {
-    ($($(#[$doc:meta])* $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
+    ($(#[doc = $doc:literal] $name:ident => $text:literal, $status:literal, $run:ident, $retry:ident, $after:expr;)*) => {
         /// Lists every reason for which a request is refused, given up or retried.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
         #[serde(rename_all = "snake_case")]
         pub enum ErrorKind {
-            $($(#[$doc])* $name,)*
+            $(#[doc = $doc] $name,)*
         }
 
         impl ErrorKind {
@@ -57,6 +57,13 @@
                 }
             }
 
+            /// Returns what the kind means, in one sentence.
+            pub fn description(self) -> &'static str {
+                match self {
+                    $(ErrorKind::$name => $doc.trim(),)*
+                }
+            }
+
             /// Returns the answer for this kind.
             pub const fn answer(self) -> Answer {
                 match self {
@@ -113,6 +120,8 @@
     Overloaded => "overloaded", 429, NotRun, Never, Some(2);
     /// The organisation has used its fair share while others wait.
     OverFairShare => "over_fair_share", 429, NotRun, Never, Some(2);
+    /// The room that is left in the queue is kept for quick questions.
+    ReservedForQuick => "reserved_for_quick", 429, NotRun, Never, Some(2);
     /// The retry budget of the organisation and service is spent.
     RetryBudgetSpent => "retry_budget_spent", 503, MayHaveRun, Never, Some(5);
     /// The request has crashed backend servers and is refused for a while.
@@ -127,6 +136,8 @@
     ServerRefused => "server_refused", 503, NotRun, OtherServer, Some(1);
     /// The backend server holds another weight version.
     WrongVersion => "wrong_version", 503, NotRun, OtherServer, Some(1);
+    /// The backend server began to answer with another weight version.
+    StaleVersion => "stale_version", 503, MayHaveRun, Resume, Some(1);
     /// The backend server closed the connection in mid-answer.
     ServerDied => "server_died", 502, MayHaveRun, Resume, Some(1);
     /// The connection to the backend server went silent.
