Have a lease ledger notice missing and repeated records itself

Cause: a daemon that passed on a page from after the log's retention would have had claims judged against a lease that may long be gone; only the test's reader began anew.

Change: LeaseLedger::apply passes over earlier offsets and starts again at later ones.

--- a/crates/control/src/leases/ledger.rs
+++ b/crates/control/src/leases/ledger.rs
@@ -92,7 +92,8 @@
 
     /// Applies the record at an offset; readers that are certain come to the same verdict.
     ///
-    /// `appended_at_ms` is by the log's clock, `now_ms` by this node's.
+    /// A record before the next one is passed over; one after it makes the ledger start again, as
+    /// records between are missing. `appended_at_ms` is by the log's clock, `now_ms` by this node's.
     pub fn apply(
         &mut self,
         offset: LogOffset,
@@ -100,6 +101,12 @@
         value: &str,
         now_ms: u64,
     ) -> LeaseVerdict {
+        if offset < self.next {
+            return LeaseVerdict::Undecided;
+        }
+        if offset > self.next {
+            self.forget(now_ms);
+        }
         self.next = LogOffset::new(offset.value() + 1);
         let Ok(record) = serde_json::from_str::<LeaseRecord>(value) else {
             return LeaseVerdict::Malformed;
@@ -120,6 +127,11 @@
         known.settle(action, appended_at_ms);
         known.apply(action, lease)
     }
+
+    /// Knows nothing any more, since records between were missed.
+    fn forget(&mut self, now_ms: u64) {
+        *self = Self { complete: false, ..Self::new(self.next, now_ms) };
+    }
 }
 
 impl Known {
--- a/crates/control/tests/lease_histories.rs
+++ b/crates/control/tests/lease_histories.rs
@@ -142,13 +142,9 @@
 
     fn read(&mut self, node: usize) {
         let now_ms = self.clock_ms(node);
-        if self.nodes[node].ledger.next().value() < self.first_retained as u64 {
-            // A node that slept past retention starts again in the log.
-            let first = LogOffset::new(self.first_retained as u64);
-            self.nodes[node].ledger = LeaseLedger::new(first, now_ms);
-        }
         let ledger = &mut self.nodes[node].ledger;
-        for offset in ledger.next().value()..self.log.len() as u64 {
+        let first = ledger.next().value().max(self.first_retained as u64);
+        for offset in first..self.log.len() as u64 {
             let (at_ms, value) = &self.log[offset as usize];
             let verdict = ledger.apply(LogOffset::new(offset), *at_ms, value, now_ms);
             if verdict != LeaseVerdict::Undecided {
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -135,6 +135,18 @@
     assert!(one.token(&cold, 2 * LEASE_MS).is_some());
 }
 
+#[test]
+fn a_hole_in_the_records_makes_a_reader_know_nothing_and_a_repeated_record_changes_nothing() {
+    let (mut ledger, mut one) = (whole(), steward(1));
+    claim(&mut ledger, &mut one, 0, 0);
+    let release = one.clone().release(&ledger, "end".to_owned()).expect("held");
+    let value = serde_json::to_string(&release).expect("a record");
+    assert_eq!(ledger.apply(LogOffset::new(0), 1, &value, 1), LeaseVerdict::Undecided);
+    assert!(one.token(&ledger, 1).is_some());
+    assert_eq!(ledger.apply(LogOffset::new(2), 1, &value, 1), LeaseVerdict::Undecided);
+    assert!(one.token(&ledger, 1).is_none() && !ledger.is_certain(&service()));
+}
+
 #[test]
 fn staying_hosts_have_distinct_ranks() {
     let entry = |index: usize| {
