--- a/crates/placement/src/choice/cost.rs
+++ b/crates/placement/src/choice/cost.rs
@@ -83,10 +83,15 @@
     }
 
     pub(super) fn into_choice(self, scene: &Scene<'a>, explanation: Explanation) -> Choice {
+        let keys = scene.request.chain.iter().skip(self.start.cached_pieces);
+        let imports = keys.zip(scene.imports(&self.candidate.region, self.start.cached_pieces));
         Choice {
             server: self.candidate.host.clone(),
             cached_pieces: self.start.cached_pieces,
-            imports: self.imports(scene),
+            imports: imports
+                .take(self.start.imported_pieces)
+                .map(|(key, import)| ImportPiece { key: *key, copy: import.copy.clone() })
+                .collect(),
             recomputed_tokens: self.start.recomputed_tokens,
             expected_first_token_ms: self.first_token_ms().ceil() as u64,
             expected_queue_ms: self.load.queue_ms.ceil() as u64,
@@ -95,22 +100,6 @@
         }
     }
 
-    /// Lists the imports. Where there are any, the pieces that are in memory are listed too, since
-    /// the imports may evict them, and without them the imported ones are of no use.
-    fn imports(&self, scene: &Scene<'a>) -> Vec<ImportPiece> {
-        if self.start.imported_pieces == 0 {
-            return Vec::new();
-        }
-        let present_pieces = self.start.cached_pieces + self.start.imported_pieces;
-        let keys = scene.request.chain.iter();
-        let copies = scene.copies(&self.candidate.region);
-        let listed = keys.zip(copies).take(present_pieces);
-        let imports = listed.map(|(key, import)| {
-            Some(ImportPiece { key: *key, copy: import.as_ref()?.copy.clone() })
-        });
-        imports.flatten().collect()
-    }
-
     /// Tries each number of pieces that can be imported one after the other.
     fn add_imports(&mut self, scene: &Scene<'a>) {
         let cached_pieces = self.start.cached_pieces;
--- a/crates/placement/src/choice/scene.rs
+++ b/crates/placement/src/choice/scene.rs
@@ -58,13 +58,9 @@
         region: &Region,
         from_piece: usize,
     ) -> impl Iterator<Item = &Import<'a>> {
-        self.copies(region).iter().skip(from_piece).map_while(Option::as_ref)
-    }
-
-    /// Returns for each piece the import from a store of the region, if one has it.
-    pub(super) fn copies(&self, region: &Region) -> &[Option<Import<'a>>] {
         let imports = self.imports.iter().find(|imports| imports.region == region);
-        imports.map(|imports| imports.pieces.as_slice()).unwrap_or_default()
+        let pieces = imports.map(|imports| imports.pieces.as_slice()).unwrap_or_default();
+        pieces.iter().skip(from_piece).map_while(Option::as_ref)
     }
 
     /// Returns what a server of a failure domain counts more.
