--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -10,4 +10,5 @@
 mod faults;
 mod orders;
 mod overload;
+mod returning;
 mod thin_path;
