Measure the slopes of the decision code at several sizes

Cause: the users ask for each role's cost at 350 nodes, worked out from slopes measured here.

Ruled out: one process for all measurements. The allocator's freed memory hid what a later measurement kept: the ledger of orders had a line that began at -13 MB, and services texts a slope below zero. Each measurement now runs in a child process, and the parts that free much run once before they are weighed.

Change: package capacity, development only. slopes runs index, ledger of orders, admission, services text, prefix chain, choice, reads of servers and encoded sizes at three sizes or more, reads what the other packages' cost examples print, fits lines and writes JSON. render makes tables and plots from it. Plots by plotters with its SVG backend alone.

--- /dev/null
+++ b/crates/capacity/src/bin/render.rs
@@ -0,0 +1,38 @@
+//! Makes the tables of the capacity page and the plots from committed reports.
+
+use argh::FromArgs;
+use capacity::report::Report;
+use capacity::{page, plots};
+use eyre::Result;
+use std::fs;
+use std::path::PathBuf;
+
+/// Makes the page's tables and the plots from the reports.
+#[derive(FromArgs)]
+struct Options {
+    /// the report of `slopes`
+    #[argh(option, default = "PathBuf::from(\"docs/plots/slopes.json\")")]
+    slopes: PathBuf,
+    /// the report of the quickstart
+    #[argh(option, default = "PathBuf::from(\"docs/plots/quickstart.json\")")]
+    quickstart: PathBuf,
+    /// the page whose tables are made anew
+    #[argh(option, default = "PathBuf::from(\"docs/CAPACITY.md\")")]
+    page: PathBuf,
+    /// the folder of the plots
+    #[argh(option, default = "PathBuf::from(\"docs/plots\")")]
+    plots: PathBuf,
+}
+
+fn main() -> Result<()> {
+    let options: Options = argh::from_env();
+    let report: Report = serde_json::from_str(&fs::read_to_string(&options.slopes)?)?;
+    let text = fs::read_to_string(&options.page)?;
+    fs::write(&options.page, page::update(&text, &report)?)?;
+    let mut drawn = plots::against_nodes(&report)?;
+    drawn.extend(plots::by_policy(&fs::read_to_string(&options.quickstart)?)?);
+    for (name, svg) in drawn {
+        fs::write(options.plots.join(name), svg)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/capacity/src/bin/slopes.rs
@@ -0,0 +1,52 @@
+//! Measures the slopes of the decision code and prints them.
+
+use argh::FromArgs;
+use capacity::report::Report;
+use capacity::{measure, printed};
+use eyre::Result;
+use std::fs;
+use std::path::PathBuf;
+
+/// Measures what the decision code costs at several sizes, and fits lines.
+#[derive(FromArgs)]
+struct Options {
+    /// the folder with what the cost examples of other packages printed
+    #[argh(option)]
+    printed: Option<PathBuf>,
+    /// one measurement alone, printed as JSON
+    #[argh(option)]
+    only: Option<String>,
+    /// where the report is written as JSON
+    #[argh(option)]
+    report: Option<PathBuf>,
+}
+
+fn main() -> Result<()> {
+    let options: Options = argh::from_env();
+    if let Some(name) = &options.only {
+        print!("{}", measure::one(name)?);
+        return Ok(());
+    }
+    let mut series = measure::all()?;
+    if let Some(folder) = &options.printed {
+        series.extend(printed::all(folder)?);
+    }
+    let report = Report::new(series);
+    for series in &report.series {
+        let sizes: Vec<String> = series.points.iter().map(|point| point.x.to_string()).collect();
+        println!(
+            "{:24} {:56} {:>28} {:22} slope {:.4} intercept {:.1} residual {:.1}",
+            series.id,
+            series.measure,
+            sizes.join(" "),
+            series.size,
+            series.fit.slope,
+            series.fit.intercept,
+            series.fit.residual
+        );
+    }
+    if let Some(path) = options.report {
+        fs::write(path, serde_json::to_string_pretty(&report)? + "\n")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/capacity/src/measure/chain.rs
@@ -0,0 +1,41 @@
+//! Processor time to cut a prompt into pieces.
+
+use super::COMMAND;
+use crate::fit::Point;
+use crate::report::{About, Series};
+use crate::usage::timed;
+use eyre::Result;
+use placement::chain::PrefixChain;
+use std::hint::black_box;
+
+const KILOBYTES: [usize; 4] = [16, 80, 320, 800];
+const ROUNDS: usize = 200;
+
+const ABOUT: About = About {
+    id: "chain",
+    measure: "prompt cut into pieces, us",
+    size: "KB of prompt",
+    command: COMMAND,
+    leaves_out: "reading the request",
+};
+
+/// Measures it against the prompt's length.
+///
+/// # Errors
+///
+/// Returns an error if the line cannot be told.
+pub fn measure() -> Result<Vec<Series>> {
+    let points = KILOBYTES.iter().map(|kilobytes| point(*kilobytes)).collect::<Result<_>>()?;
+    Ok(vec![ABOUT.fit(points)?])
+}
+
+fn point(kilobytes: usize) -> Result<Point> {
+    let text = "0123456789".repeat(kilobytes * 100);
+    let (organisation, model, version) = ("organisation".parse()?, "model".parse()?, "v1".parse()?);
+    let ((), us) = timed(|| {
+        for _ in 0..ROUNDS {
+            black_box(PrefixChain::new(&organisation, &model, &version, &text));
+        }
+    });
+    Ok(Point::new(kilobytes as f64, us / ROUNDS as f64))
+}
