--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -11,8 +11,10 @@
 pub mod node;
 pub mod reply;
 
+mod admission_state;
 mod callers;
 mod clock;
+mod configuration;
 mod connection;
 mod constants;
 mod follow;
--- a/crates/camphorwardd/src/operators.rs
+++ b/crates/camphorwardd/src/operators.rs
@@ -37,7 +37,7 @@
         failure_domain: node.settings.failure_domain.clone(),
         region: node.settings.region.clone(),
         ready: reason.is_none(),
-        not_ready_reason: reason.map(str::to_owned),
+        not_ready_reason: reason,
         draining: node.flights.is_draining(),
         config_version: node.directory().version(),
         requests_in_flight: node.flights.in_flight(),
@@ -75,12 +75,12 @@
     };
     let estimate = node.placement.loads.estimate(&server.host, node.now_ms());
     ServerStatus {
+        weight_version: node.placement.version(&server.host),
         host: server.host,
         service: server.service,
         failure_domain: server.failure_domain,
         incarnation: Some(server.incarnation),
         state,
-        weight_version: None,
         running: estimate.attempts,
         queued: 0,
     }
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -6,5 +6,8 @@
 mod wait;
 
 mod bad_input;
+mod cut_off;
 mod faults;
+mod orders;
+mod overload;
 mod thin_path;
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -6,8 +6,10 @@
 mod least_load;
 mod prefix_hash;
 mod round_robin;
+mod scene;
 
 use crate::chain::{HomeKey, block_name};
+use crate::choice::scene::Scene;
 use crate::index::{ChainView, KeptCopy};
 use crate::load::LoadTable;
 use protocol::ids::{ChainKey, FailureDomain, HostName, Region};
@@ -127,6 +129,10 @@
     pub recomputed_tokens: u64,
     /// The expected time to the first token.
     pub expected_first_token_ms: u64,
+    /// The part of it that is spent in the server's queue.
+    pub expected_queue_ms: u64,
+    /// The part of it that is spent on imports, before the prompt reaches the server's queue.
+    pub expected_import_ms: u64,
     /// How the choice came about.
     pub explanation: Explanation,
 }
@@ -163,11 +169,12 @@
     if allowed.is_empty() {
         return Err(NoServer::AllExcluded);
     }
+    let scene = Scene::new(request, surroundings);
     Ok(match policy {
-        PlacementPolicy::Camphorward => first_token::choose(request, surroundings, &allowed),
-        PlacementPolicy::RoundRobin => round_robin::choose(request, surroundings, &allowed),
-        PlacementPolicy::LeastLoad => least_load::choose(request, surroundings, &allowed),
-        PlacementPolicy::PrefixHash => prefix_hash::choose(request, surroundings, &allowed),
+        PlacementPolicy::Camphorward => first_token::choose(&scene, &allowed),
+        PlacementPolicy::RoundRobin => round_robin::choose(&scene, &allowed),
+        PlacementPolicy::LeastLoad => least_load::choose(&scene, &allowed),
+        PlacementPolicy::PrefixHash => prefix_hash::choose(&scene, &allowed),
     })
 }
 
@@ -189,13 +196,8 @@
 }
 
 /// Puts together the choice of a baseline, which imports nothing.
-fn baseline(
-    policy: PlacementPolicy,
-    request: &ChoiceRequest<'_>,
-    surroundings: &Surroundings<'_>,
-    route: Route<'_>,
-) -> Choice {
-    let cost = Cost::without_imports(request, surroundings, route);
+fn baseline<'a>(policy: PlacementPolicy, scene: &Scene<'a>, route: Route<'a>) -> Choice {
+    let cost = Cost::without_imports(scene, route);
     let explanation = Explanation::of_baseline(policy, &cost);
-    cost.into_choice(request, explanation)
+    cost.into_choice(scene, explanation)
 }
