Stop a crashing request at two servers, through whatever entry host it comes

The decisions existed in the admission package, but the daemon did not ask them: a request that crashes its server was retried on the next one, and by a resend through another host on the one after.

Each model request now has a digest of organisation, service and prompt. Before an attempt its homes in the region tell its standing (a message of its own, as a prompt without a whole piece has no home to ride on); a suspect runs on a server granted by the service's home. Each attempt is followed here and at one other host. When a connection breaks, the homes in all regions are told before the caller is; the entry host then reads the server until it knows whether the incarnation died, and reports the death to them.

Not wired: crash limits by organisation and service, and the release of a grant 16 tokens past the crash (held until the attempt ends).

--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -93,6 +93,16 @@
     ConfigsRelayed => "configs.relayed";
     /// Configurations appended again before the log forgets them.
     SnapshotsWritten => "configs.carried_forward";
+    /// Requests that became suspects here, as a server died while they ran there.
+    SuspectsFound => "suspects.found";
+    /// Requests that are refused from now on, as a second server died while they ran there.
+    SuspectsConfirmed => "suspects.confirmed";
+    /// Suspects cleared by a whole answer.
+    SuspectsCleared => "suspects.cleared";
+    /// Attempts at suspects that got a server without other suspects.
+    SuspectsIsolated => "suspects.isolated";
+    /// Waits before a request that may have crashed a server.
+    SuspectWaits => "suspects.waits";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/follow.rs
+++ b/crates/camphorwardd/src/follow.rs
@@ -6,7 +6,7 @@
 mod servers;
 
 use crate::node::Node;
-use crate::orders;
+use crate::{orders, quarantine};
 use std::sync::Arc;
 use tokio::task::JoinSet;
 
@@ -16,5 +16,6 @@
     tasks.spawn(host_list::follow(Arc::clone(node)));
     tasks.spawn(peers::follow(Arc::clone(node)));
     tasks.spawn(servers::follow(Arc::clone(node)));
+    tasks.spawn(quarantine::sweep(Arc::clone(node)));
     orders::start(node, tasks);
 }
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod peers;
 mod placement_state;
+mod quarantine;
 mod run;
 mod serve;
 
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -10,6 +10,7 @@
 use crate::hosts::Hosts;
 use crate::orders::Orders;
 use crate::placement_state::PlacementState;
+use crate::quarantine::QuarantineState;
 use clients::engine::EngineClient;
 use clients::host_list::HostListClient;
 use clients::http::HttpClient;
@@ -78,6 +79,7 @@
     pub(crate) hosts: Hosts,
     pub(crate) placement: PlacementState,
     pub(crate) admission: AdmissionState,
+    pub(crate) quarantine: QuarantineState,
     pub(crate) orders: Orders,
     pub(crate) configuration: ConfigState,
     clock: Clock,
@@ -105,6 +107,7 @@
             hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
             admission: AdmissionState::new(),
+            quarantine: QuarantineState::new(),
             orders: Orders::new(owner, clock.now_ms()),
             configuration: ConfigState::new(),
             clock,
--- a/crates/camphorwardd/src/peers.rs
+++ b/crates/camphorwardd/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::follow::peers::{CONFIGURATION_PATH, EXCHANGE_PATH, PROBE_PATH, catch_up};
 use crate::node::Node;
+use crate::quarantine::{self, SUSPECT_PATH};
 use crate::reply::{self, Failure};
 use crate::run::{self, FINISHED_PATH, PLACE_PATH};
 use crate::serve::{Call, build_node_router, handle};
@@ -25,6 +26,7 @@
             .post(CONFIGURATION_PATH)
             .to(|state| handle(state, |call| Box::pin(configuration(call))));
         route.post(EXCHANGE_PATH).to(|state| handle(state, |call| Box::pin(exchange(call))));
+        route.post(SUSPECT_PATH).to(|state| handle(state, |call| Box::pin(suspect(call))));
         route.post(FINISHED_PATH).to(|state| handle(state, |call| Box::pin(finished(call))));
     })
 }
@@ -101,6 +103,13 @@
     }
 }
 
+async fn suspect(call: Call) -> Response<Body> {
+    match decode(&call.body) {
+        Ok(message) => answer(&quarantine::receive(&call.node, message)),
+        Err(error) => malformed(&error),
+    }
+}
+
 fn answer(message: &impl Serialize) -> Response<Body> {
     match encode(message) {
         Ok(bytes) => reply::bytes_answer(StatusCode::OK, CONTENT_TYPE, bytes.into()),
--- /dev/null
+++ b/crates/camphorwardd/src/quarantine/homes.rs
@@ -0,0 +1,91 @@
+//! Who is told of a request that may crash servers, and who is asked.
+
+use crate::constants::{HOME_TIMEOUT, PEER_TIMEOUT};
+use crate::node::Node;
+use crate::quarantine::messages::{SUSPECT_PATH, SuspectMessage, SuspectReply};
+use futures_util::future::{BoxFuture, join_all};
+use membership::EntryHost;
+use placement::rendezvous;
+use protocol::ids::{Region, ServiceName};
+use protocol::message::suspect::SuspectDigest;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+/// The number of homes of a request in each region.
+const HOMES_PER_REGION: usize = 2;
+/// How often a message is sent whose loss would keep a run listed.
+const SENDS: usize = 3;
+
+/// Returns a request's homes in a region, the one that is asked first.
+fn homes_in(node: &Node, region: &Region, digest: &SuspectDigest) -> Vec<EntryHost> {
+    let view = node.hosts.view(node.now_ms());
+    let hosts = view.homes(region);
+    let ranked =
+        rendezvous::ranking(digest.as_bytes(), hosts, |entry| entry.host.as_str().as_bytes());
+    ranked.into_iter().take(HOMES_PER_REGION).cloned().collect()
+}
+
+/// Returns the homes to ask before this host's own word counts, the best first.
+pub(super) fn homes_before_own(node: &Node, digest: &SuspectDigest) -> Vec<EntryHost> {
+    let homes = homes_in(node, &node.settings.region, digest).into_iter();
+    homes.take_while(|home| home.host != node.settings.host).collect()
+}
+
+/// Returns the host besides this one that follows the runs of a request.
+pub(super) fn follower(node: &Node, digest: &SuspectDigest) -> Option<EntryHost> {
+    let homes = homes_in(node, &node.settings.region, digest);
+    homes.into_iter().find(|home| home.host != node.settings.host)
+}
+
+/// Returns the homes of a request in all regions besides this host.
+fn other_homes(node: &Node, digest: &SuspectDigest) -> Vec<EntryHost> {
+    let view = node.hosts.view(node.now_ms());
+    let regions: BTreeSet<&Region> = view.entry_hosts.iter().map(|entry| &entry.region).collect();
+    let homes = regions.into_iter().flat_map(|region| homes_in(node, region, digest));
+    homes.filter(|home| home.host != node.settings.host).collect()
+}
+
+/// Returns the host that grants servers to a service's suspects; `None` if it is this one.
+pub(super) fn service_home(node: &Node, service: &ServiceName) -> Option<EntryHost> {
+    let entries = node.hosts.entry_hosts(node.now_ms());
+    let staying = entries.into_iter().filter(|entry| !entry.leaving);
+    let key = service.as_str().as_bytes();
+    let home = rendezvous::winner(key, staying, |entry| entry.host.as_str().as_bytes());
+    home.filter(|home| home.host != node.settings.host)
+}
+
+/// Asks a host; `None` if it did not answer in time.
+pub(super) async fn ask(
+    node: &Node,
+    host: &EntryHost,
+    message: &SuspectMessage,
+) -> Option<SuspectReply> {
+    let peers = host.addresses.peers;
+    let asked = node.clients.peer.call(peers, SUSPECT_PATH, message, HOME_TIMEOUT).await;
+    asked.inspect_err(|error| log::info!("home={} did not answer: {error}", host.host)).ok()
+}
+
+/// Tells a host, again if it does not answer.
+pub(super) async fn tell(node: &Node, host: &EntryHost, message: &SuspectMessage) {
+    for _ in 0..SENDS {
+        let peers = host.addresses.peers;
+        let told: Result<SuspectReply, _> =
+            node.clients.peer.call(peers, SUSPECT_PATH, message, PEER_TIMEOUT).await;
+        match told {
+            Ok(_) => return,
+            Err(error) => log::info!("home={} not told of a suspect: {error}", host.host),
+        }
+    }
+}
+
+/// Tells the homes of a request in all regions; boxed, as what is told may lead to more of it.
+pub(super) fn tell_homes(
+    node: Arc<Node>,
+    digest: SuspectDigest,
+    message: SuspectMessage,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let homes = other_homes(&node, &digest);
+        join_all(homes.iter().map(|home| tell(&node, home, &message))).await;
+    })
+}
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::counters::Counter;
 use crate::node::Node;
+use crate::quarantine::{self, Place};
 use crate::reply::Failure;
 use admission::retry_budget::BudgetKey;
 use attempt::{Attempt, AttemptError};
@@ -25,6 +26,7 @@
 use protocol::ids::{AttemptId, HostName, OrganisationId, RequestId, ServiceName};
 use protocol::message::operator::{AttemptExplanation, PlacementExplanation};
 use protocol::message::place::{FinishedNotice, KeptBlock};
+use protocol::message::suspect::SuspectDigest;
 use settings::services::ModelService;
 use std::sync::Arc;
 use tokio::sync::mpsc;
@@ -42,6 +44,13 @@
     pub(crate) priority: i32,
 }
 
+impl Job {
+    /// Returns what the request is known by, whatever entry host it comes through.
+    pub(crate) fn digest(&self) -> SuspectDigest {
+        SuspectDigest::new(&self.organisation, &self.service, self.prompt.as_bytes())
+    }
+}
+
 /// Holds one part of an answer.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Part {
@@ -109,7 +118,9 @@
         let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
         for attempt in 1.. {
             let attempt_id = self.attempt_id(attempt);
-            let Ok(placed) = self.place(&attempt_id).await else {
+            let found = self.find_place(&attempt_id, give_up_at_ms).await;
+            // The place holds its server for this attempt until the attempt ended.
+            let Some((_place, placed)) = found.map_err(RunError::Failed)? else {
                 // The reason why a server was tried and failed says more than that none is left.
                 break;
             };
@@ -129,6 +140,26 @@
         Err(RunError::Failed(last.with_ran_before(self.ran_before)))
     }
 
+    /// Finds a server, unless the request may crash it; `None` if no server is left. A server that
+    /// the request is tied to may have died since, so that is asked again.
+    async fn find_place(
+        &mut self,
+        attempt_id: &AttemptId,
+        give_up_at_ms: u64,
+    ) -> Result<Option<(Place, Placed)>, Failure> {
+        loop {
+            let (node, job) = (&self.node, &self.job);
+            let judged =
+                quarantine::judge(node, job, attempt_id, &self.excluded, give_up_at_ms).await;
+            let place = judged.map_err(|failure| failure.with_ran_before(self.ran_before))?;
+            match self.place(attempt_id, &place).await {
+                Ok(placed) => return Ok(Some((place, placed))),
+                Err(_) if place.only.is_none() => return Ok(None),
+                Err(_) => tokio::time::sleep(quarantine::TIED_PAUSE).await,
+            }
+        }
+    }
+
     /// Admits a placed request; one that is refused no longer counts on its server.
     fn admit(&self, attempt_id: &AttemptId, placed: &Placed) -> Result<(), Failure> {
         let admitted = admit::admit(&self.node, &self.job, placed);
@@ -139,10 +170,10 @@
     }
 
     /// Finds a server; once each has failed the request, all may be tried again.
-    async fn place(&mut self, attempt_id: &AttemptId) -> Result<Placed, Failure> {
-        let placed =
-            place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await;
-        if placed.is_ok() || self.excluded.is_empty() {
+    async fn place(&mut self, attempt_id: &AttemptId, place: &Place) -> Result<Placed, Failure> {
+        let excluded = place.excluded(&self.node, &self.job, &self.excluded);
+        let placed = place::place(&self.node, &self.job, &self.chain, attempt_id, &excluded).await;
+        if placed.is_ok() || self.excluded.is_empty() || place.only.is_some() {
             return placed;
         }
         self.excluded.clear();
@@ -157,7 +188,13 @@
         self.explain_attempt(&attempt_id, &placed);
         let server = placed.server.host.clone();
         let mut attempt = Attempt::new(&self.node, &self.job, &self.chain, &attempt_id, &placed);
+        let followed = quarantine::follow(&self.node, &self.job, &attempt_id, &placed.server);
         let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
+        let failure = match &result {
+            Err(AttemptError::Failed(failure)) => Some(failure.kind),
+            Ok(_) | Err(AttemptError::CallerGone) => None,
+        };
+        followed.ended(result.is_ok(), failure, attempt.incarnation()).await;
         let missing = attempt.into_missing();
         self.note_outcome(&attempt_id, &server, &result);
         self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -15,7 +15,7 @@
 };
 use placement::chain::PrefixChain;
 use protocol::error::ErrorKind;
-use protocol::ids::AttemptId;
+use protocol::ids::{AttemptId, Incarnation};
 use protocol::message::place::KeptBlock;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +42,7 @@
     placed: &'a Placed,
     missing: Vec<KeptBlock>,
     first_token_seen: bool,
+    incarnation: Option<Incarnation>,
 }
 
 impl<'a> Attempt<'a> {
@@ -54,7 +55,21 @@
         placed: &'a Placed,
     ) -> Self {
         let missing = Vec::new();
-        Self { node, job, chain, attempt_id, placed, missing, first_token_seen: false }
+        Self {
+            node,
+            job,
+            chain,
+            attempt_id,
+            placed,
+            missing,
+            first_token_seen: false,
+            incarnation: None,
+        }
+    }
+
+    /// Returns the server's incarnation as its answer named it.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
     }
 
     /// Returns the blocks that were to be imported and were not.
@@ -121,13 +136,14 @@
         located.collect()
     }
 
-    async fn send(&self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
+    async fn send(&mut self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
         let request = self.request(passed_tokens);
         let silence = self.silence();
         let head_bound = silence * HEAD_SILENCES;
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
+        self.incarnation = Some(head.incarnation);
         self.check_head(&head)?;
         Ok(stream)
     }
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -10,4 +10,5 @@
 mod faults;
 mod orders;
 mod overload;
+mod quarantine;
 mod thin_path;
