--- a/crates/standins/examples/quickstart/place.rs
+++ b/crates/standins/examples/quickstart/place.rs
@@ -29,8 +29,6 @@
 /// The failure domain that the platform's log and host list are in.
 const PLATFORM_DOMAIN: usize = 0;
 const HOST_LIST_LAG_MS: u64 = 500;
-/// How long the log keeps records, in seconds; longer than any run.
-const LOG_RETENTION_S: u64 = 3_600;
 /// How long daemons may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 const START_POLL: Duration = Duration::from_millis(20);
