Test damaged blocks, stale weight versions and organisations apart with real daemons

Cause: three promises had proofs for the decision code only. Change: process tests: blocks that come back truncated, swapped, half written, zeroed or not at all; a server that swapped its weights and checks nothing; two organisations with one text. Seen failing: engines that do not verify blocks gave a wrong answer at the first damage; without the check of the head the answer of the other version was passed on; with the organisation left out of the chain keys, the home key and the salt, the second one used the first one's work. Left out of the chain keys alone it did not, as the home key keeps the keys apart. Conclusion: block safety rests on engines that verify what they import; one that does not is not caught by this system.

--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -12,4 +12,5 @@
 mod overload;
 mod quarantine;
 mod returning;
+mod safety;
 mod thin_path;
