Let each region's home decide over its own region's servers

Change: a home weighs servers of its own region, and those of others only if none is left. A prompt's homes in other regions are asked as before. Cache events of servers in other regions are not read, lookups go to the own region's store hosts, and the home in the server's region alone exports.

--- a/crates/camphorwardd/src/follow/servers.rs
+++ b/crates/camphorwardd/src/follow/servers.rs
@@ -10,6 +10,7 @@
 use placement::index::{CacheEvent, Sync};
 use placement::load::ReportedLoad;
 use protocol::ids::HostName;
+use settings::process::PlacementPolicy;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -63,12 +64,22 @@
             return None;
         }
     }
+    if !follows_memory(node, server) {
+        return None;
+    }
     match next_event {
         Some(next) => read_events(node, server, next).await,
         None => read_snapshot(node, server).await,
     }
 }
 
+/// The homes of a server's own region decide on it; elsewhere its cache events would only load the
+/// link, and be late.
+fn follows_memory(node: &Node, server: &Server) -> bool {
+    let is_baseline = node.settings.policy != PlacementPolicy::Camphorward;
+    is_baseline || server.region == node.settings.region
+}
+
 fn take_report(node: &Node, server: &Server, report: &LoadReport) {
     node.placement.mark_reachable(&server.host);
     let (incarnation, now_ms) = (report.incarnation, node.now_ms());
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -16,7 +16,7 @@
 use placement::index::ChainView;
 use placement::load::SentAttempt;
 use placement::rebuild::{self, PossibleBlock};
-use protocol::ids::{AttemptId, ChainKey, HostName, Region, ServiceName};
+use protocol::ids::{AttemptId, ChainKey, HostName, Region};
 use protocol::message::operator::CandidateExplanation;
 use protocol::message::place::{KeptBlock, PlaceAnswer, PlaceReply, PlaceRequest};
 use settings::process::PlacementPolicy;
@@ -31,8 +31,8 @@
         return PlaceReply::UnknownService;
     };
     let stores = StoreSite::find(node, &directory, model);
-    let view = view_chain(node, &stores, &request.region, &request.chain).await;
-    let candidates = candidates(node, &request.service);
+    let view = view_chain(node, &stores, &request.chain).await;
+    let candidates = candidates(node, request);
     let paths = paths(&directory, &request.region);
     let surroundings = Surroundings {
         candidates: &candidates,
@@ -83,16 +83,26 @@
     node.placement.loads.sent(&answer.server, sent);
 }
 
-fn candidates(node: &Node, service: &ServiceName) -> Vec<Candidate> {
+/// Lists the servers of the own region, whose load and memory are followed closely here; those of
+/// other regions only if none is left, since their own homes know them better.
+fn candidates(node: &Node, request: &PlaceRequest) -> Vec<Candidate> {
     let takes_work =
         |server: &Server| server.takes_work() && !node.placement.is_unreachable(&server.host);
-    let servers = node.hosts.servers(service, node.now_ms()).into_iter().filter(takes_work);
+    let servers = node.hosts.servers(&request.service, node.now_ms()).into_iter();
     let candidate = |server: Server| Candidate {
         host: server.host,
         region: server.region,
         failure_domain: server.failure_domain,
     };
-    servers.map(candidate).collect()
+    let all: Vec<Candidate> = servers.filter(takes_work).map(candidate).collect();
+    if node.settings.policy != PlacementPolicy::Camphorward {
+        return all;
+    }
+    let is_near = |candidate: &&Candidate| {
+        candidate.region == node.settings.region && !request.excluded.contains(&candidate.host)
+    };
+    let near: Vec<Candidate> = all.iter().filter(is_near).cloned().collect();
+    if near.is_empty() { all } else { near }
 }
 
 fn paths(directory: &Directory, own: &Region) -> Vec<RegionPath> {
@@ -149,19 +159,14 @@
 }
 
 /// Shows what is known of a prompt's pieces; asks the store hosts if nothing is.
-async fn view_chain(
-    node: &Node,
-    stores: &StoreSite,
-    region: &Region,
-    chain: &[ChainKey],
-) -> ChainView {
+async fn view_chain(node: &Node, stores: &StoreSite, chain: &[ChainKey]) -> ChainView {
     let view = node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms());
     let is_known = !view.held.is_empty() || view.kept.iter().any(|copies| !copies.is_empty());
     let imports = node.settings.policy == PlacementPolicy::Camphorward;
     if is_known || !imports || chain.is_empty() || stores.stores.is_empty() {
         return view;
     }
-    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(region));
+    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(&node.settings.region));
     join_all(lookups.into_iter().map(|(store, blocks)| look_up(node, store, blocks))).await;
     node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms())
 }
--- a/crates/camphorwardd/src/run/finish.rs
+++ b/crates/camphorwardd/src/run/finish.rs
@@ -35,6 +35,10 @@
     let Some(server) = node.hosts.server(&notice.server) else {
         return;
     };
+    // The home in the server's own region exports: it decided, and follows the server's memory.
+    if server.region != node.settings.region {
+        return;
+    }
     let site = StoreSite::find(node, &directory, model);
     let expiry_ms = site.expiry_ms();
     let plan = plan_exports(node, notice, model, &site, &site.hosts_in(&server.region));
--- a/crates/camphorwardd/tests/process/returning.rs
+++ b/crates/camphorwardd/tests/process/returning.rs
@@ -4,13 +4,17 @@
 use crate::daemon::Daemon;
 use crate::site::{self, KEY_A, MODEL};
 use crate::wait;
+use clients::http::HttpClient;
+use protocol::message::operator::PlacementExplanation;
 use protocol::size::TokenCount;
 use standins::engine::EngineConfig;
 use standins::site::{Site, SiteConfig};
 use standins::store::StoreConfig;
+use std::time::Duration;
 
 const ANSWER_TOKENS: u64 = 8;
 const PIECES: usize = 5;
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Later than any test ends, so that what a server evicts is never told.
 const NEVER_MS: u64 = 3_600_000;
 const EAST: usize = 0;
@@ -68,3 +72,33 @@
     visit(&east, &first).await;
     assert_eq!(imported(&site, "m-east"), PIECES as u64);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_weighs_the_servers_of_its_own_region() {
+    let (_site, [east, _west]) = start().await;
+    let new = prompt("new", PIECES);
+    let answer = complete(east.addresses.callers, KEY_A, MODEL, &new, ANSWER_TOKENS).await;
+    let request = answer.headers["x-request-id"].to_str().expect("an id is text");
+    let why: PlacementExplanation = HttpClient::new()
+        .get_json(east.addresses.operators, &format!("/why/{request}"), CALL_TIMEOUT)
+        .await
+        .expect("the host remembers the request");
+    let candidates = why.attempts[0].candidates.iter();
+    let weighed: Vec<&str> = candidates.map(|candidate| candidate.server.as_str()).collect();
+    assert_eq!(weighed, ["m-east"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_home_beside_the_kept_work_decides_on_each_visit_from_the_other_region() {
+    let (site, [east, west]) = start().await;
+    let (first, other) = (prompt("first", PIECES), prompt("other", PIECES));
+    visit_first(&west, &first).await;
+    visit_first(&west, &other).await;
+    visit(&east, &first).await;
+    assert_eq!(imported(&site, "m-west"), PIECES as u64);
+
+    let third = prompt("third", PIECES);
+    visit_first(&west, &third).await;
+    visit(&east, &first).await;
+    assert_eq!(imported(&site, "m-west"), 2 * PIECES as u64);
+}
