Import a prompt's first pieces again when most of it is imported

Cause: 9 of 72 prompts that were imported behind pieces in memory lost those: the import evicts what was unused for longest, which is the first pieces, and they were computed again (same trace). Ruled out: failed imports (none), late events (the pieces were there when the import began). Change: where more pieces are imported than held, the held ones are imported too. Test: fails without the change (2 pieces held, 3 imported). The price of the link is now public.

--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -16,7 +16,7 @@
 use smallvec::SmallVec;
 use thiserror::Error;
 
-pub use crate::choice::cost::{Cost, Start};
+pub use crate::choice::cost::{Cost, Start, link_price_ms};
 pub use crate::choice::explanation::{Considered, Explanation, Reason};
 
 /// Describes a request that is to be placed.
--- a/crates/placement/src/choice/cost.rs
+++ b/crates/placement/src/choice/cost.rs
@@ -115,9 +115,28 @@
         }
     }
 
-    /// Tries each number of pieces that can be imported one after the other.
+    /// Tries each number of pieces that can be imported one after the other. Where that is more than
+    /// the server holds, it also imports those again: the import evicts what was unused for long,
+    /// and without its first pieces a prompt is computed again.
     fn add_imports(&mut self, request: &ChoiceRequest<'_>, surroundings: &Surroundings<'a>) {
-        let cached_pieces = self.start.cached_pieces;
+        self.add_imports_after(self.start.cached_pieces, request, surroundings);
+        if self.start.cached_pieces == 0 || self.start.imported_pieces <= self.start.cached_pieces {
+            return;
+        }
+        let mut whole = Self { copies: Vec::new(), ..self.clone() };
+        whole.start = recompute(request, 0, 0, self.load.prefill_tokens_per_s);
+        whole.add_imports_after(0, request, surroundings);
+        if whole.start.recomputed_tokens <= self.start.recomputed_tokens {
+            *self = whole;
+        }
+    }
+
+    fn add_imports_after(
+        &mut self,
+        cached_pieces: usize,
+        request: &ChoiceRequest<'_>,
+        surroundings: &Surroundings<'a>,
+    ) {
         let mut import_ms = 0.0;
         for copies in surroundings.view.kept.iter().skip(cached_pieces) {
             let Some((copy, copy_ms)) = fastest(copies, surroundings, self.candidate) else {
@@ -176,8 +195,12 @@
 }
 
 fn price_ms(path: &RegionPath, text_bytes: u64) -> f64 {
-    let kilobytes = text_bytes as f64 / BYTES_PER_KILOBYTE;
-    path.bits_per_s.map_or(0.0, |_| kilobytes * LINK_PRICE_MS_PER_KILOBYTE)
+    path.bits_per_s.map_or(0.0, |_| link_price_ms(text_bytes))
+}
+
+/// Returns what a text's way over the link between regions counts more than its time.
+pub fn link_price_ms(text_bytes: u64) -> f64 {
+    text_bytes as f64 / BYTES_PER_KILOBYTE * LINK_PRICE_MS_PER_KILOBYTE
 }
 
 fn failed_domain_ms(
--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -245,3 +245,18 @@
     assert!(choices.iter().all(|choice| choice.imports.is_empty()));
     insta::assert_debug_snapshot!(choices.map(|choice| choice.server));
 }
+
+#[test]
+fn the_first_pieces_are_imported_again_when_the_imports_could_evict_them() {
+    let mut site = Site::new();
+    site.candidates.truncate(1);
+    site.stores = vec![store("store-k", "kolkata", 10_000_000_000)];
+    let kept = vec![Some(copy("store-k", BLOCK_BYTES)); 5];
+    site.view = view(&[("near-a", 2)], &kept);
+    let choice = site.chosen();
+    assert_eq!((choice.cached_pieces, choice.imports.len()), (0, 5));
+
+    site.view = view(&[("near-a", 3)], &kept);
+    let choice = site.chosen();
+    assert_eq!((choice.cached_pieces, choice.imports.len()), (3, 2));
+}
