Count the link's volume when offers of regions are compared

Cause: the offers were compared by first token alone, without the link's price, and a new prompt that moved for a short wait stayed with its kept work in the far region and moved on each return: 48 of 245 prompts crossed the link where the workload sends a tenth through the other region. Change: placement::offers adds the price for the way, and for expected returns if the far region knows no more of the prompt than the own one.

--- a/crates/camphorwardd/src/run/place.rs
+++ b/crates/camphorwardd/src/run/place.rs
@@ -10,6 +10,7 @@
 use futures_util::future::join_all;
 use membership::EntryHost;
 use placement::chain::{HomeKey, PrefixChain};
+use placement::offers::{self, Offer};
 use placement::rendezvous;
 use protocol::error::ErrorKind;
 use protocol::ids::{AttemptId, ChainKey, HostName, Region};
@@ -35,8 +36,12 @@
 }
 
 impl Placed {
-    fn first_token_ms(&self) -> u64 {
-        self.answer.expected_first_token_ms
+    fn offer(&self, own: &Region) -> Offer {
+        Offer {
+            first_token_ms: self.answer.expected_first_token_ms,
+            present_pieces: self.answer.cached_pieces + self.answer.imports.len(),
+            crosses_link: self.server.region != *own,
+        }
     }
 }
 
@@ -91,8 +96,9 @@
     if !placements.iter().any(|placed| knows_enough(&placed.answer, chain)) {
         placements.extend(ask_other_regions(node, chain, &request).await);
     }
-    let soonest = placements.iter().enumerate().min_by_key(|(_, placed)| placed.first_token_ms());
-    let index = soonest.map(|(index, _)| index).ok_or_else(no_server)?;
+    let offers: Vec<Offer> =
+        placements.iter().map(|placed| placed.offer(&request.region)).collect();
+    let index = offers::best(&offers, request.text_bytes).ok_or_else(no_server)?;
     let chosen = placements.swap_remove(index);
     for unused in placements {
         withdraw(node, &request, unused);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,6 +6,7 @@
 //! | a load report, a request sent, a first token | [`load::LoadTable`] | |
 //! | a snapshot or events of a server, a finished run, a store's answer | [`index::KeptIndex`] | fetches a snapshot when told to |
 //! | a prompt to place | [`index::KeptIndex::view`], [`choice::choose`] | imports what is listed, then sends |
+//! | the answers of several regions' homes | [`offers::best`] | sends the prompt there |
 //! | an import or export to start | [`single_flight::SingleFlight`] | runs it, or waits for the leader |
 //! | bytes for the other region | [`link::LinkBudget`] | sends, or waits |
 //! | a run that ended | [`export::plan`] | exports what is listed, renews what is listed |
@@ -16,6 +17,7 @@
 pub mod index;
 pub mod link;
 pub mod load;
+pub mod offers;
 pub mod prefetch;
 pub mod rebuild;
 pub mod rendezvous;
