Print the first-token time of returning prompts apart

The bound is on returning prompts, and the figure of the table mixes them with first visits, whose time is that of computing up to 20,000 new tokens. One more figure below the table; the report's fields are unchanged.

--- a/crates/standins/examples/quickstart/conversation.rs
+++ b/crates/standins/examples/quickstart/conversation.rs
@@ -50,14 +50,16 @@
     let first_gap_ms = random.random_range(0..=*scenario.gap_ms.end());
     context.pause(Duration::from_millis(first_gap_ms)).await;
     let mut known_tokens = context.preamble_tokens(organisation);
+    let mut is_return = false;
     while !context.is_over() {
         let region = if random.random_ratio(AWAY_PERCENT, 100) { 1 - home } else { home };
         let hosts = shuffled_hosts(&context, region, &mut random);
         let max_tokens = scenario.answer_tokens;
-        let asked = Asked { organisation, prompt: &history, max_tokens, priority: 0 };
+        let asked = Asked { organisation, prompt: &history, max_tokens, priority: 0, is_return };
         let prompt_tokens = text::tokens(&history);
         context.tally.count_prompt(prompt_tokens, prompt_tokens - known_tokens);
         known_tokens = prompt_tokens;
+        is_return = true;
         if let Some(answer) = ask(&context, &hosts, &asked).await {
             history.push_str(&answer);
         }
@@ -66,6 +68,7 @@
         if text::tokens(&history) > scenario.most_prompt_tokens {
             history = first_history(&context, organisation, &mut random);
             known_tokens = PREAMBLE_TOKENS;
+            is_return = false;
         }
         let gap_ms = random.random_range(scenario.gap_ms.clone());
         context.pause(Duration::from_millis(gap_ms)).await;
@@ -81,7 +84,8 @@
         let hosts = shuffled_hosts(&context, region, &mut random);
         let prompt = text::text(&mut random, QUICK_TOKENS);
         let max_tokens = QUICK_ANSWER_TOKENS;
-        let asked = Asked { organisation, prompt: &prompt, max_tokens, priority: QUICK_PRIORITY };
+        let priority = QUICK_PRIORITY;
+        let asked = Asked { organisation, prompt: &prompt, max_tokens, priority, is_return: false };
         context.tally.count_prompt(QUICK_TOKENS, QUICK_TOKENS);
         ask(&context, &hosts, &asked).await;
         context.pause(Duration::from_millis(QUICK_GAP_MS)).await;
@@ -109,6 +113,7 @@
     prompt: &'a str,
     max_tokens: u64,
     priority: i32,
+    is_return: bool,
 }
 
 async fn ask(context: &Context, hosts: &[SocketAddr], asked: &Asked<'_>) -> Option<String> {
@@ -134,7 +139,7 @@
     };
     let version: WeightVersion = context.place.weight_version();
     let expected = expected_answer(asked.prompt, &version, asked.max_tokens).concat();
-    context.tally.count_first_token(whole.first_token);
+    context.tally.count_first_token(whole.first_token, asked.is_return);
     context.tally.count_answer(whole.text == expected);
     Some(expected)
 }
--- a/crates/standins/examples/quickstart/report.rs
+++ b/crates/standins/examples/quickstart/report.rs
@@ -23,6 +23,8 @@
     refusals: u64,
     #[serde(skip)]
     new_share: f64,
+    #[serde(skip)]
+    returning_ms_p95: f64,
 }
 
 impl PolicyReport {
@@ -43,6 +45,7 @@
             retries: place.count("retries."),
             refusals: place.count("refusals."),
             new_share: tally.new_share(),
+            returning_ms_p95: tally.returning_first_token_ms(0.95),
         }
     }
 
@@ -119,7 +122,11 @@
         }
         for (name, policy) in &self.policies {
             let new_percent = policy.new_share * 100.0;
-            let _ = writeln!(table, "{name:<12} {new_percent:>5.1}% of prompt tokens were new");
+            let _ = writeln!(
+                table,
+                "{name:<12} {new_percent:>5.1}% of prompt tokens were new; returning prompts: ttft p95 {:.0} ms",
+                policy.returning_ms_p95
+            );
         }
         table
     }
--- a/crates/standins/examples/quickstart/tally.rs
+++ b/crates/standins/examples/quickstart/tally.rs
@@ -20,6 +20,7 @@
     prompt_tokens: AtomicU64,
     new_tokens: AtomicU64,
     first_token_us: Mutex<Histogram<u64>>,
+    returning_us: Mutex<Histogram<u64>>,
 }
 
 impl Tally {
@@ -37,6 +38,7 @@
             prompt_tokens: AtomicU64::new(0),
             new_tokens: AtomicU64::new(0),
             first_token_us: Mutex::new(Histogram::new_with_bounds(1, LONGEST_US, DIGITS)?),
+            returning_us: Mutex::new(Histogram::new_with_bounds(1, LONGEST_US, DIGITS)?),
         })
     }
 
@@ -69,14 +71,22 @@
     }
 
     /// Counts the time from the caller's first try to the first token.
-    pub fn count_first_token(&self, waited: Duration) {
+    pub fn count_first_token(&self, waited: Duration, is_return: bool) {
         let waited_us = u64::try_from(waited.as_micros()).unwrap_or(LONGEST_US);
-        self.histogram().saturating_record(waited_us);
+        lock(&self.first_token_us).saturating_record(waited_us);
+        if is_return {
+            lock(&self.returning_us).saturating_record(waited_us);
+        }
     }
 
     /// Returns the time to the first token that a share of the requests kept, in milliseconds.
     pub fn first_token_ms(&self, quantile: f64) -> f64 {
-        self.histogram().value_at_quantile(quantile) as f64 / US_PER_MS
+        lock(&self.first_token_us).value_at_quantile(quantile) as f64 / US_PER_MS
+    }
+
+    /// Returns the same over the prompts that a conversation came back with.
+    pub fn returning_first_token_ms(&self, quantile: f64) -> f64 {
+        lock(&self.returning_us).value_at_quantile(quantile) as f64 / US_PER_MS
     }
 
     /// Returns the requests.
@@ -98,8 +108,8 @@
     pub fn lost(&self) -> u64 {
         self.lost.load(Ordering::Relaxed)
     }
+}
 
-    fn histogram(&self) -> MutexGuard<'_, Histogram<u64>> {
-        self.first_token_us.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock(histogram: &Mutex<Histogram<u64>>) -> MutexGuard<'_, Histogram<u64>> {
+    histogram.lock().unwrap_or_else(PoisonError::into_inner)
 }
