--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -261,3 +261,18 @@
     let near: BTreeSet<HostName> = (0..2).map(|number| site.send_short(number)).collect();
     assert_eq!(near.len(), 2);
 }
+
+#[test]
+fn the_first_pieces_are_imported_again_when_the_imports_could_evict_them() {
+    let mut site = Site::new();
+    site.candidates.truncate(1);
+    site.stores = vec![store("store-k", "kolkata", 10_000_000_000)];
+    let kept = vec![Some(copy("store-k", BLOCK_BYTES)); 5];
+    site.view = view(&[("near-a", 2)], &kept);
+    let choice = site.chosen();
+    assert_eq!((choice.cached_pieces, choice.imports.len()), (0, 5));
+
+    site.view = view(&[("near-a", 3)], &kept);
+    let choice = site.chosen();
+    assert_eq!((choice.cached_pieces, choice.imports.len()), (3, 2));
+}
