Note server deaths on every host that follows a run; resend to live servers in the test

The first test resent while both servers were down, so without the mechanism it saw server_unreachable rather than further crashes. It now waits until another request of the organisation is answered through the next entry host before each resend.

A host that follows a run of another entry host learnt of the death only from that one. The incarnation that the server names in its answer replaces the host table's, so that a run on a server that just started again does not count as dead.

Seen to fail: with every standing taken as clear, 11 servers died of 6 resends and an innocent answer broke off; with homes neither asked nor told (each entry host alone), 4 died in both tests. Ruled out as a sufficient check: homes not told, but asked; requests then wait for their deadline.

--- a/crates/camphorwardd/src/quarantine.rs
+++ b/crates/camphorwardd/src/quarantine.rs
@@ -21,7 +21,7 @@
 pub(crate) use messages::SUSPECT_PATH;
 pub(crate) use receive::receive;
 pub(crate) use sweep::sweep;
-pub(crate) use watch::follow;
+pub(crate) use watch::{Followed, follow};
 
 use crate::quarantine::isolation::Grants;
 use admission::quarantine::Quarantine;
--- a/crates/camphorwardd/src/quarantine/watch.rs
+++ b/crates/camphorwardd/src/quarantine/watch.rs
@@ -58,16 +58,26 @@
 }
 
 impl Followed {
-    /// Notes the end of the attempt: `None` if it was whole or the caller left. The homes know of a
-    /// broken connection before the caller does, so a resend meets it there.
-    pub(crate) async fn ended(
-        mut self,
-        completed: bool,
-        failure: Option<ErrorKind>,
-        seen: Option<Incarnation>,
-    ) {
-        // The server's own word is newer than the host table.
-        self.run.incarnation = seen.unwrap_or(self.run.incarnation);
+    /// Notes the server's own word of its incarnation, which may be newer than the host table's;
+    /// else the run would count as dead with the one before.
+    pub(crate) fn runs_on(&mut self, incarnation: Incarnation) {
+        if self.run.incarnation == incarnation {
+            return;
+        }
+        self.run.incarnation = incarnation;
+        self.node.quarantine.contents.started(self.run.clone());
+        let message = SuspectMessage::Started(self.run.clone().into());
+        let telling = tell_follower(Arc::clone(&self.node), self.run.clone(), message);
+        let before = std::mem::replace(&mut self.told, tokio::spawn(async {}));
+        self.told = tokio::spawn(async move {
+            let _ = before.await;
+            telling.await;
+        });
+    }
+
+    /// Notes the end of the attempt; without a failure it was whole or the caller left. The homes
+    /// know of a broken connection before the caller does, so a resend meets it there.
+    pub(crate) async fn ended(self, completed: bool, failure: Option<ErrorKind>) {
         if failure == Some(ErrorKind::ServerDied) {
             return self.broke_off().await;
         }
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -187,15 +187,16 @@
     ) -> Result<End, AttemptError> {
         self.explain_attempt(&attempt_id, &placed);
         let server = placed.server.host.clone();
-        let mut attempt = Attempt::new(&self.node, &self.job, &self.chain, &attempt_id, &placed);
-        let followed = quarantine::follow(&self.node, &self.job, &attempt_id, &placed.server);
+        let mut followed = quarantine::follow(&self.node, &self.job, &attempt_id, &placed.server);
+        let mut attempt =
+            Attempt::new(&self.node, &self.job, &self.chain, &attempt_id, &placed, &mut followed);
         let result = attempt.execute(&mut self.passed_tokens, &self.parts).await;
+        let missing = attempt.into_missing();
         let failure = match &result {
             Err(AttemptError::Failed(failure)) => Some(failure.kind),
             Ok(_) | Err(AttemptError::CallerGone) => None,
         };
-        followed.ended(result.is_ok(), failure, attempt.incarnation()).await;
-        let missing = attempt.into_missing();
+        followed.ended(result.is_ok(), failure).await;
         self.note_outcome(&attempt_id, &server, &result);
         self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
         result
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -3,6 +3,7 @@
 use crate::constants::{IMPORT_MARGIN, MIN_SILENCE, SILENCE_TOKEN_GAPS};
 use crate::counters::Counter;
 use crate::node::Node;
+use crate::quarantine::Followed;
 use crate::reply::Failure;
 use crate::run::decide::note_sent;
 use crate::run::failure::from_client_error;
@@ -15,7 +16,7 @@
 };
 use placement::chain::PrefixChain;
 use protocol::error::ErrorKind;
-use protocol::ids::{AttemptId, Incarnation};
+use protocol::ids::AttemptId;
 use protocol::message::place::KeptBlock;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,7 +43,7 @@
     placed: &'a Placed,
     missing: Vec<KeptBlock>,
     first_token_seen: bool,
-    incarnation: Option<Incarnation>,
+    followed: &'a mut Followed,
 }
 
 impl<'a> Attempt<'a> {
@@ -53,23 +54,10 @@
         chain: &'a PrefixChain,
         attempt_id: &'a AttemptId,
         placed: &'a Placed,
+        followed: &'a mut Followed,
     ) -> Self {
         let missing = Vec::new();
-        Self {
-            node,
-            job,
-            chain,
-            attempt_id,
-            placed,
-            missing,
-            first_token_seen: false,
-            incarnation: None,
-        }
-    }
-
-    /// Returns the server's incarnation as its answer named it.
-    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
-        self.incarnation
+        Self { node, job, chain, attempt_id, placed, missing, first_token_seen: false, followed }
     }
 
     /// Returns the blocks that were to be imported and were not.
@@ -143,7 +131,7 @@
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
-        self.incarnation = Some(head.incarnation);
+        self.followed.runs_on(head.incarnation);
         self.check_head(&head)?;
         Ok(stream)
     }
--- a/crates/camphorwardd/tests/process/quarantine.rs
+++ b/crates/camphorwardd/tests/process/quarantine.rs
@@ -50,10 +50,24 @@
     tokio::spawn(async move { complete(address, key, MODEL, &text, TOKENS).await })
 }
 
-/// Sends the crashing prompt through one entry host after another.
+/// Waits until a daemon has another request of the organisation answered; servers that died start
+/// again on their own time.
+async fn wait_answered(daemon: &Daemon, name: &str) {
+    let other = prompt(name, 1);
+    wait::until("another request of the organisation is answered", || async {
+        let answer = ask(daemon, KEY_A, &other).await.expect("the caller ran");
+        answer.streamed_text() == Some(right_answer(&other, TOKENS))
+    })
+    .await;
+}
+
+/// Sends the crashing prompt through one entry host after another, each time to live servers.
 async fn resend(daemons: &[Daemon], text: &str) -> Vec<Answer> {
     let mut answers = Vec::new();
-    for daemon in daemons.iter().cycle().take(RESENDS) {
+    for (number, daemon) in daemons.iter().cycle().take(RESENDS).enumerate() {
+        if number > 0 {
+            wait_answered(daemon, &format!("between {number}")).await;
+        }
         answers.push(ask(daemon, KEY_A, text).await.expect("the caller ran"));
     }
     answers
@@ -73,13 +87,7 @@
     answers.iter().for_each(assert_quarantined);
 
     for (number, daemon) in daemons.iter().enumerate() {
-        let other = prompt(&format!("other {number}"), 1);
-        // The servers that died start again on their own time.
-        wait::until("another request of the organisation is answered", || async {
-            let answer = ask(daemon, KEY_A, &other).await.expect("the caller ran");
-            answer.streamed_text() == Some(right_answer(&other, TOKENS))
-        })
-        .await;
+        wait_answered(daemon, &format!("after {number}")).await;
     }
     assert_eq!(crashes(&site), MAX_CRASHES);
 }
