--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -108,7 +108,7 @@
             placement: PlacementState::new(),
             admission: AdmissionState::new(),
             quarantine: QuarantineState::new(),
-            orders: Orders::new(owner, clock.now_ms()),
+            orders: Orders::new(&settings.platform, owner, clock.now_ms()),
             configuration: ConfigState::new(),
             clock,
             settings,
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -11,4 +11,5 @@
 mod orders;
 mod overload;
 mod quarantine;
+mod returning;
 mod thin_path;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -36,6 +36,9 @@
     /// How prompts are placed.
     #[serde(default)]
     pub policy: PlacementPolicy,
+    /// The threads that serve requests.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: u32,
     /// What is logged.
     #[serde(default)]
     pub log_level: LogLevel,
@@ -64,6 +67,37 @@
     pub log: SocketAddr,
     /// The list of live and leaving hosts.
     pub host_list: SocketAddr,
+    /// How long the log keeps a record at the least, in milliseconds.
+    #[serde(default = "default_log_retention_ms")]
+    pub log_retention_ms: u64,
+    /// The appends a second that all entry hosts together may make for orders.
+    #[serde(default = "default_log_appends_per_s")]
+    pub log_appends_per_s: u64,
+}
+
+impl PlatformSettings {
+    /// Creates settings with a log of default retention and budget.
+    pub const fn new(log: SocketAddr, host_list: SocketAddr) -> Self {
+        Self {
+            log,
+            host_list,
+            log_retention_ms: default_log_retention_ms(),
+            log_appends_per_s: default_log_appends_per_s(),
+        }
+    }
+}
+
+/// Fewer threads let a burst of requests wait behind each other's prompts.
+const fn default_worker_threads() -> u32 {
+    4
+}
+
+const fn default_log_retention_ms() -> u64 {
+    3_600_000
+}
+
+const fn default_log_appends_per_s() -> u64 {
+    300
 }
 
 /// Bounds what callers may send.
