--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -36,6 +36,9 @@
     /// How prompts are placed.
     #[serde(default)]
     pub policy: PlacementPolicy,
+    /// The threads that serve requests.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: u32,
     /// What is logged.
     #[serde(default)]
     pub log_level: LogLevel,
