Bound the answers in one append

Cause: a batch of 256 outcomes could make a log record of any size.

Change: an append takes at most 256 KiB of answers; a larger answer goes alone. Seen failing: the test gives batches of three without the bound.

--- a/crates/orders/src/committer.rs
+++ b/crates/orders/src/committer.rs
@@ -11,6 +11,8 @@
     pub appends_per_s: f64,
     /// The most records in one append.
     pub batch_records: usize,
+    /// The most bytes of answers in one append; a single larger answer goes alone.
+    pub batch_answer_bytes: usize,
     /// How long to wait after a failed append, in milliseconds.
     pub retry_after_ms: u64,
     /// How old the last record of the stream may get before a mark is appended.
@@ -22,6 +24,7 @@
         Self {
             appends_per_s: 40.0,
             batch_records: 256,
+            batch_answer_bytes: 256 << 10,
             retry_after_ms: 250,
             mark_after_ms: 5 * 60_000,
         }
@@ -116,7 +119,7 @@
             return None;
         }
         self.mark_if_idle(now_ms);
-        let count = self.queue.len().min(self.limits.batch_records);
+        let count = self.batch_length();
         if count == 0 {
             return None;
         }
@@ -161,6 +164,17 @@
         });
     }
 
+    /// Returns how many waiting records fit into one append.
+    fn batch_length(&self) -> usize {
+        let mut answer_bytes = 0;
+        let fits = |queued: &&Queued| {
+            answer_bytes += queued.record.answer_bytes();
+            answer_bytes <= self.limits.batch_answer_bytes
+        };
+        let fitting = self.queue.iter().take(self.limits.batch_records).take_while(fits).count();
+        fitting.max(1).min(self.queue.len())
+    }
+
     /// Takes an attempt's intent out of the queue; returns whether it never left it.
     fn withdraw(&mut self, attempt: &AttemptId) -> bool {
         let is_intent = |queued: &Queued| match &queued.record {
--- a/crates/orders/src/record.rs
+++ b/crates/orders/src/record.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Returns the length of the answer in the record, in bytes.
+    pub const fn answer_bytes(&self) -> usize {
+        match self {
+            Self::Outcome(outcome) => outcome.answer.body.len(),
+            Self::Intent(_) | Self::Release(_) | Self::Mark => 0,
+        }
+    }
+
     /// Returns the key that the record is about.
     pub const fn key(&self) -> Option<&OrderKey> {
         match self {
--- a/crates/orders/tests/committer.rs
+++ b/crates/orders/tests/committer.rs
@@ -2,12 +2,13 @@
 
 use orders::committer::{Appended, CommitLimits, Committer, committer_host};
 use orders::key::{OrderDigest, OrderKey};
-use orders::record::{Intent, Owner, Record, Release};
+use orders::record::{Intent, OrderAnswer, Outcome, Owner, Record, Release};
 use protocol::ids::{HostName, Incarnation};
 
 const LIMITS: CommitLimits = CommitLimits {
     appends_per_s: 10.0,
     batch_records: 3,
+    batch_answer_bytes: 100,
     retry_after_ms: 250,
     mark_after_ms: 60_000,
 };
@@ -50,6 +51,25 @@
     assert_eq!(appends, [(0, 3), (100, 3), (200, 2)]);
 }
 
+#[test]
+fn large_answers_go_out_one_by_one() {
+    let mut committer = Committer::new(LIMITS, 0);
+    for (attempt, length) in [("a1", 60), ("a2", 500), ("a3", 60), ("a4", 40)] {
+        let body = "x".repeat(length);
+        let answer = OrderAnswer { status: 201, content_type: None, body };
+        let attempt = attempt.parse().unwrap();
+        committer.push(Record::Outcome(Outcome { key: key(), attempt, answer }));
+    }
+    let mut lengths = Vec::new();
+    for now_ms in (0..1_000).step_by(100) {
+        if let Some(batch) = committer.next_batch(now_ms) {
+            lengths.push(batch.len());
+            committer.appended(Appended::Stored, now_ms);
+        }
+    }
+    assert_eq!(lengths, [1, 1, 2]);
+}
+
 #[test]
 fn one_append_is_under_way_at_a_time() {
     let mut committer = filled(8);
