--- a/crates/orders/tests/histories/world.rs
+++ b/crates/orders/tests/histories/world.rs
@@ -19,6 +19,8 @@
 pub const RETENTION_MS: u64 = 14_000;
 const START_MS: u64 = 1_000_000;
 const DEADLINE_MS: u64 = 5_000;
+/// Rounds of 250 ms, enough for the latest append to land.
+const SETTLE_ROUNDS: usize = 70;
 
 pub const LIMITS: OrderLimits = OrderLimits {
     window_ms: 10_000,
@@ -103,7 +105,7 @@
     pub fn settle(&mut self) {
         self.log.down = false;
         self.hosts.iter_mut().for_each(|host| host.paused = false);
-        for _ in 0..30 {
+        for _ in 0..SETTLE_ROUNDS {
             self.round();
             self.sleep(250);
             if self.is_idle() {
@@ -119,7 +121,7 @@
                 && host.committer.pending() == 0
                 && host.coordinator.next() == self.log.end()
         };
-        self.oracle.is_answered() && self.hosts.iter().all(is_idle)
+        !self.log.has_late() && self.oracle.is_answered() && self.hosts.iter().all(is_idle)
     }
 
     /// Submits every key once more whose window leaves time for an outcome, and returns the keys.
--- a/crates/orders/tests/histories/world/log.rs
+++ b/crates/orders/tests/histories/world/log.rs
@@ -79,6 +79,10 @@
         })
     }
 
+    pub fn has_late(&self) -> bool {
+        !self.late.is_empty()
+    }
+
     pub fn end(&self) -> LogOffset {
         LogOffset::new(self.next)
     }
