--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -10,4 +10,6 @@
 mod faults;
 mod orders;
 mod overload;
+mod quarantine;
+mod returning;
 mod thin_path;
--- a/crates/settings/src/process/shape.rs
+++ b/crates/settings/src/process/shape.rs
@@ -16,10 +16,6 @@
 /// The longest answer that a setting may allow, in tokens.
 const MAX_ANSWER_TOKENS: u64 = 1 << 24;
 
-/// The shortest retention of the log in which orders can be remembered, in seconds.
-const MIN_LOG_RETENTION_S: u64 = 60;
-/// The longest retention of the log that a setting may state, in seconds: a year.
-const MAX_LOG_RETENTION_S: u64 = 366 * 86_400;
 /// The most threads that serve requests.
 const MAX_WORKER_THREADS: u64 = 1_024;
 
