Count a block's life from before the question; spare the baselines the cache events

Ruled out: a larger margin at import, which would have to cover the longest export. Change: the clock is read before each question; the baselines read no cache events. Measured: the process tests pass; no test forces a late answer.

--- a/crates/camphorwardd/src/follow/servers.rs
+++ b/crates/camphorwardd/src/follow/servers.rs
@@ -74,10 +74,10 @@
 }
 
 /// The homes of a server's own region decide on it; elsewhere its cache events would only load the
-/// link, and be late.
+/// link, and be late. The baselines decide without kept work.
 fn follows_memory(node: &Node, server: &Server) -> bool {
-    let is_baseline = node.settings.policy != PlacementPolicy::Camphorward;
-    is_baseline || server.region == node.settings.region
+    let uses_kept_work = node.settings.policy == PlacementPolicy::Camphorward;
+    uses_kept_work && server.region == node.settings.region
 }
 
 fn take_report(node: &Node, server: &Server, report: &LoadReport) {
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -191,6 +191,8 @@
         return;
     };
     node.counters.count(Counter::StoreLookups);
+    // What is left of a block's life counts from before the question, as the answer may be late.
+    let asked_at_ms = node.now_ms();
     let names = blocks.iter().map(|block| block.name.clone()).collect();
     let asked = node.clients.store.look_up(server.address, names);
     let Ok(Ok(found)) = tokio::time::timeout(STORE_LOOKUP_TIMEOUT, asked).await else {
@@ -200,7 +202,7 @@
         let Some(block) = blocks.iter().find(|block| block.name == status.name) else {
             continue;
         };
-        let expires_at_ms = node.now_ms() + status.expires_in_ms;
+        let expires_at_ms = asked_at_ms + status.expires_in_ms;
         let kept = to_kept(block.key, store.clone(), status);
         node.placement.index.add_block(&kept, expires_at_ms);
     }
--- a/crates/camphorwardd/src/run/finish.rs
+++ b/crates/camphorwardd/src/run/finish.rs
@@ -126,6 +126,8 @@
         expires_in_ms,
         blocks: pieces.iter().map(to_block).collect(),
     };
+    // The store counts a block's life from its commit, which may be long before the answer.
+    let expires_at_ms = node.now_ms() + expires_in_ms;
     let exported = node.clients.engine.export(server.address, &export, EXPORT_TIMEOUT).await;
     let committed = match exported {
         Ok(answer) => answer.committed,
@@ -138,7 +140,6 @@
     let lost = pieces.len().saturating_sub(committed.len());
     node.counters.add(Counter::PiecesExported, committed.len() as u64);
     node.counters.add(Counter::PiecesNotExported, lost as u64);
-    let expires_at_ms = node.now_ms() + expires_in_ms;
     for block in committed {
         node.placement.index.add_block(&to_kept(store.clone(), block), expires_at_ms);
     }
@@ -159,6 +160,7 @@
         let Some(store) = node.hosts.server(&renewal.store) else {
             continue;
         };
+        let asked_at_ms = node.now_ms();
         let extended = node.clients.store.extend(store.address, &renewal.name, expires_in_ms).await;
         match extended {
             Ok(status) => {
@@ -169,7 +171,7 @@
                     length_bytes: status.length_bytes,
                     checksum: status.checksum,
                 };
-                let expires_at_ms = node.now_ms() + status.expires_in_ms;
+                let expires_at_ms = asked_at_ms + status.expires_in_ms;
                 node.placement.index.add_block(&block, expires_at_ms);
             }
             Err(_) => node.placement.index.remove_block(&renewal.key, &renewal.store),
