--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -3,6 +3,7 @@
 use crate::constants::{IMPORT_MARGIN, MIN_SILENCE, SILENCE_TOKEN_GAPS};
 use crate::counters::Counter;
 use crate::node::Node;
+use crate::quarantine::Followed;
 use crate::reply::Failure;
 use crate::run::decide::note_sent;
 use crate::run::failure::from_client_error;
@@ -42,6 +43,7 @@
     placed: &'a Placed,
     missing: Vec<KeptBlock>,
     first_token_seen: bool,
+    followed: &'a mut Followed,
 }
 
 impl<'a> Attempt<'a> {
@@ -52,9 +54,10 @@
         chain: &'a PrefixChain,
         attempt_id: &'a AttemptId,
         placed: &'a Placed,
+        followed: &'a mut Followed,
     ) -> Self {
         let missing = Vec::new();
-        Self { node, job, chain, attempt_id, placed, missing, first_token_seen: false }
+        Self { node, job, chain, attempt_id, placed, missing, first_token_seen: false, followed }
     }
 
     /// Returns the blocks that were to be imported and were not.
@@ -121,13 +124,14 @@
         located.collect()
     }
 
-    async fn send(&self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
+    async fn send(&mut self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
         let request = self.request(passed_tokens);
         let silence = self.silence();
         let head_bound = silence * HEAD_SILENCES;
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
+        self.followed.runs_on(head.incarnation);
         self.check_head(&head)?;
         Ok(stream)
     }
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -31,8 +31,8 @@
         return PlaceReply::UnknownService;
     };
     let stores = StoreSite::find(node, &directory, model);
-    let view = view_chain(node, &stores, &request.region, &request.chain).await;
-    let candidates = candidates(node, &request.service, &model.weight_version);
+    let view = view_chain(node, &stores, &request.chain).await;
+    let candidates = candidates(node, request, &model.weight_version);
     let paths = paths(&directory, &request.region);
     let surroundings = Surroundings {
         candidates: &candidates,
@@ -83,10 +83,30 @@
     node.placement.loads.sent(&answer.server, sent);
 }
 
+/// Lists the servers of the own region, whose load and memory are followed closely here; those of
+/// other regions only if none is left, since their own homes know them better.
+fn candidates(node: &Node, request: &PlaceRequest, version: &WeightVersion) -> Vec<Candidate> {
+    let servers = servers_of_version(node, &request.service, version);
+    let candidate = |server: Server| Candidate {
+        host: server.host,
+        region: server.region,
+        failure_domain: server.failure_domain,
+    };
+    let all: Vec<Candidate> = servers.into_iter().map(candidate).collect();
+    if node.settings.policy != PlacementPolicy::Camphorward {
+        return all;
+    }
+    let is_near = |candidate: &&Candidate| {
+        candidate.region == node.settings.region && !request.excluded.contains(&candidate.host)
+    };
+    let near: Vec<Candidate> = all.iter().filter(is_near).cloned().collect();
+    if near.is_empty() { all } else { near }
+}
+
 /// Returns the servers that may run a request, those of the right weight version if there are any.
 ///
 /// A server whose version is not known yet may run it too; it refuses or is caught by its head.
-fn candidates(node: &Node, service: &ServiceName, version: &WeightVersion) -> Vec<Candidate> {
+fn servers_of_version(node: &Node, service: &ServiceName, version: &WeightVersion) -> Vec<Server> {
     let takes_work =
         |server: &Server| server.takes_work() && !node.placement.is_unreachable(&server.host);
     let mut servers = node.hosts.servers(service, node.now_ms());
@@ -97,12 +117,7 @@
     if servers.iter().any(may_hold) {
         servers.retain(may_hold);
     }
-    let candidate = |server: Server| Candidate {
-        host: server.host,
-        region: server.region,
-        failure_domain: server.failure_domain,
-    };
-    servers.into_iter().map(candidate).collect()
+    servers
 }
 
 fn paths(directory: &Directory, own: &Region) -> Vec<RegionPath> {
@@ -159,19 +174,14 @@
 }
 
 /// Shows what is known of a prompt's pieces; asks the store hosts if nothing is.
-async fn view_chain(
-    node: &Node,
-    stores: &StoreSite,
-    region: &Region,
-    chain: &[ChainKey],
-) -> ChainView {
+async fn view_chain(node: &Node, stores: &StoreSite, chain: &[ChainKey]) -> ChainView {
     let view = node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms());
     let is_known = !view.held.is_empty() || view.kept.iter().any(|copies| !copies.is_empty());
     let imports = node.settings.policy == PlacementPolicy::Camphorward;
     if is_known || !imports || chain.is_empty() || stores.stores.is_empty() {
         return view;
     }
-    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(region));
+    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(&node.settings.region));
     join_all(lookups.into_iter().map(|(store, blocks)| look_up(node, store, blocks))).await;
     node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms())
 }
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -10,4 +10,7 @@
 mod faults;
 mod orders;
 mod overload;
+mod quarantine;
+mod returning;
+mod safety;
 mod thin_path;
