--- a/crates/capacity/src/failures.rs
+++ b/crates/capacity/src/failures.rs
@@ -35,7 +35,7 @@
 fn start_kb(report: &Report) -> Result<[f64; 3]> {
     let text_bytes = report.measured("services_bytes", t::ORGANISATIONS)?;
     let order_bytes = report.slope("orders_bytes")? * t::ORDERS_PER_S * t::ORDER_WINDOW_S;
-    let snapshot_bytes = t::PROMPTS * t::PIECES_A_PROMPT * SNAPSHOT_KEY_BYTES;
+    let snapshot_bytes = t::PROMPTS * t::PIECES_A_PROMPT * SNAPSHOT_KEY_BYTES / t::REGIONS;
     Ok([text_bytes, order_bytes, snapshot_bytes].map(|bytes| bytes / BYTES_PER_KB))
 }
 
@@ -44,7 +44,7 @@
     Ok([
         "one restart".to_owned(),
         format!(
-            "all nodes agree again after {} ms, in which all nodes together send {} KB (ordinary probes included); the node reads {} KB of configuration, {} KB of orders (10 a second, half an hour) and, as today, {} KB of server snapshots if each returning piece is in one server's memory",
+            "all nodes agree again after {} ms, in which all nodes together send {} KB (ordinary probes included); the node reads {} KB of configuration, {} KB of orders (10 a second, half an hour) and, as today, {} KB of snapshots of its region's servers if each returning piece is in one server's memory",
             number(report.measured("rejoin_ms", t::NODES)?),
             number(report.measured("rejoin", t::NODES)?),
             number(text_kb),
--- a/crates/capacity/src/roles.rs
+++ b/crates/capacity/src/roles.rs
@@ -190,16 +190,19 @@
 }
 
 fn loads_today(report: &Report) -> Result<Role> {
-    let near = t::SERVERS / t::REGIONS;
-    let reads = near * NEAR_READS_PER_S + (t::SERVERS - near) * FAR_READS_PER_S;
+    let near = t::SERVERS / t::REGIONS * NEAR_READS_PER_S;
+    let far = (t::SERVERS - t::SERVERS / t::REGIONS) * FAR_READS_PER_S;
+    // Of a server in another region the load alone is read, which is one of two messages.
+    let reads_of_both = near + far / 2.0;
+    let events = event_bytes_per_s(report)? / t::REGIONS;
     Ok(Role {
         role: "entry: servers' load and cache events, as today",
         state: "load of 800 servers",
-        messages_per_s: reads * MESSAGES_A_SERVER_READ,
-        mechanism: "every daemon reads every server (`follow/servers.rs`)",
+        messages_per_s: reads_of_both * MESSAGES_A_SERVER_READ,
+        mechanism: "every daemon reads every server's load, and the events of its region (`follow/servers.rs`)",
         kind: Kind::Today,
-        cpu_us_per_s: reads * report.slope("load_read")?,
-        bytes_per_s: reads * report.slope("load_bytes")? + event_bytes_per_s(report)?,
+        cpu_us_per_s: reads_of_both * report.slope("load_read")?,
+        bytes_per_s: (near + far) * report.slope("load_bytes")? + events,
         memory_bytes: 0.0,
     })
 }
@@ -268,8 +271,8 @@
         role: "steward, one a model",
         state: "a lease of 15 s",
         messages_per_s: RENEWALS_PER_S * t::MODELS * 2.0,
-        mechanism: "lease in the log, renewed each 3 s; the offset is the fencing token (`control`)",
-        kind: Kind::TodaySome,
+        mechanism: "lease in the log, renewed each 3 s; the offset is the fencing token (`control`, not in the daemon yet)",
+        kind: Kind::Planned,
         cpu_us_per_s: 0.0,
         bytes_per_s: report.slope("lease_bytes")? * RENEWALS_PER_S * t::MODELS,
         memory_bytes: 0.0,
