--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -77,8 +77,32 @@
     ConfigsConflicting => "configs.conflicting";
     /// Configuration records that did not pass the check.
     ConfigsInvalid => "configs.invalid";
+    /// Orders sent to a server.
+    OrderDispatches => "orders.dispatches";
+    /// Outcomes asked of an order service.
+    OrderStatusChecks => "orders.status_checks";
+    /// Appends of order records to the platform's log.
+    OrderAppends => "orders.appends";
+    /// Order records appended.
+    OrderRecords => "orders.records";
+    /// Appends of order records that failed or got no answer.
+    OrderAppendFailures => "orders.append_failures";
     /// Probes of entry hosts that got no answer.
     ProbeFailures => "probes.failed";
+    /// Configurations taken from a peer.
+    ConfigsRelayed => "configs.relayed";
+    /// Configurations appended again before the log forgets them.
+    SnapshotsWritten => "configs.carried_forward";
+    /// Requests that became suspects here, as a server died while they ran there.
+    SuspectsFound => "suspects.found";
+    /// Requests that are refused from now on, as a second server died while they ran there.
+    SuspectsConfirmed => "suspects.confirmed";
+    /// Suspects cleared by a whole answer.
+    SuspectsCleared => "suspects.cleared";
+    /// Attempts at suspects that got a server without other suspects.
+    SuspectsIsolated => "suspects.isolated";
+    /// Waits before a request that may have crashed a server.
+    SuspectWaits => "suspects.waits";
     /// Connections accepted.
     Connections => "connections";
     /// Connections given up since the other side stopped reading or sending.
--- a/crates/camphorwardd/src/daemon.rs
+++ b/crates/camphorwardd/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Starts, drains and stops all parts of one daemon.
 
 use crate::clock::wall_ms;
-use crate::constants::DRAIN_POLL;
+use crate::constants::{DRAIN_LINGER, DRAIN_POLL};
 use crate::node::{BoundAddresses, Node};
 use crate::{callers, follow, operators, peers, serve};
 use protocol::ids::Incarnation;
@@ -18,14 +18,14 @@
 #[derive(Debug, Error)]
 pub enum StartError {
     /// A listener's address cannot be taken.
-    #[error("listen.{listener}: cannot listen on {address}: {source}")]
+    #[error("listen.{listener}: cannot listen on {address}: {cause}")]
     Listen {
         /// The field of the settings.
         listener: &'static str,
         /// The address.
         address: SocketAddr,
         /// The cause.
-        source: std::io::Error,
+        cause: std::io::Error,
     },
     /// No socket can be opened for the counters.
     #[error("statsd: cannot open a socket: {0}")]
@@ -125,6 +125,7 @@
         self.node.flights.close();
         let bound = started + Duration::from_millis(settings.bound_ms);
         let end = wait_for_flights(&self.node, bound).await;
+        tokio::time::sleep(DRAIN_LINGER).await;
         self.listeners.shutdown().await;
         self.followers.shutdown().await;
         log::info!("drain ended: {end:?}");
@@ -141,7 +142,7 @@
 async fn wait_for_flights(node: &Node, bound: Instant) -> DrainEnd {
     loop {
         let in_flight = node.flights.in_flight();
-        if in_flight == 0 {
+        if in_flight == 0 && node.orders.is_settled() {
             return DrainEnd::Finished;
         }
         if Instant::now() >= bound {
@@ -153,7 +154,7 @@
 
 async fn listen(listener: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| StartError::Listen { listener, address, source })
+    bound.map_err(|cause| StartError::Listen { listener, address, cause })
 }
 
 fn local_address(listener: &TcpListener, asked: SocketAddr) -> SocketAddr {
--- a/crates/camphorwardd/src/lib.rs
+++ b/crates/camphorwardd/src/lib.rs
@@ -11,15 +11,19 @@
 pub mod node;
 pub mod reply;
 
+mod admission_state;
 mod callers;
 mod clock;
+mod configuration;
 mod connection;
 mod constants;
 mod follow;
 mod hosts;
 mod operators;
+mod orders;
 mod peers;
 mod placement_state;
+mod quarantine;
 mod run;
 mod serve;
 
--- a/crates/camphorwardd/src/node.rs
+++ b/crates/camphorwardd/src/node.rs
@@ -1,12 +1,16 @@
 //! What all parts of one daemon share.
 
+use crate::admission_state::AdmissionState;
 use crate::clock::Clock;
+use crate::configuration::ConfigState;
 use crate::counters::Counters;
 use crate::directory::Directory;
 use crate::explain::Explanations;
 use crate::flight::Flights;
 use crate::hosts::Hosts;
+use crate::orders::Orders;
 use crate::placement_state::PlacementState;
+use crate::quarantine::QuarantineState;
 use clients::engine::EngineClient;
 use clients::host_list::HostListClient;
 use clients::http::HttpClient;
@@ -14,12 +18,13 @@
 use clients::peer::PeerClient;
 use clients::store::StoreClient;
 use gotham::state::StateData;
+use orders::record::Owner;
 use protocol::ids::Incarnation;
 use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole};
 use settings::process::ProcessSettings;
 use std::net::SocketAddr;
 use std::panic::RefUnwindSafe;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::Arc;
 
 /// Gives the addresses that a daemon listens on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
@@ -73,7 +78,10 @@
     pub(crate) explanations: Explanations,
     pub(crate) hosts: Hosts,
     pub(crate) placement: PlacementState,
-    directory: RwLock<Arc<Directory>>,
+    pub(crate) admission: AdmissionState,
+    pub(crate) quarantine: QuarantineState,
+    pub(crate) orders: Orders,
+    pub(crate) configuration: ConfigState,
     clock: Clock,
 }
 
@@ -89,6 +97,7 @@
         addresses: BoundAddresses,
     ) -> std::io::Result<Self> {
         let clock = Clock::new();
+        let owner = Owner { host: settings.host.clone(), incarnation };
         let own = own_record(&settings, incarnation, &addresses);
         Ok(Self {
             counters: Arc::new(Counters::new(settings.statsd)?),
@@ -97,7 +106,10 @@
             explanations: Explanations::new(),
             hosts: Hosts::new(own, clock.now_ms()),
             placement: PlacementState::new(),
-            directory: RwLock::default(),
+            admission: AdmissionState::new(),
+            quarantine: QuarantineState::new(),
+            orders: Orders::new(&settings.platform, owner, clock.now_ms()),
+            configuration: ConfigState::new(),
             clock,
             settings,
             incarnation,
@@ -107,12 +119,7 @@
 
     /// Returns the configuration in force.
     pub(crate) fn directory(&self) -> Arc<Directory> {
-        Arc::clone(&self.directory.read().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    /// Puts a configuration in force.
-    pub(crate) fn set_directory(&self, directory: Directory) {
-        *self.directory.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(directory);
+        self.configuration.directory()
     }
 
     /// Returns the milliseconds since the epoch; never goes back.
@@ -127,22 +134,21 @@
     }
 
     /// Returns why the host takes no requests, if it takes none.
-    pub(crate) fn not_ready_reason(&self) -> Option<&'static str> {
+    pub(crate) fn not_ready_reason(&self) -> Option<String> {
         if self.flights.is_draining() {
-            return Some("draining");
+            return Some("draining".to_owned());
         }
         self.unable_reason()
     }
 
     /// Returns what the host lacks to serve requests, if it lacks anything.
-    pub(crate) fn unable_reason(&self) -> Option<&'static str> {
-        if self.directory().version().value() == 0 {
-            return Some("no configuration read yet from the log or a peer");
-        }
-        if !self.hosts.is_known(self.now_ms()) {
-            return Some("no host list read yet from the platform or a peer");
+    pub(crate) fn unable_reason(&self) -> Option<String> {
+        let missing = self.configuration.missing_reason();
+        if missing.is_some() {
+            return missing;
         }
-        None
+        let is_known = self.hosts.is_known(self.now_ms());
+        (!is_known).then(|| "no host list read yet from the platform or a peer".to_owned())
     }
 }
 
--- a/crates/camphorwardd/src/run/attempt.rs
+++ b/crates/camphorwardd/src/run/attempt.rs
@@ -15,13 +15,14 @@
 };
 use placement::chain::PrefixChain;
 use protocol::error::ErrorKind;
-use protocol::ids::AttemptId;
+use protocol::ids::{AttemptId, Incarnation};
 use protocol::message::place::KeptBlock;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How much longer than expected the head of an answer may take, as a factor.
-const HEAD_FACTOR: u64 = 4;
+/// How many times the silence of a stream the head of an answer may take. An engine sends it when
+/// it has taken the request, before the queue.
+const HEAD_SILENCES: u32 = 2;
 
 /// Says why an attempt ended without its end mark.
 #[derive(Debug)]
@@ -41,6 +42,7 @@
     placed: &'a Placed,
     missing: Vec<KeptBlock>,
     first_token_seen: bool,
+    incarnation: Option<Incarnation>,
 }
 
 impl<'a> Attempt<'a> {
@@ -53,7 +55,21 @@
         placed: &'a Placed,
     ) -> Self {
         let missing = Vec::new();
-        Self { node, job, chain, attempt_id, placed, missing, first_token_seen: false }
+        Self {
+            node,
+            job,
+            chain,
+            attempt_id,
+            placed,
+            missing,
+            first_token_seen: false,
+            incarnation: None,
+        }
+    }
+
+    /// Returns the server's incarnation as its answer named it.
+    pub(crate) fn incarnation(&self) -> Option<Incarnation> {
+        self.incarnation
     }
 
     /// Returns the blocks that were to be imported and were not.
@@ -67,7 +83,10 @@
         passed_tokens: &mut u64,
         parts: &PartSender,
     ) -> Result<End, AttemptError> {
-        note_sent(self.node, self.attempt_id, &self.placed.answer);
+        // A placement made here is counted already.
+        if self.placed.home.is_some() {
+            note_sent(self.node, self.attempt_id, &self.placed.answer);
+        }
         self.import().await;
         let mut stream = self.send(*passed_tokens).await.map_err(AttemptError::Failed)?;
         let result = self.pass_on(&mut stream, passed_tokens, parts).await;
@@ -117,13 +136,14 @@
         located.collect()
     }
 
-    async fn send(&self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
+    async fn send(&mut self, passed_tokens: u64) -> Result<AnswerStream, Failure> {
         let request = self.request(passed_tokens);
         let silence = self.silence();
-        let head_bound = self.expected() * HEAD_FACTOR as u32 + self.deadline() + silence;
+        let head_bound = silence * HEAD_SILENCES;
         let engine = &self.node.clients.engine;
         let answer = engine.complete(self.placed.server.address, &request, head_bound, silence);
         let (head, stream) = answer.await.map_err(|error| from_client_error(&error))?;
+        self.incarnation = Some(head.incarnation);
         self.check_head(&head)?;
         Ok(stream)
     }
@@ -250,8 +270,4 @@
     fn expected(&self) -> Duration {
         Duration::from_millis(self.placed.answer.expected_first_token_ms)
     }
-
-    fn deadline(&self) -> Duration {
-        Duration::from_millis(self.job.model.first_token_deadline_ms)
-    }
 }
--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -6,6 +6,10 @@
 mod wait;
 
 mod bad_input;
+mod cut_off;
 mod faults;
+mod orders;
+mod overload;
+mod quarantine;
 mod returning;
 mod thin_path;
--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -109,9 +109,9 @@
         self.live = live;
     }
 
-    /// Returns how many orders are under way here.
+    /// Returns how many orders are under way here that will still come to an end.
     pub fn open(&self) -> usize {
-        self.work.len()
+        self.work.values().filter(|work| work.is_open()).count()
     }
 
     /// Takes an order.
@@ -192,6 +192,9 @@
     }
 
     /// Takes the result of an [`Action::AskOutcome`]; `None` if the service knows no such order.
+    ///
+    /// A service may still be executing what a dead owner sent, so it is asked twice before the
+    /// outcome is called unknown.
     pub fn status_learnt(
         &mut self,
         target: &Target,
@@ -206,7 +209,9 @@
                 work.learn(answer.clone(), now_ms);
                 vec![append_outcome(target, answer)]
             }
-            None if gone && work.learnt.is_none() => self.report_unknown(&target.key),
+            None if gone && work.unknown && work.learnt.is_none() => {
+                self.report_unknown(&target.key)
+            }
             None => {
                 work.unknown = true;
                 Vec::new()
@@ -246,7 +251,8 @@
     fn log_refusal(&self, order: &Order, log: LogView) -> Option<ErrorKind> {
         match log.covered_from_ms {
             _ if !log.up => Some(ErrorKind::LogUnavailable),
-            None => Some(ErrorKind::LogUnavailable),
+            // Nothing was read yet: what is read back together with the intent decides.
+            None => None,
             Some(covered_from_ms) if self.limits.covers(covered_from_ms, order.key.key) => None,
             Some(_) => Some(ErrorKind::IdempotencyKeyExpired),
         }
@@ -268,7 +274,7 @@
         };
         let work = self.work.entry(order.key).or_default();
         work.own = Some(own);
-        work.waiters.push(Waiter::new(order.waiter, order.digest, order.deadline_ms, now_ms));
+        work.waiters.push(Waiter::new(order.waiter, order.deadline_ms, now_ms));
         vec![Action::Append(Record::Intent(intent))]
     }
 
@@ -319,7 +325,8 @@
         if holder.owner.host == self.owner.host {
             return holder.owner.incarnation != self.owner.incarnation;
         }
-        self.live.get(&holder.owner.host) != Some(&holder.owner.incarnation)
+        let live = self.live.get(&holder.owner.host);
+        live.is_none_or(|incarnation| *incarnation > holder.owner.incarnation)
     }
 }
 
--- a/crates/orders/src/executor/work.rs
+++ b/crates/orders/src/executor/work.rs
@@ -15,7 +15,7 @@
     pub(super) waiters: SmallVec<[Waiter; 1]>,
     /// When the service was last asked for the outcome.
     pub(super) asked_at_ms: Option<u64>,
-    /// Whether the service, when last asked, did not know the order.
+    /// Whether the service was asked and did not know the order.
     pub(super) unknown: bool,
     /// The answer, learnt from the service, whose outcome record was not read back yet.
     pub(super) learnt: Option<Learnt>,
@@ -42,6 +42,12 @@
         taken
     }
 
+    /// Returns whether the order is to be waited for; one whose answer was lost is not.
+    pub(super) fn is_open(&self) -> bool {
+        let runs = self.own.as_ref().is_some_and(|own| own.phase != Phase::Uncertain);
+        runs || !self.waiters.is_empty()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.own.is_none() && self.waiters.is_empty()
     }
@@ -85,18 +91,12 @@
 #[derive(Debug)]
 pub(super) struct Waiter {
     pub(super) id: WaiterId,
-    pub(super) digest: OrderDigest,
     pub(super) deadline_ms: u64,
     pub(super) since_ms: u64,
 }
 
 impl Waiter {
-    pub(super) const fn new(
-        id: WaiterId,
-        digest: OrderDigest,
-        deadline_ms: u64,
-        since_ms: u64,
-    ) -> Self {
-        Self { id, digest, deadline_ms, since_ms }
+    pub(super) const fn new(id: WaiterId, deadline_ms: u64, since_ms: u64) -> Self {
+        Self { id, deadline_ms, since_ms }
     }
 }
