--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -16,7 +16,7 @@
 use placement::index::ChainView;
 use placement::load::SentAttempt;
 use placement::rebuild::{self, PossibleBlock};
-use protocol::ids::{AttemptId, ChainKey, HostName, Region, ServiceName, WeightVersion};
+use protocol::ids::{AttemptId, ChainKey, HostName, Region, WeightVersion};
 use protocol::message::operator::CandidateExplanation;
 use protocol::message::place::{KeptBlock, PlaceAnswer, PlaceReply, PlaceRequest};
 use settings::process::PlacementPolicy;
@@ -83,33 +83,15 @@
     node.placement.loads.sent(&answer.server, sent);
 }
 
-/// Lists the servers of the own region, whose load and memory are followed closely here; those of
-/// other regions only if none is left, since their own homes know them better.
-fn candidates(node: &Node, request: &PlaceRequest, version: &WeightVersion) -> Vec<Candidate> {
-    let servers = servers_of_version(node, &request.service, version);
-    let candidate = |server: Server| Candidate {
-        host: server.host,
-        region: server.region,
-        failure_domain: server.failure_domain,
-    };
-    let all: Vec<Candidate> = servers.into_iter().map(candidate).collect();
-    if node.settings.policy != PlacementPolicy::Camphorward {
-        return all;
-    }
-    let is_near = |candidate: &&Candidate| {
-        candidate.region == node.settings.region && !request.excluded.contains(&candidate.host)
-    };
-    let near: Vec<Candidate> = all.iter().filter(is_near).cloned().collect();
-    if near.is_empty() { all } else { near }
-}
-
 /// Returns the servers that may run a request, those of the right weight version if there are any.
 ///
 /// A server whose version is not known yet may run it too; it refuses or is caught by its head.
-fn servers_of_version(node: &Node, service: &ServiceName, version: &WeightVersion) -> Vec<Server> {
+/// Servers of other regions are left out as long as one is left here: their own homes know better
+/// what they hold and how busy they are.
+fn candidates(node: &Node, request: &PlaceRequest, version: &WeightVersion) -> Vec<Candidate> {
     let takes_work =
         |server: &Server| server.takes_work() && !node.placement.is_unreachable(&server.host);
-    let mut servers = node.hosts.servers(service, node.now_ms());
+    let mut servers = node.hosts.servers(&request.service, node.now_ms());
     servers.retain(takes_work);
     let may_hold = |server: &Server| {
         node.placement.version(&server.host).is_none_or(|reported| reported == *version)
@@ -117,7 +99,19 @@
     if servers.iter().any(may_hold) {
         servers.retain(may_hold);
     }
-    servers
+    let is_near = |server: &Server| {
+        server.region == node.settings.region && !request.excluded.contains(&server.host)
+    };
+    let is_ours = node.settings.policy == PlacementPolicy::Camphorward;
+    if is_ours && servers.iter().any(is_near) {
+        servers.retain(is_near);
+    }
+    let candidate = |server: Server| Candidate {
+        host: server.host,
+        region: server.region,
+        failure_domain: server.failure_domain,
+    };
+    servers.into_iter().map(candidate).collect()
 }
 
 fn paths(directory: &Directory, own: &Region) -> Vec<RegionPath> {
