--- a/crates/placement/tests/choice.rs
+++ b/crates/placement/tests/choice.rs
@@ -256,6 +256,7 @@
 }
 
 #[test]
+<<<<<<< HEAD
 fn short_prompts_that_come_together_go_to_different_servers() {
     let site = Site::new();
     let near: BTreeSet<HostName> = (0..2).map(|number| site.send_short(number)).collect();
@@ -263,6 +264,8 @@
 }
 
 #[test]
+=======
+>>>>>>> returning
 fn the_first_pieces_are_imported_again_when_the_imports_could_evict_them() {
     let mut site = Site::new();
     site.candidates.truncate(1);
@@ -275,4 +278,14 @@
     site.view = view(&[("near-a", 3)], &kept);
     let choice = site.chosen();
     assert_eq!((choice.cached_pieces, choice.imports.len()), (3, 2));
+<<<<<<< HEAD
+=======
+}
+
+#[test]
+fn short_prompts_that_come_together_go_to_different_servers() {
+    let site = Site::new();
+    let near: BTreeSet<HostName> = (0..2).map(|number| site.send_short(number)).collect();
+    assert_eq!(near.len(), 2);
+>>>>>>> returning
 }
