--- a/crates/placement/src/choice/cost.rs
+++ b/crates/placement/src/choice/cost.rs
@@ -100,9 +100,23 @@
         }
     }
 
-    /// Tries each number of pieces that can be imported one after the other.
+    /// Tries each number of pieces that can be imported one after the other. Where that is more than
+    /// the server holds, it also imports those again: the import evicts what was unused for long,
+    /// and without its first pieces a prompt is computed again.
     fn add_imports(&mut self, scene: &Scene<'a>) {
-        let cached_pieces = self.start.cached_pieces;
+        self.add_imports_after(self.start.cached_pieces, scene);
+        if self.start.cached_pieces == 0 || self.start.imported_pieces <= self.start.cached_pieces {
+            return;
+        }
+        let mut whole = self.clone();
+        whole.start = recompute(scene.request, 0, 0, self.load.prefill_tokens_per_s);
+        whole.add_imports_after(0, scene);
+        if whole.start.recomputed_tokens <= self.start.recomputed_tokens {
+            *self = whole;
+        }
+    }
+
+    fn add_imports_after(&mut self, cached_pieces: usize, scene: &Scene<'a>) {
         let rate = self.load.prefill_tokens_per_s;
         let mut import_ms = 0.0;
         for (position, import) in scene.imports(&self.candidate.region, cached_pieces).enumerate() {
@@ -141,6 +155,10 @@
 }
 
 fn price_ms(path: &RegionPath, text_bytes: u64) -> f64 {
-    let kilobytes = text_bytes as f64 / BYTES_PER_KILOBYTE;
-    path.bits_per_s.map_or(0.0, |_| kilobytes * LINK_PRICE_MS_PER_KILOBYTE)
+    path.bits_per_s.map_or(0.0, |_| link_price_ms(text_bytes))
+}
+
+/// Returns what a text's way over the link between regions counts more than its time.
+pub fn link_price_ms(text_bytes: u64) -> f64 {
+    text_bytes as f64 / BYTES_PER_KILOBYTE * LINK_PRICE_MS_PER_KILOBYTE
 }
