--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -16,7 +16,7 @@
 use placement::index::ChainView;
 use placement::load::SentAttempt;
 use placement::rebuild::{self, PossibleBlock};
-use protocol::ids::{AttemptId, ChainKey, HostName, Region, ServiceName, WeightVersion};
+use protocol::ids::{AttemptId, ChainKey, HostName, Region, WeightVersion};
 use protocol::message::operator::CandidateExplanation;
 use protocol::message::place::{KeptBlock, PlaceAnswer, PlaceReply, PlaceRequest};
 use settings::process::PlacementPolicy;
@@ -31,8 +31,8 @@
         return PlaceReply::UnknownService;
     };
     let stores = StoreSite::find(node, &directory, model);
-    let view = view_chain(node, &stores, &request.region, &request.chain).await;
-    let candidates = candidates(node, &request.service, &model.weight_version);
+    let view = view_chain(node, &stores, &request.chain).await;
+    let candidates = candidates(node, request, &model.weight_version);
     let paths = paths(&directory, &request.region);
     let surroundings = Surroundings {
         candidates: &candidates,
@@ -86,10 +86,12 @@
 /// Returns the servers that may run a request, those of the right weight version if there are any.
 ///
 /// A server whose version is not known yet may run it too; it refuses or is caught by its head.
-fn candidates(node: &Node, service: &ServiceName, version: &WeightVersion) -> Vec<Candidate> {
+/// Servers of other regions are left out as long as one is left here: their own homes know better
+/// what they hold and how busy they are.
+fn candidates(node: &Node, request: &PlaceRequest, version: &WeightVersion) -> Vec<Candidate> {
     let takes_work =
         |server: &Server| server.takes_work() && !node.placement.is_unreachable(&server.host);
-    let mut servers = node.hosts.servers(service, node.now_ms());
+    let mut servers = node.hosts.servers(&request.service, node.now_ms());
     servers.retain(takes_work);
     let may_hold = |server: &Server| {
         node.placement.version(&server.host).is_none_or(|reported| reported == *version)
@@ -97,6 +99,13 @@
     if servers.iter().any(may_hold) {
         servers.retain(may_hold);
     }
+    let is_near = |server: &Server| {
+        server.region == node.settings.region && !request.excluded.contains(&server.host)
+    };
+    let is_ours = node.settings.policy == PlacementPolicy::Camphorward;
+    if is_ours && servers.iter().any(is_near) {
+        servers.retain(is_near);
+    }
     let candidate = |server: Server| Candidate {
         host: server.host,
         region: server.region,
@@ -159,19 +168,14 @@
 }
 
 /// Shows what is known of a prompt's pieces; asks the store hosts if nothing is.
-async fn view_chain(
-    node: &Node,
-    stores: &StoreSite,
-    region: &Region,
-    chain: &[ChainKey],
-) -> ChainView {
+async fn view_chain(node: &Node, stores: &StoreSite, chain: &[ChainKey]) -> ChainView {
     let view = node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms());
     let is_known = !view.held.is_empty() || view.kept.iter().any(|copies| !copies.is_empty());
     let imports = node.settings.policy == PlacementPolicy::Camphorward;
     if is_known || !imports || chain.is_empty() || stores.stores.is_empty() {
         return view;
     }
-    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(region));
+    let lookups = rebuild::lookups(chain, &view, &stores.hosts_in(&node.settings.region));
     join_all(lookups.into_iter().map(|(store, blocks)| look_up(node, store, blocks))).await;
     node.placement.index.view(chain, stores.bytes_per_s(), node.now_ms())
 }
@@ -181,6 +185,8 @@
         return;
     };
     node.counters.count(Counter::StoreLookups);
+    // What is left of a block's life counts from before the question, as the answer may be late.
+    let asked_at_ms = node.now_ms();
     let names = blocks.iter().map(|block| block.name.clone()).collect();
     let asked = node.clients.store.look_up(server.address, names);
     let Ok(Ok(found)) = tokio::time::timeout(STORE_LOOKUP_TIMEOUT, asked).await else {
@@ -190,7 +196,7 @@
         let Some(block) = blocks.iter().find(|block| block.name == status.name) else {
             continue;
         };
-        let expires_at_ms = node.now_ms() + status.expires_in_ms;
+        let expires_at_ms = asked_at_ms + status.expires_in_ms;
         let kept = to_kept(block.key, store.clone(), status);
         node.placement.index.add_block(&kept, expires_at_ms);
     }
