Carry the configuration forward once, and space the reads of a log that is down

Reads of the log and of the host list pause 0.2 s after a failure, twice as long after each further one, 3.2 s at most, spread by chance; the log gets the first, second, fourth line and so on.

--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -10,8 +10,8 @@
 pub(crate) const LOG_WAIT: Duration = Duration::from_millis(2_000);
 /// How long the log may take to answer an append.
 pub(crate) const LOG_APPEND_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// The pause after a failed read of the log.
-pub(crate) const LOG_RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How much longer each rank among the writers of snapshots waits than the one before.
+pub(crate) const SNAPSHOT_RANK_PAUSE_MS: u64 = 3_000;
 /// The most records read at once.
 pub(crate) const LOG_PAGE_RECORDS: usize = 48;
 /// How long the home of a prompt may take to answer.
--- a/crates/camphorwardd/src/counters.rs
+++ b/crates/camphorwardd/src/counters.rs
@@ -91,6 +91,8 @@
     ProbeFailures => "probes.failed";
     /// Configurations taken from a peer.
     ConfigsRelayed => "configs.relayed";
+    /// Configurations that another host was found to have appended again in time.
+    SnapshotsSpared => "configs.carry_forward_spared";
     /// Configurations appended again before the log forgets them.
     SnapshotsWritten => "configs.carried_forward";
     /// Requests that became suspects here, as a server died while they ran there.
--- a/crates/camphorwardd/src/follow.rs
+++ b/crates/camphorwardd/src/follow.rs
@@ -1,9 +1,10 @@
 //! Background tasks that follow the platform and the backend servers.
 
-mod configuration;
+pub(crate) mod configuration;
 mod host_list;
 pub(crate) mod peers;
 mod servers;
+mod snapshots;
 
 use crate::node::Node;
 use crate::{orders, quarantine};
--- a/crates/camphorwardd/src/follow/configuration.rs
+++ b/crates/camphorwardd/src/follow/configuration.rs
@@ -1,43 +1,58 @@
-//! Follows the configuration streams of the platform's log and carries the newest forward.
+//! Follows the configuration streams of the platform's log.
 
-use crate::constants::{LOG_APPEND_TIMEOUT, LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT};
+use crate::constants::{LOG_PAGE_RECORDS, LOG_WAIT};
 use crate::counters::Counter;
+use crate::follow::snapshots::SnapshotWriter;
 use crate::node::Node;
 use clients::error::ClientError;
 use clients::wire::log::RecordPage;
-use control::configuration::{
-    CarryForward, ConfigSnapshot, Judged, PageRecord, ReadOrder, SNAPSHOT_STREAM, StreamPage,
-    Verdict, snapshot_rank,
-};
+use control::backoff::Backoff;
+use control::configuration::{Judged, PageRecord, ReadOrder, SNAPSHOT_STREAM, StreamPage, Verdict};
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// Reads the streams for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
-    let mut carry_forward = CarryForward::new(node.settings.platform.log_retention_ms);
+    let mut snapshots = SnapshotWriter::new(node.settings.platform.log_retention_ms);
+    let mut backoff = Backoff::new();
     loop {
         let order = node.configuration.next_read();
         match read(&node, order).await {
-            Ok(page) => apply_page(&node, order, page, &mut carry_forward),
-            Err(error) => {
-                node.counters.count(Counter::LogReadFailures);
-                log::warn!("cannot read the stream {}: {error}", order.stream);
-                tokio::time::sleep(LOG_RETRY_PAUSE).await;
+            Ok(page) => {
+                backoff.succeed();
+                apply_page(&node, order, page, &mut snapshots);
             }
+            Err(error) => pause_after(&node, &mut backoff, order.stream, &error).await,
         }
-        write_snapshot(&node, &mut carry_forward).await;
+        snapshots.write_if_due(&node).await;
     }
 }
 
+/// Waits after a failed read of the log, longer after each further one.
+pub(crate) async fn pause_after(
+    node: &Node,
+    backoff: &mut Backoff,
+    stream: &str,
+    error: &ClientError,
+) {
+    node.counters.count(Counter::LogReadFailures);
+    let pause_ms = backoff.fail(rand::rng().random());
+    if backoff.is_worth_a_line() {
+        log::warn!("cannot read the stream {stream}: {error}");
+    }
+    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
 async fn read(node: &Node, order: ReadOrder) -> Result<RecordPage, ClientError> {
     // Waiting for a first snapshot would hold up the records that are there.
     let wait = if order.stream == SNAPSHOT_STREAM { Duration::ZERO } else { LOG_WAIT };
     node.clients.log.read(order.stream, order.from, LOG_PAGE_RECORDS, wait).await
 }
 
-fn apply_page(node: &Node, order: ReadOrder, page: RecordPage, carry_forward: &mut CarryForward) {
+fn apply_page(node: &Node, order: ReadOrder, page: RecordPage, snapshots: &mut SnapshotWriter) {
     if order.stream == SNAPSHOT_STREAM {
-        observe_snapshots(&page, carry_forward);
+        snapshots.observe(&page);
     }
     let before = node.configuration.version();
     let to_record = |record: clients::wire::log::LogRecord| PageRecord {
@@ -58,14 +73,6 @@
     }
 }
 
-fn observe_snapshots(page: &RecordPage, carry_forward: &mut CarryForward) {
-    for record in &page.records {
-        if let Ok(snapshot) = serde_json::from_str::<ConfigSnapshot>(&record.value) {
-            carry_forward.observe(&snapshot, record.appended_at_ms);
-        }
-    }
-}
-
 fn note_verdict(node: &Node, judged: &Judged) {
     let offset = judged.offset;
     match &judged.verdict {
@@ -80,25 +87,3 @@
         }
     }
 }
-
-/// Appends the configuration in force again before the log forgets its record.
-async fn write_snapshot(node: &Node, carry_forward: &mut CarryForward) {
-    let now_ms = node.now_ms();
-    let Some(rank) = snapshot_rank(&node.hosts.view(now_ms), &node.settings.host) else {
-        return;
-    };
-    let due = node.configuration.due_snapshot(|ledger| carry_forward.due(ledger, rank, now_ms));
-    let Some(snapshot) = due else {
-        return;
-    };
-    let Ok(text) = serde_json::to_string(&snapshot) else {
-        return;
-    };
-    match node.clients.log.append(SNAPSHOT_STREAM, text, LOG_APPEND_TIMEOUT).await {
-        Ok(_) => {
-            carry_forward.observe(&snapshot, now_ms);
-            node.counters.count(Counter::SnapshotsWritten);
-        }
-        Err(error) => log::warn!("the configuration was not carried forward: {error}"),
-    }
-}
--- a/crates/camphorwardd/src/follow/host_list.rs
+++ b/crates/camphorwardd/src/follow/host_list.rs
@@ -3,25 +3,36 @@
 use crate::constants::HOST_LIST_INTERVAL;
 use crate::counters::Counter;
 use crate::node::Node;
+use control::backoff::Backoff;
+use rand::Rng;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Reads the list at intervals for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
+    let mut backoff = Backoff::new();
     loop {
         let now_ms = node.now_ms();
         if node.hosts.view(now_ms).is_list_reader(&node.settings.host) {
-            read(&node).await;
+            read(&node, &mut backoff).await;
         }
         tokio::time::sleep(HOST_LIST_INTERVAL).await;
     }
 }
 
-async fn read(node: &Node) {
+async fn read(node: &Node, backoff: &mut Backoff) {
     match node.clients.host_list.read().await {
-        Ok(list) => node.hosts.merge_list(list, node.now_ms()),
+        Ok(list) => {
+            backoff.succeed();
+            node.hosts.merge_list(list, node.now_ms());
+        }
         Err(error) => {
             node.counters.count(Counter::HostListFailures);
-            log::warn!("cannot read the host list: {error}");
+            let pause_ms = backoff.fail(rand::rng().random());
+            if backoff.is_worth_a_line() {
+                log::warn!("cannot read the host list: {error}");
+            }
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 }
--- a/crates/camphorwardd/src/orders/follow.rs
+++ b/crates/camphorwardd/src/orders/follow.rs
@@ -2,11 +2,12 @@
 
 use super::act;
 use crate::constants::{
-    LOG_PAGE_RECORDS, LOG_RETRY_PAUSE, LOG_WAIT, ORDER_FIRST_WAIT, ORDER_TICK, ORDER_TICKS_PER_VIEW,
+    LOG_PAGE_RECORDS, LOG_WAIT, ORDER_FIRST_WAIT, ORDER_TICK, ORDER_TICKS_PER_VIEW,
 };
-use crate::counters::Counter;
+use crate::follow::configuration::pause_after;
 use crate::node::Node;
 use clients::wire::log::RecordPage;
+use control::backoff::Backoff;
 use membership::Reachability;
 use orders::ORDERS_STREAM;
 use orders::follower::{StreamPage, StreamRecord};
@@ -15,18 +16,20 @@
 
 /// Reads the stream for as long as the daemon runs.
 pub(crate) async fn follow(node: Arc<Node>) {
+    let mut backoff = Backoff::new();
     loop {
         let from = node.orders.coordinator.next();
         let covered = node.orders.coordinator.is_covered();
         let wait = if covered { LOG_WAIT } else { ORDER_FIRST_WAIT };
         let read = node.clients.log.read(ORDERS_STREAM, from, LOG_PAGE_RECORDS, wait).await;
         match read {
-            Ok(page) => apply_page(&node, page),
+            Ok(page) => {
+                backoff.succeed();
+                apply_page(&node, page);
+            }
             Err(error) => {
-                node.counters.count(Counter::LogReadFailures);
-                log::warn!("cannot read the orders stream: {error}");
                 node.orders.committer().note_read(false);
-                tokio::time::sleep(LOG_RETRY_PAUSE).await;
+                pause_after(&node, &mut backoff, ORDERS_STREAM, &error).await;
             }
         }
     }
--- a/crates/camphorwardd/tests/process/cut_off.rs
+++ b/crates/camphorwardd/tests/process/cut_off.rs
@@ -115,3 +115,33 @@
     let counters = leaving.counters();
     assert_eq!((counters.runs, counters.refused), (runs_before, 0));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_several_hosts_carries_the_configuration_forward() {
+    let site = site::start(EngineConfig::default()).await;
+    let mut daemons = Vec::new();
+    for (domain, host) in ["e1", "e2", "e3"].iter().enumerate() {
+        daemons.push(Daemon::start(&site, host, domain, "").await);
+    }
+    for daemon in &daemons {
+        wait::until("the host knows the others", || async {
+            let status = daemon.status().await.expect("the operators' listener answers");
+            status.live_entry_hosts.len() == daemons.len()
+        })
+        .await;
+    }
+    site::publish(&site).await;
+    let sum = async |name: &str| {
+        let mut sum = 0;
+        for daemon in &daemons {
+            sum += daemon.counter(name).await;
+        }
+        sum
+    };
+    wait::until("two hosts were spared the append", || async {
+        sum("configs.carry_forward_spared").await == 2
+    })
+    .await;
+    assert_eq!(sum("configs.carried_forward").await, 1);
+    assert_eq!(site.log.appended_records("configuration-snapshots"), 1);
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,6 +12,7 @@
 //! | a second passed | [`leases::Steward::next_record`] with [`leases::takeover_rank`]; append what it returns |
 //! | this node is steward | [`swap::next_orders`]; ask [`leases::Steward::token`] right before each order |
 
+pub mod backoff;
 pub mod configuration;
 pub mod leases;
 pub mod spread;
