--- a/crates/camphorwardd/src/constants.rs
+++ b/crates/camphorwardd/src/constants.rs
@@ -58,3 +58,5 @@
 pub(crate) const ORDER_STATUS_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// How long a read of the orders stream waits for a record before any time is covered.
 pub(crate) const ORDER_FIRST_WAIT: Duration = Duration::from_millis(50);
+/// How often expired rows and unused budgets are dropped.
+pub(crate) const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
--- a/crates/camphorwardd/src/follow.rs
+++ b/crates/camphorwardd/src/follow.rs
@@ -5,6 +5,7 @@
 pub(crate) mod peers;
 mod servers;
 mod snapshots;
+mod sweep;
 
 use crate::node::Node;
 use crate::{orders, quarantine};
@@ -17,6 +18,7 @@
     tasks.spawn(host_list::follow(Arc::clone(node)));
     tasks.spawn(peers::follow(Arc::clone(node)));
     tasks.spawn(servers::follow(Arc::clone(node)));
+    tasks.spawn(sweep::follow(Arc::clone(node)));
     tasks.spawn(quarantine::sweep(Arc::clone(node)));
     orders::start(node, tasks);
 }
