Call the one conversion of list entries and of kept blocks

Cause: found by reading the whole change again: the daemon converted the host list's entries with a copy of the conversion that stands beside the wire types, and built a kept block from a store's answer in two places. Ruled out: joining the stand-ins' start, stop and kill as well, which are delegations a line long. Change: both call the one piece; behaviour is the same.

--- a/crates/camphorwardd/src/hosts.rs
+++ b/crates/camphorwardd/src/hosts.rs
@@ -1,9 +1,9 @@
 //! The hosts that this daemon knows of, as routing sees them.
 
-use clients::wire::host_list::{HostEntry, HostList, HostRole as ListedRole, HostState};
+use clients::wire::host_list::HostList;
 use membership::{EntryHost, HostTable, HostView, Reachability, Source};
 use protocol::ids::{FailureDomain, HostName, Incarnation, Region, ServiceName};
-use protocol::message::hosts::{EntryAddresses, HostRecord, HostRole, ServerAddress};
+use protocol::message::hosts::{HostRecord, HostRole};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -53,7 +53,7 @@
 
     /// Takes in the platform's list.
     pub(crate) fn merge_list(&self, list: HostList, now_ms: u64) {
-        let records: Vec<HostRecord> = list.hosts.into_iter().map(to_record).collect();
+        let records: Vec<HostRecord> = list.hosts.into_iter().map(HostRecord::from).collect();
         self.table.merge(&records, Source::List, now_ms);
         self.list_read.store(true, Ordering::Relaxed);
     }
@@ -121,24 +121,3 @@
         reachability: server.reachability,
     }
 }
-
-fn to_record(entry: HostEntry) -> HostRecord {
-    let role = match entry.role {
-        ListedRole::Entry { callers, peers, operators } => {
-            HostRole::Entry(EntryAddresses { callers, peers, operators })
-        }
-        ListedRole::Server { service, address } => {
-            HostRole::Server(ServerAddress { service, address })
-        }
-    };
-    HostRecord {
-        host: entry.host,
-        incarnation: entry.incarnation,
-        region: entry.region,
-        failure_domain: entry.failure_domain,
-        leaving: entry.state == HostState::Leaving,
-        refutations: 0,
-        suspected_at_ms: None,
-        role,
-    }
-}
--- a/crates/camphorwardd/src/run/decide.rs
+++ b/crates/camphorwardd/src/run/decide.rs
@@ -202,7 +202,8 @@
     }
 }
 
-fn to_kept(key: ChainKey, store: HostName, status: BlockStatus) -> KeptBlock {
+/// Describes a committed block as a store host tells of it.
+pub(crate) fn to_kept(key: ChainKey, store: HostName, status: BlockStatus) -> KeptBlock {
     KeptBlock {
         key,
         store,
--- a/crates/camphorwardd/src/run/finish.rs
+++ b/crates/camphorwardd/src/run/finish.rs
@@ -3,7 +3,7 @@
 use crate::constants::EXPORT_TIMEOUT;
 use crate::counters::Counter;
 use crate::node::Node;
-use crate::run::decide::StoreSite;
+use crate::run::decide::{self, StoreSite};
 use clients::wire::engine::{CommittedBlock, Export, ExportBlock};
 use placement::export::{EndedRun, ExportPiece, ExportPlan, plan};
 use placement::single_flight::{Role, Transfer};
@@ -141,11 +141,11 @@
     node.counters.add(Counter::PiecesExported, committed.len() as u64);
     node.counters.add(Counter::PiecesNotExported, lost as u64);
     for block in committed {
-        node.placement.index.add_block(&to_kept(store.clone(), block), expires_at_ms);
+        node.placement.index.add_block(&exported_block(store.clone(), block), expires_at_ms);
     }
 }
 
-fn to_kept(store: HostName, block: CommittedBlock) -> KeptBlock {
+fn exported_block(store: HostName, block: CommittedBlock) -> KeptBlock {
     KeptBlock {
         key: block.key,
         store,
@@ -164,14 +164,8 @@
         let extended = node.clients.store.extend(store.address, &renewal.name, expires_in_ms).await;
         match extended {
             Ok(status) => {
-                let block = KeptBlock {
-                    key: renewal.key,
-                    store: renewal.store.clone(),
-                    name: status.name,
-                    length_bytes: status.length_bytes,
-                    checksum: status.checksum,
-                };
                 let expires_at_ms = asked_at_ms + status.expires_in_ms;
+                let block = decide::to_kept(renewal.key, renewal.store.clone(), status);
                 node.placement.index.add_block(&block, expires_at_ms);
             }
             Err(_) => node.placement.index.remove_block(&renewal.key, &renewal.store),
