--- a/crates/camphorwardd/src/cli.rs
+++ b/crates/camphorwardd/src/cli.rs
@@ -4,9 +4,10 @@
 use crate::daemon::{Daemon, DrainEnd};
 use argh::FromArgs;
 use eyre::WrapErr;
+use gateway::settings::GatewaySettings;
 use settings::process::{LogLevel, ProcessSettings};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -22,7 +23,10 @@
 pub struct Arguments {
     /// the settings, JSON with comments
     #[argh(option)]
-    pub settings: PathBuf,
+    pub settings: Option<PathBuf>,
+    /// the settings of a gateway on the platform, JSON with comments; in place of --settings
+    #[argh(option)]
+    pub gateway: Option<PathBuf>,
     /// check the settings, print them with all defaults, and exit with 0 or 2
     #[argh(switch)]
     pub check: bool,
@@ -55,10 +59,47 @@
 ///
 /// Returns an error if the daemon cannot start.
 pub fn run(arguments: &Arguments) -> eyre::Result<ExitCode> {
-    let settings = match read_settings(arguments) {
+    match (&arguments.settings, &arguments.gateway) {
+        (Some(settings), None) => run_daemon(arguments, settings),
+        (None, Some(settings)) => run_gateway(arguments, settings),
+        _ => {
+            eprintln!("camphorwardd: give either --settings or --gateway");
+            Ok(ExitCode::from(EXIT_INPUT_WRONG))
+        }
+    }
+}
+
+fn run_gateway(arguments: &Arguments, path: &Path) -> eyre::Result<ExitCode> {
+    let settings = match GatewaySettings::read(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{}: {error}", path.display());
+            return Ok(ExitCode::from(EXIT_INPUT_WRONG));
+        }
+    };
+    if arguments.check {
+        println!("{settings:#?}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    gateway::logs::start(settings.log).wrap_err("cannot start the log")?;
+    let mut builder = match settings.worker_threads {
+        1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.worker_threads(settings.worker_threads).enable_all().build()?;
+    if let Err(error) = runtime.block_on(gateway::daemon::run(settings)) {
+        eprintln!("camphorwardd: {error}");
+        return Ok(ExitCode::from(EXIT_CANNOT_START));
+    }
+    runtime.shutdown_background();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_daemon(arguments: &Arguments, path: &Path) -> eyre::Result<ExitCode> {
+    let settings = match read_settings(path) {
         Ok(settings) => settings,
         Err(message) => {
-            eprintln!("{}: {message}", arguments.settings.display());
+            eprintln!("{}: {message}", path.display());
             return Ok(ExitCode::from(EXIT_INPUT_WRONG));
         }
     };
@@ -77,8 +118,8 @@
     Ok(code)
 }
 
-fn read_settings(arguments: &Arguments) -> Result<ProcessSettings, String> {
-    let text = std::fs::read_to_string(&arguments.settings).map_err(|error| error.to_string())?;
+fn read_settings(path: &Path) -> Result<ProcessSettings, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
     settings::parse_process_settings(&text).map_err(|report| report.to_string())
 }
 
--- /dev/null
+++ b/crates/dispatch/src/choice.rs
@@ -0,0 +1,179 @@
+//! Choice of the server that runs a request, or of the answer when none can.
+//!
+//! Load patterns: clumps of arrivals at one gateway; long prompts before quick questions; a
+//! quarter of the servers gone while the registry still names them; weights being replaced.
+
+use crate::configuration::EngineTraits;
+use crate::demand::Demand;
+use crate::load::{Health, LoadView};
+use crate::registry::{ServerEntry, ServerId};
+use protocol::ids::{FailureDomain, Region};
+use std::collections::HashMap;
+
+/// What a failure domain further away costs, in milliseconds of waiting. Its bytes are paid for.
+const OTHER_DOMAIN_MS: f64 = 60.0;
+/// What another region costs, in milliseconds of waiting: a round trip and a narrow link.
+const OTHER_REGION_MS: f64 = 160.0;
+/// What older weights cost while newer ones are named, in milliseconds of waiting.
+const OLD_WEIGHTS_MS: f64 = 400.0;
+/// What an avoided server costs, in milliseconds of waiting.
+const AVOIDED_MS: f64 = 1_500.0;
+/// What a suspected server costs, in milliseconds of waiting.
+const SUSPECTED_MS: f64 = 8_000.0;
+/// What one request in flight adds to the first token of the next, in milliseconds: the sheets'
+/// engines take 0.1 ms more a step, over some dozens of steps.
+const RUNNING_MS: f64 = 4.0;
+/// What memory beyond a server's costs, in milliseconds: the newest run is preempted and read in
+/// again.
+const MEMORY_MS: f64 = 600.0;
+/// How much earlier the server of the same session is expected to be done, in milliseconds.
+const AFFINITY_MS: f64 = 25.0;
+
+/// Where the gateway stands and what it assumes of engines.
+#[derive(Clone, Debug)]
+pub struct Standpoint {
+    /// The gateway's failure domain.
+    pub domain: FailureDomain,
+    /// The region of each failure domain.
+    pub regions: HashMap<FailureDomain, Region>,
+    /// The prompt tokens that an engine reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+}
+
+/// A server that could run the request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// The server.
+    pub entry: &'a ServerEntry,
+    /// Its load.
+    pub load: LoadView,
+    /// The prompt tokens that it would have to read.
+    pub read_tokens: u64,
+    /// The weight version that it has; `None` without a model.
+    pub weight_version: Option<u64>,
+    /// Whether a request of the same session went there within a few seconds.
+    pub has_session: bool,
+}
+
+/// The server chosen, with the inputs that decided.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Chosen {
+    /// The server.
+    pub server: ServerId,
+    /// The cost of the choice, in milliseconds of waiting.
+    pub cost_ms: f64,
+    /// The expected time to the first byte, in milliseconds.
+    pub first_byte_ms: f64,
+    /// The servers that were compared.
+    pub candidates: usize,
+    /// The health of the chosen server.
+    pub health: Health,
+}
+
+/// Why no server runs a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoServer {
+    /// No server of the service is known.
+    NoneKnown,
+    /// The request is larger than the memory of any server.
+    TooLarge,
+}
+
+/// Chooses the server with the least cost; `spread` breaks ties.
+///
+/// # Errors
+///
+/// Says why no server can run the request.
+pub fn choose(
+    standpoint: &Standpoint,
+    demand: &Demand,
+    engines: Option<&EngineTraits>,
+    newest_version: Option<u64>,
+    candidates: &[Candidate<'_>],
+    spread: u64,
+) -> Result<Chosen, NoServer> {
+    if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
+        && prompt.run_tokens() > engines.memory_tokens
+    {
+        return Err(NoServer::TooLarge);
+    }
+    let offset = spread as usize % candidates.len().max(1);
+    let rotated = candidates[offset..].iter().chain(&candidates[..offset]);
+    let costed = rotated.map(|candidate| {
+        (cost_ms(standpoint, demand, engines, newest_version, candidate), candidate)
+    });
+    let best = costed.min_by(|(left, _), (right, _)| left.total_cmp(right));
+    let Some((cost_ms, candidate)) = best else {
+        return Err(NoServer::NoneKnown);
+    };
+    Ok(Chosen {
+        server: candidate.entry.id.clone(),
+        cost_ms,
+        first_byte_ms: first_byte_ms(standpoint, candidate),
+        candidates: candidates.len(),
+        health: candidate.load.health,
+    })
+}
+
+/// The expected time to the first byte if this gateway's sends were all.
+fn first_byte_ms(standpoint: &Standpoint, candidate: &Candidate<'_>) -> f64 {
+    let read_ms = candidate.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
+    candidate.load.unstarted_ms + read_ms + RUNNING_MS * candidate.load.in_flight as f64
+}
+
+fn cost_ms(
+    standpoint: &Standpoint,
+    demand: &Demand,
+    engines: Option<&EngineTraits>,
+    newest_version: Option<u64>,
+    candidate: &Candidate<'_>,
+) -> f64 {
+    let load = &candidate.load;
+    let mut cost_ms = first_byte_ms(standpoint, candidate);
+    if let Some(header) = load.header {
+        cost_ms += RUNNING_MS * f64::from(header.running);
+        cost_ms += waiting_ms(standpoint, engines) * f64::from(header.waiting);
+    }
+    if engines.is_none() && load.in_flight >= candidate.entry.slots as usize / 2 {
+        cost_ms += OTHER_DOMAIN_MS * load.in_flight as f64;
+    }
+    if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
+        && load.memory_tokens + prompt.run_tokens() > engines.memory_tokens
+    {
+        cost_ms += MEMORY_MS;
+    }
+    cost_ms += distance_ms(standpoint, &candidate.entry.domain);
+    if candidate.weight_version < newest_version {
+        cost_ms += OLD_WEIGHTS_MS;
+    }
+    if candidate.has_session {
+        cost_ms -= AFFINITY_MS;
+    }
+    cost_ms
+        + match load.health {
+            Health::Good => 0.0,
+            Health::Avoided => AVOIDED_MS,
+            Health::Suspected => SUSPECTED_MS,
+        }
+}
+
+/// What one waiting request at a server costs the next: the reading of a short prompt on engines,
+/// the work of a plain service elsewhere.
+fn waiting_ms(standpoint: &Standpoint, engines: Option<&EngineTraits>) -> f64 {
+    /// The typical prompt that waits, in tokens.
+    const WAITING_TOKENS: f64 = 1_500.0;
+    /// The typical work of a plain request that waits, in milliseconds.
+    const WAITING_PLAIN_MS: f64 = 15.0;
+    match engines {
+        Some(_) => WAITING_TOKENS / standpoint.prefill_tokens_per_ms,
+        None => WAITING_PLAIN_MS,
+    }
+}
+
+fn distance_ms(standpoint: &Standpoint, domain: &FailureDomain) -> f64 {
+    if *domain == standpoint.domain {
+        return 0.0;
+    }
+    let region = |domain| standpoint.regions.get(domain);
+    if region(domain) == region(&standpoint.domain) { OTHER_DOMAIN_MS } else { OTHER_REGION_MS }
+}
--- /dev/null
+++ b/crates/dispatch/src/crashes.rs
@@ -0,0 +1,93 @@
+//! Requests that crash the servers that run them, told by content and caller.
+//!
+//! Load pattern: one request is sent again and again, at any gateway, and takes a server down each
+//! time it begins to run.
+
+use std::collections::HashMap;
+
+/// Identifies a request by what it asks for and who asks.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ContentKey([u8; 16]);
+
+impl ContentKey {
+    /// Hashes a path, an organisation and a body.
+    pub fn new(path: &str, organisation: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in [path.as_bytes(), organisation.as_bytes()] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        hasher.update(body);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Self(bytes)
+    }
+
+    /// Wraps the bytes of a key that another gateway computed.
+    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the key's bytes.
+    pub const fn as_bytes(&self) -> &[u8; 16] {
+        &self.0
+    }
+}
+
+/// The broken sends from which on a request is refused. The platform allows three crashes; a send
+/// that broke off without a crash counts here too, which errs towards refusing.
+pub const REFUSED_FROM: u32 = 3;
+/// How long broken sends are remembered, in milliseconds; callers repeat within seconds.
+const MEMORY_MS: u64 = 120_000;
+/// The most requests remembered; each takes some 40 bytes.
+const MAX_REMEMBERED: usize = 4_096;
+
+#[derive(Clone, Copy, Debug)]
+struct Broken {
+    count: u32,
+    last_ms: u64,
+}
+
+/// Counts broken sends by content.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    by_content: HashMap<ContentKey, Broken>,
+}
+
+impl Crashes {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a send that broke off with its server, and returns the count.
+    pub fn count(&mut self, key: ContentKey, now_ms: u64) -> u32 {
+        if self.by_content.len() >= MAX_REMEMBERED {
+            self.by_content.retain(|_, broken| broken.last_ms + MEMORY_MS > now_ms);
+        }
+        if self.by_content.len() >= MAX_REMEMBERED {
+            self.by_content.clear();
+        }
+        let broken = self.by_content.entry(key).or_insert(Broken { count: 0, last_ms: now_ms });
+        *broken = Broken { count: broken.count + 1, last_ms: now_ms };
+        broken.count
+    }
+
+    /// Forgets a request that ran to a whole answer.
+    pub fn clear(&mut self, key: &ContentKey) {
+        if !self.by_content.is_empty() {
+            self.by_content.remove(key);
+        }
+    }
+
+    /// Returns how often a request broke off with its server.
+    pub fn broken_sends(&self, key: &ContentKey, now_ms: u64) -> u32 {
+        let broken = self.by_content.get(key).filter(|broken| broken.last_ms + MEMORY_MS > now_ms);
+        broken.map_or(0, |broken| broken.count)
+    }
+
+    /// Says whether a request is refused.
+    pub fn is_refused(&self, key: &ContentKey, now_ms: u64) -> bool {
+        self.broken_sends(key, now_ms) >= REFUSED_FROM
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/demand.rs
@@ -0,0 +1,109 @@
+//! What a request asks for, as decisions see it.
+
+use crate::configuration::RouteKind;
+use protocol::ids::{ModelName, OrganisationId, ServiceName};
+use smallvec::SmallVec;
+use std::fmt;
+use std::str::FromStr;
+use thiserror::Error;
+
+/// Identifies a part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PartId(u64);
+
+impl PartId {
+    /// Wraps an id.
+    pub const fn new(id: u64) -> Self {
+        Self(id)
+    }
+
+    /// Returns the id's bytes, for hashing.
+    pub const fn to_bytes(self) -> [u8; 8] {
+        self.0.to_le_bytes()
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
+/// Reports a prompt description that cannot be read.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum PromptError {
+    /// An id is not hexadecimal.
+    #[error("a part's id is not hexadecimal")]
+    PartId,
+    /// A number of tokens is not a number.
+    #[error("a number of tokens is malformed")]
+    Tokens,
+}
+
+impl FromStr for PartId {
+    type Err = PromptError;
+
+    fn from_str(text: &str) -> Result<Self, PromptError> {
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| PromptError::PartId)
+    }
+}
+
+/// One part of a prompt; all parts before it belong to its identity.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// The part's id.
+    pub id: PartId,
+    /// Its length in tokens.
+    pub tokens: u64,
+}
+
+/// Describes a prompt for a model engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Prompt {
+    /// The model.
+    pub model: ModelName,
+    /// The prompt's length in tokens.
+    pub input_tokens: u64,
+    /// The greatest number of tokens generated.
+    pub output_tokens: u64,
+    /// The parts in order; the last one belongs to this request alone.
+    pub parts: SmallVec<[PromptPart; 4]>,
+}
+
+impl Prompt {
+    /// Returns the parts that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the key by which requests that share the most land on the same server.
+    pub fn affinity_key(&self) -> Option<[u8; 8]> {
+        self.shared_parts().last().or(self.parts.last()).map(|part| part.id.to_bytes())
+    }
+
+    /// Returns the memory that the whole run takes, in tokens.
+    pub const fn run_tokens(&self) -> u64 {
+        self.input_tokens + self.output_tokens
+    }
+}
+
+/// Describes a request to be placed.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// The service that runs it.
+    pub service: ServiceName,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// The rank; zero is the most urgent.
+    pub rank: u8,
+    /// The organisation that asks.
+    pub organisation: Option<OrganisationId>,
+    /// Whether the organisation shares no kept blocks.
+    pub is_dedicated: bool,
+    /// The prompt, for model engines.
+    pub prompt: Option<Prompt>,
+    /// When the answer is worth less, on the gateway's clock.
+    pub objective_at_ms: u64,
+    /// When the answer is worth nothing, on the gateway's clock.
+    pub deadline_at_ms: u64,
+}
--- /dev/null
+++ b/crates/dispatch/src/load.rs
@@ -0,0 +1,300 @@
+//! What one gateway knows of each server's load and health from its own sends.
+//!
+//! Load patterns: servers fall silent and stay in the registry for seconds; a server fails part of
+//! its requests while its health check passes; several gateways fill the same free server at once.
+
+use crate::registry::ServerId;
+use smallvec::SmallVec;
+use std::collections::{HashMap, VecDeque};
+
+/// How long outcomes count towards a server's failure share, in milliseconds.
+const OUTCOME_WINDOW_MS: u64 = 4_000;
+/// The share of failed outcomes from which on a server is avoided. The order services of the
+/// platform's pages fail 14 in 100 requests by themselves, so the bound lies well above.
+const FAILING_SHARE: f64 = 0.34;
+/// The failures within the window that are needed before the share counts.
+const FAILING_COUNT: usize = 2;
+/// How long a failing server is avoided after its last failure, in milliseconds.
+const FAILING_PAUSE_MS: u64 = 1_500;
+/// How long a server that shed a request is avoided, in milliseconds.
+const SHED_PAUSE_MS: u64 = 250;
+/// How long a server is avoided that could not be connected to or reset a connection, in
+/// milliseconds; a health check may end it sooner.
+const BROKEN_PAUSE_MS: u64 = 1_000;
+/// How long a load header is believed, in milliseconds.
+const HEADER_MEMORY_MS: u64 = 400;
+
+/// Identifies a send among those of one gateway.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct FlightId(u64);
+
+/// What a send weighs on its server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weight {
+    /// The expected time until its first byte, in milliseconds, without waiting.
+    pub service_ms: f64,
+    /// The tokens that it holds in the server's memory.
+    pub memory_tokens: u64,
+    /// How long the server may stay silent after the send before it is suspected, in milliseconds.
+    pub silence_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Flight {
+    id: FlightId,
+    weight: Weight,
+    sent_ms: u64,
+    has_started: bool,
+}
+
+/// What a server says of its load in an answer's header.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadHeader {
+    /// The requests that run.
+    pub running: u32,
+    /// The requests that wait.
+    pub waiting: u32,
+    /// The requests that it runs at once.
+    pub slots: u32,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// With an answer that does not speak against the server.
+    Answered,
+    /// With a failure that the server may cause.
+    Failed,
+    /// The server refused it without running it.
+    Shed,
+    /// The connection could not be opened or broke.
+    Broken,
+    /// The caller left; nothing is learnt.
+    Abandoned,
+}
+
+#[derive(Debug, Default)]
+struct ServerLoad {
+    flights: SmallVec<[Flight; 8]>,
+    last_heard_ms: u64,
+    header: Option<(LoadHeader, u64)>,
+    outcomes: VecDeque<(u64, bool)>,
+    avoided_until_ms: u64,
+    /// Set while sends stay unanswered in silence; a health check or an answer clears it.
+    suspected_since_ms: Option<u64>,
+    /// Set when a health check failed too; sends that may go elsewhere do.
+    is_dead: bool,
+    occupied_until_ms: u64,
+}
+
+/// Says whether a server should take new requests.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Health {
+    /// Nothing speaks against it.
+    Good,
+    /// It failed, shed or broke recently, or is loading weights.
+    Avoided,
+    /// It has been silent for too long.
+    Suspected,
+}
+
+/// A server's load as placement sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadView {
+    /// Whether it should take new requests.
+    pub health: Health,
+    /// Own sends that have not started yet, in milliseconds of service.
+    pub unstarted_ms: f64,
+    /// Own sends in flight.
+    pub in_flight: usize,
+    /// Own sends' tokens in its memory.
+    pub memory_tokens: u64,
+    /// What the server last said itself, if that is recent.
+    pub header: Option<LoadHeader>,
+}
+
+/// Holds the load of all servers.
+#[derive(Debug, Default)]
+pub struct Loads {
+    servers: HashMap<ServerId, ServerLoad>,
+    next_flight: u64,
+}
+
+impl Loads {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes a send.
+    pub fn sent(&mut self, server: &ServerId, weight: Weight, now_ms: u64) -> FlightId {
+        self.next_flight += 1;
+        let id = FlightId(self.next_flight);
+        let load = self.servers.entry(server.clone()).or_default();
+        load.flights.push(Flight { id, weight, sent_ms: now_ms, has_started: false });
+        id
+    }
+
+    /// Notes bytes from a server.
+    pub fn heard(&mut self, server: &ServerId, now_ms: u64) {
+        let load = self.servers.entry(server.clone()).or_default();
+        load.last_heard_ms = now_ms;
+        load.suspected_since_ms = None;
+        load.is_dead = false;
+    }
+
+    /// Notes the head of an answer.
+    pub fn started(
+        &mut self,
+        server: &ServerId,
+        flight: FlightId,
+        header: Option<LoadHeader>,
+        now_ms: u64,
+    ) {
+        self.heard(server, now_ms);
+        let load = self.servers.entry(server.clone()).or_default();
+        if let Some(header) = header {
+            load.header = Some((header, now_ms));
+        }
+        if let Some(flight) = load.flights.iter_mut().find(|other| other.id == flight) {
+            flight.has_started = true;
+        }
+    }
+
+    /// Notes the end of a send.
+    pub fn finished(
+        &mut self,
+        server: &ServerId,
+        flight: FlightId,
+        outcome: Outcome,
+        now_ms: u64,
+    ) {
+        let load = self.servers.entry(server.clone()).or_default();
+        load.flights.retain(|other| other.id != flight);
+        let pause_ms = match outcome {
+            Outcome::Abandoned => return,
+            Outcome::Shed => SHED_PAUSE_MS,
+            Outcome::Broken => BROKEN_PAUSE_MS,
+            Outcome::Answered | Outcome::Failed => {
+                note_outcome(&mut load.outcomes, outcome == Outcome::Failed, now_ms);
+                if is_failing(&load.outcomes) { FAILING_PAUSE_MS } else { 0 }
+            }
+        };
+        load.avoided_until_ms = load.avoided_until_ms.max(now_ms + pause_ms);
+    }
+
+    /// Notes that a server takes no requests for a while, as it loads weights.
+    pub fn occupy(&mut self, server: &ServerId, until_ms: u64) {
+        self.servers.entry(server.clone()).or_default().occupied_until_ms = until_ms;
+    }
+
+    /// Notes that a server has finished loading weights.
+    pub fn release(&mut self, server: &ServerId) {
+        self.servers.entry(server.clone()).or_default().occupied_until_ms = 0;
+    }
+
+    /// Notes a passed health check.
+    pub fn healthy(&mut self, server: &ServerId, now_ms: u64) {
+        self.heard(server, now_ms);
+        // Sends from before the check stay unanswered; they must not raise the suspicion again.
+        let load = self.servers.entry(server.clone()).or_default();
+        for flight in &mut load.flights {
+            flight.weight.silence_ms = u64::MAX;
+        }
+        load.avoided_until_ms = load.avoided_until_ms.min(now_ms);
+    }
+
+    /// Notes a failed health check of a suspected server.
+    pub fn unhealthy(&mut self, server: &ServerId, now_ms: u64) {
+        let load = self.servers.entry(server.clone()).or_default();
+        load.suspected_since_ms.get_or_insert(now_ms);
+        load.is_dead = true;
+    }
+
+    /// Says whether a server answers neither requests nor health checks.
+    pub fn is_dead(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|load| load.is_dead)
+    }
+
+    /// Returns the servers that became suspected since the last call.
+    pub fn find_silent(&mut self, now_ms: u64) -> Vec<ServerId> {
+        let mut found = Vec::new();
+        for (id, load) in &mut self.servers {
+            if load.suspected_since_ms.is_none() && is_silent(load, now_ms) {
+                load.suspected_since_ms = Some(now_ms);
+                found.push(id.clone());
+            }
+        }
+        found
+    }
+
+    /// Returns the servers that are suspected.
+    pub fn suspected(&self) -> Vec<ServerId> {
+        let suspected = self.servers.iter().filter(|(_, load)| load.suspected_since_ms.is_some());
+        suspected.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Says whether a server is suspected.
+    pub fn is_suspected(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|load| load.suspected_since_ms.is_some())
+    }
+
+    /// Returns a server's load.
+    pub fn view(&self, server: &ServerId, now_ms: u64) -> LoadView {
+        let Some(load) = self.servers.get(server) else {
+            return LoadView {
+                health: Health::Good,
+                unstarted_ms: 0.0,
+                in_flight: 0,
+                memory_tokens: 0,
+                header: None,
+            };
+        };
+        let unstarted = load.flights.iter().filter(|flight| !flight.has_started);
+        let recent = load.header.filter(|(_, at_ms)| at_ms + HEADER_MEMORY_MS > now_ms);
+        LoadView {
+            health: health(load, now_ms),
+            unstarted_ms: unstarted.map(|flight| flight.weight.service_ms).sum(),
+            in_flight: load.flights.len(),
+            memory_tokens: load.flights.iter().map(|flight| flight.weight.memory_tokens).sum(),
+            header: recent.map(|(header, _)| header),
+        }
+    }
+
+    /// Forgets a server that left, once nothing is in flight there.
+    pub fn forget(&mut self, server: &ServerId) {
+        if self.servers.get(server).is_some_and(|load| load.flights.is_empty()) {
+            self.servers.remove(server);
+        }
+    }
+}
+
+fn health(load: &ServerLoad, now_ms: u64) -> Health {
+    if load.suspected_since_ms.is_some() || is_silent(load, now_ms) {
+        return Health::Suspected;
+    }
+    if now_ms < load.avoided_until_ms || now_ms < load.occupied_until_ms {
+        return Health::Avoided;
+    }
+    Health::Good
+}
+
+/// A server is silent when a send waits longer than it may and nothing was heard since the send.
+fn is_silent(load: &ServerLoad, now_ms: u64) -> bool {
+    load.flights.iter().any(|flight| {
+        let bound_ms = flight.sent_ms.saturating_add(flight.weight.silence_ms);
+        !flight.has_started && now_ms > bound_ms && load.last_heard_ms <= flight.sent_ms
+    })
+}
+
+fn note_outcome(outcomes: &mut VecDeque<(u64, bool)>, failed: bool, now_ms: u64) {
+    while outcomes.front().is_some_and(|(at_ms, _)| at_ms + OUTCOME_WINDOW_MS <= now_ms) {
+        outcomes.pop_front();
+    }
+    outcomes.push_back((now_ms, failed));
+}
+
+fn is_failing(outcomes: &VecDeque<(u64, bool)>) -> bool {
+    let failed = outcomes.iter().filter(|(_, failed)| *failed).count();
+    failed >= FAILING_COUNT && failed as f64 > FAILING_SHARE * outcomes.len() as f64
+}
--- /dev/null
+++ b/crates/dispatch/src/retry_share.rs
@@ -0,0 +1,70 @@
+//! One gateway's share of the retry budget that all gateways keep together.
+//!
+//! Load pattern: a service sheds or breaks under pressure and every gateway sends again at once,
+//! which doubles the load that broke it.
+
+use protocol::ids::ServiceName;
+use std::collections::{HashMap, VecDeque};
+
+/// Bounds the repeats to a service over all gateways.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetBounds {
+    /// The repeats allowed for each first send.
+    pub ratio: f64,
+    /// The repeats allowed besides, over all gateways.
+    pub slack: f64,
+    /// The length of the sliding window, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// The part of the bounds that is spent; the rest covers clocks, retries under way and gateways
+/// that are not known yet.
+const USED_SHARE: f64 = 0.8;
+
+#[derive(Debug, Default)]
+struct Window {
+    firsts: VecDeque<u64>,
+    repeats: VecDeque<u64>,
+}
+
+/// Counts first sends and repeats by service, and says whether one more repeat fits.
+#[derive(Debug)]
+pub struct RetryShare {
+    bounds: BudgetBounds,
+    windows: HashMap<ServiceName, Window>,
+}
+
+impl RetryShare {
+    /// Creates a share with nothing sent.
+    pub fn new(bounds: BudgetBounds) -> Self {
+        Self { bounds, windows: HashMap::new() }
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_first(&mut self, service: &ServiceName, now_ms: u64) {
+        let window = self.windows.entry(service.clone()).or_default();
+        window.firsts.push_back(now_ms);
+        expire(&mut window.firsts, self.bounds.window_ms, now_ms);
+    }
+
+    /// Takes one repeat out of the share; `gateways` is the number of gateways that share.
+    pub fn try_repeat(&mut self, service: &ServiceName, gateways: usize, now_ms: u64) -> bool {
+        let bounds = self.bounds;
+        let window = self.windows.entry(service.clone()).or_default();
+        expire(&mut window.firsts, bounds.window_ms, now_ms);
+        expire(&mut window.repeats, bounds.window_ms, now_ms);
+        let own_slack = bounds.slack / gateways.max(1) as f64;
+        let allowed = USED_SHARE * (bounds.ratio * window.firsts.len() as f64 + own_slack);
+        if window.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        window.repeats.push_back(now_ms);
+        true
+    }
+}
+
+fn expire(times: &mut VecDeque<u64>, window_ms: u64, now_ms: u64) {
+    while times.front().is_some_and(|at_ms| at_ms + window_ms <= now_ms) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers.rs
@@ -0,0 +1,64 @@
+//! The listener for callers.
+
+mod connection;
+mod request;
+mod watch;
+
+use crate::node::Node;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+pub use crate::callers::request::CallerRequest;
+
+/// How long accepting pauses after an error such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Counts the requests and connections of callers.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Open connections.
+    pub connections: AtomicUsize,
+    /// Requests that are read or under way.
+    pub requests: AtomicUsize,
+}
+
+/// Counts one more for as long as it lives.
+#[derive(Debug)]
+struct Counted<'a>(&'a AtomicUsize);
+
+impl<'a> Counted<'a> {
+    fn new(counter: &'a AtomicUsize) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Accepts callers' connections for as long as the process lives.
+pub async fn accept(node: Arc<Node>, traffic: Arc<Traffic>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                node.metrics.count("caller_connections", "accepted");
+                tokio::spawn(connection::serve(Arc::clone(&node), Arc::clone(&traffic), stream));
+            }
+            Err(error) => {
+                note_accept_error(&node, &error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn note_accept_error(node: &Node, error: &io::Error) {
+    node.metrics.count("caller_connections", "accept_failed");
+    crate::event!(warn, node.now_ms(), "accept_failed", { "error": error.to_string() });
+}
--- /dev/null
+++ b/crates/gateway/src/callers/connection.rs
@@ -0,0 +1,191 @@
+//! One connection of a caller.
+
+use crate::answer::{AnswerBody, Refusal};
+use crate::callers::request::{self, CallerRequest};
+use crate::callers::watch::{Phase, Watch, WatchedStream};
+use crate::callers::{Counted, Traffic};
+use crate::connect;
+use crate::forward;
+use crate::node::Node;
+use http::header::{CONNECTION, TRANSFER_ENCODING};
+use http::{HeaderValue, Request, Response};
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// The limits before the first configuration, in milliseconds and bytes.
+const FIRST_IDLE_MS: u64 = 15_000;
+const FIRST_HEADER_MS: u64 = 3_000;
+const FIRST_HEADER_BYTES: usize = 16 * 1024;
+/// The least buffer that the HTTP library accepts, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+/// How often a connection's deadlines are looked at while none is closer.
+const LOOK_EVERY_MS: u64 = 1_000;
+/// How long after its request's end a connection is given up that does not take the answer.
+const UNREAD_ANSWER_MS: u64 = 2_000;
+
+/// Serves a connection until it closes or a limit passes.
+pub async fn serve(node: Arc<Node>, traffic: Arc<Traffic>, stream: TcpStream) {
+    let _counted = Counted::new(&traffic.connections);
+    if connect::prepare(&stream).is_err() {
+        return;
+    }
+    let watch = Watch::new(node.now_ms());
+    let max_head = node.in_force().map_or(FIRST_HEADER_BYTES, |in_force| {
+        in_force.configuration.limits.max_header_bytes
+    });
+    let io = TokioIo::new(WatchedStream::new(stream, watch.clone(), node.clock));
+    let service = {
+        let (node, traffic, watch) = (Arc::clone(&node), Arc::clone(&traffic), watch.clone());
+        service_fn(move |request| {
+            answer(Arc::clone(&node), Arc::clone(&traffic), watch.clone(), request)
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        .max_buf_size(max_head.max(LEAST_BUFFER_BYTES))
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    loop {
+        let wait_ms = next_look_ms(&node, &watch);
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    note_error(&node, &error);
+                }
+                return;
+            }
+            () = tokio::time::sleep(Duration::from_millis(wait_ms.min(LOOK_EVERY_MS).max(1))) => {
+                if let Some(reason) = overdue(&node, &watch) {
+                    node.metrics.count("caller_connections", reason);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn note_error(node: &Node, error: &hyper::Error) {
+    let reason = if error.is_parse_too_large() {
+        "head_too_large"
+    } else if error.is_parse() {
+        "no_http"
+    } else {
+        "broken"
+    };
+    node.metrics.count("caller_connections", reason);
+}
+
+/// When the connection's present phase is overdue, on the node's clock.
+fn due_ms(node: &Node, watch: &Watch) -> u64 {
+    let limits = node.in_force().map(|in_force| in_force.configuration.limits);
+    let state = watch.lock();
+    match state.phase {
+        Phase::Idle => {
+            state.since_ms + limits.map_or(FIRST_IDLE_MS, |limits| limits.idle_timeout_ms)
+        }
+        Phase::Head => {
+            state.since_ms + limits.map_or(FIRST_HEADER_MS, |limits| limits.header_timeout_ms)
+        }
+        Phase::Request { until_ms } => until_ms + UNREAD_ANSWER_MS,
+    }
+}
+
+fn next_look_ms(node: &Node, watch: &Watch) -> u64 {
+    due_ms(node, watch).saturating_sub(node.now_ms())
+}
+
+fn overdue(node: &Node, watch: &Watch) -> Option<&'static str> {
+    if due_ms(node, watch) > node.now_ms() {
+        return None;
+    }
+    Some(match watch.lock().phase {
+        Phase::Idle => "idle",
+        Phase::Head => "slow_head",
+        Phase::Request { .. } => "unread_answer",
+    })
+}
+
+async fn answer(
+    node: Arc<Node>,
+    traffic: Arc<Traffic>,
+    watch: Watch,
+    request: Request<Incoming>,
+) -> Result<Response<CountedBody>, Infallible> {
+    let counted = Counting::new(traffic, watch.clone(), Arc::clone(&node));
+    let now_ms = node.now_ms();
+    let until_ms = now_ms + request::patience_ms(&request);
+    let has_two_framings = watch.start_request(now_ms, until_ms);
+    // Bytes behind a chunked body are never read as another request.
+    let is_last = has_two_framings || request.headers().contains_key(TRANSFER_ENCODING);
+    let mut response = if has_two_framings {
+        request::refuse(&node, None, Refusal::TwoFramings)
+    } else {
+        match CallerRequest::read(&node, request, until_ms).await {
+            Ok(caller) => forward::serve(Arc::clone(&node), caller).await,
+            Err(refused) => *refused,
+        }
+    };
+    if is_last || node.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response.map(|body| CountedBody { body, _counting: counted }))
+}
+
+/// Counts a request as under way until its answer is written or dropped.
+#[derive(Debug)]
+struct Counting {
+    traffic: Arc<Traffic>,
+    watch: Watch,
+    node: Arc<Node>,
+}
+
+impl Counting {
+    fn new(traffic: Arc<Traffic>, watch: Watch, node: Arc<Node>) -> Self {
+        traffic.requests.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        Self { traffic, watch, node }
+    }
+}
+
+impl Drop for Counting {
+    fn drop(&mut self) {
+        self.traffic.requests.fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+        self.watch.end_request(self.node.now_ms());
+    }
+}
+
+/// An answer's body that counts its request as under way.
+#[derive(Debug)]
+struct CountedBody {
+    body: AnswerBody,
+    _counting: Counting,
+}
+
+impl Body for CountedBody {
+    type Data = bytes::Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers/request.rs
@@ -0,0 +1,218 @@
+//! Reading a caller's request: route, identity, body and prompt.
+
+use crate::answer::{AnswerBody, Refusal, strip_hop_headers};
+use crate::event;
+use crate::node::{InForce, Node};
+use bytes::Bytes;
+use dispatch::configuration::Route;
+use dispatch::crashes::ContentKey;
+use dispatch::demand::{Demand, Prompt};
+use dispatch::routes::{self, Identity};
+use http::header::{AUTHORIZATION, EXPECT, HOST};
+use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use platform::headers::{
+    DEADLINE_MS, MODEL, ORGANISATION, PROMPT_PARTS, REQUEST_ID, RESERVED, TOKEN_COUNT,
+};
+use platform::prompt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a caller without a deadline waits, in milliseconds, before its route is known.
+const DEFAULT_PATIENCE_MS: u64 = 30_000;
+
+type Refused = Box<Response<AnswerBody>>;
+
+/// A request that may be forwarded.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// Its id, as the caller sent it.
+    pub id: HeaderValue,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: String,
+    /// Its headers for the server, without those that the gateway sets on each send.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The configuration that it was read under.
+    pub in_force: Arc<InForce>,
+    /// Its route.
+    pub route: Route,
+    /// What it asks for.
+    pub demand: Demand,
+    /// What it is, if it comes again.
+    pub content: ContentKey,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When the operator wants it answered at the latest.
+    pub route_until_ms: u64,
+}
+
+impl CallerRequest {
+    /// Returns the id as text, for logs.
+    pub fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("unprintable")
+    }
+
+    /// Reads a request whole and finds its route and organisation.
+    ///
+    /// # Errors
+    ///
+    /// Returns the answer that refuses it.
+    pub async fn read(
+        node: &Node,
+        request: Request<Incoming>,
+        caller_until_ms: u64,
+    ) -> Result<Self, Refused> {
+        let arrived_ms = node.now_ms();
+        let id = request.headers().get(REQUEST_ID).cloned();
+        let refuse = |refusal| Box::new(refuse(node, id.as_ref(), refusal));
+        let Some(in_force) = node.in_force() else {
+            return Err(refuse(Refusal::NoConfiguration));
+        };
+        let route = find_route(&in_force, &request).ok_or_else(|| refuse(Refusal::NoRoute))?;
+        let identity = identify(&in_force, route, request.headers());
+        let organisation = match identity {
+            Identity::Unknown => return Err(refuse(Refusal::UnknownKey)),
+            Identity::Anonymous => None,
+            Identity::Known(organisation) => Some(organisation.clone()),
+        };
+        let Some(id) = id.clone() else {
+            return Err(refuse(Refusal::Malformed));
+        };
+        let prompt = read_prompt(request.headers()).map_err(|()| refuse(Refusal::Malformed))?;
+        let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+        let target = target.to_owned();
+        let spread = spread(&id);
+        let service = routes::pick_service(&route.services, spread).cloned();
+        let service = service.ok_or_else(|| refuse(Refusal::NoServer))?;
+        let route = route.clone();
+        let route_until_ms = arrived_ms + route.timeout_ms;
+        let (head, body) = request.into_parts();
+        let has_organisations = in_force.configuration.organisations_by_key.is_some();
+        let headers = server_headers(head.headers, organisation.as_ref(), has_organisations);
+        let until_ms = caller_until_ms.min(route_until_ms);
+        let limit = in_force.configuration.limits.max_body_bytes;
+        let body = read_body(node, body, limit, until_ms).await.map_err(refuse)?;
+        let organisation_name = organisation.as_ref().map_or("", |known| known.id.as_str());
+        let content = ContentKey::new(&target, organisation_name, &body);
+        let demand = Demand {
+            service,
+            kind: route.kind,
+            rank: organisation.as_ref().and_then(|known| known.rank).unwrap_or(route.rank),
+            is_dedicated: organisation.as_ref().is_some_and(|known| known.is_dedicated),
+            organisation: organisation.map(|known| known.id),
+            prompt,
+            objective_at_ms: arrived_ms + route.objective_ms,
+            deadline_at_ms: until_ms,
+        };
+        let method = head.method;
+        Ok(Self {
+            id,
+            method,
+            target,
+            headers,
+            body,
+            in_force,
+            route,
+            demand,
+            content,
+            arrived_ms,
+            route_until_ms,
+        })
+    }
+}
+
+/// Refuses a request, with a line and a count.
+pub fn refuse(node: &Node, id: Option<&HeaderValue>, refusal: Refusal) -> Response<AnswerBody> {
+    /// When a caller should come back that met a gateway without a configuration.
+    const NO_CONFIGURATION_RETRY_MS: u64 = 300;
+    let retry_after_ms =
+        (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
+    node.metrics.count("refusals", refusal.as_str());
+    event!(warn, node.now_ms(), "request_refused", {
+        "request": id.and_then(|id| id.to_str().ok()),
+        "reason": refusal.as_str(),
+        "status": refusal.status().as_u16(),
+        "configuration": node.in_force().map(|held| held.configuration.version.value()),
+        "store_age_ms": node.store_age_ms(),
+    });
+    refusal.answer(retry_after_ms)
+}
+
+/// Returns how long the caller waits.
+pub fn patience_ms<B>(request: &Request<B>) -> u64 {
+    let text = request.headers().get(DEADLINE_MS).and_then(|value| value.to_str().ok());
+    let named = text.and_then(|text| text.trim().parse::<f64>().ok());
+    named.map_or(DEFAULT_PATIENCE_MS, |deadline_ms| deadline_ms.max(0.0) as u64)
+}
+
+fn find_route<'a>(in_force: &'a InForce, request: &Request<Incoming>) -> Option<&'a Route> {
+    let authority = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let authority = authority.or_else(|| request.uri().host()).unwrap_or("");
+    in_force.routes.find(&in_force.configuration, authority, request.uri().path())
+}
+
+fn identify<'a>(in_force: &'a InForce, route: &Route, headers: &HeaderMap) -> Identity<'a> {
+    let text = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = text.and_then(|text| text.split_once(' ')).and_then(|(scheme, key)| {
+        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+    });
+    routes::identify(&in_force.configuration, route, key)
+}
+
+fn read_prompt(headers: &HeaderMap) -> Result<Option<Prompt>, ()> {
+    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+    let (Some(model), Some(count)) = (text(MODEL), text(TOKEN_COUNT)) else {
+        return Ok(None);
+    };
+    let model = model.parse().map_err(|_| ())?;
+    prompt::read_prompt(model, count, text(PROMPT_PARTS)).map(Some).map_err(|_| ())
+}
+
+fn server_headers(
+    mut headers: HeaderMap,
+    organisation: Option<&dispatch::configuration::Organisation>,
+    has_organisations: bool,
+) -> HeaderMap {
+    strip_hop_headers(&mut headers);
+    for name in RESERVED {
+        headers.remove(name);
+    }
+    headers.remove(EXPECT);
+    headers.remove(DEADLINE_MS);
+    if has_organisations {
+        headers.remove(AUTHORIZATION);
+    }
+    let name = organisation.and_then(|known| HeaderValue::from_str(known.id.as_str()).ok());
+    if let Some(name) = name {
+        headers.insert(ORGANISATION, name);
+    }
+    headers
+}
+
+async fn read_body(
+    node: &Node,
+    body: Incoming,
+    limit: usize,
+    until_ms: u64,
+) -> Result<Bytes, Refusal> {
+    let remaining = Duration::from_millis(until_ms.saturating_sub(node.now_ms()));
+    match tokio::time::timeout(remaining, Limited::new(body, limit).collect()).await {
+        Err(_) => Err(Refusal::SlowBody),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed),
+    }
+}
+
+/// Spreads requests evenly by their ids.
+fn spread(id: &HeaderValue) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/gateway/src/callers/watch.rs
@@ -0,0 +1,156 @@
+//! A caller's stream, watched for slow heads, idleness and requests with two framings.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The longest head that is searched, in bytes; longer ones are refused by the HTTP library.
+const MAX_SEARCHED_BYTES: usize = 64 * 1024;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// Waiting for the first byte of a request.
+    Idle,
+    /// Reading a request's head.
+    Head,
+    /// Serving a request until the given time at most.
+    Request {
+        /// When the connection is given up.
+        until_ms: u64,
+    },
+}
+
+/// What the watched stream and the service share.
+#[derive(Debug)]
+pub struct WatchState {
+    /// What the connection is doing.
+    pub phase: Phase,
+    /// Since when.
+    pub since_ms: u64,
+    head: Vec<u8>,
+}
+
+/// Shared state of one connection.
+#[derive(Clone, Debug)]
+pub struct Watch(Arc<Mutex<WatchState>>);
+
+impl Watch {
+    /// Starts idle.
+    pub fn new(now_ms: u64) -> Self {
+        let state = WatchState { phase: Phase::Idle, since_ms: now_ms, head: Vec::new() };
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// Locks the state.
+    pub fn lock(&self) -> MutexGuard<'_, WatchState> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts a request; says whether its head names both a length and a transfer coding.
+    pub fn start_request(&self, now_ms: u64, until_ms: u64) -> bool {
+        let mut state = self.lock();
+        state.phase = Phase::Request { until_ms };
+        state.since_ms = now_ms;
+        let head = std::mem::take(&mut state.head);
+        has_two_framings(&head)
+    }
+
+    /// Ends a request.
+    pub fn end_request(&self, now_ms: u64) {
+        let mut state = self.lock();
+        state.phase = Phase::Idle;
+        state.since_ms = now_ms;
+    }
+
+    fn read(&self, bytes: &[u8], now_ms: u64) {
+        let mut state = self.lock();
+        if matches!(state.phase, Phase::Request { .. }) {
+            return;
+        }
+        if state.phase == Phase::Idle {
+            state.phase = Phase::Head;
+            state.since_ms = now_ms;
+        }
+        if state.head.len() < MAX_SEARCHED_BYTES {
+            state.head.extend_from_slice(bytes);
+        }
+    }
+}
+
+/// Looks only at the head: a body may hold anything.
+fn has_two_framings(bytes: &[u8]) -> bool {
+    let end = bytes.windows(4).position(|window| window == b"\r\n\r\n").unwrap_or(bytes.len());
+    let mut has_length = false;
+    let mut has_coding = false;
+    for line in bytes[..end].split(|byte| *byte == b'\n') {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default().trim_ascii();
+        has_length |= name.eq_ignore_ascii_case(b"content-length");
+        has_coding |= name.eq_ignore_ascii_case(b"transfer-encoding");
+    }
+    has_length && has_coding
+}
+
+/// A TCP stream that tells its watch what arrives.
+#[derive(Debug)]
+pub struct WatchedStream {
+    inner: TcpStream,
+    watch: Watch,
+    clock: crate::clock::Clock,
+}
+
+impl WatchedStream {
+    /// Wraps a stream.
+    pub const fn new(inner: TcpStream, watch: Watch, clock: crate::clock::Clock) -> Self {
+        Self { inner, watch, clock }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let result = Pin::new(&mut self.inner).poll_read(cx, buf);
+        let new = &buf.filled()[filled..];
+        if result.is_ready() && !new.is_empty() {
+            self.watch.read(new, self.clock.now_ms());
+        }
+        result
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/clock.rs
@@ -0,0 +1,43 @@
+//! The gateway's clock, which runs on while the host is suspended.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Reads milliseconds since the clock was made, suspension included.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin_ms: u64,
+}
+
+impl Clock {
+    /// Starts at zero now.
+    pub fn new() -> Self {
+        Self { origin_ms: read_ms(ClockId::Boottime) }
+    }
+
+    /// Returns the milliseconds since the start.
+    pub fn now_ms(&self) -> u64 {
+        read_ms(ClockId::Boottime) - self.origin_ms
+    }
+
+    /// Returns by how much suspension has set the clock ahead of the one that timers use, in
+    /// milliseconds; only differences mean something.
+    pub fn suspended_ms() -> u64 {
+        read_ms(ClockId::Boottime).saturating_sub(read_ms(ClockId::Monotonic))
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Returns the Unix time in milliseconds, which may jump.
+pub fn unix_ms() -> u64 {
+    read_ms(ClockId::Realtime)
+}
+
+fn read_ms(clock: ClockId) -> u64 {
+    let time = clock_gettime(clock);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,96 @@
+//! A gateway's life: start, reload, drain and end.
+
+use crate::callers::{self, Traffic};
+use crate::event;
+use crate::follow;
+use crate::node::Node;
+use crate::operators;
+use crate::settings::GatewaySettings;
+use crate::watch_servers;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// How long new connections may still come after SIGTERM, in milliseconds: the balancer asks
+/// every second and takes a gateway out after two misses.
+const BALANCER_MS: u64 = 2_600;
+/// The part of the shutdown time in which requests may end by themselves.
+const DRAIN_SHARE: f64 = 0.94;
+/// How often the drain looks whether requests are left.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a gateway until SIGTERM or SIGINT and its drain.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be listened on or a signal cannot be watched.
+pub async fn run(settings: GatewaySettings) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let node = Arc::new(Node::new(settings));
+    let traffic = Arc::new(Traffic::default());
+    start(&node, &traffic).await?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {
+                event!(info, node.now_ms(), "reload_requested", { "signal": "SIGHUP" });
+            }
+        }
+    }
+    drain(&node, &traffic).await;
+    Ok(())
+}
+
+async fn start(node: &Arc<Node>, traffic: &Arc<Traffic>) -> io::Result<()> {
+    let listen = &node.settings.listen;
+    let callers = bind(listen.callers).await?;
+    let ready = bind(listen.ready).await?;
+    let metrics = bind(SocketAddr::new(node.settings.address, listen.metrics_port)).await?;
+    event!(info, node.now_ms(), "started", {
+        "host": node.settings.host.as_str(),
+        "failure_domain": node.settings.failure_domain.as_str(),
+        "life": node.life,
+        "callers": listen.callers,
+    });
+    tokio::spawn(follow::run(Arc::clone(node)));
+    tokio::spawn(watch_servers::run(Arc::clone(node)));
+    tokio::spawn(operators::accept(Arc::clone(node), ready));
+    tokio::spawn(operators::accept(Arc::clone(node), metrics));
+    tokio::spawn(callers::accept(Arc::clone(node), Arc::clone(traffic), callers));
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("cannot listen on {address}: {error}")))
+}
+
+/// Answers what comes in until the balancer sends nothing more and all requests have ended.
+async fn drain(node: &Node, traffic: &Traffic) {
+    node.start_draining();
+    let started_ms = node.now_ms();
+    event!(info, started_ms, "draining", {
+        "connections": traffic.connections.load(Ordering::Relaxed),
+        "requests": traffic.requests.load(Ordering::Relaxed),
+    });
+    let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
+    loop {
+        tokio::time::sleep(DRAIN_LOOK).await;
+        let took_ms = node.now_ms() - started_ms;
+        let requests = traffic.requests.load(Ordering::Relaxed);
+        if took_ms >= bound_ms || (took_ms >= BALANCER_MS && requests == 0) {
+            event!(info, node.now_ms(), "stopped", { "requests_cut": requests, "took_ms": took_ms });
+            // The log's writer needs a moment for the last lines.
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,70 @@
+//! Keeping up with the platform's store: configurations, named weights and servers.
+
+mod operator;
+mod servers;
+
+use crate::event;
+use crate::follow::operator::OperatorRecords;
+use crate::follow::servers::ServerRecords;
+use crate::node::Node;
+use crate::store::{StoreClient, StoreError};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often the servers' entries are read, in milliseconds. Every read costs a call; a server
+/// that leaves must be out of use within the drain bound of the installation, 2.5 s and more.
+const SERVERS_EVERY_MS: u64 = 1_100;
+/// The pause after a call that failed, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 250;
+
+/// Reads the store for as long as the process lives.
+pub async fn run(node: Arc<Node>) {
+    let mut store = StoreClient::new(node.settings.store.address, Arc::clone(&node.metrics));
+    let mut operator = OperatorRecords::default();
+    let mut servers = ServerRecords::default();
+    let mut next_servers_ms = 0;
+    let mut is_lost = false;
+    loop {
+        let result =
+            read_once(&node, &mut store, &mut operator, &mut servers, &mut next_servers_ms).await;
+        match result {
+            Ok(()) => {
+                node.knowledge().registry.store_read(node.now_ms());
+                node.note_store_read();
+                if std::mem::replace(&mut is_lost, false) {
+                    event!(info, node.now_ms(), "dependency_regained", { "dependency": "store" });
+                }
+            }
+            Err(StoreError::Deleted) => {
+                event!(info, node.now_ms(), "records_deleted", { "dependency": "store" });
+            }
+            Err(error) => {
+                node.metrics.count("store_failures", error.as_str());
+                node.knowledge().registry.store_lost();
+                if !std::mem::replace(&mut is_lost, true) {
+                    event!(warn, node.now_ms(), "dependency_lost", {
+                        "dependency": "store",
+                        "error": error.to_string(),
+                    });
+                }
+                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+/// Reads the servers when it is time, then waits for an operator's record until it is again.
+async fn read_once(
+    node: &Node,
+    store: &mut StoreClient,
+    operator: &mut OperatorRecords,
+    servers: &mut ServerRecords,
+    next_servers_ms: &mut u64,
+) -> Result<(), StoreError> {
+    if node.now_ms() >= *next_servers_ms {
+        servers.read(node, store).await?;
+        *next_servers_ms = node.now_ms() + SERVERS_EVERY_MS;
+    }
+    let wait_ms = next_servers_ms.saturating_sub(node.now_ms());
+    operator.read(node, store, wait_ms).await
+}
--- /dev/null
+++ b/crates/gateway/src/follow/servers.rs
@@ -0,0 +1,118 @@
+//! The servers' entries.
+
+use crate::event;
+use crate::node::Node;
+use crate::store::{StoreClient, StoreError};
+use dispatch::registry::{RegistryChange, ServerRecord};
+use platform::frames::read_keyed;
+use platform::servers::read_entry;
+use platform::store::SERVER_TOPIC;
+
+/// Where the next read goes on; `None` before the first listing.
+#[derive(Debug, Default)]
+pub struct ServerRecords {
+    next: Option<u64>,
+}
+
+impl ServerRecords {
+    /// Reads new entries, or lists the newest ones first.
+    ///
+    /// # Errors
+    ///
+    /// Says why the store could not be read.
+    pub async fn read(
+        &mut self,
+        node: &Node,
+        store: &mut StoreClient,
+    ) -> Result<(), StoreError> {
+        let changes = match self.next {
+            None => self.list(node, store).await?,
+            Some(from) => self.read_on(node, store, from).await?,
+        };
+        let now_ms = node.now_ms();
+        let expired = node.knowledge().registry.expire_missing(now_ms);
+        note_changes(node, changes.into_iter().chain(expired), "store");
+        Ok(())
+    }
+
+    async fn list(
+        &mut self,
+        node: &Node,
+        store: &mut StoreClient,
+    ) -> Result<Vec<RegistryChange>, StoreError> {
+        let newest = store.newest(SERVER_TOPIC).await?;
+        let records: Vec<ServerRecord> =
+            newest.records.iter().map(|(record, _)| read_entry(record)).collect();
+        self.next = Some(newest.end);
+        let now_ms = node.now_ms();
+        let mut knowledge = node.knowledge();
+        knowledge.registry.store_read(now_ms);
+        Ok(knowledge.registry.replace_all(records, now_ms))
+    }
+
+    async fn read_on(
+        &mut self,
+        node: &Node,
+        store: &mut StoreClient,
+        from: u64,
+    ) -> Result<Vec<RegistryChange>, StoreError> {
+        let batch = match store.read(SERVER_TOPIC, from, 0).await {
+            Err(StoreError::Deleted) => {
+                self.next = None;
+                return Err(StoreError::Deleted);
+            }
+            other => other?,
+        };
+        let now_ms = node.now_ms();
+        let mut changes = Vec::new();
+        let mut knowledge = node.knowledge();
+        knowledge.registry.store_read(now_ms);
+        for bytes in &batch.records {
+            let Ok(record) = read_keyed(bytes) else { continue };
+            changes.extend(knowledge.registry.apply(read_entry(&record), now_ms));
+        }
+        self.next = Some(from + batch.records.len() as u64);
+        Ok(changes)
+    }
+}
+
+/// Logs changes of the registry and acts on them.
+pub fn note_changes(
+    node: &Node,
+    changes: impl IntoIterator<Item = RegistryChange>,
+    source: &str,
+) {
+    for change in changes {
+        let now_ms = node.now_ms();
+        match change {
+            RegistryChange::Joined(entry) => {
+                event!(info, now_ms, "server_joined", {
+                    "server": entry.id.as_str(),
+                    "incarnation": entry.incarnation.value(),
+                    "service": entry.service.as_str(),
+                    "address": entry.address,
+                    "source": source,
+                });
+                let mut knowledge = node.knowledge();
+                knowledge.loads.forget(&entry.id);
+                drop(knowledge);
+                node.pool.forget(&entry.id);
+                node.weights_changed.notify_one();
+            }
+            RegistryChange::Left(id) => {
+                event!(info, now_ms, "server_left", { "server": id.as_str(), "source": source });
+                node.pool.forget(&id);
+                node.knowledge().loads.forget(&id);
+            }
+            RegistryChange::Reloaded(entry) => {
+                event!(info, now_ms, "server_reloaded", {
+                    "server": entry.id.as_str(),
+                    "weights": entry.weight_versions,
+                    "source": source,
+                });
+                node.knowledge().loads.release(&entry.id);
+                node.weights_changed.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/place.rs
@@ -0,0 +1,145 @@
+//! Choosing a server for a request and what travels with it.
+
+use crate::forward::job::Job;
+use crate::node::Knowledge;
+use dispatch::blocks::{BlockPlan, CacheSalt, Place};
+use dispatch::choice::{self, Candidate, Chosen, NoServer};
+use dispatch::configuration::EngineTraits;
+use dispatch::demand::Prompt;
+use dispatch::load::{FlightId, Weight};
+use dispatch::registry::ServerEntry;
+
+/// How long a plain service may stay silent after a send before it is suspected, in milliseconds.
+/// Orders take 60 ms at the median and under 450 ms at the longest.
+const PLAIN_SILENCE_MS: u64 = 500;
+/// The same for engines, besides the time that reading the prompt takes.
+const ENGINE_SILENCE_MS: u64 = 500;
+/// How often the reading time counts in an engine's silence: others may be read first.
+const ENGINE_SILENCE_READS: f64 = 3.0;
+/// The work of a plain request, in milliseconds.
+const PLAIN_SERVICE_MS: f64 = 60.0;
+
+/// A server chosen for one send.
+#[derive(Debug)]
+pub struct Placed {
+    /// The server.
+    pub entry: ServerEntry,
+    /// The choice and its inputs.
+    pub chosen: Chosen,
+    /// The send in the server's load.
+    pub flight: FlightId,
+    /// What only model engines are told.
+    pub engine: Option<EnginePlan>,
+}
+
+/// What a model engine is told besides the request.
+#[derive(Debug)]
+pub struct EnginePlan {
+    /// The text under which parts are cached.
+    pub salt: CacheSalt,
+    /// The weights that must run it.
+    pub weight_version: u64,
+    /// Where parts come from and go to.
+    pub blocks: BlockPlan,
+    /// The rank in the engine's queue.
+    pub rank: u8,
+}
+
+/// Chooses a server and books the send.
+///
+/// # Errors
+///
+/// Says why no server can run the request.
+pub fn place(job: &Job) -> Result<Placed, NoServer> {
+    let node = &job.node;
+    let now_ms = node.now_ms();
+    let request = &job.request;
+    let demand = &request.demand;
+    let configuration = &request.in_force.configuration;
+    let engines = configuration.services.get(&demand.service).and_then(|found| found.engines());
+    let mut knowledge = node.knowledge();
+    let newest = demand.prompt.as_ref().and_then(|prompt| {
+        knowledge.weights.get(&prompt.model).map(|named| named.version)
+    });
+    let candidates = candidates(&knowledge, job, now_ms);
+    let spread = rand::random::<u64>();
+    let chosen =
+        choice::choose(&node.standpoint, demand, engines, newest, &candidates, spread)?;
+    let entry = candidates
+        .iter()
+        .find(|candidate| candidate.entry.id == chosen.server)
+        .map(|candidate| candidate.entry.clone())
+        .ok_or(NoServer::NoneKnown)?;
+    let engine = match (&demand.prompt, engines) {
+        (Some(prompt), Some(_)) => {
+            let weight_version =
+                entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(1);
+            let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
+            let salt = CacheSalt::new(weight_version, dedicated);
+            let place = Place { domain: &entry.domain, regions: &node.standpoint.regions };
+            let blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+            if let Some(key) = prompt.affinity_key() {
+                knowledge.note_session(key, &entry.id, now_ms);
+            }
+            Some(EnginePlan { salt, weight_version, blocks, rank: engine_rank(demand.rank) })
+        }
+        _ => None,
+    };
+    let weight = weight(job, demand.prompt.as_ref(), engines, engine.as_ref());
+    let flight = knowledge.loads.sent(&entry.id, weight, now_ms);
+    Ok(Placed { entry, chosen, flight, engine })
+}
+
+fn candidates<'a>(knowledge: &'a Knowledge, job: &'a Job, now_ms: u64) -> Vec<Candidate<'a>> {
+    let demand = &job.request.demand;
+    let prompt = demand.prompt.as_ref();
+    let session = prompt.and_then(Prompt::affinity_key);
+    let session_server = session.and_then(|key| knowledge.session_server(&key, now_ms));
+    let usable = knowledge.registry.usable(&demand.service);
+    let untried = usable.filter(|entry| !job.excluded.contains(&entry.id));
+    untried
+        .map(|entry| Candidate {
+            entry,
+            load: knowledge.loads.view(&entry.id, now_ms),
+            read_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
+            weight_version: prompt
+                .and_then(|prompt| entry.weight_versions.get(&prompt.model).copied()),
+            has_session: session_server == Some(&entry.id),
+        })
+        .collect()
+}
+
+fn weight(
+    job: &Job,
+    prompt: Option<&Prompt>,
+    engines: Option<&EngineTraits>,
+    engine: Option<&EnginePlan>,
+) -> Weight {
+    let (Some(prompt), Some(_)) = (prompt, engines) else {
+        return Weight {
+            service_ms: PLAIN_SERVICE_MS,
+            memory_tokens: 0,
+            silence_ms: PLAIN_SILENCE_MS,
+        };
+    };
+    let fetched = engine.map_or(0, |plan| plan.blocks.fetched_tokens);
+    let read_tokens = prompt.input_tokens.saturating_sub(fetched) as f64;
+    let read_ms = read_tokens / job.node.standpoint.prefill_tokens_per_ms;
+    Weight {
+        service_ms: read_ms,
+        memory_tokens: prompt.run_tokens(),
+        silence_ms: ENGINE_SILENCE_MS + (ENGINE_SILENCE_READS * read_ms) as u64,
+    }
+}
+
+/// Spreads the few ranks of routes and organisations over the engines' ten, the first of which
+/// stays free.
+fn engine_rank(rank: u8) -> u8 {
+    /// The engine's rank of the most urgent requests.
+    const FIRST: u8 = 1;
+    /// The distance between two ranks.
+    const STEP: u8 = 3;
+    /// The engine's last rank.
+    const LAST: u8 = 9;
+    FIRST.saturating_add(rank.saturating_mul(STEP)).min(LAST)
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,22 @@
+//! The gateway of an entry host: I/O around the decisions of `dispatch`.
+//!
+//! Callers' requests come in by [`callers`], go out by [`forward`] over the connections of
+//! [`pool`]; [`follow`] keeps up with the platform's store.
+
+pub mod answer;
+pub mod callers;
+pub mod clock;
+pub mod connect;
+pub mod daemon;
+pub mod follow;
+pub mod forward;
+pub mod gateways;
+pub mod link;
+pub mod logs;
+pub mod metrics;
+pub mod node;
+pub mod operators;
+pub mod pool;
+pub mod settings;
+pub mod store;
+pub mod watch_servers;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,72 @@
+//! Counters and latency histograms, served as text on the metrics port.
+
+use crate::logs;
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::sync::{Mutex, PoisonError};
+
+/// The longest latency told apart, in milliseconds.
+const MAX_LATENCY_MS: u64 = 60_000;
+/// The quantiles served for each histogram.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+
+/// Holds all counters and histograms of a process.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    counters: Mutex<BTreeMap<(&'static str, String), u64>>,
+    latencies: Mutex<BTreeMap<(&'static str, String), Histogram<u32>>>,
+}
+
+impl Metrics {
+    /// Creates metrics without values.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts one event; `label` tells its reason or kind.
+    pub fn count(&self, name: &'static str, label: &str) {
+        self.add(name, label, 1);
+    }
+
+    /// Counts several events.
+    pub fn add(&self, name: &'static str, label: &str, by: u64) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        *counters.entry((name, label.to_owned())).or_default() += by;
+    }
+
+    /// Records a latency.
+    pub fn record_ms(&self, name: &'static str, label: &str, latency_ms: u64) {
+        let mut latencies = self.latencies.lock().unwrap_or_else(PoisonError::into_inner);
+        let histogram = latencies.entry((name, label.to_owned())).or_insert_with(|| {
+            Histogram::new_with_bounds(1, MAX_LATENCY_MS, 2).expect("the bounds are in order")
+        });
+        histogram.saturating_record(latency_ms.clamp(1, MAX_LATENCY_MS));
+    }
+
+    /// Writes all values as text, one a line.
+    pub fn to_text(&self) -> String {
+        let mut text = format!("camphorward_log_lines_dropped {}\n", logs::dropped_lines());
+        let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        for ((name, label), value) in counters.iter() {
+            let _ = writeln!(text, "camphorward_{name}{{kind=\"{label}\"}} {value}");
+        }
+        drop(counters);
+        let latencies = self.latencies.lock().unwrap_or_else(PoisonError::into_inner);
+        for ((name, label), histogram) in latencies.iter() {
+            for quantile in QUANTILES {
+                let value = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "camphorward_{name}_ms{{kind=\"{label}\",quantile=\"{quantile}\"}} {value}"
+                );
+            }
+            let _ = writeln!(
+                text,
+                "camphorward_{name}_ms_count{{kind=\"{label}\"}} {}",
+                histogram.len()
+            );
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,209 @@
+//! State that all parts of a gateway share.
+
+use crate::clock::Clock;
+use crate::gateways::Gateways;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::settings::GatewaySettings;
+use dispatch::blocks::BlockIndex;
+use dispatch::choice::Standpoint;
+use dispatch::configuration::Configuration;
+use dispatch::crashes::Crashes;
+use dispatch::load::Loads;
+use dispatch::registry::{Registry, ServerId};
+use dispatch::retry_share::{BudgetBounds, RetryShare};
+use dispatch::routes::RouteTable;
+use protocol::ids::ModelName;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// How long a session is expected to be in its last server's memory, in milliseconds.
+const SESSION_MEMORY_MS: u64 = 2_500;
+/// The sessions remembered at most.
+const MAX_SESSIONS: usize = 8_192;
+
+/// The configuration in force with what is derived from it.
+#[derive(Debug)]
+pub struct InForce {
+    /// The configuration.
+    pub configuration: Configuration,
+    /// Its routes by host.
+    pub routes: RouteTable,
+    /// The record's bytes, for peers that cannot read the store.
+    pub record: Vec<u8>,
+}
+
+impl InForce {
+    /// Derives what a configuration needs to serve.
+    pub fn new(configuration: Configuration, record: Vec<u8>) -> Self {
+        let routes = RouteTable::new(&configuration);
+        Self { configuration, routes, record }
+    }
+}
+
+/// The newest weights named for a model.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NamedWeights {
+    /// The version.
+    pub version: u64,
+    /// When this gateway learnt of it.
+    pub learnt_ms: u64,
+}
+
+/// Everything that decisions read and change.
+#[derive(Debug)]
+pub struct Knowledge {
+    /// The servers.
+    pub registry: Registry,
+    /// Their loads.
+    pub loads: Loads,
+    /// What may be sent again.
+    pub retry_share: RetryShare,
+    /// Requests that crash servers.
+    pub crashes: Crashes,
+    /// What the stores keep.
+    pub blocks: BlockIndex,
+    /// The newest weights of each model.
+    pub weights: BTreeMap<ModelName, NamedWeights>,
+    /// The gateways.
+    pub gateways: Gateways,
+    sessions: HashMap<[u8; 8], (ServerId, u64)>,
+}
+
+impl Knowledge {
+    /// Returns the newest weight versions without their times.
+    pub fn named_versions(&self) -> BTreeMap<ModelName, u64> {
+        self.weights.iter().map(|(model, named)| (model.clone(), named.version)).collect()
+    }
+
+    /// Notes where a session's request went.
+    pub fn note_session(&mut self, key: [u8; 8], server: &ServerId, now_ms: u64) {
+        if self.sessions.len() >= MAX_SESSIONS {
+            self.sessions.retain(|_, (_, at_ms)| *at_ms + SESSION_MEMORY_MS > now_ms);
+        }
+        if self.sessions.len() >= MAX_SESSIONS {
+            self.sessions.clear();
+        }
+        self.sessions.insert(key, (server.clone(), now_ms));
+    }
+
+    /// Returns the server where a session is probably still in memory.
+    pub fn session_server(&self, key: &[u8; 8], now_ms: u64) -> Option<&ServerId> {
+        let (server, at_ms) = self.sessions.get(key)?;
+        (*at_ms + SESSION_MEMORY_MS > now_ms).then_some(server)
+    }
+}
+
+/// A gateway's state.
+#[derive(Debug)]
+pub struct Node {
+    /// What it was told at its start.
+    pub settings: GatewaySettings,
+    /// Its clock.
+    pub clock: Clock,
+    /// Where it stands.
+    pub standpoint: Standpoint,
+    /// Counters and latencies.
+    pub metrics: Arc<Metrics>,
+    /// Connections to servers.
+    pub pool: Pool,
+    /// The start of this process, as Unix milliseconds; tells a host's lives apart.
+    pub life: u64,
+    /// Woken when weights are named or servers report other weights.
+    pub weights_changed: Notify,
+    /// Woken when a server falls silent.
+    pub silence: Notify,
+    in_force: Mutex<Option<Arc<InForce>>>,
+    knowledge: Mutex<Knowledge>,
+    is_draining: AtomicBool,
+    store_read_ms: AtomicU64,
+}
+
+impl Node {
+    /// Creates the state of a gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings) -> Self {
+        let bounds = BudgetBounds {
+            ratio: settings.bounds.retry_ratio,
+            slack: settings.bounds.retry_slack,
+            window_ms: (settings.bounds.retry_window_s * 1_000.0) as u64,
+        };
+        let standpoint = Standpoint {
+            domain: settings.failure_domain.clone(),
+            regions: settings.regions.clone(),
+            prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
+        };
+        let knowledge = Knowledge {
+            registry: Registry::new(),
+            loads: Loads::new(),
+            retry_share: RetryShare::new(bounds),
+            crashes: Crashes::new(),
+            blocks: BlockIndex::new(),
+            weights: BTreeMap::new(),
+            gateways: Gateways::new(settings.host.clone()),
+            sessions: HashMap::new(),
+        };
+        Self {
+            standpoint,
+            clock: Clock::new(),
+            metrics: Arc::new(Metrics::new()),
+            pool: Pool::new(),
+            life: crate::clock::unix_ms(),
+            weights_changed: Notify::new(),
+            silence: Notify::new(),
+            in_force: Mutex::new(None),
+            knowledge: Mutex::new(knowledge),
+            is_draining: AtomicBool::new(false),
+            store_read_ms: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// Returns the clock's time.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Locks what decisions read and change; never held across an await.
+    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force; `None` before the first.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Puts a configuration in force if it is newer than the one that is.
+    pub fn put_in_force(&self, next: InForce) -> bool {
+        let mut in_force = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
+        let version = |held: &Arc<InForce>| held.configuration.version;
+        if in_force.as_ref().is_some_and(|held| version(held) >= next.configuration.version) {
+            return false;
+        }
+        *in_force = Some(Arc::new(next));
+        true
+    }
+
+    /// Notes that the process is to end.
+    pub fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Says whether the process is to end.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the store, or a peer that reads it, told everything up to now.
+    pub fn note_store_read(&self) {
+        self.store_read_ms.store(self.now_ms().max(1), Ordering::Relaxed);
+    }
+
+    /// Returns how old the knowledge of the store is; `None` before the first read.
+    pub fn store_age_ms(&self) -> Option<u64> {
+        let read_ms = self.store_read_ms.load(Ordering::Relaxed);
+        (read_ms > 0).then(|| self.now_ms().saturating_sub(read_ms))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,150 @@
+//! The platform's store as the gateway calls it: one client, one kept connection a task.
+
+use crate::link::{Call, CallError, Link, is_ok};
+use crate::metrics::Metrics;
+use http::StatusCode;
+use platform::codec::FormatError;
+use platform::frames::{self, KeyedRecord, RecordBatch};
+use platform::store::{self as wire, Appended};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// How long an answer may take besides the wait that was asked for. The store answers within some
+/// milliseconds; when it is slow, sixty times that must still pass.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Reports a call that brought nothing.
+#[derive(Debug, Error)]
+pub enum StoreError {
+    /// No answer; the call may have been carried out.
+    #[error(transparent)]
+    Unanswered(#[from] CallError),
+    /// The store did nothing.
+    #[error("the store refused with status {0}")]
+    Refused(StatusCode),
+    /// The records asked for are deleted.
+    #[error("the records are no longer kept")]
+    Deleted,
+    /// The partition ends elsewhere than the condition says.
+    #[error("the partition ends at another offset")]
+    Conflict,
+    /// The answer cannot be read.
+    #[error(transparent)]
+    Format(#[from] FormatError),
+}
+
+impl StoreError {
+    /// Returns the error's name in counters.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            StoreError::Unanswered(_) => "unanswered",
+            StoreError::Refused(_) => "refused",
+            StoreError::Deleted => "deleted",
+            StoreError::Conflict => "conflict",
+            StoreError::Format(_) => "format",
+        }
+    }
+}
+
+/// The newest records of a topic.
+#[derive(Debug)]
+pub struct Newest {
+    /// The records with their offsets.
+    pub records: Vec<(KeyedRecord, u64)>,
+    /// The offset from which to read on: none of the pages misses a record before it.
+    pub end: u64,
+}
+
+/// A client of the store.
+#[derive(Debug)]
+pub struct StoreClient {
+    link: Link,
+    metrics: Arc<Metrics>,
+}
+
+impl StoreClient {
+    /// Creates a client that connects with its first call.
+    pub const fn new(address: SocketAddr, metrics: Arc<Metrics>) -> Self {
+        Self { link: Link::new(address), metrics }
+    }
+
+    /// Reads records from an offset; waits up to `wait_ms` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Says why there are none.
+    pub async fn read(
+        &mut self,
+        topic: &str,
+        from: u64,
+        wait_ms: u64,
+    ) -> Result<RecordBatch, StoreError> {
+        let within = ANSWER_TIMEOUT + Duration::from_millis(wait_ms);
+        let call = Call::get(wire::read_path(topic, from, wait_ms), within);
+        let answer = self.call("read", call).await?;
+        match answer.status() {
+            StatusCode::OK => Ok(frames::read_batch(answer.body())?),
+            StatusCode::GONE => Err(StoreError::Deleted),
+            status => Err(StoreError::Refused(status)),
+        }
+    }
+
+    /// Lists the newest record of each key.
+    ///
+    /// # Errors
+    ///
+    /// Says why the list is not whole.
+    pub async fn newest(&mut self, topic: &str) -> Result<Newest, StoreError> {
+        let mut records: Vec<(KeyedRecord, u64)> = Vec::new();
+        let mut first_end = None;
+        loop {
+            let after = records.last().map(|(record, _)| record.key.clone());
+            let call = Call::get(wire::newest_path(topic, after.as_deref()), ANSWER_TIMEOUT);
+            let answer = self.call("newest", call).await?;
+            if !is_ok(&answer) {
+                return Err(StoreError::Refused(answer.status()));
+            }
+            let page = wire::read_newest(answer.body())?;
+            // Pages are no snapshot: reading on from the first page's end misses nothing.
+            let end = *first_end.get_or_insert(page.end);
+            let is_empty = page.records.is_empty();
+            records.extend(page.records);
+            if !page.has_more || is_empty {
+                return Ok(Newest { records, end });
+            }
+        }
+    }
+
+    /// Appends a record of a keyed topic, if given only where the partition ends at `at`.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the record may have been appended.
+    pub async fn append(
+        &mut self,
+        topic: &str,
+        key: &str,
+        value: &[u8],
+        at: Option<u64>,
+    ) -> Result<Appended, StoreError> {
+        let body = frames::write_keyed(key, value)?;
+        let call = Call::post(wire::append_path(topic, at), body, ANSWER_TIMEOUT);
+        let answer = self.call("append", call).await?;
+        match answer.status() {
+            StatusCode::OK => Ok(wire::read_appended(answer.body())?),
+            StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
+            status => Err(StoreError::Refused(status)),
+        }
+    }
+
+    async fn call(
+        &mut self,
+        kind: &str,
+        call: Call,
+    ) -> Result<http::Response<bytes::Bytes>, StoreError> {
+        self.metrics.count("store_calls", kind);
+        Ok(self.link.call(call).await?)
+    }
+}
