Follow the stores of kept blocks and fetch from them

Change: one long poll a store; parts reported complete are fetched, others saved within the region. Ruled out: fetching from unknown stores; a store that cannot be asked is forgotten at once.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
-use crate::watch_servers;
+use crate::{watch_blocks, watch_servers};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -61,6 +61,7 @@
     });
     tokio::spawn(follow::run(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
+    tokio::spawn(watch_blocks::run(Arc::clone(node)));
     tokio::spawn(operators::accept(Arc::clone(node), ready));
     tokio::spawn(operators::accept(Arc::clone(node), metrics));
     tokio::spawn(callers::accept(Arc::clone(node), Arc::clone(traffic), callers));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod pool;
 pub mod settings;
 pub mod store;
+pub mod watch_blocks;
 pub mod watch_servers;
