--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -7,7 +7,7 @@
 use crate::demand::{Demand, PartId, PromptPart};
 use placement::rendezvous;
 use protocol::ids::{FailureDomain, OrganisationId, Region, ServiceName};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -70,8 +70,42 @@
     pub changes: Vec<BlockChange>,
 }
 
+/// How long use of a link is averaged over, in milliseconds.
+const USE_WINDOW_MS: f64 = 1_500.0;
+/// The use of a link beyond which it counts as full.
+const FULL_USE: f64 = 0.95;
+/// How much longer a transfer to another failure domain takes, by the platform's pages.
+const OTHER_DOMAIN_FACTOR: f64 = 2.0;
+/// How much longer a transfer to another region takes, by the platform's pages.
+const OTHER_REGION_FACTOR: f64 = 10.0;
+/// The longest transfer that is started, in milliseconds: longer ones hold up all behind them.
+const LONGEST_TRANSFER_MS: f64 = 220.0;
+/// What reading a token again costs besides its time, in milliseconds of waiting: the accelerators
+/// read it instead of others' prompts.
+pub const READ_AGAIN_MS_PER_TOKEN: f64 = 0.06;
+
+/// The share of its time that a store's link is in use, as this gateway causes it.
+#[derive(Clone, Copy, Debug, Default)]
+struct LinkUse {
+    average: f64,
+    at_ms: u64,
+}
+
+impl LinkUse {
+    fn now(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.average * (-passed_ms / USE_WINDOW_MS).exp()
+    }
+
+    fn add(&mut self, busy_ms: f64, now_ms: u64) {
+        self.average = self.now(now_ms) + busy_ms / USE_WINDOW_MS;
+        self.at_ms = now_ms;
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct StoreState {
+    link: LinkUse,
     boot_epoch: Option<u64>,
     parts: HashMap<BlockKey, u64>,
     /// Saves under way from this gateway: tokens and when they count as lost.
@@ -94,7 +128,7 @@
 }
 
 /// Where a request's parts come from and go to, an entry a part.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct BlockPlan {
     /// The stores to fetch from.
     pub fetch: Vec<Option<SocketAddr>>,
@@ -102,21 +136,46 @@
     pub save: Vec<Option<SocketAddr>>,
     /// The tokens that come from stores.
     pub fetched_tokens: u64,
+    /// The expected time of the fetches, in milliseconds.
+    pub fetch_ms: f64,
+    /// The shared tokens that the server reads, as nothing near enough keeps them.
+    pub read_shared_tokens: u64,
+    /// The shared tokens that no store near the server has room for.
+    pub unkept_tokens: u64,
 }
 
-/// The places of the world that placement knows.
+/// A server's place and what transfers to it take.
 #[derive(Clone, Debug)]
 pub struct Place<'a> {
     /// The server's failure domain.
     pub domain: &'a FailureDomain,
     /// The region of each failure domain.
     pub regions: &'a HashMap<FailureDomain, Region>,
+    /// The bytes of a token.
+    pub token_bytes: u64,
+    /// The prompt tokens that an engine reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// The gateways that use the stores as much as this one.
+    pub gateways: usize,
 }
 
 impl Place<'_> {
     fn is_same_region(&self, other: &FailureDomain) -> bool {
         self.domain == other || self.regions.get(self.domain) == self.regions.get(other)
     }
+
+    /// The time that a transfer holds the store's link.
+    fn transfer_ms(&self, store: &BlockStoreTraits, tokens: u64) -> f64 {
+        let factor = if *self.domain == store.domain {
+            1.0
+        } else if self.is_same_region(&store.domain) {
+            OTHER_DOMAIN_FACTOR
+        } else {
+            OTHER_REGION_FACTOR
+        };
+        let bits = (tokens * self.token_bytes * 8) as f64;
+        store.transfer_delay_ms + factor * bits / (store.link_mbps * 1_000.0)
+    }
 }
 
 impl BlockIndex {
@@ -168,81 +227,131 @@
         (state.boot_epoch, parts)
     }
 
-    /// Plans a request's transfers to and from the stores near the server that runs it.
+    /// Plans a request's transfers to and from the stores near a server.
     pub fn plan(
-        &mut self,
+        &self,
         configuration: &Configuration,
         demand: &Demand,
         salt: &CacheSalt,
         place: &Place<'_>,
         now_ms: u64,
     ) -> BlockPlan {
-        let Some(prompt) = &demand.prompt else { return BlockPlan::default() };
-        let shared = prompt.shared_parts();
         let mut plan = BlockPlan::default();
-        let mut seen = HashSet::new();
-        for part in &prompt.parts {
-            let is_shared = shared.iter().any(|other| other.id == part.id);
-            if !is_shared || part.tokens < LEAST_TOKENS || !seen.insert(part.id) {
+        let Some(prompt) = &demand.prompt else { return plan };
+        let shared = prompt.shared_parts().len();
+        for (index, part) in prompt.parts.iter().enumerate() {
+            if index >= shared || part.tokens < LEAST_TOKENS {
                 plan.fetch.push(None);
                 plan.save.push(None);
                 continue;
             }
             let key = (salt.clone(), part.id);
-            let fetch = self.source(configuration, &key, part, place);
-            if fetch.is_some() {
-                plan.fetched_tokens += part.tokens;
-            }
-            let save = match fetch {
-                Some((_, true)) => None,
-                Some((_, false)) | None => self.target(configuration, &key, part, place, now_ms),
+            let source = self.source(configuration, &key, part, place, now_ms);
+            let is_kept_near = source.as_ref().is_some_and(|source| source.is_near);
+            let target = if is_kept_near {
+                Target::Held
+            } else {
+                self.target(configuration, &key, part, place, now_ms)
             };
-            plan.fetch.push(fetch.map(|(address, _)| address));
-            plan.save.push(save);
+            match &source {
+                Some(source) => {
+                    plan.fetched_tokens += part.tokens;
+                    plan.fetch_ms += source.cost_ms;
+                }
+                None => plan.read_shared_tokens += part.tokens,
+            }
+            if source.is_none() && target == Target::NoRoom {
+                plan.unkept_tokens += part.tokens;
+            }
+            plan.fetch.push(source.map(|source| source.store));
+            plan.save.push(target.address());
         }
         plan
     }
 
-    /// Returns the best store that holds a part, and whether it is in the server's region.
+    /// Books the transfers of a plan that is carried out.
+    pub fn book(
+        &mut self,
+        configuration: &Configuration,
+        demand: &Demand,
+        salt: &CacheSalt,
+        place: &Place<'_>,
+        plan: &BlockPlan,
+        now_ms: u64,
+    ) {
+        let Some(prompt) = &demand.prompt else { return };
+        let stores: HashMap<SocketAddr, &BlockStoreTraits> =
+            configuration.block_stores().map(|(_, store)| (store.address, store)).collect();
+        for (index, part) in prompt.parts.iter().enumerate() {
+            for address in [plan.fetch[index], plan.save[index]].into_iter().flatten() {
+                let (Some(store), Some(state)) =
+                    (stores.get(&address), self.stores.get_mut(&address))
+                else {
+                    continue;
+                };
+                state.link.add(place.transfer_ms(store, part.tokens), now_ms);
+            }
+            let saved = plan.save[index].and_then(|address| self.stores.get_mut(&address));
+            if let Some(state) = saved {
+                state.pending.retain(|_, (_, until_ms)| *until_ms > now_ms);
+                let key = (salt.clone(), part.id);
+                state.pending.insert(key, (part.tokens, now_ms + SAVE_MS));
+            }
+        }
+    }
+
+    /// Returns the cheapest store that holds a part, unless reading it costs less.
     fn source(
         &self,
         configuration: &Configuration,
         key: &BlockKey,
         part: &PromptPart,
         place: &Place<'_>,
-    ) -> Option<(SocketAddr, bool)> {
-        let holders = configuration.block_stores().filter(|(_, store)| {
-            let state = self.stores.get(&store.address);
-            state.is_some_and(|state| state.parts.get(key).is_some_and(|held| *held >= part.tokens))
+        now_ms: u64,
+    ) -> Option<Source> {
+        let read_ms = part.tokens as f64
+            * (1.0 / place.prefill_tokens_per_ms + READ_AGAIN_MS_PER_TOKEN);
+        let sources = configuration.block_stores().filter_map(|(_, store)| {
+            let state = self.stores.get(&store.address)?;
+            state.parts.get(key).filter(|held| **held >= part.tokens)?;
+            let transfer_ms = place.transfer_ms(store, part.tokens);
+            let in_use = (state.link.now(now_ms) * place.gateways as f64).min(FULL_USE);
+            let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
+            let is_near = place.is_same_region(&store.domain);
+            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
+                .then_some(Source { store: store.address, cost_ms, is_near })
         });
-        let best = holders.min_by_key(|(_, store)| (distance(place, store), store.address))?;
-        let is_near = place.is_same_region(&best.1.domain);
-        Some((best.1.address, is_near))
+        sources.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
-    /// Returns a store of the region with room for a part, and books the room.
+    /// Returns a store of the region with room for a part.
     fn target(
-        &mut self,
+        &self,
         configuration: &Configuration,
         key: &BlockKey,
         part: &PromptPart,
         place: &Place<'_>,
         now_ms: u64,
-    ) -> Option<SocketAddr> {
+    ) -> Target {
         let near: Vec<(&ServiceName, &BlockStoreTraits)> = configuration
             .block_stores()
             .filter(|(_, store)| place.is_same_region(&store.domain))
-            .filter(|(_, store)| self.has_room(store, part.tokens, now_ms))
             .collect();
-        let ranked = rendezvous::ranking(&key.1.to_bytes(), near, |(name, _)| name.as_str().as_bytes());
-        let (_, store) = ranked.first()?;
-        let state = self.stores.get_mut(&store.address)?;
-        if state.pending.get(key).is_some_and(|(_, until_ms)| *until_ms > now_ms) {
-            return None;
+        let is_held = |store: &BlockStoreTraits| {
+            let state = self.stores.get(&store.address);
+            state.is_some_and(|state| {
+                let pending = state.pending.get(key).is_some_and(|(_, until_ms)| *until_ms > now_ms);
+                pending || state.parts.contains_key(key)
+            })
+        };
+        if near.iter().any(|(_, store)| is_held(store)) {
+            return Target::Held;
+        }
+        let roomy = near.into_iter().filter(|(_, store)| self.has_room(store, part.tokens, now_ms));
+        match rendezvous::winner(&key.1.to_bytes(), roomy, |(name, _)| name.as_str().as_bytes()) {
+            Some((_, store)) => Target::Store(store.address),
+            None => Target::NoRoom,
         }
-        state.pending.retain(|_, (_, until_ms)| *until_ms > now_ms);
-        state.pending.insert(key.clone(), (part.tokens, now_ms + SAVE_MS));
-        Some(store.address)
     }
 
     /// A store whose content is unknown takes nothing.
@@ -253,12 +362,28 @@
     }
 }
 
-fn distance(place: &Place<'_>, store: &BlockStoreTraits) -> u8 {
-    if *place.domain == store.domain {
-        0
-    } else if place.is_same_region(&store.domain) {
-        1
-    } else {
-        2
+/// A store that a part is fetched from.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    store: SocketAddr,
+    cost_ms: f64,
+    is_near: bool,
+}
+
+/// Where a part is saved.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Target {
+    Store(SocketAddr),
+    /// It is kept or on its way already.
+    Held,
+    NoRoom,
+}
+
+impl Target {
+    const fn address(self) -> Option<SocketAddr> {
+        match self {
+            Target::Store(address) => Some(address),
+            Target::Held | Target::NoRoom => None,
+        }
     }
 }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -3,6 +3,7 @@
 //! Load patterns: clumps of arrivals at one gateway; long prompts before quick questions; a
 //! quarter of the servers gone while the registry still names them; weights being replaced.
 
+use crate::blocks::READ_AGAIN_MS_PER_TOKEN;
 use crate::configuration::EngineTraits;
 use crate::demand::Demand;
 use crate::load::{Health, LoadView};
@@ -26,6 +27,9 @@
 /// What memory beyond a server's costs, in milliseconds: the newest run is preempted and read in
 /// again.
 const MEMORY_MS: f64 = 600.0;
+/// What a part costs that is read and cannot be kept, in milliseconds a token: the next request of
+/// its session reads it again.
+const UNKEPT_MS_PER_TOKEN: f64 = 0.02;
 /// How much earlier the server of the same session is expected to be done, in milliseconds.
 const AFFINITY_MS: f64 = 25.0;
 
@@ -47,14 +51,27 @@
     pub entry: &'a ServerEntry,
     /// Its load.
     pub load: LoadView,
-    /// The prompt tokens that it would have to read.
-    pub read_tokens: u64,
+    /// What the stores near it save it from reading.
+    pub blocks: BlockCost,
     /// The weight version that it has; `None` without a model.
     pub weight_version: Option<u64>,
     /// Whether a request of the same session went there within a few seconds.
     pub has_session: bool,
 }
 
+/// What the kept parts of a prompt mean for one candidate.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BlockCost {
+    /// The prompt tokens that it reads.
+    pub read_tokens: u64,
+    /// Of these, the ones that some server has read before.
+    pub read_shared_tokens: u64,
+    /// Of these, the ones that cannot be kept near it either.
+    pub unkept_tokens: u64,
+    /// The expected time of fetches, in milliseconds.
+    pub fetch_ms: f64,
+}
+
 /// The server chosen, with the inputs that decided.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Chosen {
@@ -117,8 +134,8 @@
 
 /// The expected time to the first byte if this gateway's sends were all.
 fn first_byte_ms(standpoint: &Standpoint, candidate: &Candidate<'_>) -> f64 {
-    let read_ms = candidate.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
-    candidate.load.unstarted_ms + read_ms + RUNNING_MS * candidate.load.in_flight as f64
+    let read_ms = candidate.blocks.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
+    candidate.load.unstarted_ms + read_ms + candidate.blocks.fetch_ms + RUNNING_MS * candidate.load.in_flight as f64
 }
 
 fn cost_ms(
@@ -130,6 +147,8 @@
 ) -> f64 {
     let load = &candidate.load;
     let mut cost_ms = first_byte_ms(standpoint, candidate);
+    cost_ms += READ_AGAIN_MS_PER_TOKEN * candidate.blocks.read_shared_tokens as f64;
+    cost_ms += UNKEPT_MS_PER_TOKEN * candidate.blocks.unkept_tokens as f64;
     if let Some(header) = load.header {
         cost_ms += RUNNING_MS * f64::from(header.running);
         cost_ms += waiting_ms(standpoint, engines) * f64::from(header.waiting);
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -213,6 +213,43 @@
         }
     }
 
+    /// Notes that another server has this one's address.
+    pub fn note_gone(&mut self, id: &ServerId) -> Option<RegistryChange> {
+        let known = self.servers.get_mut(id)?;
+        if known.standing == Standing::Leaving {
+            return None;
+        }
+        known.standing = Standing::Leaving;
+        self.generation += 1;
+        Some(RegistryChange::Left(id.clone()))
+    }
+
+    /// Takes over what a peer knows from a later read of the store.
+    pub fn merge(
+        &mut self,
+        servers: Vec<(ServerEntry, Standing)>,
+        now_ms: u64,
+    ) -> Vec<RegistryChange> {
+        let mut changes = Vec::new();
+        let mut named = std::collections::HashSet::new();
+        for (entry, standing) in servers {
+            let id = entry.id.clone();
+            let incarnation = entry.incarnation;
+            changes.extend(self.apply(ServerRecord::Present(entry), now_ms));
+            let known = self.servers.get(&id).filter(|known| known.entry.incarnation == incarnation);
+            if standing == Standing::Leaving && known.is_some() {
+                changes.extend(self.note_gone(&id));
+            }
+            named.insert(id);
+        }
+        let missing: Vec<ServerId> =
+            self.servers.keys().filter(|id| !named.contains(*id)).cloned().collect();
+        for id in missing {
+            changes.extend(self.note_gone(&id));
+        }
+        changes
+    }
+
     /// Returns a copy of all that is known, for a peer that cannot read the store.
     pub fn snapshot(&self) -> Vec<(ServerEntry, Standing)> {
         self.servers.values().map(|known| (known.entry.clone(), known.standing)).collect()
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -2,7 +2,7 @@
 
 mod connection;
 mod request;
-mod watch;
+mod watched;
 
 use crate::node::Node;
 use std::io;
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 pub use crate::callers::request::CallerRequest;
 
@@ -17,12 +18,35 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Counts the requests and connections of callers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Traffic {
     /// Open connections.
     pub connections: AtomicUsize,
     /// Requests that are read or under way.
     pub requests: AtomicUsize,
+    closing: watch::Sender<bool>,
+}
+
+impl Traffic {
+    /// Starts without connections.
+    pub fn new() -> Self {
+        Self {
+            connections: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            closing: watch::Sender::new(false),
+        }
+    }
+
+    /// Closes each connection once it has no request under way.
+    pub fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+}
+
+impl Default for Traffic {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 /// Counts one more for as long as it lives.
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{AnswerBody, Refusal};
 use crate::callers::request::{self, CallerRequest};
-use crate::callers::watch::{Phase, Watch, WatchedStream};
+use crate::callers::watched::{Phase, Watch, WatchedStream};
 use crate::callers::{Counted, Traffic};
 use crate::connect;
 use crate::forward;
@@ -55,6 +55,8 @@
         .max_buf_size(max_head.max(LEAST_BUFFER_BYTES))
         .serve_connection(io, service);
     tokio::pin!(connection);
+    let mut closing = traffic.closing.subscribe();
+    let mut is_closing = false;
     loop {
         let wait_ms = next_look_ms(&node, &watch);
         tokio::select! {
@@ -64,6 +66,10 @@
                 }
                 return;
             }
+            _ = closing.wait_for(|closing| *closing), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = tokio::time::sleep(Duration::from_millis(wait_ms.min(LOOK_EVERY_MS).max(1))) => {
                 if let Some(reason) = overdue(&node, &watch) {
                     node.metrics.count("caller_connections", reason);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
+use crate::{discovery, peers};
 use crate::{watch_blocks, watch_servers};
 use std::io;
 use std::net::SocketAddr;
@@ -53,6 +54,12 @@
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
     let metrics = bind(SocketAddr::new(node.settings.address, listen.metrics_port)).await?;
+    if let Some(address) = listen.peers {
+        tokio::spawn(peers::accept(Arc::clone(node), bind(address).await?));
+        tokio::spawn(discovery::run(Arc::clone(node)));
+        tokio::spawn(peers::pull(Arc::clone(node)));
+        tokio::spawn(peers::push(Arc::clone(node)));
+    }
     event!(info, node.now_ms(), "started", {
         "host": node.settings.host.as_str(),
         "failure_domain": node.settings.failure_domain.as_str(),
@@ -87,7 +94,11 @@
         tokio::time::sleep(DRAIN_LOOK).await;
         let took_ms = node.now_ms() - started_ms;
         let requests = traffic.requests.load(Ordering::Relaxed);
-        if took_ms >= bound_ms || (took_ms >= BALANCER_MS && requests == 0) {
+        let connections = traffic.connections.load(Ordering::Relaxed);
+        if took_ms >= BALANCER_MS {
+            traffic.close_idle();
+        }
+        if took_ms >= bound_ms || (took_ms >= BALANCER_MS && connections == 0) {
             event!(info, node.now_ms(), "stopped", { "requests_cut": requests, "took_ms": took_ms });
             // The log's writer needs a moment for the last lines.
             tokio::time::sleep(Duration::from_millis(250)).await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,6 +3,9 @@
 mod operator;
 mod servers;
 
+pub use crate::follow::operator::apply as apply_operator_record;
+pub use crate::follow::servers::note_changes;
+
 use crate::event;
 use crate::follow::operator::OperatorRecords;
 use crate::follow::servers::ServerRecords;
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -69,12 +69,17 @@
     let version = configuration.version.value();
     let old = node.in_force().map(|held| held.configuration.version.value());
     let routes = configuration.routes.len();
+    let stores: Vec<String> = configuration
+        .block_stores()
+        .map(|(_, store)| format!("{}@{}", store.address, store.domain))
+        .collect();
     if node.put_in_force(InForce::new(configuration, value.to_vec())) {
         node.metrics.count("configurations", "in_force");
         event!(info, node.now_ms(), "configuration_in_force", {
             "version": version,
             "old_version": old,
             "routes": routes,
+            "stores": stores,
             "source": source,
         });
     }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::{AnswerBody, strip_hop_headers, whole_body};
 use crate::event;
+use crate::follow;
 use crate::forward::events::EventSplitter;
 use crate::forward::job::Job;
 use crate::forward::place::Placed;
@@ -255,6 +256,8 @@
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
         "fetched_tokens": placed.engine.as_ref().map(|plan| plan.blocks.fetched_tokens),
+        "fetch": placed.engine.as_ref().and_then(|plan| prompt::write_fetch(&plan.blocks)),
+        "save": placed.engine.as_ref().and_then(|plan| prompt::write_save(&plan.blocks)),
         "salt": placed.engine.as_ref().map(|plan| plan.salt.as_str()),
         "reused_connection": is_reused,
         "remaining_ms": job.remaining_ms(),
@@ -342,8 +345,10 @@
             NotRun::Shed | NotRun::OtherWeights => Outcome::Shed,
             _ => Outcome::Broken,
         };
-        if reason == NotRun::OtherWeights {
-            note_other_weights(job, placed);
+        match reason {
+            NotRun::OtherWeights => note_other_weights(job, placed),
+            NotRun::OtherServer => note_gone(node, &server),
+            _ => {}
         }
         let within = Duration::from_millis(job.remaining_ms());
         if let Ok(Ok(_)) = tokio::time::timeout(within, self.body.collect()).await {
@@ -469,6 +474,14 @@
     }
 }
 
+/// A server whose address another one has is gone; it comes back with new heartbeats only.
+fn note_gone(node: &Node, server: &ServerId) {
+    let now_ms = node.now_ms();
+    let change = node.knowledge().registry.note_gone(server);
+    follow::note_changes(node, change, "other_server_at_address");
+    event!(info, now_ms, "server_replaced", { "server": server.as_str() });
+}
+
 /// A server that has other weights than its entry says has the newest that were named.
 fn note_other_weights(job: &Job, placed: &Placed) {
     let Some(prompt) = &job.request.demand.prompt else { return };
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -96,7 +96,9 @@
         self.ran_on.push(server.clone());
         if reason == MayHaveRun::Broke && self.request.route.kind != RouteKind::Safe {
             let now_ms = self.node.now_ms();
-            self.node.knowledge().crashes.count(self.request.content, now_ms);
+            let content = self.request.content;
+            self.node.knowledge().crashes.count(content, now_ms);
+            self.node.tell(|news| news.broken.push(*content.as_bytes()));
         }
         self.log_failed_send(server, reason.as_str(), true);
     }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -3,11 +3,13 @@
 use crate::forward::job::Job;
 use crate::node::Knowledge;
 use dispatch::blocks::{BlockPlan, CacheSalt, Place};
-use dispatch::choice::{self, Candidate, Chosen, NoServer};
+use dispatch::choice::{self, BlockCost, Candidate, Chosen, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::Prompt;
 use dispatch::load::{FlightId, Weight};
 use dispatch::registry::ServerEntry;
+use protocol::ids::FailureDomain;
+use smallvec::SmallVec;
 
 /// How long a plain service may stay silent after a send before it is suspected, in milliseconds.
 /// Orders take 60 ms at the median and under 450 ms at the longest.
@@ -16,6 +18,8 @@
 const ENGINE_SILENCE_MS: u64 = 500;
 /// How often the reading time counts in an engine's silence: others may be read first.
 const ENGINE_SILENCE_READS: f64 = 3.0;
+/// The version of weights that none was named for yet.
+const FIRST_WEIGHTS: u64 = 1;
 /// The work of a plain request, in milliseconds.
 const PLAIN_SERVICE_MS: f64 = 60.0;
 
@@ -61,7 +65,7 @@
     let newest = demand.prompt.as_ref().and_then(|prompt| {
         knowledge.weights.get(&prompt.model).map(|named| named.version)
     });
-    let candidates = candidates(&knowledge, job, now_ms);
+    let candidates = candidates(&knowledge, job, engines, newest, now_ms);
     let spread = rand::random::<u64>();
     let chosen =
         choice::choose(&node.standpoint, demand, engines, newest, &candidates, spread)?;
@@ -71,13 +75,13 @@
         .map(|candidate| candidate.entry.clone())
         .ok_or(NoServer::NoneKnown)?;
     let engine = match (&demand.prompt, engines) {
-        (Some(prompt), Some(_)) => {
+        (Some(prompt), Some(engines)) => {
             let weight_version =
-                entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(1);
-            let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
-            let salt = CacheSalt::new(weight_version, dedicated);
-            let place = Place { domain: &entry.domain, regions: &node.standpoint.regions };
+                entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(FIRST_WEIGHTS);
+            let salt = salt(job, weight_version);
+            let place = block_place(&knowledge, job, engines, &entry.domain);
             let blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+            knowledge.blocks.book(configuration, demand, &salt, &place, &blocks, now_ms);
             if let Some(key) = prompt.affinity_key() {
                 knowledge.note_session(key, &entry.id, now_ms);
             }
@@ -90,23 +94,74 @@
     Ok(Placed { entry, chosen, flight, engine })
 }
 
-fn candidates<'a>(knowledge: &'a Knowledge, job: &'a Job, now_ms: u64) -> Vec<Candidate<'a>> {
+fn candidates<'a>(
+    knowledge: &'a Knowledge,
+    job: &'a Job,
+    engines: Option<&EngineTraits>,
+    newest: Option<u64>,
+    now_ms: u64,
+) -> Vec<Candidate<'a>> {
     let demand = &job.request.demand;
     let prompt = demand.prompt.as_ref();
     let session = prompt.and_then(Prompt::affinity_key);
     let session_server = session.and_then(|key| knowledge.session_server(&key, now_ms));
     let usable = knowledge.registry.usable(&demand.service);
     let untried = usable.filter(|entry| !job.excluded.contains(&entry.id));
-    untried
-        .map(|entry| Candidate {
+    // Servers of one failure domain with the same weights share what stores mean for them.
+    let mut costs: SmallVec<[(&FailureDomain, Option<u64>, BlockCost); 8]> = SmallVec::new();
+    let mut candidates = Vec::new();
+    for entry in untried {
+        let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
+        let known = costs.iter().find(|cost| *cost.0 == entry.domain && cost.1 == version);
+        let blocks = match (known, prompt, engines) {
+            (Some(known), _, _) => known.2,
+            (None, Some(prompt), Some(engines)) => {
+                let salt = salt(job, version.or(newest).unwrap_or(FIRST_WEIGHTS));
+                let place = block_place(knowledge, job, engines, &entry.domain);
+                let configuration = &job.request.in_force.configuration;
+                let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+                let cost = BlockCost {
+                    read_tokens: prompt.input_tokens.saturating_sub(plan.fetched_tokens),
+                    read_shared_tokens: plan.read_shared_tokens,
+                    unkept_tokens: plan.unkept_tokens,
+                    fetch_ms: plan.fetch_ms,
+                };
+                costs.push((&entry.domain, version, cost));
+                cost
+            }
+            _ => BlockCost::default(),
+        };
+        candidates.push(Candidate {
             entry,
             load: knowledge.loads.view(&entry.id, now_ms),
-            read_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
-            weight_version: prompt
-                .and_then(|prompt| entry.weight_versions.get(&prompt.model).copied()),
+            blocks,
+            weight_version: version,
             has_session: session_server == Some(&entry.id),
-        })
-        .collect()
+        });
+    }
+    candidates
+}
+
+fn salt(job: &Job, weight_version: u64) -> CacheSalt {
+    let demand = &job.request.demand;
+    let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
+    CacheSalt::new(weight_version, dedicated)
+}
+
+fn block_place<'a>(
+    knowledge: &Knowledge,
+    job: &'a Job,
+    engines: &EngineTraits,
+    domain: &'a FailureDomain,
+) -> Place<'a> {
+    let standpoint = &job.node.standpoint;
+    Place {
+        domain,
+        regions: &standpoint.regions,
+        token_bytes: engines.token_bytes,
+        prefill_tokens_per_ms: standpoint.prefill_tokens_per_ms,
+        gateways: knowledge.gateways.count(),
+    }
 }
 
 fn weight(
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -5,6 +5,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// The gateways assumed before the first listing, so that a start does not spend the budgets of
+/// all others.
+const ASSUMED_BEFORE_LISTING: usize = 64;
+
 /// What a gateway writes about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct GatewayRecord {
@@ -16,35 +20,60 @@
     pub life: u64,
 }
 
+#[derive(Debug)]
+struct Listed {
+    record: GatewayRecord,
+    offset: u64,
+    /// The listings since its record was last written anew.
+    unchanged: u32,
+}
+
 /// Holds the known gateways.
 #[derive(Debug)]
 pub struct Gateways {
     own: HostName,
-    by_host: BTreeMap<HostName, GatewayRecord>,
+    by_host: BTreeMap<HostName, Listed>,
+    is_listed: bool,
 }
 
 impl Gateways {
     /// Creates a table of nobody else.
     pub const fn new(own: HostName) -> Self {
-        Self { own, by_host: BTreeMap::new() }
+        Self { own, by_host: BTreeMap::new(), is_listed: false }
     }
 
-    /// Notes a gateway's record; an older life does not replace a newer one.
+    /// Notes a gateway that a peer knows.
     pub fn note(&mut self, record: GatewayRecord) {
+        self.is_listed = true;
         let held = self.by_host.get(&record.host);
-        if held.is_none_or(|held| held.life <= record.life) {
-            self.by_host.insert(record.host.clone(), record);
+        if held.is_none_or(|held| held.record.life < record.life) {
+            let listed = Listed { record: record.clone(), offset: 0, unchanged: 0 };
+            self.by_host.insert(record.host, listed);
+        }
+    }
+
+    /// Takes a listing of the store; gateways that stopped writing are forgotten after a while.
+    pub fn replace_listed(&mut self, records: Vec<(GatewayRecord, u64)>, forgotten_after: u32) {
+        self.is_listed = true;
+        let mut next = BTreeMap::new();
+        for (record, offset) in records {
+            let held = self.by_host.get(&record.host).filter(|held| held.offset == offset);
+            let unchanged = held.map_or(0, |held| held.unchanged + 1);
+            next.insert(record.host.clone(), Listed { record, offset, unchanged });
         }
+        next.retain(|_, listed| listed.unchanged < forgotten_after);
+        self.by_host = next;
     }
 
-    /// Returns the number of gateways, this one included.
+    /// Returns the number of gateways that may be live, this one included.
     pub fn count(&self) -> usize {
-        self.others().count() + 1
+        if self.is_listed { self.others().count() + 1 } else { ASSUMED_BEFORE_LISTING }
     }
 
     /// Returns the other gateways.
     pub fn others(&self) -> impl Iterator<Item = &GatewayRecord> {
-        self.by_host.values().filter(|record| record.host != self.own)
+        let all = self.by_host.values().map(|listed| &listed.record);
+        all.filter(|record| record.host != self.own)
     }
 
     /// Returns the place of this gateway among all by name, for turns that need no talk.
@@ -54,6 +83,6 @@
 
     /// Returns all records, for a peer that cannot read the store.
     pub fn records(&self) -> Vec<GatewayRecord> {
-        self.by_host.values().cloned().collect()
+        self.by_host.values().map(|listed| listed.record.clone()).collect()
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,6 +3,7 @@
 use crate::clock::Clock;
 use crate::gateways::Gateways;
 use crate::metrics::Metrics;
+use crate::peers::News;
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 use dispatch::blocks::BlockIndex;
@@ -113,10 +114,13 @@
     pub life: u64,
     /// Woken when weights are named or servers report other weights.
     pub weights_changed: Notify,
+    /// Woken when there is news for other gateways.
+    pub has_news: Notify,
     /// Woken when a server falls silent.
     pub silence: Notify,
     in_force: Mutex<Option<Arc<InForce>>>,
     knowledge: Mutex<Knowledge>,
+    news: Mutex<News>,
     is_draining: AtomicBool,
     store_read_ms: AtomicU64,
 }
@@ -151,7 +155,9 @@
             pool: Pool::new(),
             life: crate::clock::unix_ms(),
             weights_changed: Notify::new(),
+            has_news: Notify::new(),
             silence: Notify::new(),
+            news: Mutex::new(News::default()),
             in_force: Mutex::new(None),
             knowledge: Mutex::new(knowledge),
             is_draining: AtomicBool::new(false),
@@ -196,9 +202,26 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Notes that the store, or a peer that reads it, told everything up to now.
+    /// Adds news for other gateways.
+    pub fn tell(&self, add: impl FnOnce(&mut News)) {
+        add(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner));
+        self.has_news.notify_one();
+    }
+
+    /// Takes the news that has gathered.
+    pub fn take_news(&self) -> News {
+        std::mem::take(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Notes that the store told everything up to now.
     pub fn note_store_read(&self) {
-        self.store_read_ms.store(self.now_ms().max(1), Ordering::Relaxed);
+        self.note_store_age(0);
+    }
+
+    /// Notes that a peer told everything that the store said up to some time ago.
+    pub fn note_store_age(&self, age_ms: u64) {
+        let read_ms = self.now_ms().saturating_sub(age_ms).max(1);
+        self.store_read_ms.fetch_max(read_ms, Ordering::Relaxed);
     }
 
     /// Returns how old the knowledge of the store is; `None` before the first read.
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,11 @@
+//! Calls between gateways: snapshots for those that cannot read the store, and news.
+
+mod message;
+mod pull;
+mod push;
+mod serve;
+
+pub use crate::peers::message::{News, Snapshot, decode, encode};
+pub use crate::peers::pull::run as pull;
+pub use crate::peers::push::run as push;
+pub use crate::peers::serve::accept;
--- /dev/null
+++ b/crates/gateway/src/peers/message.rs
@@ -0,0 +1,60 @@
+//! Messages between gateways.
+
+use crate::gateways::GatewayRecord;
+use dispatch::registry::{ServerEntry, ServerId, Standing};
+use protocol::ids::ModelName;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The path of a snapshot.
+pub const SNAPSHOT_PATH: &str = "/peers/snapshot";
+/// The path that takes news.
+pub const NEWS_PATH: &str = "/peers/news";
+
+/// What a gateway knows from the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// How old it is, in milliseconds.
+    pub age_ms: u64,
+    /// The record of the configuration in force.
+    pub configuration: Option<Vec<u8>>,
+    /// The newest weight version named for each model.
+    pub weights: BTreeMap<ModelName, u64>,
+    /// The servers.
+    pub servers: Vec<(ServerEntry, Standing)>,
+    /// The gateways.
+    pub gateways: Vec<GatewayRecord>,
+}
+
+/// What a gateway tells all others as it happens.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Requests whose send broke off with its server.
+    pub broken: Vec<[u8; 16]>,
+    /// Servers that load weights, with the time for which they take no requests, in milliseconds.
+    pub occupied: Vec<(ServerId, u64)>,
+    /// Servers that have loaded weights.
+    pub loaded: Vec<(ServerId, ModelName, u64)>,
+}
+
+impl News {
+    /// Says whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.broken.is_empty() && self.occupied.is_empty() && self.loaded.is_empty()
+    }
+}
+
+/// Writes a message.
+///
+/// # Panics
+///
+/// Panics if a message type has no MessagePack form, which its first test shows.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    rmp_serde::to_vec(message).expect("messages have a MessagePack form")
+}
+
+/// Reads a message; `None` if another version of the program wrote it in another form.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    rmp_serde::from_slice(bytes).ok()
+}
--- /dev/null
+++ b/crates/gateway/src/peers/pull.rs
@@ -0,0 +1,86 @@
+//! Asking peers for what the store would say, while it cannot be read.
+
+use crate::event;
+use crate::follow::{apply_operator_record, note_changes};
+use crate::link::{Call, Link, is_ok};
+use crate::node::{NamedWeights, Node};
+use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
+use platform::frames::KeyedRecord;
+use platform::store::CONFIGURATION_KEY;
+use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The age of what is known of the store from which on peers are asked. Reads come once a second
+/// and wait up to that long.
+const ASK_FROM_AGE_MS: u64 = 1_700;
+/// How often peers are asked while the store cannot be read.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// How long a peer may take. The farthest round trip takes some 30 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Asks peers for as long as the process lives, whenever the store is silent for too long.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(ASK_EVERY).await;
+        let age_ms = node.store_age_ms();
+        if age_ms.is_some_and(|age_ms| age_ms < ASK_FROM_AGE_MS) {
+            continue;
+        }
+        let Some(peer) = pick_peer(&node) else { continue };
+        node.metrics.count("peer_calls", "snapshot");
+        let call = Call::get(SNAPSHOT_PATH, ANSWER_TIMEOUT);
+        let Ok(answer) = Link::new(peer).call(call).await else {
+            node.metrics.count("peer_failures", "snapshot");
+            continue;
+        };
+        let snapshot = is_ok(&answer).then(|| message::decode::<Snapshot>(answer.body())).flatten();
+        if let Some(snapshot) = snapshot
+            && age_ms.is_none_or(|age_ms| snapshot.age_ms < age_ms)
+        {
+            apply(&node, snapshot, peer);
+        }
+    }
+}
+
+fn pick_peer(node: &Node) -> Option<SocketAddr> {
+    let knowledge = node.knowledge();
+    let mut peers: Vec<SocketAddr> =
+        knowledge.gateways.others().map(|record| record.peers).collect();
+    drop(knowledge);
+    if peers.is_empty() {
+        let own = node.settings.listen.peers;
+        peers = node.settings.seeds.clone().unwrap_or_default();
+        peers.retain(|seed| Some(*seed) != own);
+    }
+    peers.choose(&mut rand::rng()).copied()
+}
+
+fn apply(node: &Node, snapshot: Snapshot, peer: SocketAddr) {
+    let now_ms = node.now_ms();
+    event!(debug, now_ms, "snapshot_taken", { "peer": peer, "age_ms": snapshot.age_ms });
+    if let Some(record) = snapshot.configuration {
+        let record = KeyedRecord { key: CONFIGURATION_KEY.to_owned(), value: Some(record) };
+        apply_operator_record(node, &record, "peer");
+    }
+    let mut knowledge = node.knowledge();
+    let mut has_new_weights = false;
+    for (model, version) in snapshot.weights {
+        let old = knowledge.weights.get(&model).map(|named| named.version);
+        if old.is_none_or(|old| old < version) {
+            knowledge.weights.insert(model, NamedWeights { version, learnt_ms: now_ms });
+            has_new_weights = true;
+        }
+    }
+    for record in snapshot.gateways {
+        knowledge.gateways.note(record);
+    }
+    let changes = knowledge.registry.merge(snapshot.servers, now_ms);
+    drop(knowledge);
+    note_changes(node, changes, "peer");
+    node.note_store_age(snapshot.age_ms);
+    if has_new_weights {
+        node.weights_changed.notify_one();
+    }
+}
