Roll out new weights by a steward with a fenced lease

Change: the lease as an appended record, orders with expected sequence and instance, news of servers that load, frees of outdated parts; answers teach a server's weights ahead of its entry. Ruled out: believing that a server that answers 421 has the newest weights; it may have the ones between, and would never be ordered again.

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -8,12 +8,12 @@
 use serde::{Deserialize, Serialize};
 
 /// The lease's length, in milliseconds. Long enough to renew over a slow store, short enough that
-/// a lost steward costs a third of the time allowed for a rollout.
-pub const LEASE_MS: u64 = 3_000;
+/// a lost steward costs little of the time allowed for a rollout.
+pub const LEASE_MS: u64 = 2_000;
 /// What others wait beyond the lease, in milliseconds, for clocks that drift and orders in flight.
 pub const LEASE_MARGIN_MS: u64 = 400;
 /// The age from which on a holder renews, in milliseconds.
-const RENEW_MS: u64 = 1_000;
+const RENEW_MS: u64 = 700;
 
 /// The record of a lease.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -208,8 +208,9 @@
     /// Notes the weight version that a server itself reported.
     pub fn note_version(&mut self, id: &ServerId, model: &ModelName, version: u64) {
         if let Some(known) = self.servers.get_mut(id) {
-            let old = known.entry.weight_versions.insert(model.clone(), version);
-            self.generation += u64::from(old != Some(version));
+            let held = known.entry.weight_versions.entry(model.clone()).or_insert(version);
+            self.generation += u64::from(*held < version);
+            *held = (*held).max(version);
         }
     }
 
@@ -282,8 +283,14 @@
         }
         known.back_with = None;
         known.standing = if is_draining { Standing::Leaving } else { Standing::Ready };
-        let reloaded = known.entry.weight_versions != entry.weight_versions;
-        known.entry = ServerEntry { is_draining, ..entry };
+        // An entry may be older than what the server has answered since; weights only get newer.
+        let mut weight_versions = entry.weight_versions.clone();
+        for (model, version) in &known.entry.weight_versions {
+            let newest = weight_versions.entry(model.clone()).or_insert(*version);
+            *newest = (*newest).max(*version);
+        }
+        let reloaded = known.entry.weight_versions != weight_versions;
+        known.entry = ServerEntry { is_draining, weight_versions, ..entry };
         match (was, known.standing) {
             (Standing::Leaving, Standing::Ready) => {
                 Some(RegistryChange::Joined(known.entry.clone()))
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -4,7 +4,7 @@
 //! server that loads takes no new requests, and a load takes longer while many load at once.
 
 use crate::registry::ServerId;
-use protocol::ids::{FailureDomain, Incarnation, ModelName};
+use protocol::ids::FailureDomain;
 use std::collections::BTreeMap;
 
 /// The share of a service's servers that load at once: the sheets give two of nine, two of twelve
@@ -12,16 +12,17 @@
 const LOADING_SHARE: f64 = 0.2;
 /// The least number of servers that load at once, by the same sheets.
 const LEAST_LOADING: usize = 2;
-/// After how long an order without an answer is given again, in milliseconds.
+/// After how long an order that brought nothing is given again, in milliseconds.
 const ORDER_AGAIN_MS: u64 = 1_200;
+/// The part of the time allowed for new weights after which no request goes to older ones; what is
+/// left covers requests that wait at a server.
+const OLD_WEIGHTS_SHARE: f64 = 0.65;
 
 /// What the steward knows of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerState {
     /// The server.
     pub id: ServerId,
-    /// Its life.
-    pub incarnation: Incarnation,
     /// Its failure domain.
     pub domain: FailureDomain,
     /// The version that it has.
@@ -32,77 +33,62 @@
     pub orders_accepted: Option<u64>,
     /// When it was last ordered, in this life.
     pub ordered_ms: Option<u64>,
-    /// The requests in flight there, as far as known.
+    /// The steward's own requests in flight there.
     pub in_flight: usize,
-    /// Whether it answers.
-    pub is_reachable: bool,
 }
 
 /// What the steward does next for one model.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Step {
-    /// Every reachable server has the newest version.
-    Done,
-    /// Orders to give now, and servers whose state must be asked first.
-    Act {
-        /// Servers to order the newest version from.
-        order: Vec<ServerId>,
-        /// Servers to ask for their state.
-        ask: Vec<ServerId>,
-    },
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Step {
+    /// Servers to order the newest version from.
+    pub order: Vec<ServerId>,
+    /// Servers to ask for their state.
+    pub ask: Vec<ServerId>,
 }
 
-/// Decides the next step of a rollout to `newest`.
-pub fn next_step(servers: &[ServerState], newest: u64, now_ms: u64) -> Step {
+/// Decides the next step of a rollout to `newest`; `None` when every server has it.
+pub fn next_step(servers: &[ServerState], newest: u64, now_ms: u64) -> Option<Step> {
     let outstanding: Vec<&ServerState> =
-        servers.iter().filter(|server| server.version < newest && server.is_reachable).collect();
+        servers.iter().filter(|server| server.version < newest).collect();
     if outstanding.is_empty() {
-        return Step::Done;
+        return None;
     }
-    let is_loading = |server: &&ServerState| {
+    let is_loading = |server: &ServerState| {
         server.is_busy || server.ordered_ms.is_some_and(|at_ms| now_ms < at_ms + ORDER_AGAIN_MS)
     };
-    let loading: Vec<&ServerState> = outstanding.iter().copied().filter(is_loading).collect();
-    let room = most_loading(servers.len()).saturating_sub(loading.len());
-    let mut by_domain: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+    let (loading, mut waiting): (Vec<&ServerState>, Vec<&ServerState>) =
+        outstanding.into_iter().partition(|server| is_loading(server));
+    let mut room = most_loading(servers.len()).saturating_sub(loading.len());
+    let mut loading_by_domain: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
     for server in &loading {
-        *by_domain.entry(&server.domain).or_default() += 1;
+        *loading_by_domain.entry(&server.domain).or_default() += 1;
     }
-    let mut waiting: Vec<&ServerState> =
-        outstanding.iter().copied().filter(|server| !is_loading(server)).collect();
-    let mut next = Vec::new();
-    while next.len() < room && !waiting.is_empty() {
-        let least = |server: &&ServerState| {
-            let loading_there = by_domain.get(&server.domain).copied().unwrap_or(0);
-            (loading_there, server.in_flight, server.id.clone())
-        };
-        let Some(index) = (0..waiting.len()).min_by_key(|index| least(&waiting[*index])) else {
-            break;
+    let mut step = Step::default();
+    step.ask.extend(loading.iter().map(|server| server.id.clone()));
+    // Servers that have not told how many orders they accepted are asked before their turn.
+    let unknown = waiting.iter().filter(|server| server.orders_accepted.is_none());
+    step.ask.extend(unknown.map(|server| server.id.clone()));
+    waiting.retain(|server| server.orders_accepted.is_some());
+    while room > 0 {
+        let key = |server: &&&ServerState| {
+            let there = loading_by_domain.get(&server.domain).copied().unwrap_or(0);
+            (there, server.in_flight, server.id.clone())
         };
-        let server = waiting.swap_remove(index);
-        *by_domain.entry(&server.domain).or_default() += 1;
-        next.push(server);
+        let Some(next) = waiting.iter().min_by_key(key).copied() else { break };
+        *loading_by_domain.entry(&next.domain).or_default() += 1;
+        waiting.retain(|server| server.id != next.id);
+        step.order.push(next.id.clone());
+        room -= 1;
     }
-    let (known, unknown): (Vec<&ServerState>, Vec<&ServerState>) =
-        next.into_iter().partition(|server| server.orders_accepted.is_some());
-    let ids = |servers: &[&ServerState]| servers.iter().map(|server| server.id.clone()).collect();
-    let mut ask: Vec<ServerId> = ids(&loading);
-    ask.extend(unknown.iter().map(|server| server.id.clone()));
-    Step::Act { order: ids(&known), ask }
+    Some(step)
 }
 
 fn most_loading(servers: usize) -> usize {
     ((servers as f64 * LOADING_SHARE) as usize).max(LEAST_LOADING)
 }
 
-/// Returns the newest version named for each model from the store's records, never an older one.
-pub fn note_named(
-    named: &mut BTreeMap<ModelName, u64>,
-    model: ModelName,
-    version: u64,
-) -> bool {
-    let newest = named.entry(model).or_insert(0);
-    let is_newer = version > *newest;
-    *newest = version.max(*newest);
-    is_newer
+/// Says whether requests may still go to weights older than the ones named `age_ms` ago, where
+/// `allowed_ms` is the installation's bound.
+pub fn may_use_old_weights(age_ms: u64, allowed_ms: u64) -> bool {
+    (age_ms as f64) < OLD_WEIGHTS_SHARE * allowed_ms as f64
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
-use crate::{discovery, peers};
+use crate::{discovery, peers, steward};
 use crate::{watch_blocks, watch_servers};
 use std::io;
 use std::net::SocketAddr;
@@ -68,6 +68,7 @@
     });
     tokio::spawn(follow::run(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
+    tokio::spawn(steward::run(Arc::clone(node)));
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
     tokio::spawn(operators::accept(Arc::clone(node), ready));
     tokio::spawn(operators::accept(Arc::clone(node), metrics));
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use platform::headers::{
     CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, LOAD,
-    NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, read_load,
+    NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, WEIGHT_VERSIONS, read_load,
 };
 use platform::prompt;
 use std::sync::Arc;
@@ -184,6 +184,7 @@
     connection.note_head(&head.headers);
     let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok()).and_then(read_load);
     node.knowledge().loads.started(&server, flight.id, load, node.now_ms());
+    note_weights(job, &server, &head);
     let exchange = Exchange { head, body, connection, flight };
     if let Some(reason) = refused(&exchange.head, &server) {
         return exchange.end_refused(job, &placed, reason).await;
@@ -345,10 +346,8 @@
             NotRun::Shed | NotRun::OtherWeights => Outcome::Shed,
             _ => Outcome::Broken,
         };
-        match reason {
-            NotRun::OtherWeights => note_other_weights(job, placed),
-            NotRun::OtherServer => note_gone(node, &server),
-            _ => {}
+        if reason == NotRun::OtherServer {
+            note_gone(node, &server);
         }
         let within = Duration::from_millis(job.remaining_ms());
         if let Ok(Ok(_)) = tokio::time::timeout(within, self.body.collect()).await {
@@ -482,10 +481,12 @@
     event!(info, now_ms, "server_replaced", { "server": server.as_str() });
 }
 
-/// A server that has other weights than its entry says has the newest that were named.
-fn note_other_weights(job: &Job, placed: &Placed) {
+/// Learns a server's weights from its answer, ahead of its entry.
+fn note_weights(job: &Job, server: &ServerId, head: &response::Parts) {
     let Some(prompt) = &job.request.demand.prompt else { return };
-    let mut knowledge = job.node.knowledge();
-    let Some(named) = knowledge.weights.get(&prompt.model).copied() else { return };
-    knowledge.registry.note_version(&placed.entry.id, &prompt.model, named.version);
+    let text = head.headers.get(WEIGHT_VERSIONS).and_then(|value| value.to_str().ok());
+    let version = text.and_then(|text| text.rsplit(',').next()?.trim().parse::<u64>().ok());
+    if let Some(version) = version {
+        job.node.knowledge().registry.note_version(server, &prompt.model, version);
+    }
 }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -8,6 +8,7 @@
 use dispatch::demand::Prompt;
 use dispatch::load::{FlightId, Weight};
 use dispatch::registry::ServerEntry;
+use dispatch::rollout;
 use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
 
@@ -110,8 +111,12 @@
     // Servers of one failure domain with the same weights share what stores mean for them.
     let mut costs: SmallVec<[(&FailureDomain, Option<u64>, BlockCost); 8]> = SmallVec::new();
     let mut candidates = Vec::new();
+    let may_use_old = may_use_old_weights(knowledge, job, now_ms);
     for entry in untried {
         let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
+        if !may_use_old && version < newest {
+            continue;
+        }
         let known = costs.iter().find(|cost| *cost.0 == entry.domain && cost.1 == version);
         let blocks = match (known, prompt, engines) {
             (Some(known), _, _) => known.2,
@@ -142,6 +147,16 @@
     candidates
 }
 
+/// Says whether servers with older weights may still be used.
+fn may_use_old_weights(knowledge: &Knowledge, job: &Job, now_ms: u64) -> bool {
+    let prompt = job.request.demand.prompt.as_ref();
+    let named = prompt.and_then(|prompt| knowledge.weights.get(&prompt.model));
+    let allowed_ms = job.node.settings.bounds.weights_ms;
+    named.is_none_or(|named| {
+        rollout::may_use_old_weights(now_ms.saturating_sub(named.learnt_ms), allowed_ms)
+    })
+}
+
 fn salt(job: &Job, weight_version: u64) -> CacheSalt {
     let demand = &job.request.demand;
     let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod pool;
 pub mod settings;
+pub mod steward;
 pub mod store;
 pub mod watch_blocks;
 pub mod watch_servers;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,8 +3,9 @@
 
 use crate::connect::{self, ClientConnection};
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use platform::codec::CONTENT_TYPE;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -52,7 +53,8 @@
 
     /// Builds a call with a body.
     pub fn post(path: impl Into<String>, body: Vec<u8>, within: Duration) -> Self {
-        Self { method: Method::POST, body: body.into(), ..Self::get(path, within) }
+        let call = Self { method: Method::POST, body: body.into(), ..Self::get(path, within) };
+        call.with_header(http::header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE))
     }
 
     /// Adds a header.
--- /dev/null
+++ b/crates/gateway/src/steward/holding.rs
@@ -0,0 +1,175 @@
+//! Holding the steward's lease.
+
+use crate::event;
+use crate::node::Node;
+use crate::peers;
+use crate::store::{StoreClient, StoreError};
+use dispatch::lease::{self, HeldLease, LeaseRecord, SeenLease};
+use platform::store::STEWARD_TOPIC;
+use protocol::ids::LogOffset;
+
+/// The key of the lease's records.
+const LEASE_KEY: &str = "lease";
+/// How much later each further gateway claims, in milliseconds: a store's answer and a margin.
+const RANK_DELAY_MS: u64 = 700;
+/// The latest claim of a gateway after work was found, in milliseconds.
+const MAX_DELAY_MS: u64 = 3_500;
+/// How often the newest record is read while another gateway holds the lease, in milliseconds.
+const READ_EVERY_MS: u64 = 700;
+/// The gateways that read the record after each rollout, so that they can take over at once.
+const STANDBYS: usize = 3;
+
+/// The lease as this gateway knows it.
+#[derive(Debug)]
+pub struct Holding {
+    held: Option<HeldLease>,
+    seen: Option<SeenLease>,
+    /// When work was found that nobody has finished yet.
+    work_since_ms: Option<u64>,
+    next_read_ms: u64,
+    life: u64,
+}
+
+impl Holding {
+    /// Starts without a lease.
+    pub const fn new(node: &Node) -> Self {
+        Self { held: None, seen: None, work_since_ms: None, next_read_ms: 0, life: node.life }
+    }
+
+    /// Says whether this gateway holds the lease, valid or not.
+    pub const fn is_held(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Returns the fence for an order given now; `None` if the lease has run out.
+    pub fn fence(&self, node: &Node) -> Option<LogOffset> {
+        self.held.filter(|held| held.is_valid(node.now_ms())).map(|held| held.fence)
+    }
+
+    /// Claims or renews the lease as far as that is due; says whether orders may be given.
+    pub async fn try_hold(&mut self, node: &Node, store: &mut StoreClient) -> bool {
+        let now_ms = node.now_ms();
+        if let Some(held) = self.held {
+            if held.is_due(now_ms) {
+                self.renew(node, store, held).await;
+            }
+            return self.fence(node).is_some();
+        }
+        let since_ms = *self.work_since_ms.get_or_insert(now_ms);
+        let rank = node.knowledge().gateways.own_rank() as u64;
+        let turn_ms = since_ms + (rank * RANK_DELAY_MS).min(MAX_DELAY_MS);
+        if now_ms < turn_ms.max(self.next_read_ms) {
+            return false;
+        }
+        self.next_read_ms = now_ms + READ_EVERY_MS;
+        let Ok(end) = self.read(node, store).await else { return false };
+        let own = &node.settings.host;
+        let from_ms =
+            lease::may_claim_at_ms(self.seen.as_ref(), own, node.settings.bounds.steward_turn_ms);
+        if node.now_ms() < from_ms {
+            self.next_read_ms = from_ms.min(node.now_ms() + READ_EVERY_MS);
+            return false;
+        }
+        self.claim(node, store, end).await
+    }
+
+    /// Gives the lease back.
+    pub async fn release(&mut self, node: &Node, store: &mut StoreClient) {
+        self.work_since_ms = None;
+        let Some(held) = self.held.take() else { return };
+        let written = self.write(node, store, held.end, true).await;
+        event!(info, node.now_ms(), "lease_released", {
+            "fence": held.fence.value(),
+            "written": written.is_ok(),
+        });
+    }
+
+    /// Notes that there is no work; the next in line look who held the lease last.
+    pub async fn note_idle(&mut self, node: &Node, store: &mut StoreClient) {
+        let had_work = self.work_since_ms.take().is_some();
+        let rank = node.knowledge().gateways.own_rank();
+        if had_work && rank < STANDBYS {
+            // A failed read only means a longer wait before the next claim.
+            drop(self.read(node, store).await);
+        }
+    }
+
+    async fn claim(&mut self, node: &Node, store: &mut StoreClient, end: u64) -> bool {
+        let since_ms = node.now_ms();
+        let Ok(appended) = self.write(node, store, end, false).await else { return false };
+        let fence = LogOffset::new(appended.0);
+        self.held = Some(HeldLease { fence, end: LogOffset::new(appended.1), since_ms });
+        event!(info, node.now_ms(), "lease_claimed", {
+            "fence": fence.value(),
+            "before": self.seen.as_ref().map(|seen| seen.record.holder.as_str()),
+        });
+        self.fence(node).is_some()
+    }
+
+    async fn renew(&mut self, node: &Node, store: &mut StoreClient, held: HeldLease) {
+        let since_ms = node.now_ms();
+        match self.write(node, store, held.end, false).await {
+            Ok((_, end)) => {
+                self.held = Some(HeldLease { end: LogOffset::new(end), since_ms, ..held });
+            }
+            Err(error) => {
+                event!(warn, node.now_ms(), "lease_not_renewed", {
+                    "fence": held.fence.value(),
+                    "age_ms": node.now_ms() - held.since_ms,
+                    "error": error.to_string(),
+                });
+                // A renewal without an answer may have been written: the end is not known any
+                // more, and only a new claim finds it.
+                let is_over = !held.is_valid(node.now_ms());
+                if is_over || matches!(error, StoreError::Conflict) {
+                    self.held = None;
+                    self.next_read_ms = 0;
+                }
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        node: &Node,
+        store: &mut StoreClient,
+        end: impl Into<EndOffset>,
+        is_released: bool,
+    ) -> Result<(u64, u64), StoreError> {
+        let record = LeaseRecord { holder: node.settings.host.clone(), life: self.life, is_released };
+        let value = peers::encode(&record);
+        let at = Some(end.into().0);
+        let appended = store.append(STEWARD_TOPIC, LEASE_KEY, &value, at).await?;
+        Ok((appended.offset, appended.end))
+    }
+
+    /// Reads the newest record and returns the end of the partition.
+    async fn read(&mut self, node: &Node, store: &mut StoreClient) -> Result<u64, StoreError> {
+        let newest = store.newest(STEWARD_TOPIC).await?;
+        let now_ms = node.now_ms();
+        for (record, offset) in newest.records {
+            let lease = record.value.as_deref().and_then(peers::decode::<LeaseRecord>);
+            let offset = LogOffset::new(offset);
+            let is_known = self.seen.as_ref().is_some_and(|seen| seen.offset == offset);
+            if let Some(record) = lease.filter(|_| !is_known) {
+                self.seen = Some(SeenLease { record, offset, seen_ms: now_ms });
+            }
+        }
+        Ok(newest.end)
+    }
+}
+
+/// The offset that a partition must end at.
+struct EndOffset(u64);
+
+impl From<u64> for EndOffset {
+    fn from(end: u64) -> Self {
+        Self(end)
+    }
+}
+
+impl From<LogOffset> for EndOffset {
+    fn from(end: LogOffset) -> Self {
+        Self(end.value())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/steward/orders.rs
@@ -0,0 +1,186 @@
+//! Orders to servers, questions for their state, and frees at the stores of kept blocks.
+
+use crate::event;
+use crate::link::{Call, CallError, Link, is_ok};
+use crate::node::Node;
+use crate::steward::holding::Holding;
+use crate::steward::states::States;
+use dispatch::blocks::BlockKey;
+use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::rollout::Step;
+use futures_util::future::join_all;
+use http::{HeaderValue, StatusCode};
+use platform::engine::{self, FREE_PATH, LoadWeights, ORDER_PATH, REPORT_PATH, ServerReport};
+use platform::headers::EXPECT_SERVER;
+use protocol::ids::ModelName;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a server may take to answer an order or a question.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a server that loads is asked, in milliseconds; questions are paid for.
+const ASK_EVERY_MS: u64 = 240;
+/// For how long others leave a server alone that loads, unless they hear that it is done, in
+/// milliseconds: runs end within a second, and a load takes under one.
+const OCCUPIED_MS: u64 = 2_500;
+/// The parts freed by one call.
+const FREE_BATCH: usize = 400;
+
+/// Gives orders and asks questions, all at once.
+pub async fn carry_out(
+    node: &Arc<Node>,
+    states: &mut States,
+    holding: &Holding,
+    model: &ModelName,
+    newest: u64,
+    step: Step,
+) {
+    let entries = |ids: &[ServerId]| -> Vec<ServerEntry> {
+        let knowledge = node.knowledge();
+        ids.iter().filter_map(|id| Some(knowledge.registry.get(id)?.0.clone())).collect()
+    };
+    let now_ms = node.now_ms();
+    let mut ask = entries(&step.ask);
+    ask.retain(|entry| states.may_ask(entry, ASK_EVERY_MS, now_ms));
+    let reports = join_all(ask.iter().map(|entry| report(node, entry))).await;
+    for (entry, report) in ask.iter().zip(reports) {
+        note_loaded(node, entry, model, newest, report.as_ref());
+        states.note_report(entry, report, node.now_ms());
+    }
+    let orders = entries(&step.order);
+    let orders: Vec<(ServerEntry, u64)> = orders
+        .into_iter()
+        .filter_map(|entry| states.orders_accepted(&entry).map(|accepted| (entry, accepted)))
+        .collect();
+    // The lease is looked at last: questions take time, and the host may have been suspended.
+    let Some(fence) = holding.fence(node) else { return };
+    let holder = node.settings.host.as_str();
+    let answers = join_all(orders.iter().map(|(entry, orders_accepted)| {
+        let order = LoadWeights {
+            model,
+            weight_version: newest,
+            holder,
+            fence,
+            orders_accepted: *orders_accepted,
+        };
+        send_order(entry, order)
+    }));
+    for (entry, _) in &orders {
+        states.note_ordered(entry, node.now_ms());
+    }
+    for ((entry, accepted), answer) in orders.iter().zip(answers.await) {
+        note_answer(node, states, entry, *accepted, fence.value(), newest, answer);
+    }
+}
+
+async fn report(node: &Node, entry: &ServerEntry) -> Option<ServerReport> {
+    node.metrics.count("health_checks", "report");
+    let call = expecting(Call::get(REPORT_PATH, ANSWER_TIMEOUT), entry);
+    let answer = Link::new(entry.address).call(call).await.ok()?;
+    let report = is_ok(&answer).then(|| engine::read_report(answer.body()).ok()).flatten()?;
+    let is_same_life =
+        report.started_unix_ms.is_none_or(|started| started == entry.incarnation.value());
+    is_same_life.then_some(report)
+}
+
+async fn send_order(entry: &ServerEntry, order: LoadWeights<'_>) -> Result<StatusCode, CallError> {
+    let call = Call::post(ORDER_PATH, engine::write_order(&order), ANSWER_TIMEOUT);
+    let answer = Link::new(entry.address).call(expecting(call, entry)).await?;
+    Ok(answer.status())
+}
+
+fn expecting(call: Call, entry: &ServerEntry) -> Call {
+    match HeaderValue::from_str(entry.id.as_str()) {
+        Ok(id) => call.with_header(EXPECT_SERVER, id),
+        Err(_) => call,
+    }
+}
+
+fn note_answer(
+    node: &Node,
+    states: &mut States,
+    entry: &ServerEntry,
+    orders_accepted: u64,
+    fence: u64,
+    newest: u64,
+    answer: Result<StatusCode, CallError>,
+) {
+    let now_ms = node.now_ms();
+    let status = answer.as_ref().ok().map(StatusCode::as_u16);
+    event!(info, now_ms, "server_ordered", {
+        "server": entry.id.as_str(),
+        "version": newest,
+        "fence": fence,
+        "orders_accepted": orders_accepted,
+        "status": status,
+    });
+    node.metrics.count("orders", status.map_or("unanswered", |status| match status {
+        200 | 202 => "accepted",
+        _ => "refused",
+    }));
+    match answer {
+        Ok(StatusCode::ACCEPTED | StatusCode::OK) | Err(_) => {
+            // An order without an answer may have been accepted.
+            node.knowledge().loads.occupy(&entry.id, now_ms + OCCUPIED_MS);
+            node.tell(|news| news.occupied.push((entry.id.clone(), OCCUPIED_MS)));
+        }
+        Ok(_) => states.note_refused(entry),
+    }
+}
+
+/// Tells everybody once a server has the newest weights.
+fn note_loaded(
+    node: &Node,
+    entry: &ServerEntry,
+    model: &ModelName,
+    newest: u64,
+    report: Option<&ServerReport>,
+) {
+    let Some(report) = report else { return };
+    let has_newest = report.weight_versions.get(model).is_some_and(|held| *held >= newest);
+    if report.is_busy || !has_newest {
+        return;
+    }
+    let mut knowledge = node.knowledge();
+    knowledge.registry.note_version(&entry.id, model, newest);
+    knowledge.loads.release(&entry.id);
+    drop(knowledge);
+    node.tell(|news| news.loaded.push((entry.id.clone(), model.clone(), newest)));
+    event!(info, node.now_ms(), "server_loaded", {
+        "server": entry.id.as_str(),
+        "version": newest,
+    });
+}
+
+/// Frees the parts of older weights in all stores.
+pub async fn free_outdated(node: &Node) {
+    let Some(in_force) = node.in_force() else { return };
+    for (name, store) in in_force.configuration.block_stores() {
+        let (epoch, parts) = {
+            let knowledge = node.knowledge();
+            let oldest_newest = knowledge.weights.values().map(|named| named.version).min();
+            let Some(newest) = oldest_newest else { return };
+            knowledge.blocks.outdated(store.address, newest)
+        };
+        let Some(epoch) = epoch.filter(|_| !parts.is_empty()) else { continue };
+        let freed = free(store.address, epoch, &parts).await;
+        event!(info, node.now_ms(), "parts_freed", {
+            "store": name.as_str(),
+            "parts": parts.len(),
+            "accepted": freed,
+        });
+    }
+}
+
+async fn free(address: SocketAddr, epoch: u64, parts: &[BlockKey]) -> bool {
+    let mut link = Link::new(address);
+    for batch in parts.chunks(FREE_BATCH) {
+        let call = Call::post(FREE_PATH, engine::write_free(batch, epoch), ANSWER_TIMEOUT);
+        let answer = link.call(call).await;
+        if !answer.is_ok_and(|answer| answer.status().is_success()) {
+            return false;
+        }
+    }
+    true
+}
