Order more servers at once, take over sooner, end a drain only without connections

Ruled out: the store's outage as the cause of the late begin: the server had been excluded until the next version was named.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -6,7 +6,7 @@
 use crate::configuration::{BlockStoreTraits, Configuration};
 use crate::demand::{Demand, PartId, PromptPart};
 use placement::rendezvous;
-use protocol::ids::{FailureDomain, OrganisationId, Region, ServiceName};
+use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region, ServiceName};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -16,11 +16,15 @@
 pub struct CacheSalt(String);
 
 impl CacheSalt {
-    /// Builds the salt of a weight version, with the organisation where it shares nothing.
-    pub fn new(weight_version: u64, dedicated: Option<&OrganisationId>) -> Self {
+    /// Builds the salt of a model's weight version, with the organisation where it shares nothing.
+    pub fn new(
+        model: &ModelName,
+        weight_version: u64,
+        dedicated: Option<&OrganisationId>,
+    ) -> Self {
         match dedicated {
-            None => Self(format!("v{weight_version}")),
-            Some(organisation) => Self(format!("v{weight_version}.{organisation}")),
+            None => Self(format!("{weight_version}/{model}")),
+            Some(organisation) => Self(format!("{weight_version}/{model}/{organisation}")),
         }
     }
 
@@ -29,10 +33,11 @@
         Self(text.to_owned())
     }
 
-    /// Returns the weight version; `None` for a salt that no gateway built.
-    pub fn weight_version(&self) -> Option<u64> {
-        let digits = self.0.strip_prefix('v')?.split('.').next()?;
-        digits.parse().ok()
+    /// Says whether the parts were made by weights of a model older than a version.
+    pub fn is_older(&self, model: &ModelName, weight_version: u64) -> bool {
+        let mut fields = self.0.split('/');
+        let made = fields.next().and_then(|digits| digits.parse::<u64>().ok());
+        made.is_some_and(|made| made < weight_version) && fields.next() == Some(model.as_str())
     }
 
     /// Returns the salt as text.
@@ -103,15 +108,34 @@
     }
 }
 
+/// Fetches shorter than this say nothing of a link's speed, in milliseconds.
+const LEAST_FETCH_MS: f64 = 20.0;
+/// The greatest slowdown that is told apart.
+const MOST_SLOWDOWN: f64 = 12.0;
+/// The weight of one observation of a link's slowdown.
+const SLOWDOWN_WEIGHT: f64 = 0.0;
+/// How long a slowdown is remembered, in milliseconds, while nothing new is observed.
+const SLOWDOWN_MEMORY_MS: f64 = 1_500.0;
+
 #[derive(Clone, Debug, Default)]
 struct StoreState {
     link: LinkUse,
+    /// How much longer transfers take than the configuration lets expect; below one is none.
+    slowdown: f64,
+    slowdown_ms: u64,
     boot_epoch: Option<u64>,
     parts: HashMap<BlockKey, u64>,
     /// Saves under way from this gateway: tokens and when they count as lost.
     pending: HashMap<BlockKey, (u64, u64)>,
 }
 
+impl StoreState {
+    fn slowdown(&self, now_ms: u64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.slowdown_ms) as f64;
+        1.0 + (self.slowdown - 1.0).max(0.0) * (-passed_ms / SLOWDOWN_MEMORY_MS).exp()
+    }
+}
+
 /// How long a save may take before it counts as lost, in milliseconds. The largest part of the
 /// sheets takes under a second on the slowest link.
 const SAVE_MS: u64 = 3_000;
@@ -125,6 +149,8 @@
 #[derive(Debug, Default)]
 pub struct BlockIndex {
     stores: HashMap<SocketAddr, StoreState>,
+    /// The oldest weight version of each model whose parts may be fetched and saved.
+    oldest_used: HashMap<ModelName, u64>,
 }
 
 /// Where a request's parts come from and go to, an entry a part.
@@ -184,6 +210,16 @@
         Self::default()
     }
 
+    /// Stops fetching and saving parts that weights of a model older than a version made.
+    pub fn retire(&mut self, model: &ModelName, oldest_used: u64) {
+        let held = self.oldest_used.entry(model.clone()).or_insert(oldest_used);
+        *held = (*held).max(oldest_used);
+    }
+
+    fn is_retired(&self, model: &ModelName, salt: &CacheSalt) -> bool {
+        self.oldest_used.get(model).is_some_and(|oldest| salt.is_older(model, *oldest))
+    }
+
     /// Forgets a store's content, since it restarted or cannot be reached.
     pub fn forget_store(&mut self, store: SocketAddr) {
         self.stores.remove(&store);
@@ -217,16 +253,34 @@
         state.parts.values().sum::<u64>() + pending.map(|(tokens, _)| tokens).sum::<u64>()
     }
 
-    /// Returns the parts that a store holds under salts of versions before a given one.
-    pub fn outdated(&self, store: SocketAddr, newest: u64) -> (Option<u64>, Vec<BlockKey>) {
+    /// Returns the parts that a store holds and that older weights of a model made.
+    pub fn outdated(
+        &self,
+        store: SocketAddr,
+        model: &ModelName,
+        newest: u64,
+    ) -> (Option<u64>, Vec<BlockKey>) {
         let Some(state) = self.stores.get(&store) else { return (None, Vec::new()) };
-        let is_old = |key: &BlockKey| key.0.weight_version().is_some_and(|made| made < newest);
-        let mut parts: Vec<BlockKey> =
-            state.parts.keys().filter(|key| is_old(key)).cloned().collect();
+        let is_old = |key: &&BlockKey| key.0.is_older(model, newest);
+        let mut parts: Vec<BlockKey> = state.parts.keys().filter(is_old).cloned().collect();
         parts.sort();
         (state.boot_epoch, parts)
     }
 
+    /// Notes how much longer than expected an answer took whose parts came from some stores.
+    pub fn note_fetched(&mut self, plan: &BlockPlan, excess_ms: f64, now_ms: u64) {
+        let observed = (excess_ms / plan.fetch_ms.max(LEAST_FETCH_MS)).clamp(1.0, MOST_SLOWDOWN);
+        let mut stores: Vec<SocketAddr> = plan.fetch.iter().flatten().copied().collect();
+        stores.sort_unstable();
+        stores.dedup();
+        for store in stores {
+            let Some(state) = self.stores.get_mut(&store) else { continue };
+            let average = state.slowdown(now_ms);
+            state.slowdown = average + SLOWDOWN_WEIGHT * (observed - average);
+            state.slowdown_ms = now_ms;
+        }
+    }
+
     /// Plans a request's transfers to and from the stores near a server.
     pub fn plan(
         &self,
@@ -238,7 +292,11 @@
     ) -> BlockPlan {
         let mut plan = BlockPlan::default();
         let Some(prompt) = &demand.prompt else { return plan };
-        let shared = prompt.shared_parts().len();
+        let shared = if self.is_retired(&prompt.model, salt) {
+            0
+        } else {
+            prompt.shared_parts().len()
+        };
         for (index, part) in prompt.parts.iter().enumerate() {
             if index >= shared || part.tokens < LEAST_TOKENS {
                 plan.fetch.push(None);
@@ -314,7 +372,8 @@
         let sources = configuration.block_stores().filter_map(|(_, store)| {
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
-            let transfer_ms = place.transfer_ms(store, part.tokens);
+            let transfer_ms =
+                place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
             let in_use = (state.link.now(now_ms) * place.gateways as f64).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
             let is_near = place.is_same_region(&store.domain);
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -46,6 +46,10 @@
     pub end: LogOffset,
     /// When the newest record's append was started.
     pub since_ms: u64,
+    /// When the first record was written.
+    pub claimed_ms: u64,
+    /// Whether this gateway held the lease last, too.
+    pub is_own_again: bool,
 }
 
 impl HeldLease {
@@ -61,14 +65,10 @@
 }
 
 /// Says when a gateway may claim the lease, by what it saw of the newest record.
-///
-/// `turn_ms` is the platform's bound on holders that take turns: orders of two holders that come
-/// closer than this break the rule even if the first gave its lease back.
-pub fn may_claim_at_ms(seen: Option<&SeenLease>, own: &HostName, turn_ms: u64) -> u64 {
-    let Some(seen) = seen else { return 0 };
-    if seen.record.is_released && seen.record.holder == *own {
-        return seen.seen_ms;
+pub fn may_claim_at_ms(seen: Option<&SeenLease>) -> u64 {
+    match seen {
+        None => 0,
+        Some(seen) if seen.record.is_released => seen.seen_ms,
+        Some(seen) => seen.seen_ms + LEASE_MS + LEASE_MARGIN_MS,
     }
-    let wait_ms = if seen.record.is_released { turn_ms } else { turn_ms.max(LEASE_MS) + LEASE_MS };
-    seen.seen_ms + wait_ms + LEASE_MARGIN_MS
 }
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -5,12 +5,13 @@
 
 use crate::registry::ServerId;
 use protocol::ids::FailureDomain;
+use smallvec::SmallVec;
 use std::collections::BTreeMap;
 
-/// The share of a service's servers that load at once: the sheets give two of nine, two of twelve
-/// and eighteen of ninety.
-const LOADING_SHARE: f64 = 0.2;
-/// The least number of servers that load at once, by the same sheets.
+/// The share of a service's servers that are ordered at once. Runs end first, which takes longer
+/// than the load itself, so that about half of these load at the same time.
+const LOADING_SHARE: f64 = 0.34;
+/// The least number of servers that are ordered at once.
 const LEAST_LOADING: usize = 2;
 /// After how long an order that brought nothing is given again, in milliseconds.
 const ORDER_AGAIN_MS: u64 = 1_200;
@@ -37,6 +38,12 @@
     pub in_flight: usize,
 }
 
+/// Says when a steward may first order a server: at once if it never took an order in its life, else
+/// when the orders of the steward before lie far enough back.
+pub const fn may_order_at_ms(orders_accepted: u64, claimed_ms: u64, turn_ms: u64) -> u64 {
+    if orders_accepted == 0 { claimed_ms } else { claimed_ms + turn_ms }
+}
+
 /// What the steward does next for one model.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Step {
@@ -87,8 +94,33 @@
     ((servers as f64 * LOADING_SHARE) as usize).max(LEAST_LOADING)
 }
 
-/// Says whether requests may still go to weights older than the ones named `age_ms` ago, where
-/// `allowed_ms` is the installation's bound.
-pub fn may_use_old_weights(age_ms: u64, allowed_ms: u64) -> bool {
-    (age_ms as f64) < OLD_WEIGHTS_SHARE * allowed_ms as f64
+/// The weight versions named for a model, and when each was learnt of.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct NamedVersions {
+    /// Increasing versions, each with the time from which its bound counts.
+    named: SmallVec<[(u64, u64); 2]>,
+}
+
+impl NamedVersions {
+    /// Notes a version; says whether it is the newest.
+    pub fn note(&mut self, version: u64, since_ms: u64) -> bool {
+        let is_newest = self.newest().is_none_or(|newest| version > newest);
+        if is_newest {
+            self.named.push((version, since_ms));
+        }
+        is_newest
+    }
+
+    /// Returns the newest version.
+    pub fn newest(&self) -> Option<u64> {
+        self.named.last().map(|(version, _)| *version)
+    }
+
+    /// Returns the oldest version that requests may still go to, where `allowed_ms` is the
+    /// installation's bound, and forgets versions before it.
+    pub fn oldest_usable(&self, allowed_ms: u64, now_ms: u64) -> u64 {
+        let bound_ms = (OLD_WEIGHTS_SHARE * allowed_ms as f64) as u64;
+        let due = self.named.iter().filter(|(_, since_ms)| now_ms >= since_ms + bound_ms);
+        due.map(|(version, _)| *version).max().unwrap_or(0)
+    }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -15,12 +15,15 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::AbortHandle;
 
 /// How long new connections may still come after SIGTERM, in milliseconds: the balancer asks
 /// every second and takes a gateway out after two misses.
 const BALANCER_MS: u64 = 2_600;
 /// The part of the shutdown time in which requests may end by themselves.
 const DRAIN_SHARE: f64 = 0.94;
+/// How long the log's writer gets for the last lines.
+const LAST_LINES: Duration = Duration::from_millis(250);
 /// How often the drain looks whether requests are left.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -35,7 +38,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let node = Arc::new(Node::new(settings));
     let traffic = Arc::new(Traffic::default());
-    start(&node, &traffic).await?;
+    let accepting = start(&node, &traffic).await?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -45,11 +48,12 @@
             }
         }
     }
-    drain(&node, &traffic).await;
+    drain(&node, &traffic, &accepting).await;
     Ok(())
 }
 
-async fn start(node: &Arc<Node>, traffic: &Arc<Traffic>) -> io::Result<()> {
+/// Starts all tasks; returns the one that accepts callers.
+async fn start(node: &Arc<Node>, traffic: &Arc<Traffic>) -> io::Result<AbortHandle> {
     let listen = &node.settings.listen;
     let callers = bind(listen.callers).await?;
     let ready = bind(listen.ready).await?;
@@ -72,8 +76,8 @@
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
     tokio::spawn(operators::accept(Arc::clone(node), ready));
     tokio::spawn(operators::accept(Arc::clone(node), metrics));
-    tokio::spawn(callers::accept(Arc::clone(node), Arc::clone(traffic), callers));
-    Ok(())
+    let accepting = callers::accept(Arc::clone(node), Arc::clone(traffic), callers);
+    Ok(tokio::spawn(accepting).abort_handle())
 }
 
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
@@ -83,7 +87,10 @@
 }
 
 /// Answers what comes in until the balancer sends nothing more and all requests have ended.
-async fn drain(node: &Node, traffic: &Traffic) {
+///
+/// New connections may come until the listener closes: a failure domain without ready gateways gets
+/// callers all the same. Those accepted before are served to their end.
+async fn drain(node: &Node, traffic: &Traffic, accepting: &AbortHandle) {
     node.start_draining();
     let started_ms = node.now_ms();
     event!(info, started_ms, "draining", {
@@ -91,19 +98,25 @@
         "requests": traffic.requests.load(Ordering::Relaxed),
     });
     let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
-    loop {
+    let mut took_ms = 0;
+    while took_ms < bound_ms {
         tokio::time::sleep(DRAIN_LOOK).await;
-        let took_ms = node.now_ms() - started_ms;
-        let requests = traffic.requests.load(Ordering::Relaxed);
-        let connections = traffic.connections.load(Ordering::Relaxed);
-        if took_ms >= BALANCER_MS {
-            traffic.close_idle();
+        took_ms = node.now_ms() - started_ms;
+        if took_ms < BALANCER_MS {
+            continue;
         }
-        if took_ms >= bound_ms || (took_ms >= BALANCER_MS && connections == 0) {
-            event!(info, node.now_ms(), "stopped", { "requests_cut": requests, "took_ms": took_ms });
-            // The log's writer needs a moment for the last lines.
-            tokio::time::sleep(Duration::from_millis(250)).await;
-            return;
+        traffic.close_idle();
+        if traffic.connections.load(Ordering::Relaxed) > 0 {
+            continue;
         }
+        if accepting.is_finished() {
+            break;
+        }
+        accepting.abort();
     }
+    event!(info, node.now_ms(), "stopped", {
+        "requests_cut": traffic.requests.load(Ordering::Relaxed),
+        "took_ms": took_ms,
+    });
+    tokio::time::sleep(LAST_LINES).await;
 }
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -1,8 +1,9 @@
 //! The operators' records: configurations and named weights.
 
 use crate::event;
-use crate::node::{InForce, NamedWeights, Node};
+use crate::node::{InForce, Node};
 use crate::store::{StoreClient, StoreError};
+use dispatch::rollout::NamedVersions;
 use platform::configuration::{read_configuration, read_weights};
 use platform::frames::{KeyedRecord, read_keyed};
 use platform::store::{CONFIGURATION_KEY, OPERATOR_TOPIC, WEIGHTS_KEY_PREFIX};
@@ -92,17 +93,16 @@
     };
     let learnt_ms = node.now_ms();
     let mut knowledge = node.knowledge();
-    let old = knowledge.weights.get(&model).copied();
-    if old.is_some_and(|old| old.version >= version) {
+    let old = knowledge.weights.get(&model).and_then(NamedVersions::newest);
+    if !knowledge.note_weights(model.clone(), version, learnt_ms) {
         return;
     }
-    knowledge.weights.insert(model.clone(), NamedWeights { version, learnt_ms });
     drop(knowledge);
     node.weights_changed.notify_one();
     event!(info, learnt_ms, "weights_named", {
         "model": model.as_str(),
         "version": version,
-        "old_version": old.map(|old| old.version),
+        "old_version": old,
         "source": source,
     });
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,8 @@
 mod place;
 mod relay;
 
+pub use crate::forward::place::MOST_FETCH_MS;
+
 use crate::answer::{AnswerBody, Refusal};
 use crate::callers::CallerRequest;
 use crate::event;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform::headers::{
-    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, LOAD,
+    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, FETCH_UNTIL, LOAD,
     NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, WEIGHT_VERSIONS, read_load,
 };
 use platform::prompt;
@@ -164,6 +164,7 @@
     };
     let request = build(job, &placed);
     job.sends += 1;
+    let sent_ms = node.now_ms();
     log_send(job, &placed, connection.is_reused);
     let sending = connection.connection.sender.try_send_request(request);
     let (head, body) = match await_head(job, &server, sending).await {
@@ -190,7 +191,13 @@
         return exchange.end_refused(job, &placed, reason).await;
     }
     if job.request.route.kind.is_stream() && exchange.head.status.is_success() {
-        return exchange.start_stream(job).await;
+        let attempt = exchange.start_stream(job).await;
+        if let (Attempt::Streaming(_), Some(plan)) = (&attempt, &placed.engine) {
+            let took_ms = node.now_ms().saturating_sub(sent_ms) as f64;
+            let excess_ms = took_ms - placed.chosen.first_byte_ms + plan.blocks.fetch_ms;
+            node.knowledge().blocks.note_fetched(&plan.blocks, excess_ms, node.now_ms());
+        }
+        return attempt;
     }
     exchange.read_whole(job).await
 }
@@ -235,6 +242,9 @@
             headers.insert(CACHE_SALT, salt);
         }
         headers.insert(EXPECT_WEIGHTS, HeaderValue::from(plan.weight_version));
+        if let Some(until_ms) = plan.fetch_until {
+            headers.insert(FETCH_UNTIL, HeaderValue::from(until_ms));
+        }
         headers.insert(ENGINE_RANK, HeaderValue::from(u16::from(plan.rank)));
         let places = [
             (FETCH_PARTS, prompt::write_fetch(&plan.blocks)),
@@ -257,6 +267,8 @@
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
         "fetched_tokens": placed.engine.as_ref().map(|plan| plan.blocks.fetched_tokens),
+        "input_tokens": job.request.demand.prompt.as_ref().map(|prompt| prompt.input_tokens),
+        "read_shared_tokens": placed.engine.as_ref().map(|plan| plan.blocks.read_shared_tokens),
         "fetch": placed.engine.as_ref().and_then(|plan| prompt::write_fetch(&plan.blocks)),
         "save": placed.engine.as_ref().and_then(|plan| prompt::write_save(&plan.blocks)),
         "salt": placed.engine.as_ref().map(|plan| plan.salt.as_str()),
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -1,15 +1,15 @@
 //! Choosing a server for a request and what travels with it.
 
 use crate::forward::job::Job;
-use crate::node::Knowledge;
+use crate::node::{Knowledge, Node};
 use dispatch::blocks::{BlockPlan, CacheSalt, Place};
 use dispatch::choice::{self, BlockCost, Candidate, Chosen, NoServer};
 use dispatch::configuration::EngineTraits;
-use dispatch::demand::Prompt;
+use dispatch::demand::{Demand, Prompt};
 use dispatch::load::{FlightId, Weight};
 use dispatch::registry::ServerEntry;
-use dispatch::rollout;
-use protocol::ids::FailureDomain;
+use dispatch::rollout::NamedVersions;
+use protocol::ids::{FailureDomain, ModelName};
 use smallvec::SmallVec;
 
 /// How long a plain service may stay silent after a send before it is suspected, in milliseconds.
@@ -19,6 +19,10 @@
 const ENGINE_SILENCE_MS: u64 = 500;
 /// How often the reading time counts in an engine's silence: others may be read first.
 const ENGINE_SILENCE_READS: f64 = 3.0;
+/// The least time given to fetches, in milliseconds.
+const LEAST_FETCH_MS: u64 = 250;
+/// The most time given to fetches, in milliseconds. The steward waits longer before it frees.
+pub const MOST_FETCH_MS: u64 = 900;
 /// The version of weights that none was named for yet.
 const FIRST_WEIGHTS: u64 = 1;
 /// The work of a plain request, in milliseconds.
@@ -46,6 +50,8 @@
     pub weight_version: u64,
     /// Where parts come from and go to.
     pub blocks: BlockPlan,
+    /// When unfinished fetches are discarded, on the servers' clock.
+    pub fetch_until: Option<u64>,
     /// The rank in the engine's queue.
     pub rank: u8,
 }
@@ -64,7 +70,7 @@
     let engines = configuration.services.get(&demand.service).and_then(|found| found.engines());
     let mut knowledge = node.knowledge();
     let newest = demand.prompt.as_ref().and_then(|prompt| {
-        knowledge.weights.get(&prompt.model).map(|named| named.version)
+        knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest)
     });
     let candidates = candidates(&knowledge, job, engines, newest, now_ms);
     let spread = rand::random::<u64>();
@@ -79,14 +85,19 @@
         (Some(prompt), Some(engines)) => {
             let weight_version =
                 entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(FIRST_WEIGHTS);
-            let salt = salt(job, weight_version);
+            let salt = salt(job, &prompt.model, weight_version);
             let place = block_place(&knowledge, job, engines, &entry.domain);
-            let blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+            let mut blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+            let fetch_until = fetch_until(node, demand, now_ms);
+            if fetch_until.is_none() {
+                blocks.fetch.fill(None);
+            }
             knowledge.blocks.book(configuration, demand, &salt, &place, &blocks, now_ms);
             if let Some(key) = prompt.affinity_key() {
                 knowledge.note_session(key, &entry.id, now_ms);
             }
-            Some(EnginePlan { salt, weight_version, blocks, rank: engine_rank(demand.rank) })
+            let rank = engine_rank(demand.rank);
+            Some(EnginePlan { salt, weight_version, blocks, fetch_until, rank })
         }
         _ => None,
     };
@@ -111,17 +122,18 @@
     // Servers of one failure domain with the same weights share what stores mean for them.
     let mut costs: SmallVec<[(&FailureDomain, Option<u64>, BlockCost); 8]> = SmallVec::new();
     let mut candidates = Vec::new();
-    let may_use_old = may_use_old_weights(knowledge, job, now_ms);
+    let oldest_usable = oldest_usable_weights(knowledge, job, now_ms);
     for entry in untried {
         let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
-        if !may_use_old && version < newest {
+        if version.is_some_and(|version| version < oldest_usable) {
             continue;
         }
         let known = costs.iter().find(|cost| *cost.0 == entry.domain && cost.1 == version);
         let blocks = match (known, prompt, engines) {
             (Some(known), _, _) => known.2,
             (None, Some(prompt), Some(engines)) => {
-                let salt = salt(job, version.or(newest).unwrap_or(FIRST_WEIGHTS));
+                let made_by = version.or(newest).unwrap_or(FIRST_WEIGHTS);
+                let salt = salt(job, &prompt.model, made_by);
                 let place = block_place(knowledge, job, engines, &entry.domain);
                 let configuration = &job.request.in_force.configuration;
                 let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
@@ -147,20 +159,17 @@
     candidates
 }
 
-/// Says whether servers with older weights may still be used.
-fn may_use_old_weights(knowledge: &Knowledge, job: &Job, now_ms: u64) -> bool {
+/// Returns the oldest weights that may still be used.
+fn oldest_usable_weights(knowledge: &Knowledge, job: &Job, now_ms: u64) -> u64 {
     let prompt = job.request.demand.prompt.as_ref();
     let named = prompt.and_then(|prompt| knowledge.weights.get(&prompt.model));
-    let allowed_ms = job.node.settings.bounds.weights_ms;
-    named.is_none_or(|named| {
-        rollout::may_use_old_weights(now_ms.saturating_sub(named.learnt_ms), allowed_ms)
-    })
+    named.map_or(0, |named| named.oldest_usable(job.node.settings.bounds.weights_ms, now_ms))
 }
 
-fn salt(job: &Job, weight_version: u64) -> CacheSalt {
+fn salt(job: &Job, model: &ModelName, weight_version: u64) -> CacheSalt {
     let demand = &job.request.demand;
     let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
-    CacheSalt::new(weight_version, dedicated)
+    CacheSalt::new(model, weight_version, dedicated)
 }
 
 fn block_place<'a>(
@@ -202,6 +211,16 @@
     }
 }
 
+/// Returns when a request's fetches are discarded, on the servers' clock: by then reading the
+/// prompt still meets the objective. `None` if nothing may be fetched.
+fn fetch_until(node: &Node, demand: &Demand, now_ms: u64) -> Option<u64> {
+    /// The part of the time to the objective that fetches may take.
+    const FETCH_SHARE: f64 = 0.5;
+    let to_objective_ms = demand.objective_at_ms.saturating_sub(now_ms) as f64;
+    let fetch_ms = ((FETCH_SHARE * to_objective_ms) as u64).clamp(LEAST_FETCH_MS, MOST_FETCH_MS);
+    node.may_fetch().then(|| node.to_servers_clock_ms(now_ms + fetch_ms)).flatten()
+}
+
 /// Spreads the few ranks of routes and organisations over the engines' ten, the first of which
 /// stays free.
 fn engine_rank(rank: u8) -> u8 {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use dispatch::load::Loads;
 use dispatch::registry::{Registry, ServerId};
 use dispatch::retry_share::{BudgetBounds, RetryShare};
+use dispatch::rollout::NamedVersions;
 use dispatch::routes::RouteTable;
 use protocol::ids::ModelName;
 use std::collections::{BTreeMap, HashMap};
@@ -22,6 +23,11 @@
 
 /// How long a session is expected to be in its last server's memory, in milliseconds.
 const SESSION_MEMORY_MS: u64 = 2_500;
+/// The age of what is known of the store up to which kept parts are fetched, in milliseconds.
+/// Longer than most outages of the store, short against the time that freed memory is missed.
+pub const FETCH_KNOWLEDGE_MS: u64 = 6_000;
+/// The time after the start in which weights may have been named before it, in milliseconds.
+const START_MS: u64 = 2_500;
 /// The sessions remembered at most.
 const MAX_SESSIONS: usize = 8_192;
 
@@ -44,15 +50,6 @@
     }
 }
 
-/// The newest weights named for a model.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct NamedWeights {
-    /// The version.
-    pub version: u64,
-    /// When this gateway learnt of it.
-    pub learnt_ms: u64,
-}
-
 /// Everything that decisions read and change.
 #[derive(Debug)]
 pub struct Knowledge {
@@ -66,8 +63,8 @@
     pub crashes: Crashes,
     /// What the stores keep.
     pub blocks: BlockIndex,
-    /// The newest weights of each model.
-    pub weights: BTreeMap<ModelName, NamedWeights>,
+    /// The weights named for each model.
+    pub weights: BTreeMap<ModelName, NamedVersions>,
     /// The gateways.
     pub gateways: Gateways,
     sessions: HashMap<[u8; 8], (ServerId, u64)>,
@@ -76,7 +73,15 @@
 impl Knowledge {
     /// Returns the newest weight versions without their times.
     pub fn named_versions(&self) -> BTreeMap<ModelName, u64> {
-        self.weights.iter().map(|(model, named)| (model.clone(), named.version)).collect()
+        let newest = |named: &NamedVersions| named.newest().unwrap_or(0);
+        self.weights.iter().map(|(model, named)| (model.clone(), newest(named))).collect()
+    }
+
+    /// Notes weights that were named; says whether they are newer than all before. What was named
+    /// before the first read counts as named some time ago.
+    pub fn note_weights(&mut self, model: ModelName, version: u64, now_ms: u64) -> bool {
+        let since_ms = if now_ms < START_MS { 0 } else { now_ms };
+        self.weights.entry(model).or_default().note(version, since_ms)
     }
 
     /// Notes where a session's request went.
@@ -123,6 +128,8 @@
     news: Mutex<News>,
     is_draining: AtomicBool,
     store_read_ms: AtomicU64,
+    /// The servers' clock ahead of the node's, in milliseconds; zero while unknown.
+    servers_ahead_ms: AtomicU64,
 }
 
 impl Node {
@@ -162,6 +169,7 @@
             knowledge: Mutex::new(knowledge),
             is_draining: AtomicBool::new(false),
             store_read_ms: AtomicU64::new(0),
+            servers_ahead_ms: AtomicU64::new(0),
             settings,
         }
     }
@@ -224,6 +232,25 @@
         self.store_read_ms.fetch_max(read_ms, Ordering::Relaxed);
     }
 
+    /// Notes the time on the servers' clock as an answer told it. The answer was under way for a
+    /// while, so the greatest lead seen is the closest.
+    pub fn note_servers_clock(&self, clock_ms: f64) {
+        let ahead_ms = (clock_ms as u64).saturating_sub(self.now_ms());
+        self.servers_ahead_ms.fetch_max(ahead_ms, Ordering::Relaxed);
+    }
+
+    /// Returns a time of the node's clock on the servers' clock; `None` while that is unknown.
+    pub fn to_servers_clock_ms(&self, at_ms: u64) -> Option<u64> {
+        let ahead_ms = self.servers_ahead_ms.load(Ordering::Relaxed);
+        (ahead_ms > 0).then_some(at_ms + ahead_ms)
+    }
+
+    /// Says whether what is known of the store is recent enough to fetch kept parts: the steward
+    /// waits as long before it frees parts behind a gateway that it cannot reach.
+    pub fn may_fetch(&self) -> bool {
+        self.store_age_ms().is_some_and(|age_ms| age_ms < FETCH_KNOWLEDGE_MS)
+    }
+
     /// Returns how old the knowledge of the store is; `None` before the first read.
     pub fn store_age_ms(&self) -> Option<u64> {
         let read_ms = self.store_read_ms.load(Ordering::Relaxed);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 mod push;
 mod serve;
 
-pub use crate::peers::message::{News, Snapshot, decode, encode};
+pub use crate::peers::message::{NEWS_PATH, News, Snapshot, decode, encode};
 pub use crate::peers::pull::run as pull;
 pub use crate::peers::push::run as push;
 pub use crate::peers::serve::accept;
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -34,6 +34,8 @@
     pub broken: Vec<[u8; 16]>,
     /// Servers that load weights, with the time for which they take no requests, in milliseconds.
     pub occupied: Vec<(ServerId, u64)>,
+    /// The oldest weight version of each model whose kept parts may still be used.
+    pub oldest_used: Vec<(ModelName, u64)>,
     /// Servers that have loaded weights.
     pub loaded: Vec<(ServerId, ModelName, u64)>,
 }
@@ -41,7 +43,10 @@
 impl News {
     /// Says whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.broken.is_empty() && self.occupied.is_empty() && self.loaded.is_empty()
+        self.broken.is_empty()
+            && self.occupied.is_empty()
+            && self.oldest_used.is_empty()
+            && self.loaded.is_empty()
     }
 }
 
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -3,7 +3,7 @@
 use crate::event;
 use crate::follow::{apply_operator_record, note_changes};
 use crate::link::{Call, Link, is_ok};
-use crate::node::{NamedWeights, Node};
+use crate::node::Node;
 use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
@@ -67,11 +67,7 @@
     let mut knowledge = node.knowledge();
     let mut has_new_weights = false;
     for (model, version) in snapshot.weights {
-        let old = knowledge.weights.get(&model).map(|named| named.version);
-        if old.is_none_or(|old| old < version) {
-            knowledge.weights.insert(model, NamedWeights { version, learnt_ms: now_ms });
-            has_new_weights = true;
-        }
+        has_new_weights |= knowledge.note_weights(model, version, now_ms);
     }
     for record in snapshot.gateways {
         knowledge.gateways.note(record);
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -95,6 +95,9 @@
     for (server, for_ms) in news.occupied {
         knowledge.loads.occupy(&server, now_ms + for_ms);
     }
+    for (model, oldest_used) in news.oldest_used {
+        knowledge.blocks.retire(&model, oldest_used);
+    }
     for (server, model, version) in news.loaded {
         knowledge.registry.note_version(&server, &model, version);
         knowledge.loads.release(&server);
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -1,11 +1,13 @@
 //! The steward: the one gateway that brings servers to new weights.
 
+mod frees;
 mod holding;
 mod orders;
 mod states;
 
 use crate::event;
 use crate::node::Node;
+use crate::steward::frees::Frees;
 use crate::steward::holding::Holding;
 use crate::steward::states::States;
 use crate::store::StoreClient;
@@ -17,16 +19,13 @@
 const LOOK_EVERY: Duration = Duration::from_millis(120);
 /// How often it is looked whether a rollout is due.
 const IDLE_LOOK: Duration = Duration::from_millis(1_000);
-/// How long after the last server has changed the parts of old weights are freed, so that
-/// fetches under way have ended.
-const FREE_AFTER_MS: u64 = 2_000;
 
 /// Takes part in stewardship for as long as the process lives.
 pub async fn run(node: Arc<Node>) {
     let mut store = StoreClient::new(node.settings.store.address, Arc::clone(&node.metrics));
     let mut holding = Holding::new(&node);
     let mut states = States::default();
-    let mut done_ms = None;
+    let mut frees = Frees::default();
     loop {
         let has_work = states.refresh(&node);
         if node.is_draining() {
@@ -35,20 +34,20 @@
             continue;
         }
         if has_work {
-            done_ms = None;
             if holding.try_hold(&node, &mut store).await {
                 step(&node, &mut states, &holding).await;
+                frees.go_on(&node, &states, &holding).await;
             }
             tokio::time::sleep(LOOK_EVERY).await;
             continue;
         }
         if holding.is_held() {
-            let since_ms = *done_ms.get_or_insert(node.now_ms());
-            if node.now_ms() < since_ms + FREE_AFTER_MS {
+            if holding.try_hold(&node, &mut store).await
+                && !frees.go_on(&node, &states, &holding).await
+            {
                 tokio::time::sleep(LOOK_EVERY).await;
                 continue;
             }
-            orders::free_outdated(&node).await;
             holding.release(&node, &mut store).await;
         } else {
             holding.note_idle(&node, &mut store).await;
--- a/crates/gateway/src/steward/holding.rs
+++ b/crates/gateway/src/steward/holding.rs
@@ -5,6 +5,7 @@
 use crate::peers;
 use crate::store::{StoreClient, StoreError};
 use dispatch::lease::{self, HeldLease, LeaseRecord, SeenLease};
+use dispatch::rollout;
 use platform::store::STEWARD_TOPIC;
 use protocol::ids::LogOffset;
 
@@ -46,6 +47,21 @@
         self.held.filter(|held| held.is_valid(node.now_ms())).map(|held| held.fence)
     }
 
+    /// Says whether a server may be ordered as far as the steward before is concerned.
+    pub fn may_order(&self, node: &Node, orders_accepted: u64) -> bool {
+        let turn_ms = node.settings.bounds.steward_turn_ms;
+        self.held.is_some_and(|held| {
+            let from_ms = rollout::may_order_at_ms(orders_accepted, held.claimed_ms, turn_ms);
+            held.is_own_again || node.now_ms() >= from_ms
+        })
+    }
+
+    /// Returns when the lease runs out, on the node's clock; `None` if it has.
+    pub fn valid_until_ms(&self, node: &Node) -> Option<u64> {
+        let valid = self.held.filter(|held| held.is_valid(node.now_ms()))?;
+        Some(valid.since_ms + lease::LEASE_MS)
+    }
+
     /// Claims or renews the lease as far as that is due; says whether orders may be given.
     pub async fn try_hold(&mut self, node: &Node, store: &mut StoreClient) -> bool {
         let now_ms = node.now_ms();
@@ -63,9 +79,7 @@
         }
         self.next_read_ms = now_ms + READ_EVERY_MS;
         let Ok(end) = self.read(node, store).await else { return false };
-        let own = &node.settings.host;
-        let from_ms =
-            lease::may_claim_at_ms(self.seen.as_ref(), own, node.settings.bounds.steward_turn_ms);
+        let from_ms = lease::may_claim_at_ms(self.seen.as_ref());
         if node.now_ms() < from_ms {
             self.next_read_ms = from_ms.min(node.now_ms() + READ_EVERY_MS);
             return false;
@@ -98,7 +112,15 @@
         let since_ms = node.now_ms();
         let Ok(appended) = self.write(node, store, end, false).await else { return false };
         let fence = LogOffset::new(appended.0);
-        self.held = Some(HeldLease { fence, end: LogOffset::new(appended.1), since_ms });
+        let own = &node.settings.host;
+        let before = self.seen.as_ref().map(|seen| &seen.record);
+        self.held = Some(HeldLease {
+            fence,
+            end: LogOffset::new(appended.1),
+            since_ms,
+            claimed_ms: node.now_ms(),
+            is_own_again: before.is_none_or(|record| record.holder == *own),
+        });
         event!(info, node.now_ms(), "lease_claimed", {
             "fence": fence.value(),
             "before": self.seen.as_ref().map(|seen| seen.record.holder.as_str()),
--- a/crates/gateway/src/steward/orders.rs
+++ b/crates/gateway/src/steward/orders.rs
@@ -1,19 +1,17 @@
-//! Orders to servers, questions for their state, and frees at the stores of kept blocks.
+//! Orders to servers and questions for their state.
 
 use crate::event;
 use crate::link::{Call, CallError, Link, is_ok};
 use crate::node::Node;
 use crate::steward::holding::Holding;
 use crate::steward::states::States;
-use dispatch::blocks::BlockKey;
 use dispatch::registry::{ServerEntry, ServerId};
 use dispatch::rollout::Step;
 use futures_util::future::join_all;
 use http::{HeaderValue, StatusCode};
-use platform::engine::{self, FREE_PATH, LoadWeights, ORDER_PATH, REPORT_PATH, ServerReport};
+use platform::engine::{self, LoadWeights, ORDER_PATH, REPORT_PATH, ServerReport};
 use platform::headers::EXPECT_SERVER;
 use protocol::ids::ModelName;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,8 +22,6 @@
 /// For how long others leave a server alone that loads, unless they hear that it is done, in
 /// milliseconds: runs end within a second, and a load takes under one.
 const OCCUPIED_MS: u64 = 2_500;
-/// The parts freed by one call.
-const FREE_BATCH: usize = 400;
 
 /// Gives orders and asks questions, all at once.
 pub async fn carry_out(
@@ -52,6 +48,7 @@
     let orders: Vec<(ServerEntry, u64)> = orders
         .into_iter()
         .filter_map(|entry| states.orders_accepted(&entry).map(|accepted| (entry, accepted)))
+        .filter(|(_, accepted)| holding.may_order(node, *accepted))
         .collect();
     // The lease is looked at last: questions take time, and the host may have been suspended.
     let Some(fence) = holding.fence(node) else { return };
@@ -152,35 +149,3 @@
         "version": newest,
     });
 }
-
-/// Frees the parts of older weights in all stores.
-pub async fn free_outdated(node: &Node) {
-    let Some(in_force) = node.in_force() else { return };
-    for (name, store) in in_force.configuration.block_stores() {
-        let (epoch, parts) = {
-            let knowledge = node.knowledge();
-            let oldest_newest = knowledge.weights.values().map(|named| named.version).min();
-            let Some(newest) = oldest_newest else { return };
-            knowledge.blocks.outdated(store.address, newest)
-        };
-        let Some(epoch) = epoch.filter(|_| !parts.is_empty()) else { continue };
-        let freed = free(store.address, epoch, &parts).await;
-        event!(info, node.now_ms(), "parts_freed", {
-            "store": name.as_str(),
-            "parts": parts.len(),
-            "accepted": freed,
-        });
-    }
-}
-
-async fn free(address: SocketAddr, epoch: u64, parts: &[BlockKey]) -> bool {
-    let mut link = Link::new(address);
-    for batch in parts.chunks(FREE_BATCH) {
-        let call = Call::post(FREE_PATH, engine::write_free(batch, epoch), ANSWER_TIMEOUT);
-        let answer = link.call(call).await;
-        if !answer.is_ok_and(|answer| answer.status().is_success()) {
-            return false;
-        }
-    }
-    true
-}
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -123,5 +123,8 @@
 
 fn apply(node: &Node, address: SocketAddr, changes: &Changes, next: &mut u64) -> bool {
     *next = changes.next;
+    if let Some(clock_ms) = changes.clock_ms {
+        node.note_servers_clock(clock_ms);
+    }
     node.knowledge().blocks.apply(address, &changes.report)
 }
