Route prompts to the region that keeps their session, with one copy of each part

Cause: a fifth of the sessions found no room while others were kept twice; quick questions were read again rather than sent to the other region, whose distance was costed by the hop, not by the bytes. Change: distance costs a round trip and its bytes; a part that any store keeps is not saved again; logs name the source of each part and why.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -6,6 +6,7 @@
 use crate::configuration::{BlockStoreTraits, Configuration};
 use crate::demand::{Demand, PartId, PromptPart};
 use placement::rendezvous;
+use smallvec::SmallVec;
 use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region, ServiceName};
 use std::collections::HashMap;
 use std::fmt;
@@ -153,6 +154,37 @@
     oldest_used: HashMap<ModelName, u64>,
 }
 
+/// Where a part comes from, and why.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PartSource {
+    /// A store.
+    Store,
+    /// The server reads it, as it belongs to this request alone.
+    Own,
+    /// The server reads it, as no store is known to hold it.
+    Unkept,
+    /// The server reads it, as a save of it is under way.
+    BeingSaved,
+    /// The server reads it, as a fetch would take longer.
+    TooFar,
+    /// The server reads it, as older weights made what is kept.
+    Retired,
+}
+
+impl PartSource {
+    /// Returns the source's name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            PartSource::Store => "store",
+            PartSource::Own => "own",
+            PartSource::Unkept => "unkept",
+            PartSource::BeingSaved => "being_saved",
+            PartSource::TooFar => "too_far",
+            PartSource::Retired => "retired",
+        }
+    }
+}
+
 /// Where a request's parts come from and go to, an entry a part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct BlockPlan {
@@ -160,6 +192,8 @@
     pub fetch: Vec<Option<SocketAddr>>,
     /// The stores to save to.
     pub save: Vec<Option<SocketAddr>>,
+    /// Why.
+    pub sources: SmallVec<[PartSource; 4]>,
     /// The tokens that come from stores.
     pub fetched_tokens: u64,
     /// The expected time of the fetches, in milliseconds.
@@ -292,21 +326,20 @@
     ) -> BlockPlan {
         let mut plan = BlockPlan::default();
         let Some(prompt) = &demand.prompt else { return plan };
-        let shared = if self.is_retired(&prompt.model, salt) {
-            0
-        } else {
-            prompt.shared_parts().len()
-        };
+        let shared = prompt.shared_parts().len();
+        let is_retired = self.is_retired(&prompt.model, salt);
         for (index, part) in prompt.parts.iter().enumerate() {
-            if index >= shared || part.tokens < LEAST_TOKENS {
+            if index >= shared || part.tokens < LEAST_TOKENS || is_retired {
+                let is_own = index >= shared;
+                plan.sources.push(if is_own { PartSource::Own } else { PartSource::Retired });
+                plan.read_shared_tokens += if is_own { 0 } else { part.tokens };
                 plan.fetch.push(None);
                 plan.save.push(None);
                 continue;
             }
             let key = (salt.clone(), part.id);
             let source = self.source(configuration, &key, part, place, now_ms);
-            let is_kept_near = source.as_ref().is_some_and(|source| source.is_near);
-            let target = if is_kept_near {
+            let target = if self.is_kept(&key) {
                 Target::Held
             } else {
                 self.target(configuration, &key, part, place, now_ms)
@@ -318,6 +351,12 @@
                 }
                 None => plan.read_shared_tokens += part.tokens,
             }
+            plan.sources.push(match (&source, target) {
+                (Some(_), _) => PartSource::Store,
+                (None, _) if self.is_kept(&key) => PartSource::TooFar,
+                (None, Target::Held) => PartSource::BeingSaved,
+                (None, _) => PartSource::Unkept,
+            });
             if source.is_none() && target == Target::NoRoom {
                 plan.unkept_tokens += part.tokens;
             }
@@ -327,6 +366,10 @@
         plan
     }
 
+    fn is_kept(&self, key: &BlockKey) -> bool {
+        self.stores.values().any(|state| state.parts.contains_key(key))
+    }
+
     /// Books the transfers of a plan that is carried out.
     pub fn book(
         &mut self,
@@ -376,9 +419,8 @@
                 place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
             let in_use = (state.link.now(now_ms) * place.gateways as f64).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
-            let is_near = place.is_same_region(&store.domain);
             (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
-                .then_some(Source { store: store.address, cost_ms, is_near })
+                .then_some(Source { store: store.address, cost_ms })
         });
         sources.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
@@ -396,14 +438,10 @@
             .block_stores()
             .filter(|(_, store)| place.is_same_region(&store.domain))
             .collect();
-        let is_held = |store: &BlockStoreTraits| {
-            let state = self.stores.get(&store.address);
-            state.is_some_and(|state| {
-                let pending = state.pending.get(key).is_some_and(|(_, until_ms)| *until_ms > now_ms);
-                pending || state.parts.contains_key(key)
-            })
+        let is_pending = |state: &StoreState| {
+            state.pending.get(key).is_some_and(|(_, until_ms)| *until_ms > now_ms)
         };
-        if near.iter().any(|(_, store)| is_held(store)) {
+        if self.stores.values().any(is_pending) {
             return Target::Held;
         }
         let roomy = near.into_iter().filter(|(_, store)| self.has_room(store, part.tokens, now_ms));
@@ -426,7 +464,6 @@
 struct Source {
     store: SocketAddr,
     cost_ms: f64,
-    is_near: bool,
 }
 
 /// Where a part is saved.
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -11,10 +11,19 @@
 use protocol::ids::{FailureDomain, Region};
 use std::collections::HashMap;
 
-/// What a failure domain further away costs, in milliseconds of waiting. Its bytes are paid for.
-const OTHER_DOMAIN_MS: f64 = 60.0;
-/// What another region costs, in milliseconds of waiting: a round trip and a narrow link.
-const OTHER_REGION_MS: f64 = 160.0;
+/// The round trip to another failure domain, in milliseconds, by the sheets.
+const OTHER_DOMAIN_MS: f64 = 3.0;
+/// The round trip to another region, in milliseconds, by the sheets.
+const OTHER_REGION_MS: f64 = 25.0;
+/// What a kilobyte between failure domains costs, in milliseconds of waiting: it is paid for by
+/// volume, about as much as 30 tokens that are read again.
+const FAR_MS_PER_KILOBYTE: f64 = 2.0;
+/// What a plain request loses to its own failure domain being busy, in milliseconds a request.
+const PLAIN_CROWDED_MS: f64 = 20.0;
+/// The bytes of an answer for each token generated.
+const ANSWER_BYTES_PER_TOKEN: f64 = 64.0;
+/// The bytes of a plain answer.
+const PLAIN_ANSWER_BYTES: f64 = 1_000.0;
 /// What older weights cost while newer ones are named, in milliseconds of waiting.
 const OLD_WEIGHTS_MS: f64 = 400.0;
 /// What an avoided server costs, in milliseconds of waiting.
@@ -154,14 +163,14 @@
         cost_ms += waiting_ms(standpoint, engines) * f64::from(header.waiting);
     }
     if engines.is_none() && load.in_flight >= candidate.entry.slots as usize / 2 {
-        cost_ms += OTHER_DOMAIN_MS * load.in_flight as f64;
+        cost_ms += PLAIN_CROWDED_MS * load.in_flight as f64;
     }
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
         && load.memory_tokens + prompt.run_tokens() > engines.memory_tokens
     {
         cost_ms += MEMORY_MS;
     }
-    cost_ms += distance_ms(standpoint, &candidate.entry.domain);
+    cost_ms += distance_ms(standpoint, demand, &candidate.entry.domain);
     if candidate.weight_version < newest_version {
         cost_ms += OLD_WEIGHTS_MS;
     }
@@ -189,10 +198,16 @@
     }
 }
 
-fn distance_ms(standpoint: &Standpoint, domain: &FailureDomain) -> f64 {
+fn distance_ms(standpoint: &Standpoint, demand: &Demand, domain: &FailureDomain) -> f64 {
     if *domain == standpoint.domain {
         return 0.0;
     }
+    let answer_bytes = demand.prompt.as_ref().map_or(PLAIN_ANSWER_BYTES, |prompt| {
+        ANSWER_BYTES_PER_TOKEN * prompt.output_tokens as f64
+    });
+    let kilobytes = (demand.body_bytes as f64 + answer_bytes) / 1_000.0;
     let region = |domain| standpoint.regions.get(domain);
-    if region(domain) == region(&standpoint.domain) { OTHER_DOMAIN_MS } else { OTHER_REGION_MS }
+    let is_same_region = region(domain) == region(&standpoint.domain);
+    let round_trip_ms = if is_same_region { OTHER_DOMAIN_MS } else { OTHER_REGION_MS };
+    round_trip_ms + FAR_MS_PER_KILOBYTE * kilobytes
 }
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -100,6 +100,8 @@
     pub organisation: Option<OrganisationId>,
     /// Whether the organisation shares no kept blocks.
     pub is_dedicated: bool,
+    /// The size of the request's body.
+    pub body_bytes: usize,
     /// The prompt, for model engines.
     pub prompt: Option<Prompt>,
     /// When the answer is worth less, on the gateway's clock.
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -105,6 +105,7 @@
             rank: organisation.as_ref().and_then(|known| known.rank).unwrap_or(route.rank),
             is_dedicated: organisation.as_ref().is_some_and(|known| known.is_dedicated),
             organisation: organisation.map(|known| known.id),
+            body_bytes: body.len(),
             prompt,
             objective_at_ms: arrived_ms + route.objective_ms,
             deadline_at_ms: until_ms,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -271,6 +271,9 @@
         "read_shared_tokens": placed.engine.as_ref().map(|plan| plan.blocks.read_shared_tokens),
         "fetch": placed.engine.as_ref().and_then(|plan| prompt::write_fetch(&plan.blocks)),
         "save": placed.engine.as_ref().and_then(|plan| prompt::write_save(&plan.blocks)),
+        "sources": placed.engine.as_ref().map(|plan| {
+            plan.blocks.sources.iter().map(|source| source.as_str()).collect::<Vec<_>>()
+        }),
         "salt": placed.engine.as_ref().map(|plan| plan.salt.as_str()),
         "reused_connection": is_reused,
         "remaining_ms": job.remaining_ms(),
