Let the steward before claim at once, and refuse what outlives the gateway

Change: lease records carry when weights were named; the host that held the lease needs no wait. Ruled out: queues at servers alone: the exclusion of old weights began seconds late.

--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -4,7 +4,7 @@
 //! counts from before the append, on a clock that runs while the host is suspended. Others count
 //! it from when they first saw the record, so their count always ends later.
 
-use protocol::ids::{HostName, LogOffset};
+use protocol::ids::{HostName, LogOffset, ModelName};
 use serde::{Deserialize, Serialize};
 
 /// The lease's length, in milliseconds. Long enough to renew over a slow store, short enough that
@@ -24,6 +24,20 @@
     pub life: u64,
     /// Whether the holder gave the lease back.
     pub is_released: bool,
+    /// When the newest weights of each model were named, on the servers' clock, for gateways that
+    /// start later.
+    pub named: Vec<NamedRecord>,
+}
+
+/// When weights were named.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct NamedRecord {
+    /// The model.
+    pub model: ModelName,
+    /// The version.
+    pub version: u64,
+    /// The time on the servers' clock, in milliseconds.
+    pub at_ms: u64,
 }
 
 /// A lease record as a gateway saw it.
@@ -64,11 +78,12 @@
     }
 }
 
-/// Says when a gateway may claim the lease, by what it saw of the newest record.
-pub fn may_claim_at_ms(seen: Option<&SeenLease>) -> u64 {
+/// Says when a gateway may claim the lease, by what it saw of the newest record. Its own record
+/// from before a restart holds nobody up: that process is gone.
+pub fn may_claim_at_ms(seen: Option<&SeenLease>, own: &HostName) -> u64 {
     match seen {
         None => 0,
-        Some(seen) if seen.record.is_released => seen.seen_ms,
+        Some(seen) if seen.record.is_released || seen.record.holder == *own => seen.seen_ms,
         Some(seen) => seen.seen_ms + LEASE_MS + LEASE_MARGIN_MS,
     }
 }
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -17,7 +17,7 @@
 const ORDER_AGAIN_MS: u64 = 1_200;
 /// The part of the time allowed for new weights after which no request goes to older ones; what is
 /// left covers requests that wait at a server.
-const OLD_WEIGHTS_SHARE: f64 = 0.65;
+const OLD_WEIGHTS_SHARE: f64 = 0.72;
 
 /// What the steward knows of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -111,6 +111,18 @@
         is_newest
     }
 
+    /// Corrects when a version was named.
+    pub fn correct(&mut self, version: u64, since_ms: u64) {
+        if let Some(entry) = self.named.iter_mut().find(|entry| entry.0 == version) {
+            entry.1 = since_ms;
+        }
+    }
+
+    /// Returns the time from which the newest version's bound counts.
+    pub fn newest_since_ms(&self) -> Option<u64> {
+        self.named.last().map(|(_, since_ms)| *since_ms)
+    }
+
     /// Returns the newest version.
     pub fn newest(&self) -> Option<u64> {
         self.named.last().map(|(version, _)| *version)
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -70,6 +70,8 @@
     NoServer => "no_server", SERVICE_UNAVAILABLE;
     /// The request is larger than the memory of any server; it has not run.
     TooLarge => "too_large_for_servers", SERVICE_UNAVAILABLE;
+    /// The gateway ends before the request would; it has not run.
+    ShuttingDown => "shutting_down", SERVICE_UNAVAILABLE;
     /// It would not be answered in time; it has not run.
     Overloaded => "overloaded", SERVICE_UNAVAILABLE;
     /// All servers that were asked refused, or the retry budget is spent; it has not run.
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -2,6 +2,9 @@
 
 use rustix::time::{ClockId, clock_gettime};
 
+/// The clock's time at its start, in milliseconds: room for events from before it.
+pub const START_MS: u64 = 60_000;
+
 /// Reads milliseconds since the clock was made, suspension included.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -9,9 +12,9 @@
 }
 
 impl Clock {
-    /// Starts at zero now.
+    /// Starts now, at [`START_MS`].
     pub fn new() -> Self {
-        Self { origin_ms: read_ms(ClockId::Boottime) }
+        Self { origin_ms: read_ms(ClockId::Boottime).saturating_sub(START_MS) }
     }
 
     /// Returns the milliseconds since the start.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -91,13 +91,13 @@
 /// New connections may come until the listener closes: a failure domain without ready gateways gets
 /// callers all the same. Those accepted before are served to their end.
 async fn drain(node: &Node, traffic: &Traffic, accepting: &AbortHandle) {
-    node.start_draining();
     let started_ms = node.now_ms();
+    let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
+    node.start_draining(started_ms + bound_ms);
     event!(info, started_ms, "draining", {
         "connections": traffic.connections.load(Ordering::Relaxed),
         "requests": traffic.requests.load(Ordering::Relaxed),
     });
-    let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
     let mut took_ms = 0;
     while took_ms < bound_ms {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,12 +21,20 @@
 
 /// Most sends that servers refuse before the caller is told to come back.
 const MAX_REFUSED_SENDS: u32 = 3;
+/// The rest of a process's life in which only requests are taken that surely end before it, in
+/// milliseconds. Before that, callers that a balancer still sends are served.
+const UNSURE_END_MS: u64 = 4_500;
 /// The time below which a request is not sent any more, in milliseconds.
 const LEAST_REMAINING_MS: u64 = 15;
 
 /// Serves a request: the answer of a server, or a refusal.
 pub async fn serve(node: Arc<Node>, request: CallerRequest) -> Response<AnswerBody> {
     let mut job = Job::new(Arc::clone(&node), request);
+    if node.ends_before(node.now_ms() + UNSURE_END_MS)
+        && node.ends_before(job.request.demand.deadline_at_ms)
+    {
+        return job.give_up(Refusal::ShuttingDown);
+    }
     {
         let now_ms = node.now_ms();
         let mut knowledge = node.knowledge();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,6 +1,6 @@
 //! State that all parts of a gateway share.
 
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::gateways::Gateways;
 use crate::metrics::Metrics;
 use crate::peers::News;
@@ -28,6 +28,9 @@
 pub const FETCH_KNOWLEDGE_MS: u64 = 6_000;
 /// The time after the start in which weights may have been named before it, in milliseconds.
 const START_MS: u64 = 2_500;
+/// How long before the start such weights count as named, in milliseconds, until the steward's
+/// record tells.
+const BEFORE_START_MS: u64 = 5_000;
 /// The sessions remembered at most.
 const MAX_SESSIONS: usize = 8_192;
 
@@ -80,7 +83,8 @@
     /// Notes weights that were named; says whether they are newer than all before. What was named
     /// before the first read counts as named some time ago.
     pub fn note_weights(&mut self, model: ModelName, version: u64, now_ms: u64) -> bool {
-        let since_ms = if now_ms < START_MS { 0 } else { now_ms };
+        let before_ms = if now_ms < clock::START_MS + START_MS { BEFORE_START_MS } else { 0 };
+        let since_ms = now_ms.saturating_sub(before_ms);
         self.weights.entry(model).or_default().note(version, since_ms)
     }
 
@@ -127,6 +131,8 @@
     knowledge: Mutex<Knowledge>,
     news: Mutex<News>,
     is_draining: AtomicBool,
+    /// When the process ends at the latest; zero while it is not to end.
+    ends_ms: AtomicU64,
     store_read_ms: AtomicU64,
     /// The servers' clock ahead of the node's, in milliseconds; zero while unknown.
     servers_ahead_ms: AtomicU64,
@@ -168,6 +174,7 @@
             in_force: Mutex::new(None),
             knowledge: Mutex::new(knowledge),
             is_draining: AtomicBool::new(false),
+            ends_ms: AtomicU64::new(0),
             store_read_ms: AtomicU64::new(0),
             servers_ahead_ms: AtomicU64::new(0),
             settings,
@@ -200,11 +207,17 @@
         true
     }
 
-    /// Notes that the process is to end.
-    pub fn start_draining(&self) {
+    /// Notes that the process is to end at a time at the latest.
+    pub fn start_draining(&self, ends_ms: u64) {
+        self.ends_ms.store(ends_ms, Ordering::Relaxed);
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Says whether the process may end before a time.
+    pub fn ends_before(&self, at_ms: u64) -> bool {
+        self.is_draining() && self.ends_ms.load(Ordering::Relaxed) < at_ms
+    }
+
     /// Says whether the process is to end.
     pub fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Relaxed)
--- a/crates/gateway/src/steward/holding.rs
+++ b/crates/gateway/src/steward/holding.rs
@@ -4,7 +4,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::store::{StoreClient, StoreError};
-use dispatch::lease::{self, HeldLease, LeaseRecord, SeenLease};
+use dispatch::lease::{self, HeldLease, LeaseRecord, NamedRecord, SeenLease};
 use dispatch::rollout;
 use platform::store::STEWARD_TOPIC;
 use protocol::ids::LogOffset;
@@ -72,21 +72,34 @@
             return self.fence(node).is_some();
         }
         let since_ms = *self.work_since_ms.get_or_insert(now_ms);
-        let rank = node.knowledge().gateways.own_rank() as u64;
+        // The steward before goes first: it need not wait for its own lease.
+        if self.seen.is_none() && now_ms < self.next_read_ms {
+            return false;
+        }
+        let is_first_look = self.seen.is_none() && self.next_read_ms == 0;
+        let rank = match &self.seen {
+            Some(seen) if seen.record.holder == node.settings.host => 0,
+            _ => node.knowledge().gateways.own_rank() as u64,
+        };
         let turn_ms = since_ms + (rank * RANK_DELAY_MS).min(MAX_DELAY_MS);
-        if now_ms < turn_ms.max(self.next_read_ms) {
+        if !is_first_look && now_ms < turn_ms.max(self.next_read_ms) {
             return false;
         }
         self.next_read_ms = now_ms + READ_EVERY_MS;
         let Ok(end) = self.read(node, store).await else { return false };
-        let from_ms = lease::may_claim_at_ms(self.seen.as_ref());
-        if node.now_ms() < from_ms {
+        let from_ms = lease::may_claim_at_ms(self.seen.as_ref(), &node.settings.host);
+        let is_early = node.now_ms() < turn_ms && !self.was_own(node);
+        if node.now_ms() < from_ms || is_early {
             self.next_read_ms = from_ms.min(node.now_ms() + READ_EVERY_MS);
             return false;
         }
         self.claim(node, store, end).await
     }
 
+    fn was_own(&self, node: &Node) -> bool {
+        self.seen.as_ref().is_some_and(|seen| seen.record.holder == node.settings.host)
+    }
+
     /// Gives the lease back.
     pub async fn release(&mut self, node: &Node, store: &mut StoreClient) {
         self.work_since_ms = None;
@@ -158,7 +171,12 @@
         end: impl Into<EndOffset>,
         is_released: bool,
     ) -> Result<(u64, u64), StoreError> {
-        let record = LeaseRecord { holder: node.settings.host.clone(), life: self.life, is_released };
+        let record = LeaseRecord {
+            holder: node.settings.host.clone(),
+            life: self.life,
+            is_released,
+            named: named_records(node),
+        };
         let value = peers::encode(&record);
         let at = Some(end.into().0);
         let appended = store.append(STEWARD_TOPIC, LEASE_KEY, &value, at).await?;
@@ -174,6 +192,7 @@
             let offset = LogOffset::new(offset);
             let is_known = self.seen.as_ref().is_some_and(|seen| seen.offset == offset);
             if let Some(record) = lease.filter(|_| !is_known) {
+                correct_named(node, &record);
                 self.seen = Some(SeenLease { record, offset, seen_ms: now_ms });
             }
         }
@@ -181,6 +200,26 @@
     }
 }
 
+fn named_records(node: &Node) -> Vec<NamedRecord> {
+    let knowledge = node.knowledge();
+    let newest = knowledge.weights.iter().filter_map(|(model, named)| {
+        let at_ms = node.to_servers_clock_ms(named.newest_since_ms()?)?;
+        Some(NamedRecord { model: model.clone(), version: named.newest()?, at_ms })
+    });
+    newest.collect()
+}
+
+/// Learns when weights were named that a starting gateway found named.
+fn correct_named(node: &Node, record: &LeaseRecord) {
+    let Some(ahead_ms) = node.to_servers_clock_ms(0) else { return };
+    let mut knowledge = node.knowledge();
+    for named in &record.named {
+        if let Some(versions) = knowledge.weights.get_mut(&named.model) {
+            versions.correct(named.version, named.at_ms.saturating_sub(ahead_ms));
+        }
+    }
+}
+
 /// The offset that a partition must end at.
 struct EndOffset(u64);
 
