Let the route's rank decide within the organisations' rank at engines

Cause: most organisations share a rank, which goes before the routes' ranks, so quick questions waited behind long prompts: 322 of 666 went unanswered for 12 s while four engines were dark. Ruled out: the engines' order of equals; the questions of rank 0 began within 0.2 s beside them.

--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -87,6 +87,13 @@
     }
 }
 
+/// The engine's rank of the most urgent requests; the one before stays free.
+const FIRST_ENGINE_RANK: u8 = 1;
+/// The engine's last rank.
+const LAST_ENGINE_RANK: u8 = 9;
+/// The ranks of routes that are told apart within one rank of callers.
+const ROUTE_RANKS: u8 = 3;
+
 /// Describes a request to be placed.
 #[derive(Clone, Debug)]
 pub struct Demand {
@@ -94,8 +101,10 @@
     pub service: ServiceName,
     /// What may be repeated.
     pub kind: RouteKind,
-    /// The rank; zero is the most urgent.
+    /// The rank of the organisation, or else of the route; zero is the most urgent.
     pub rank: u8,
+    /// The rank of the route.
+    pub route_rank: u8,
     /// The organisation that asks.
     pub organisation: Option<OrganisationId>,
     /// Whether the organisation shares no kept blocks.
@@ -109,3 +118,15 @@
     /// When the answer is worth nothing, on the gateway's clock.
     pub deadline_at_ms: u64,
 }
+
+impl Demand {
+    /// Returns the rank in an engine's queue.
+    ///
+    /// Load pattern: most organisations share one rank, which goes before the routes' ranks. Quick
+    /// questions would then wait behind long prompts, so the route's rank decides within it.
+    pub fn engine_rank(&self) -> u8 {
+        let route_rank = self.route_rank.min(ROUTE_RANKS - 1);
+        let rank = self.rank.saturating_mul(ROUTE_RANKS).saturating_add(route_rank);
+        rank.saturating_add(FIRST_ENGINE_RANK).min(LAST_ENGINE_RANK)
+    }
+}
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -103,6 +103,7 @@
             service,
             kind: route.kind,
             rank: organisation.as_ref().and_then(|known| known.rank).unwrap_or(route.rank),
+            route_rank: route.rank,
             is_dedicated: organisation.as_ref().is_some_and(|known| known.is_dedicated),
             organisation: organisation.map(|known| known.id),
             body_bytes: body.len(),
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -267,6 +267,8 @@
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
         "fetched_tokens": placed.engine.as_ref().map(|plan| plan.blocks.fetched_tokens),
+        "rank": job.request.demand.rank,
+        "engine_rank": placed.engine.as_ref().map(|plan| plan.rank),
         "input_tokens": job.request.demand.prompt.as_ref().map(|prompt| prompt.input_tokens),
         "read_shared_tokens": placed.engine.as_ref().map(|plan| plan.blocks.read_shared_tokens),
         "fetch": placed.engine.as_ref().and_then(|plan| prompt::write_fetch(&plan.blocks)),
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -96,7 +96,7 @@
             if let Some(key) = prompt.affinity_key() {
                 knowledge.note_session(key, &entry.id, now_ms);
             }
-            let rank = engine_rank(demand.rank);
+            let rank = demand.engine_rank();
             Some(EnginePlan { salt, weight_version, blocks, fetch_until, rank })
         }
         _ => None,
@@ -220,15 +220,3 @@
     let fetch_ms = ((FETCH_SHARE * to_objective_ms) as u64).clamp(LEAST_FETCH_MS, MOST_FETCH_MS);
     node.may_fetch().then(|| node.to_servers_clock_ms(now_ms + fetch_ms)).flatten()
 }
-
-/// Spreads the few ranks of routes and organisations over the engines' ten, the first of which
-/// stays free.
-fn engine_rank(rank: u8) -> u8 {
-    /// The engine's rank of the most urgent requests.
-    const FIRST: u8 = 1;
-    /// The distance between two ranks.
-    const STEP: u8 = 3;
-    /// The engine's last rank.
-    const LAST: u8 = 9;
-    FIRST.saturating_add(rank.saturating_mul(STEP)).min(LAST)
-}
