--- /dev/null
+++ b/crates/dispatch/tests/blocks.rs
@@ -0,0 +1,178 @@
+//! Kept parts: what is fetched, saved and left alone.
+
+mod common;
+
+use common::{address, configuration, demand, id, regions, store};
+use dispatch::blocks::{BlockChange, BlockIndex, BlockReport, CacheSalt, PartSource, Place};
+use dispatch::configuration::Configuration;
+use dispatch::demand::{Demand, PartId};
+use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region};
+use std::collections::HashMap;
+
+const EAST: &str = "127.0.0.1:11";
+const WEST: &str = "127.0.0.1:12";
+
+struct World {
+    configuration: Configuration,
+    regions: HashMap<FailureDomain, Region>,
+    domain: FailureDomain,
+    index: BlockIndex,
+}
+
+impl World {
+    /// A fast store in each region, both listed and empty.
+    fn new(memory_tokens: u64) -> Self {
+        let stores = vec![
+            store(EAST, "east-2", memory_tokens, 81_000.0),
+            store(WEST, "west-1", memory_tokens, 32_000.0),
+        ];
+        let mut world = Self {
+            configuration: configuration(stores),
+            regions: regions(),
+            domain: id("east-1"),
+            index: BlockIndex::new(),
+        };
+        world.report(EAST, 1, Vec::new());
+        world.report(WEST, 1, Vec::new());
+        world
+    }
+
+    fn report(&mut self, store: &str, boot_epoch: u64, changes: Vec<BlockChange>) {
+        let report = BlockReport { boot_epoch, has_gap: false, changes };
+        self.index.apply(address(store), &report);
+    }
+
+    fn place(&self) -> Place<'_> {
+        Place {
+            domain: &self.domain,
+            regions: &self.regions,
+            token_bytes: 18_432,
+            prefill_tokens_per_ms: 55.0,
+            gateways: 7,
+        }
+    }
+
+    fn sources(&self, demand: &Demand, salt: &CacheSalt, now_ms: u64) -> Vec<PartSource> {
+        let plan = self.index.plan(&self.configuration, demand, salt, &self.place(), now_ms);
+        plan.sources.to_vec()
+    }
+
+    fn book(&mut self, demand: &Demand, salt: &CacheSalt, now_ms: u64) {
+        let (domain, regions) = (self.domain.clone(), self.regions.clone());
+        let place = Place {
+            domain: &domain,
+            regions: &regions,
+            token_bytes: 18_432,
+            prefill_tokens_per_ms: 55.0,
+            gateways: 7,
+        };
+        let plan = self.index.plan(&self.configuration, demand, salt, &place, now_ms);
+        self.index.book(&self.configuration, demand, salt, &place, &plan, now_ms);
+    }
+}
+
+fn salt(version: u64) -> CacheSalt {
+    CacheSalt::new(&id::<ModelName>("m"), version, None)
+}
+
+fn stored(salt: &CacheSalt, part: u64, tokens: u64) -> BlockChange {
+    BlockChange::Stored((salt.clone(), PartId::new(part)), tokens)
+}
+
+#[test]
+fn only_parts_reported_complete_are_fetched() {
+    let mut world = World::new(500_000);
+    let demand = demand(9, 8_000, 2_000);
+    use PartSource::{BeingSaved, Own, Store, Unkept};
+    assert_eq!(world.sources(&demand, &salt(1), 0), [Unkept, Unkept, Own]);
+    world.book(&demand, &salt(1), 0);
+    assert_eq!(world.sources(&demand, &salt(1), 10), [BeingSaved, BeingSaved, Own]);
+    world.report(EAST, 1, vec![stored(&salt(1), 1, 512), stored(&salt(1), 9, 8_000)]);
+    assert_eq!(world.sources(&demand, &salt(1), 20), [Store, Store, Own]);
+}
+
+#[test]
+fn a_part_that_is_not_whole_is_not_fetched() {
+    let mut world = World::new(500_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 7_999)]);
+    assert_ne!(world.sources(&demand(9, 8_000, 2_000), &salt(1), 0)[1], PartSource::Store);
+}
+
+#[test]
+fn a_restarted_store_holds_nothing() {
+    let mut world = World::new(500_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    world.report(EAST, 2, Vec::new());
+    assert_eq!(world.sources(&demand(9, 8_000, 2_000), &salt(1), 0)[1], PartSource::Unkept);
+}
+
+#[test]
+fn a_store_that_cannot_be_asked_is_neither_read_nor_written() {
+    let mut world = World::new(500_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    world.index.forget_store(address(EAST));
+    world.index.forget_store(address(WEST));
+    let demand = demand(9, 8_000, 2_000);
+    let plan = world.index.plan(&world.configuration, &demand, &salt(1), &world.place(), 0);
+    assert!(plan.fetch.iter().chain(&plan.save).all(Option::is_none));
+}
+
+#[test]
+fn parts_of_other_weights_and_other_organisations_do_not_match() {
+    let mut world = World::new(500_000);
+    let organisation: OrganisationId = id("alpha");
+    let walled = CacheSalt::new(&id::<ModelName>("m"), 1, Some(&organisation));
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000), stored(&walled, 8, 8_000)]);
+    let demand_9 = demand(9, 8_000, 2_000);
+    assert_eq!(world.sources(&demand_9, &salt(2), 0)[1], PartSource::Unkept);
+    assert_eq!(world.sources(&demand_9, &walled, 0)[1], PartSource::Unkept);
+    assert_eq!(world.sources(&demand(8, 8_000, 2_000), &salt(1), 0)[1], PartSource::Unkept);
+}
+
+#[test]
+fn retired_parts_are_left_alone_and_listed_for_freeing() {
+    let mut world = World::new(500_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000), stored(&salt(2), 9, 8_000)]);
+    let model: ModelName = id("m");
+    world.index.retire(&model, 2);
+    let demand = demand(9, 8_000, 2_000);
+    assert_eq!(world.sources(&demand, &salt(1), 0)[1], PartSource::Retired);
+    assert_eq!(world.sources(&demand, &salt(2), 0)[1], PartSource::Store);
+    let (epoch, parts) = world.index.outdated(address(EAST), &model, 2);
+    assert_eq!((epoch, parts), (Some(1), vec![(salt(1), PartId::new(9))]));
+    assert!(world.index.outdated(address(EAST), &id("other"), 9).1.is_empty());
+}
+
+#[test]
+fn a_full_store_takes_no_more() {
+    let mut world = World::new(10_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 7, 9_000)]);
+    let demand = demand(9, 8_000, 2_000);
+    let plan = world.index.plan(&world.configuration, &demand, &salt(1), &world.place(), 0);
+    assert_eq!(plan.save[1], None);
+    assert_eq!(plan.unkept_tokens, 8_000);
+}
+
+#[test]
+fn a_part_kept_anywhere_is_not_saved_twice() {
+    let mut world = World::new(500_000);
+    world.report(WEST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    let demand = demand(9, 8_000, 2_000);
+    let plan = world.index.plan(&world.configuration, &demand, &salt(1), &world.place(), 0);
+    assert_eq!(plan.save[1], None);
+    assert_eq!(plan.sources[1], PartSource::TooFar, "ten times the transfer of 40 ms is too long");
+}
+
+#[test]
+fn a_link_in_full_use_is_not_waited_for() {
+    let mut world = World::new(2_000_000);
+    let parts = (100..400).map(|part| stored(&salt(1), part, 2_000)).collect();
+    world.report(EAST, 1, parts);
+    let quick = |part| demand(part, 2_000, 500);
+    assert_eq!(world.sources(&quick(100), &salt(1), 0)[1], PartSource::Store);
+    for part in 100..400 {
+        world.book(&quick(part), &salt(1), 0);
+    }
+    assert_eq!(world.sources(&quick(100), &salt(1), 0)[1], PartSource::TooFar);
+    assert_eq!(world.sources(&quick(100), &salt(1), 20_000)[1], PartSource::Store);
+}
--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,119 @@
+//! Servers, stores and requests that the tests share.
+#![allow(dead_code)]
+
+use dispatch::choice::Standpoint;
+use dispatch::configuration::{
+    BlockStoreTraits, CallerLimits, Configuration, EngineTraits, RouteKind, Service, ServiceKind,
+};
+use dispatch::demand::{Demand, PartId, Prompt, PromptPart};
+use dispatch::registry::{ServerEntry, ServerId};
+use protocol::ids::{ConfigVersion, FailureDomain, Incarnation, ModelName, Region, ServiceName};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+/// Parses a test's constant.
+pub fn id<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub fn server(name: &str, domain: &str, heartbeat: u64) -> ServerEntry {
+    ServerEntry {
+        id: ServerId::new(name),
+        incarnation: Incarnation::new(1),
+        heartbeat,
+        service: id("notes"),
+        address: id("127.0.0.1:1"),
+        domain: id(domain),
+        slots: 64,
+        is_draining: false,
+        weight_versions: BTreeMap::from([(id::<ModelName>("m"), 1)]),
+    }
+}
+
+pub fn regions() -> HashMap<FailureDomain, Region> {
+    HashMap::from([
+        (id("east-1"), id("east")),
+        (id("east-2"), id("east")),
+        (id("west-1"), id("west")),
+    ])
+}
+
+pub fn standpoint() -> Standpoint {
+    Standpoint { domain: id("east-1"), regions: regions(), prefill_tokens_per_ms: 55.0 }
+}
+
+pub fn engines() -> EngineTraits {
+    EngineTraits {
+        slots: 64,
+        memory_tokens: 80_000,
+        token_bytes: 18_432,
+        models: SmallVec::from_iter([id("m")]),
+    }
+}
+
+pub fn store(address: &str, domain: &str, memory_tokens: u64, link_mbps: f64) -> BlockStoreTraits {
+    BlockStoreTraits {
+        address: id(address),
+        domain: id(domain),
+        memory_tokens,
+        link_mbps,
+        transfer_delay_ms: 1.0,
+        max_watchers: 12,
+    }
+}
+
+pub fn configuration(stores: Vec<BlockStoreTraits>) -> Configuration {
+    let store_services = stores.into_iter().enumerate().map(|(index, store)| {
+        let name: ServiceName = id(&format!("store-{index}"));
+        (name.clone(), service(name, ServiceKind::BlockStore(store)))
+    });
+    let notes: ServiceName = id("notes");
+    let engines = service(notes.clone(), ServiceKind::Engines(engines()));
+    Configuration {
+        version: ConfigVersion::new(1),
+        routes: Vec::new(),
+        services: store_services.chain([(notes, engines)]).collect(),
+        organisations_by_key: None,
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+fn service(name: ServiceName, kind: ServiceKind) -> Service {
+    Service { name, health_path: "/health".to_owned(), max_connections: 360, kind }
+}
+
+/// A prompt of a common part, a session's part and an own part.
+pub fn demand(session: u64, session_tokens: u64, own_tokens: u64) -> Demand {
+    let part = |id, tokens| PromptPart { id: PartId::new(id), tokens };
+    let parts = [part(1, 512), part(session, session_tokens), part(session << 32, own_tokens)];
+    Demand {
+        service: id("notes"),
+        kind: RouteKind::ResumableStream,
+        rank: 1,
+        route_rank: 1,
+        organisation: None,
+        is_dedicated: false,
+        body_bytes: 12_000,
+        prompt: Some(Prompt {
+            model: id("m"),
+            input_tokens: 512 + session_tokens + own_tokens,
+            output_tokens: 64,
+            parts: SmallVec::from_iter(parts),
+        }),
+        objective_at_ms: 1_000,
+        deadline_at_ms: 15_000,
+    }
+}
+
+pub fn address(text: &str) -> SocketAddr {
+    id(text)
+}
--- /dev/null
+++ b/crates/dispatch/tests/lease_histories.rs
@@ -0,0 +1,194 @@
+//! Generated histories of gateways that claim, renew, freeze, restart and lose answers: at most one
+//! holds a valid lease at any moment, and fences increase.
+
+use dispatch::lease::{HeldLease, LeaseRecord, SeenLease, may_claim_at_ms};
+use protocol::ids::{HostName, LogOffset};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const GATEWAYS: usize = 4;
+/// The longest time between two events, in milliseconds.
+const MAX_STEP_MS: u64 = 400;
+
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Reads the newest record.
+    Read(usize),
+    /// Claims where its last read allows it; the answer may be lost.
+    Claim { gateway: usize, is_lost: bool },
+    /// Renews a valid lease; the answer may be lost.
+    Renew { gateway: usize, is_lost: bool },
+    /// Gives the lease back.
+    Release(usize),
+    /// Starts again without memory.
+    Restart(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    after_ms: u64,
+    event: Event,
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let gateway = usize::arbitrary(g) % GATEWAYS;
+        let is_lost = u8::arbitrary(g) % 5 == 0;
+        let event = match u8::arbitrary(g) % 12 {
+            0..4 => Event::Read(gateway),
+            4..7 => Event::Claim { gateway, is_lost },
+            7..10 => Event::Renew { gateway, is_lost },
+            10 => Event::Release(gateway),
+            _ => Event::Restart(gateway),
+        };
+        Self { after_ms: u64::arbitrary(g) % MAX_STEP_MS, event }
+    }
+}
+
+#[derive(Default)]
+struct Gateway {
+    held: Option<HeldLease>,
+    seen: Option<SeenLease>,
+    seen_end: u64,
+}
+
+#[derive(Default)]
+struct World {
+    now_ms: u64,
+    log: Vec<LeaseRecord>,
+    gateways: Vec<Gateway>,
+}
+
+impl World {
+    fn new() -> Self {
+        let gateways = (0..GATEWAYS).map(|_| Gateway::default()).collect();
+        Self { gateways, ..Self::default() }
+    }
+
+    /// Appends if the log ends where the gateway thinks; returns the record's offset.
+    fn append(&mut self, gateway: usize, end: u64, is_released: bool) -> Option<u64> {
+        if self.log.len() as u64 != end {
+            return None;
+        }
+        let holder = host(gateway);
+        self.log.push(LeaseRecord { holder, life: 0, is_released, named: Vec::new() });
+        Some(end)
+    }
+
+    fn read(&mut self, gateway: usize) {
+        let end = self.log.len() as u64;
+        let newest = self.log.last().cloned();
+        let now_ms = self.now_ms;
+        let state = &mut self.gateways[gateway];
+        state.seen_end = end;
+        let Some(record) = newest else { return };
+        let offset = LogOffset::new(end - 1);
+        if state.seen.as_ref().is_none_or(|seen| seen.offset != offset) {
+            state.seen = Some(SeenLease { record, offset, seen_ms: now_ms });
+        }
+    }
+
+    fn claim(&mut self, gateway: usize, is_lost: bool) {
+        let now_ms = self.now_ms;
+        let state = &self.gateways[gateway];
+        let own = host(gateway);
+        if state.held.is_some() || now_ms < may_claim_at_ms(state.seen.as_ref(), &own) {
+            return;
+        }
+        let Some(offset) = self.append(gateway, state.seen_end, false) else { return };
+        let held = HeldLease {
+            fence: LogOffset::new(offset),
+            end: LogOffset::new(offset + 1),
+            since_ms: now_ms,
+            claimed_ms: now_ms,
+            is_own_again: false,
+        };
+        self.gateways[gateway].held = Some(held).filter(|_| !is_lost);
+    }
+
+    fn renew(&mut self, gateway: usize, is_lost: bool) {
+        let now_ms = self.now_ms;
+        let Some(held) = self.gateways[gateway].held else { return };
+        let appended = self.append(gateway, held.end.value(), false);
+        self.gateways[gateway].held = match appended {
+            Some(offset) if !is_lost => {
+                Some(HeldLease { end: LogOffset::new(offset + 1), since_ms: now_ms, ..held })
+            }
+            // Without an answer the old lease runs on; a conflict ends it.
+            Some(_) => Some(held),
+            None => None,
+        };
+    }
+
+    fn release(&mut self, gateway: usize) {
+        if let Some(held) = self.gateways[gateway].held.take() {
+            self.append(gateway, held.end.value(), true);
+        }
+    }
+
+    fn valid(&self) -> Vec<HeldLease> {
+        let held = self.gateways.iter().filter_map(|state| state.held);
+        held.filter(|held| held.is_valid(self.now_ms)).collect()
+    }
+}
+
+fn host(gateway: usize) -> HostName {
+    format!("gateway-{gateway}").parse().unwrap()
+}
+
+fn one_holder(steps: Vec<Step>) -> bool {
+    let mut world = World::new();
+    let mut highest_fence = None;
+    for step in steps {
+        world.now_ms += step.after_ms;
+        match step.event {
+            Event::Read(gateway) => world.read(gateway),
+            Event::Claim { gateway, is_lost } => world.claim(gateway, is_lost),
+            Event::Renew { gateway, is_lost } => world.renew(gateway, is_lost),
+            Event::Release(gateway) => world.release(gateway),
+            Event::Restart(gateway) => world.gateways[gateway] = Gateway::default(),
+        }
+        let valid = world.valid();
+        if valid.len() > 1 {
+            return false;
+        }
+        if let Some(held) = valid.first() {
+            if highest_fence.is_some_and(|highest| held.fence < highest) {
+                return false;
+            }
+            highest_fence = Some(held.fence);
+        }
+    }
+    true
+}
+
+#[test]
+fn at_most_one_gateway_holds_a_valid_lease() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 11))
+        .tests(4_000)
+        .quickcheck(one_holder as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_dead_holder_is_followed_after_its_lease() {
+    let mut world = World::new();
+    world.claim(0, false);
+    world.gateways[0] = Gateway::default();
+    world.read(1);
+    world.now_ms += 2_399;
+    world.claim(1, false);
+    assert!(world.valid().is_empty());
+    world.now_ms += 1;
+    world.claim(1, false);
+    assert_eq!(world.valid().len(), 1);
+}
+
+#[test]
+fn the_same_host_need_not_wait_after_a_restart() {
+    let mut world = World::new();
+    world.claim(0, false);
+    world.gateways[0] = Gateway::default();
+    world.read(0);
+    world.claim(0, false);
+    assert_eq!(world.valid().len(), 1);
+}
--- /dev/null
+++ b/crates/dispatch/tests/registry.rs
@@ -0,0 +1,129 @@
+//! The registry of servers: leaving, lapsed entries, late heartbeats and new lives.
+
+mod common;
+
+use common::server;
+use dispatch::registry::{Registry, RegistryChange, ServerEntry, ServerId, ServerRecord, Standing};
+use protocol::ids::{Incarnation, ModelName};
+
+const OUTAGE_END_MS: u64 = 100_000;
+
+fn with_server() -> (Registry, ServerEntry) {
+    let mut registry = Registry::new();
+    let entry = server("a", "east-1", 10);
+    registry.apply(ServerRecord::Present(entry.clone()), 1_000);
+    (registry, entry)
+}
+
+fn heartbeat(entry: &ServerEntry, number: u64) -> ServerRecord {
+    ServerRecord::Present(ServerEntry { heartbeat: number, ..entry.clone() })
+}
+
+fn draining(entry: &ServerEntry, number: u64) -> ServerRecord {
+    let entry = ServerEntry { heartbeat: number, is_draining: true, ..entry.clone() };
+    ServerRecord::Present(entry)
+}
+
+fn is_usable(registry: &Registry, entry: &ServerEntry) -> bool {
+    registry.usable(&entry.service).any(|other| other.id == entry.id)
+}
+
+#[test]
+fn draining_is_final_for_a_life() {
+    let (mut registry, entry) = with_server();
+    registry.apply(draining(&entry, 11), 2_000);
+    registry.apply(heartbeat(&entry, 12), 3_000);
+    registry.apply(heartbeat(&entry, 13), 4_000);
+    assert!(!is_usable(&registry, &entry));
+    let reborn = ServerEntry { incarnation: Incarnation::new(2), heartbeat: 1, ..entry.clone() };
+    registry.apply(ServerRecord::Present(reborn), 5_000);
+    assert!(is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_late_heartbeat_of_an_old_life_changes_nothing() {
+    let (mut registry, entry) = with_server();
+    let reborn = ServerEntry { incarnation: Incarnation::new(2), heartbeat: 1, ..entry.clone() };
+    registry.apply(ServerRecord::Present(reborn.clone()), 2_000);
+    registry.apply(draining(&entry, 30), 3_000);
+    assert!(is_usable(&registry, &reborn));
+}
+
+#[test]
+fn a_removed_server_takes_no_requests_at_once() {
+    let (mut registry, entry) = with_server();
+    let change = registry.apply(ServerRecord::Absent(entry.id.clone()), 2_000);
+    assert_eq!(change, Some(RegistryChange::Left(entry.id.clone())));
+    assert!(!is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_removed_server_is_back_with_its_second_heartbeat() {
+    let (mut registry, entry) = with_server();
+    registry.apply(ServerRecord::Absent(entry.id.clone()), 2_000);
+    registry.apply(heartbeat(&entry, 11), 2_100);
+    assert!(!is_usable(&registry, &entry), "the heartbeat may be from before the removal");
+    registry.apply(heartbeat(&entry, 12), 3_300);
+    assert!(is_usable(&registry, &entry));
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_stays_for_the_grace_and_returns() {
+    let (mut registry, entry) = with_server();
+    registry.store_lost();
+    registry.store_read(OUTAGE_END_MS);
+    registry.apply(ServerRecord::Absent(entry.id.clone()), OUTAGE_END_MS);
+    assert!(is_usable(&registry, &entry));
+    registry.apply(heartbeat(&entry, 15), OUTAGE_END_MS + 1_200);
+    registry.expire_missing(OUTAGE_END_MS + 60_000);
+    assert!(is_usable(&registry, &entry));
+}
+
+#[test]
+fn an_entry_that_stays_missing_after_an_outage_is_gone() {
+    let (mut registry, entry) = with_server();
+    registry.store_lost();
+    registry.store_read(OUTAGE_END_MS);
+    registry.replace_all(Vec::new(), OUTAGE_END_MS);
+    assert!(is_usable(&registry, &entry));
+    let changes = registry.expire_missing(OUTAGE_END_MS + 2_500);
+    assert_eq!(changes, vec![RegistryChange::Left(entry.id.clone())]);
+    assert!(!is_usable(&registry, &entry));
+}
+
+#[test]
+fn unreadable_and_unknown_entries_name_no_server() {
+    let (mut registry, entry) = with_server();
+    assert_eq!(registry.apply(ServerRecord::Absent(ServerId::new("ghost")), 2_000), None);
+    assert_eq!(registry.all_usable().count(), 1);
+    assert!(is_usable(&registry, &entry));
+}
+
+#[test]
+fn weights_only_get_newer_within_a_life() {
+    let (mut registry, entry) = with_server();
+    let model: ModelName = "m".parse().unwrap();
+    registry.note_version(&entry.id, &model, 3);
+    registry.apply(heartbeat(&entry, 11), 2_000);
+    let held = registry.get(&entry.id).unwrap().0.weight_versions[&model];
+    assert_eq!(held, 3, "an entry written before the load must not undo what the server said");
+    let reborn = ServerEntry { incarnation: Incarnation::new(2), heartbeat: 1, ..entry.clone() };
+    registry.apply(ServerRecord::Present(reborn), 3_000);
+    assert_eq!(registry.get(&entry.id).unwrap().0.weight_versions[&model], 1);
+}
+
+#[test]
+fn a_peer_that_knows_of_a_leaving_stops_the_sends() {
+    let (mut registry, entry) = with_server();
+    registry.merge(vec![(entry.clone(), Standing::Leaving)], 2_000);
+    assert!(!is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_server_that_a_peer_does_not_name_is_gone() {
+    let (mut registry, entry) = with_server();
+    let other = server("b", "east-1", 5);
+    registry.merge(vec![(other.clone(), Standing::Ready)], 2_000);
+    assert!(!is_usable(&registry, &entry));
+    assert!(is_usable(&registry, &other));
+}
--- /dev/null
+++ b/crates/dispatch/tests/requests.rs
@@ -0,0 +1,91 @@
+//! Routes, identities, crash counts and ranks.
+
+mod common;
+
+use common::{configuration, demand, id};
+use dispatch::configuration::{Organisation, Route, RouteKind, WeightedService};
+use dispatch::crashes::{ContentKey, Crashes};
+use dispatch::demand::Demand;
+use dispatch::routes::{Identity, RouteTable, identify, pick_service};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+
+fn route(name: &str, prefix: &str) -> Route {
+    let service = WeightedService { service: id("notes"), weight: 1 };
+    Route {
+        name: name.to_owned(),
+        authority: "Notes.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        services: SmallVec::from_iter([service]),
+        timeout_ms: 1_000,
+        objective_ms: 300,
+        rank: 0,
+        max_attempts: 2,
+        is_public: false,
+        event_gap_ms: None,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let mut configuration = configuration(Vec::new());
+    configuration.routes = vec![route("short", "/a/"), route("long", "/a/b/")];
+    let table = RouteTable::new(&configuration);
+    let find = |host: &str, path: &str| {
+        table.find(&configuration, host, path).map(|route| route.name.as_str())
+    };
+    assert_eq!(find("notes.example", "/a/b/c"), Some("long"));
+    assert_eq!(find("notes.example:80", "/a/x"), Some("short"));
+    assert_eq!(find("notes.example", "/a"), None);
+    assert_eq!(find("other.example", "/a/"), None);
+}
+
+#[test]
+fn weights_share_requests_out() {
+    let services = [("x", 90), ("y", 10)].map(|(name, weight)| WeightedService {
+        service: id(name),
+        weight,
+    });
+    let to_y = (0..1_000).filter(|spread| pick_service(&services, *spread) == Some(&id("y")));
+    assert_eq!(to_y.count(), 100);
+    assert_eq!(pick_service(&[], 5), None);
+}
+
+#[test]
+fn keys_tell_organisations_apart() {
+    let mut configuration = configuration(Vec::new());
+    let private = route("private", "/a/");
+    let public = Route { is_public: true, ..route("public", "/b/") };
+    assert_eq!(identify(&configuration, &private, None), Identity::Anonymous);
+    let alpha = Organisation { id: id("alpha"), rank: Some(1), is_dedicated: false };
+    configuration.organisations_by_key = Some(HashMap::from([("k1".to_owned(), alpha.clone())]));
+    assert_eq!(identify(&configuration, &private, Some("k1")), Identity::Known(&alpha));
+    assert_eq!(identify(&configuration, &private, Some("k2")), Identity::Unknown);
+    assert_eq!(identify(&configuration, &private, None), Identity::Unknown);
+    assert_eq!(identify(&configuration, &public, None), Identity::Anonymous);
+}
+
+#[test]
+fn the_third_broken_send_is_the_last() {
+    let mut crashes = Crashes::new();
+    let key = ContentKey::new("/a/", "alpha", b"body");
+    assert_ne!(key, ContentKey::new("/a/", "beta", b"body"));
+    for _ in 0..2 {
+        crashes.count(key, 0);
+        assert!(!crashes.is_refused(&key, 1));
+    }
+    crashes.count(key, 0);
+    assert!(crashes.is_refused(&key, 1));
+    assert!(!crashes.is_refused(&key, 200_000), "it may be tried again much later");
+    crashes.clear(&key);
+    assert!(!crashes.is_refused(&key, 1));
+}
+
+#[test]
+fn quick_routes_go_first_within_a_rank() {
+    let rank = |rank, route_rank| Demand { rank, route_rank, ..demand(9, 1_000, 500) }.engine_rank();
+    assert!(rank(1, 0) < rank(1, 1), "the question before the long prompt");
+    assert!(rank(0, 2) < rank(1, 0), "the organisation before the route");
+    assert!(rank(200, 200) <= 9);
+}
--- /dev/null
+++ b/crates/dispatch/tests/retry_share.rs
@@ -0,0 +1,84 @@
+//! The retry budget over all gateways in any window.
+
+use dispatch::retry_share::{BudgetBounds, RetryShare};
+use protocol::ids::ServiceName;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const BOUNDS: BudgetBounds = BudgetBounds { ratio: 0.2, slack: 54.0, window_ms: 10_000 };
+const GATEWAYS: usize = 7;
+
+/// One request at one gateway, and how many repeats it asks for.
+#[derive(Clone, Debug)]
+struct Arrival {
+    gateway: usize,
+    after_ms: u64,
+    repeats: u8,
+}
+
+impl Arbitrary for Arrival {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self {
+            gateway: usize::arbitrary(g) % GATEWAYS,
+            after_ms: u64::from(u8::arbitrary(g)),
+            repeats: u8::arbitrary(g) % 4,
+        }
+    }
+}
+
+fn keeps_budget(arrivals: Vec<Arrival>) -> bool {
+    let service: ServiceName = "desk".parse().unwrap();
+    let mut shares: Vec<RetryShare> = (0..GATEWAYS).map(|_| RetryShare::new(BOUNDS)).collect();
+    let (mut firsts, mut repeats) = (Vec::new(), Vec::new());
+    let mut now_ms = 0;
+    for arrival in arrivals {
+        now_ms += arrival.after_ms;
+        let share = &mut shares[arrival.gateway];
+        share.count_first(&service, now_ms);
+        firsts.push(now_ms);
+        for _ in 0..arrival.repeats {
+            if share.try_repeat(&service, GATEWAYS, now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+    }
+    let in_window = |times: &[u64], from: u64| {
+        times.iter().filter(|at| (from..from + BOUNDS.window_ms).contains(*at)).count() as f64
+    };
+    // The platform counts requests in the window, the one before or the one half a window before.
+    let requests = |from: u64| {
+        let earlier = [from, from.saturating_sub(5_000), from.saturating_sub(10_000)];
+        earlier.into_iter().map(|from| in_window(&firsts, from)).fold(0.0, f64::max)
+    };
+    repeats.iter().all(|from| {
+        in_window(&repeats, *from) <= BOUNDS.ratio * requests(*from) + BOUNDS.slack
+    })
+}
+
+#[test]
+fn repeats_stay_within_the_budget_in_every_window() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(900, 7))
+        .tests(150)
+        .quickcheck(keeps_budget as fn(Vec<Arrival>) -> bool);
+}
+
+#[test]
+fn a_service_that_sheds_everything_gets_no_storm() {
+    let service: ServiceName = "desk".parse().unwrap();
+    let mut share = RetryShare::new(BOUNDS);
+    let mut granted = 0;
+    for request in 0..400 {
+        share.count_first(&service, request * 20);
+        granted += u32::from(share.try_repeat(&service, GATEWAYS, request * 20));
+    }
+    assert!(granted <= 400 / 5 + 54 / 7, "{granted} repeats for 400 requests");
+}
+
+#[test]
+fn a_quiet_gateway_may_spend_its_part_of_the_slack() {
+    let service: ServiceName = "desk".parse().unwrap();
+    let mut share = RetryShare::new(BOUNDS);
+    assert!(share.try_repeat(&service, GATEWAYS, 0));
+    let mut alone = RetryShare::new(BudgetBounds { slack: 0.0, ..BOUNDS });
+    assert!(!alone.try_repeat(&service, GATEWAYS, 0));
+}
