Test gateways as processes before stand-ins of the platform

Ruled out by them: a second run of an order, a hidden request, an answer that looks whole and is not.

--- /dev/null
+++ b/crates/camphorwardd/tests/gateway/caller.rs
@@ -0,0 +1,144 @@
+//! A caller on a plain socket, which sees everything that a gateway sends.
+
+use crate::fleet::KEY;
+use crate::process::{Gateway, until};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+/// What a caller got for one request.
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the answer's framing says that it is whole.
+    pub is_whole: bool,
+}
+
+impl Got {
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(':'));
+        let mut values = lines.filter(|(found, _)| found.eq_ignore_ascii_case(name));
+        values.next().map(|(_, value)| value.trim().to_owned())
+    }
+}
+
+pub fn new_id() -> String {
+    format!("attempt{:08x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Builds a request with the usual headers.
+pub fn request(path: &str, id: &str, extra: &str, body: &str) -> String {
+    let prompt = if path.starts_with("/notes") || path.starts_with("/quick") {
+        let part = id.trim_start_matches("attempt");
+        format!("X-Model: m\r\nX-Token-Count: 900,5\r\nX-Prompt-Prefix: {part}:900\r\n")
+    } else {
+        String::new()
+    };
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
+         Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\n{prompt}{extra}\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends a request with an id of its own and reads the answer.
+pub async fn post(gateway: &Gateway, path: &str) -> Got {
+    send(gateway.callers, &request(path, &new_id(), "", "body")).await
+}
+
+/// Sends bytes on a connection of their own and reads one answer.
+pub async fn send(address: SocketAddr, bytes: &str) -> Got {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes.as_bytes()).await.unwrap();
+    read(&mut stream).await
+}
+
+/// Reads one answer.
+pub async fn read(stream: &mut TcpStream) -> Got {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        if let Some(got) = parse(&bytes, false) {
+            return got;
+        }
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&buffer[..count]),
+            _ => return parse(&bytes, true).unwrap_or_default(),
+        }
+    }
+}
+
+fn parse(bytes: &[u8], is_end: bool) -> Option<Got> {
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    let Some((head, rest)) = text.split_once("\r\n\r\n") else {
+        return is_end.then(Got::default);
+    };
+    let status = head.split_whitespace().nth(1)?.parse().ok()?;
+    let mut got = Got { status, head: head.to_owned(), ..Got::default() };
+    if got.header("transfer-encoding").is_some() {
+        let mut rest = rest;
+        while let Some((size, after)) = rest.split_once("\r\n") {
+            let size = usize::from_str_radix(size, 16).unwrap_or(0);
+            if size == 0 {
+                got.is_whole = true;
+                return Some(got);
+            }
+            let Some(chunk) = after.get(..size) else { break };
+            got.body.push_str(chunk);
+            rest = after.get(size + 2..).unwrap_or("");
+        }
+        return is_end.then_some(got);
+    }
+    let length: usize = got.header("content-length")?.parse().ok()?;
+    got.is_whole = rest.len() >= length;
+    got.body = rest.to_owned();
+    (got.is_whole || is_end).then_some(got)
+}
+
+/// Asks for readiness once.
+pub async fn is_ready(gateway: &Gateway) -> bool {
+    let request = "GET /camphorward/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    send(gateway.ready, request).await.status == 200
+}
+
+/// Waits until a gateway is ready.
+pub async fn until_ready(gateway: &Gateway) {
+    while !is_ready(gateway).await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Sends requests until one is answered as wanted.
+pub async fn until_status(gateway: &Gateway, path: &str, status: u16) {
+    loop {
+        if post(gateway, path).await.status == status {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the metrics page.
+pub async fn metrics(gateway: &Gateway) -> String {
+    send(gateway.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").await.body
+}
+
+/// Waits until a gateway knows how many there are.
+pub async fn until_listed(gateway: &Gateway, count: u64) {
+    until("the gateways are listed", || {
+        gateway.lines("gateways_listed").last().is_some_and(|line| line["count"] == count)
+    })
+    .await;
+}
+
+/// Waits for a line of a gateway's log.
+pub async fn until_line(gateway: &Gateway, event: &str) {
+    until(event, || !gateway.lines(event).is_empty()).await;
+}
--- /dev/null
+++ b/crates/camphorwardd/tests/gateway/membership.rs
@@ -0,0 +1,79 @@
+//! Configurations and servers: changes, outages of the store, and peers that help.
+
+use crate::caller::{self, post, until_status};
+use crate::fleet::{Fleet, ORDERS, configuration};
+use crate::process::{Gateway, until};
+use standins::fleet::{Availability, Store};
+
+#[tokio::test]
+async fn a_newer_configuration_takes_over_and_an_older_one_never() {
+    let fleet = Fleet::start(1, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    fleet.store.put_configuration(&configuration(5, &["other-key"]));
+    until_status(&gateway, ORDERS, 401).await;
+    fleet.store.put_configuration(&configuration(4, &["alpha-key"]));
+    fleet.store.append("keyed.op", "config", b"\xc1 no configuration");
+    caller::until_line(&gateway, "record_unreadable").await;
+    assert_eq!(post(&gateway, ORDERS).await.status, 401);
+}
+
+#[tokio::test]
+async fn servers_that_drain_or_go_get_nothing_new() {
+    let fleet = Fleet::start(3, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    let (draining, gone) = (&fleet.desks[0], &fleet.desks[1]);
+    fleet.store.register(&draining.id(), &draining.entry("desk", "east-1", 2, "draining"));
+    fleet.store.remove(&gone.id());
+    fleet.store.append("keyed.servers", "ghost", b"\x00garbage");
+    until("both have left", || gateway.lines("server_left").len() == 2).await;
+    let before = (draining.ran().len(), gone.ran().len());
+    for _ in 0..9 {
+        assert_eq!(post(&gateway, ORDERS).await.status, 200);
+    }
+    assert_eq!((draining.ran().len(), gone.ran().len()), before);
+}
+
+#[tokio::test]
+async fn a_gateway_serves_what_it_knows_while_the_store_is_away() {
+    for availability in [Availability::Refuses, Availability::Silent] {
+        let fleet = Fleet::start(1, 0).await;
+        let gateway = fleet.gateway("gateway-1").await;
+        fleet.store.set_availability(availability);
+        caller::until_line(&gateway, "dependency_lost").await;
+        assert_eq!(post(&gateway, ORDERS).await.status, 200, "{availability:?}");
+        assert!(caller::is_ready(&gateway).await);
+        fleet.store.set_availability(Availability::Up);
+        caller::until_line(&gateway, "dependency_regained").await;
+    }
+}
+
+#[tokio::test]
+async fn peers_bring_what_the_store_refuses_to_one_gateway() {
+    let fleet = Fleet::start(1, 0).await;
+    let first = fleet.gateway("gateway-1").await;
+    let refusing = Store::start().await.unwrap();
+    refusing.set_availability(Availability::Refuses);
+    let seeds = vec![first.peers.to_string()];
+    let store = refusing.address().to_string();
+    let second = Gateway::start(&crate::fleet::settings("gateway-2", &store, &seeds)).await;
+    caller::until_ready(&second).await;
+    assert_eq!(post(&second, ORDERS).await.status, 200);
+    fleet.store.put_configuration(&configuration(2, &["other-key"]));
+    until_status(&second, ORDERS, 401).await;
+    let sources: Vec<String> = second
+        .lines("configuration_in_force")
+        .iter()
+        .map(|line| line["source"].as_str().unwrap().to_owned())
+        .collect();
+    assert!(sources.iter().all(|source| source == "peer"), "{sources:?}");
+}
+
+#[tokio::test]
+async fn all_gateways_killed_at_once_serve_again_from_the_store() {
+    let fleet = Fleet::start(1, 1).await;
+    let mut gateways = vec![fleet.gateway("gateway-1").await, fleet.gateway("gateway-2").await];
+    gateways.iter_mut().for_each(Gateway::kill);
+    let again = fleet.gateway("gateway-1").await;
+    assert_eq!(post(&again, ORDERS).await.status, 200);
+    assert_eq!(post(&again, crate::fleet::NOTES).await.status, 200);
+}
--- /dev/null
+++ b/crates/camphorwardd/tests/gateway/process.rs
@@ -0,0 +1,107 @@
+//! A gateway as a process; killed when dropped.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tempfile::NamedTempFile;
+
+pub struct Gateway {
+    child: Child,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    lines: Arc<Mutex<Vec<Value>>>,
+    _settings: NamedTempFile,
+}
+
+/// Writes settings into a file and returns the command that starts a gateway with them.
+pub fn command(settings: &str) -> (Command, NamedTempFile) {
+    let mut file = NamedTempFile::new().unwrap();
+    file.write_all(settings.as_bytes()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_camphorwardd"));
+    command.arg("--gateway").arg(file.path());
+    (command, file)
+}
+
+impl Gateway {
+    /// Starts a gateway and waits until it listens.
+    pub async fn start(settings: &str) -> Self {
+        let (mut command, file) = command(settings);
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        let mut output = BufReader::new(child.stdout.take().unwrap());
+        let first = tokio::task::spawn_blocking(move || {
+            let mut line = String::new();
+            output.read_line(&mut line).unwrap();
+            (line, output)
+        });
+        let (line, output) = first.await.unwrap();
+        let started: Value = serde_json::from_str(&line).expect("the first line says where");
+        let lines = Arc::new(Mutex::new(vec![started.clone()]));
+        let written = Arc::clone(&lines);
+        std::thread::spawn(move || {
+            for line in output.lines().map_while(Result::ok) {
+                if let Ok(value) = serde_json::from_str(&line) {
+                    written.lock().unwrap().push(value);
+                }
+            }
+        });
+        let address = |name: &str| started[name].as_str().unwrap().parse().unwrap();
+        let port = started["metrics_port"].as_u64().unwrap() as u16;
+        Self {
+            child,
+            callers: address("callers"),
+            ready: address("ready"),
+            peers: address("peers"),
+            metrics: SocketAddr::from(([127, 0, 0, 1], port)),
+            lines,
+            _settings: file,
+        }
+    }
+
+    /// Returns the lines of one event.
+    pub fn lines(&self, event: &str) -> Vec<Value> {
+        let lines = self.lines.lock().unwrap();
+        lines.iter().filter(|line| line["event"] == event).cloned().collect()
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Waits until a condition holds; the bound only ends a test that would never end.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    const LONGEST: Duration = Duration::from_secs(60);
+    const LOOK: Duration = Duration::from_millis(20);
+    let start = std::time::Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONGEST, "never: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -36,9 +36,10 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let (settings, listeners) = listen(settings).await?;
     let node = Arc::new(Node::new(settings));
     let traffic = Arc::new(Traffic::default());
-    let accepting = start(&node, &traffic).await?;
+    let accepting = start(&node, &traffic, listeners);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -52,32 +53,62 @@
     Ok(())
 }
 
+/// The listeners of a gateway.
+struct Listening {
+    callers: TcpListener,
+    ready: TcpListener,
+    peers: Option<TcpListener>,
+    metrics: TcpListener,
+}
+
+/// Opens all listeners and notes in the settings where they are.
+async fn listen(mut settings: GatewaySettings) -> io::Result<(GatewaySettings, Listening)> {
+    let metrics_address = SocketAddr::new(settings.address, settings.listen.metrics_port);
+    let listening = Listening {
+        callers: bind(settings.listen.callers).await?,
+        ready: bind(settings.listen.ready).await?,
+        peers: match settings.listen.peers {
+            Some(address) => Some(bind(address).await?),
+            None => None,
+        },
+        metrics: bind(metrics_address).await?,
+    };
+    settings.listen.callers = listening.callers.local_addr()?;
+    settings.listen.ready = listening.ready.local_addr()?;
+    if let Some(peers) = &listening.peers {
+        settings.listen.peers = Some(peers.local_addr()?);
+    }
+    settings.listen.metrics_port = listening.metrics.local_addr()?.port();
+    Ok((settings, listening))
+}
+
 /// Starts all tasks; returns the one that accepts callers.
-async fn start(node: &Arc<Node>, traffic: &Arc<Traffic>) -> io::Result<AbortHandle> {
+fn start(node: &Arc<Node>, traffic: &Arc<Traffic>, listening: Listening) -> AbortHandle {
     let listen = &node.settings.listen;
-    let callers = bind(listen.callers).await?;
-    let ready = bind(listen.ready).await?;
-    let metrics = bind(SocketAddr::new(node.settings.address, listen.metrics_port)).await?;
-    if let Some(address) = listen.peers {
-        tokio::spawn(peers::accept(Arc::clone(node), bind(address).await?));
-        tokio::spawn(discovery::run(Arc::clone(node)));
-        tokio::spawn(peers::pull(Arc::clone(node)));
-        tokio::spawn(peers::push(Arc::clone(node)));
-    }
     event!(info, node.now_ms(), "started", {
         "host": node.settings.host.as_str(),
         "failure_domain": node.settings.failure_domain.as_str(),
         "life": node.life,
         "callers": listen.callers,
+        "ready": listen.ready,
+        "peers": listen.peers,
+        "metrics_port": listen.metrics_port,
     });
+    if let Some(listener) = listening.peers {
+        tokio::spawn(peers::accept(Arc::clone(node), listener));
+        tokio::spawn(discovery::run(Arc::clone(node)));
+        tokio::spawn(peers::pull(Arc::clone(node)));
+        tokio::spawn(peers::push(Arc::clone(node)));
+    }
     tokio::spawn(follow::run(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
     tokio::spawn(steward::run(Arc::clone(node)));
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
-    tokio::spawn(operators::accept(Arc::clone(node), ready));
-    tokio::spawn(operators::accept(Arc::clone(node), metrics));
-    let accepting = callers::accept(Arc::clone(node), Arc::clone(traffic), callers);
-    Ok(tokio::spawn(accepting).abort_handle())
+    tokio::spawn(operators::accept(Arc::clone(node), listening.ready));
+    tokio::spawn(operators::accept(Arc::clone(node), listening.metrics));
+    let accepting =
+        callers::accept(Arc::clone(node), Arc::clone(traffic), listening.callers);
+    tokio::spawn(accepting).abort_handle()
 }
 
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
--- /dev/null
+++ b/crates/standins/src/fleet/store.rs
@@ -0,0 +1,241 @@
+//! A stand-in of the platform's metadata store: a log with keyed topics.
+
+use crate::fleet::http::{Received, read_request, write_answer};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::BufReader;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Availability {
+    /// It serves.
+    #[default]
+    Up,
+    /// It answers 503 to every call.
+    Refuses,
+    /// It answers nothing.
+    Silent,
+}
+
+/// One record of a keyed topic.
+type Record = (String, Vec<u8>);
+
+#[derive(Debug, Default)]
+struct State {
+    topics: HashMap<String, Vec<Record>>,
+    availability: Availability,
+    appends: Vec<(String, Option<u64>)>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// A running store; it ends when dropped.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    task: AbortHandle,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Store {
+    /// Starts an empty store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be listened on.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared))).abort_handle();
+        Ok(Self { address, shared, task })
+    }
+
+    /// Returns the store's address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how the store answers.
+    pub fn set_availability(&self, availability: Availability) {
+        self.lock().availability = availability;
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Writes a configuration.
+    pub fn put_configuration(&self, configuration: &Value) {
+        self.append("keyed.op", "config", &encode(configuration));
+    }
+
+    /// Names weights.
+    pub fn name_weights(&self, model: &str, version: u64) {
+        let value = encode(&json!({ "model": model, "version": version }));
+        self.append("keyed.op", &format!("version/{model}"), &value);
+    }
+
+    /// Writes a server's entry.
+    pub fn register(&self, id: &str, entry: &Value) {
+        self.append("keyed.servers", id, &encode(entry));
+    }
+
+    /// Removes a server's entry.
+    pub fn remove(&self, id: &str) {
+        self.append("keyed.servers", id, &[]);
+    }
+
+    /// Writes any bytes.
+    pub fn append(&self, topic: &str, key: &str, value: &[u8]) {
+        let record = (key.to_owned(), value.to_vec());
+        self.lock().topics.entry(topic.to_owned()).or_default().push(record);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the number of records of a topic.
+    pub fn len(&self, topic: &str) -> usize {
+        self.lock().topics.get(topic).map_or(0, Vec::len)
+    }
+
+    /// Says whether a topic has no records.
+    pub fn is_empty(&self, topic: &str) -> bool {
+        self.len(topic) == 0
+    }
+
+    /// Returns the topics and conditions of the appends that gateways made.
+    pub fn appends(&self) -> Vec<(String, Option<u64>)> {
+        self.lock().appends.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.shared)
+    }
+}
+
+fn lock(shared: &Shared) -> MutexGuard<'_, State> {
+    shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes a value as bodies and records are written.
+pub fn encode(value: &Value) -> Vec<u8> {
+    rmp_serde::to_vec_named(value).unwrap_or_default()
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            // A caller that goes away needs no answer.
+            drop(serve(stream, &shared).await);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read_request(&mut stream).await? {
+        let availability = lock(shared).availability;
+        let (status, body) = match availability {
+            Availability::Up => answer(shared, &request).await,
+            Availability::Refuses => (503, Vec::new()),
+            Availability::Silent => return std::future::pending().await,
+        };
+        if lock(shared).availability == Availability::Silent {
+            return std::future::pending().await;
+        }
+        write_answer(&mut stream, status, &[], &body).await?;
+    }
+    Ok(())
+}
+
+async fn answer(shared: &Shared, request: &Received) -> (u16, Vec<u8>) {
+    let topic = request.query("topic");
+    match request.path() {
+        "/camphorward/log-newest" => (200, newest(shared, topic)),
+        "/camphorward/log-read" => read(shared, topic, request).await,
+        "/camphorward/log-append" => append(shared, topic, request),
+        _ => (404, Vec::new()),
+    }
+}
+
+fn newest(shared: &Shared, topic: &str) -> Vec<u8> {
+    use base64::Engine as _;
+    let state = lock(shared);
+    let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+    let mut by_key: HashMap<&str, (usize, &[u8])> = HashMap::new();
+    for (offset, (key, value)) in records.iter().enumerate() {
+        by_key.insert(key, (offset, value));
+    }
+    let base64 = base64::engine::general_purpose::STANDARD;
+    let items: Vec<Value> = by_key
+        .into_iter()
+        .filter(|(_, (_, value))| !value.is_empty())
+        .map(|(key, (offset, value))| {
+            json!({ "key": key, "value": base64.encode(value), "offset": offset })
+        })
+        .collect();
+    encode(&json!({ "items": items, "more": false, "end": records.len() }))
+}
+
+async fn read(shared: &Shared, topic: &str, request: &Received) -> (u16, Vec<u8>) {
+    let from: usize = request.query("from").parse().unwrap_or(0);
+    let wait = Duration::from_millis(request.query("waitMs").parse().unwrap_or(0));
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = shared.changed.notified();
+        {
+            let state = lock(shared);
+            let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+            if records.len() > from || tokio::time::Instant::now() >= until {
+                return (200, frames(records, from));
+            }
+        }
+        // Either something changed or the wait is over; both are looked at above.
+        drop(tokio::time::timeout_at(until, changed).await);
+    }
+}
+
+fn frames(records: &[Record], from: usize) -> Vec<u8> {
+    let mut bytes = (records.len() as u64).to_be_bytes().to_vec();
+    bytes.extend(0_u64.to_be_bytes());
+    for (key, value) in records.iter().skip(from) {
+        bytes.extend((1 + key.len() as u32 + value.len() as u32).to_be_bytes());
+        bytes.push(key.len() as u8);
+        bytes.extend(key.as_bytes());
+        bytes.extend(value);
+    }
+    bytes
+}
+
+fn append(shared: &Shared, topic: &str, request: &Received) -> (u16, Vec<u8>) {
+    let mut state = lock(shared);
+    let at: Option<u64> = request.query("at").parse().ok();
+    let records = state.topics.entry(topic.to_owned()).or_default();
+    let offset = records.len() as u64;
+    if at.is_some_and(|at| at != offset) {
+        return (412, encode(&json!({ "end": offset })));
+    }
+    let record = &request.body[4..];
+    let key_length = usize::from(record[0]);
+    let key = String::from_utf8_lossy(&record[1..=key_length]).into_owned();
+    records.push((key, record[1 + key_length..].to_vec()));
+    state.appends.push((topic.to_owned(), at));
+    drop(state);
+    shared.changed.notify_waiters();
+    (200, encode(&json!({ "offset": offset, "end": offset + 1 })))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod block;
 pub mod clock;
 pub mod engine;
+pub mod fleet;
 pub mod host_list;
 pub mod log_service;
 pub mod order_service;
