Read the stores from one gateway a failure domain, and take back requests at old weights

Change: followers ask a gateway of their failure domain by long polls and fall back to the stores; health checks back off; a request that still waits at old weights near the bound goes elsewhere.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -8,12 +8,14 @@
 use placement::rendezvous;
 use smallvec::SmallVec;
 use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region, ServiceName};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 
 /// The text under which engines and stores find parts: parts under different texts never match.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct CacheSalt(String);
 
 impl CacheSalt {
@@ -57,7 +59,7 @@
 pub type BlockKey = (CacheSalt, PartId);
 
 /// A change that a store reported.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum BlockChange {
     /// The part is complete with that many tokens.
     Stored(BlockKey, u64),
@@ -66,7 +68,7 @@
 }
 
 /// One answer to a question for a store's changes.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct BlockReport {
     /// Changes at every restart of the store.
     pub boot_epoch: u64,
@@ -280,6 +282,27 @@
         report.has_gap
     }
 
+    /// Says whether a store's content is known in a boot epoch.
+    pub fn is_known(&self, store: SocketAddr, boot_epoch: u64) -> bool {
+        self.stores.get(&store).is_some_and(|state| state.boot_epoch == Some(boot_epoch))
+    }
+
+    /// Returns everything that is held, as reports from nothing.
+    pub fn dump(&self) -> Vec<(SocketAddr, BlockReport)> {
+        let reports = self.stores.iter().filter_map(|(store, state)| {
+            let stored = |(key, tokens): (&BlockKey, &u64)| BlockChange::Stored(key.clone(), *tokens);
+            let changes = state.parts.iter().map(stored).collect();
+            let boot_epoch = state.boot_epoch?;
+            Some((*store, BlockReport { boot_epoch, has_gap: false, changes }))
+        });
+        reports.collect()
+    }
+
+    /// Returns the oldest weight version of each model whose parts may be used.
+    pub fn oldest_used(&self) -> Vec<(ModelName, u64)> {
+        self.oldest_used.iter().map(|(model, version)| (model.clone(), *version)).collect()
+    }
+
     /// Returns the tokens that a store holds or is about to.
     pub fn used_tokens(&self, store: SocketAddr, now_ms: u64) -> u64 {
         let Some(state) = self.stores.get(&store) else { return 0 };
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -2,13 +2,15 @@
 
 use crate::configuration::RouteKind;
 use protocol::ids::{ModelName, OrganisationId, ServiceName};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::fmt;
 use std::str::FromStr;
 use thiserror::Error;
 
 /// Identifies a part of a prompt.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct PartId(u64);
 
 impl PartId {
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -17,7 +17,10 @@
 const ORDER_AGAIN_MS: u64 = 1_200;
 /// The part of the time allowed for new weights after which no request goes to older ones; what is
 /// left covers requests that wait at a server.
-const OLD_WEIGHTS_SHARE: f64 = 0.72;
+const OLD_WEIGHTS_SHARE: f64 = 0.68;
+/// The part of the time allowed after which a request that still waits at a server with older
+/// weights is taken back; the rest covers the way there.
+const TAKEN_BACK_SHARE: f64 = 0.96;
 
 /// What the steward knows of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -123,6 +126,13 @@
         self.named.last().map(|(_, since_ms)| *since_ms)
     }
 
+    /// Returns when a request that waits at a server with a version is taken back; `None` if no
+    /// newer version is named.
+    pub fn taken_back_at_ms(&self, version: u64, allowed_ms: u64) -> Option<u64> {
+        let next = self.named.iter().find(|(named, _)| *named > version);
+        next.map(|(_, since_ms)| since_ms + (TAKEN_BACK_SHARE * allowed_ms as f64) as u64)
+    }
+
     /// Returns the newest version.
     pub fn newest(&self) -> Option<u64> {
         self.named.last().map(|(version, _)| *version)
--- a/crates/dispatch/tests/rollout.rs
+++ b/crates/dispatch/tests/rollout.rs
@@ -111,11 +111,21 @@
     assert!(named.note(2, 10_000));
     assert!(named.note(3, 18_500));
     assert!(!named.note(2, 19_000));
-    assert_eq!(named.oldest_usable(10_000, 17_000), 0);
+    assert_eq!(named.oldest_usable(10_000, 16_700), 0);
     assert_eq!(named.oldest_usable(10_000, 17_300), 2, "version 1 is out of use");
     assert_eq!(named.oldest_usable(10_000, 25_800), 3);
 }
 
+#[test]
+fn a_request_that_waits_at_older_weights_is_taken_back_before_the_bound() {
+    let mut named = NamedVersions::default();
+    named.note(2, 10_000);
+    named.note(3, 18_500);
+    assert_eq!(named.taken_back_at_ms(1, 10_000), Some(19_600));
+    assert_eq!(named.taken_back_at_ms(2, 10_000), Some(28_100));
+    assert_eq!(named.taken_back_at_ms(3, 10_000), None);
+}
+
 #[test]
 fn a_corrected_time_moves_the_bound() {
     let mut named = NamedVersions::default();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -25,8 +25,12 @@
 pub async fn run(node: Arc<Node>) {
     let Some(own) = node.settings.listen.peers else { return };
     let mut store = StoreClient::new(node.settings.store.address, Arc::clone(&node.metrics));
-    let record =
-        GatewayRecord { host: node.settings.host.clone(), peers: own, life: node.life };
+    let record = GatewayRecord {
+        host: node.settings.host.clone(),
+        failure_domain: node.settings.failure_domain.clone(),
+        peers: own,
+        life: node.life,
+    };
     let mut listings: u32 = 0;
     loop {
         let must_write = listings.is_multiple_of(WRITE_EVERY_LISTINGS);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,14 +9,16 @@
 use crate::event;
 use crate::follow::operator::OperatorRecords;
 use crate::follow::servers::ServerRecords;
+use crate::gateways::Source;
 use crate::node::Node;
+use crate::peers::Follower;
 use crate::store::{StoreClient, StoreError};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How often the servers' entries are read, in milliseconds. Every read costs a call; a server
-/// that leaves must be out of use within the drain bound of the installation, 2.5 s and more.
-const SERVERS_EVERY_MS: u64 = 1_100;
+/// The part of the installation's drain bound after which the servers' entries are read again.
+/// Every read costs a call; a server that leaves must be out of use within the bound.
+const SERVERS_SHARE: f64 = 0.42;
 /// The pause after a call that failed, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 250;
 
@@ -27,13 +29,21 @@
     let mut servers = ServerRecords::default();
     let mut next_servers_ms = 0;
     let mut is_lost = false;
+    let mut follower: Option<Follower> = None;
     loop {
+        if follow_gateway(&node, &mut follower).await {
+            // What was read before says nothing of the time since.
+            operator = OperatorRecords::default();
+            servers = ServerRecords::default();
+            continue;
+        }
         let result =
             read_once(&node, &mut store, &mut operator, &mut servers, &mut next_servers_ms).await;
         match result {
             Ok(()) => {
                 node.knowledge().registry.store_read(node.now_ms());
                 node.note_store_read();
+                node.has_learnt.notify_waiters();
                 if std::mem::replace(&mut is_lost, false) {
                     event!(info, node.now_ms(), "dependency_regained", { "dependency": "store" });
                 }
@@ -56,6 +66,21 @@
     }
 }
 
+/// Follows another gateway where there is one that keeps up; says whether it did.
+async fn follow_gateway(node: &Node, follower: &mut Option<Follower>) -> bool {
+    let Source::Gateway(address) = node.source() else {
+        *follower = None;
+        return false;
+    };
+    if follower.as_ref().is_none_or(|held| held.address() != address) {
+        *follower = Some(Follower::new(address));
+    }
+    match follower {
+        Some(follower) => follower.learn(node).await,
+        None => false,
+    }
+}
+
 /// Reads the servers when it is time, then waits for an operator's record until it is again.
 async fn read_once(
     node: &Node,
@@ -66,7 +91,8 @@
 ) -> Result<(), StoreError> {
     if node.now_ms() >= *next_servers_ms {
         servers.read(node, store).await?;
-        *next_servers_ms = node.now_ms() + SERVERS_EVERY_MS;
+        let every_ms = SERVERS_SHARE * node.settings.bounds.drain_ms as f64;
+        *next_servers_ms = node.now_ms() + every_ms as u64;
     }
     let wait_ms = next_servers_ms.saturating_sub(node.now_ms());
     operator.read(node, store, wait_ms).await
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -135,7 +135,9 @@
 impl MayHaveRun {
     const fn refusal(self) -> Refusal {
         match self {
-            MayHaveRun::Broke | MayHaveRun::ServerFailed => Refusal::ServerBroke,
+            MayHaveRun::Broke | MayHaveRun::ServerFailed | MayHaveRun::OldWeights => {
+                Refusal::ServerBroke
+            }
             MayHaveRun::Foreign => Refusal::ForeignAnswer,
             MayHaveRun::Late | MayHaveRun::Silent => Refusal::Late,
         }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -67,6 +67,8 @@
     Late,
     /// The server does not answer health checks either.
     Silent,
+    /// It waited at a server with older weights for too long.
+    OldWeights,
 }
 
 impl MayHaveRun {
@@ -78,6 +80,7 @@
             MayHaveRun::ServerFailed => "server_failed",
             MayHaveRun::Late => "late",
             MayHaveRun::Silent => "silent",
+            MayHaveRun::OldWeights => "old_weights",
         }
     }
 
@@ -86,7 +89,7 @@
         match self {
             MayHaveRun::Broke | MayHaveRun::Silent => Outcome::Broken,
             MayHaveRun::Foreign | MayHaveRun::ServerFailed => Outcome::Failed,
-            MayHaveRun::Late => Outcome::Abandoned,
+            MayHaveRun::Late | MayHaveRun::OldWeights => Outcome::Abandoned,
         }
     }
 }
@@ -167,7 +170,7 @@
     let sent_ms = node.now_ms();
     log_send(job, &placed, connection.is_reused);
     let sending = connection.connection.sender.try_send_request(request);
-    let (head, body) = match await_head(job, &server, sending).await {
+    let (head, body) = match await_head(job, &placed, sending).await {
         Ok(answer) => answer.into_parts(),
         Err(Unanswered::Unsent) => {
             flight.end(Outcome::Abandoned);
@@ -291,7 +294,7 @@
 /// Waits for the head of the answer, the deadline, or the server's proven silence.
 async fn await_head<F>(
     job: &Job,
-    server: &ServerId,
+    placed: &Placed,
     sending: F,
 ) -> Result<Response<Incoming>, Unanswered>
 where
@@ -302,7 +305,11 @@
         >,
     >,
 {
-    let deadline = tokio::time::sleep(Duration::from_millis(job.remaining_ms()));
+    let taken_back_at_ms = placed.engine.as_ref().and_then(|plan| plan.taken_back_at_ms);
+    let taken_back_in_ms = taken_back_at_ms.map(|at_ms| at_ms.saturating_sub(job.node.now_ms()));
+    let is_taken_back = taken_back_in_ms.is_some_and(|in_ms| in_ms < job.remaining_ms());
+    let wait_ms = taken_back_in_ms.unwrap_or(u64::MAX).min(job.remaining_ms());
+    let deadline = tokio::time::sleep(Duration::from_millis(wait_ms));
     tokio::pin!(sending, deadline);
     loop {
         let silence = job.node.silence.notified();
@@ -314,9 +321,12 @@
                     None => Unanswered::MayHaveRun(MayHaveRun::Broke),
                 }
             }),
-            () = &mut deadline => return Err(Unanswered::MayHaveRun(MayHaveRun::Late)),
+            () = &mut deadline => {
+                let reason = if is_taken_back { MayHaveRun::OldWeights } else { MayHaveRun::Late };
+                return Err(Unanswered::MayHaveRun(reason));
+            }
             () = silence => {
-                if job.may_leave_silent(server) {
+                if job.may_leave_silent(&placed.entry.id) {
                     return Err(Unanswered::MayHaveRun(MayHaveRun::Silent));
                 }
             }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -52,6 +52,8 @@
     pub blocks: BlockPlan,
     /// When unfinished fetches are discarded, on the servers' clock.
     pub fetch_until: Option<u64>,
+    /// When the request is taken back if it still waits, as newer weights are named.
+    pub taken_back_at_ms: Option<u64>,
     /// The rank in the engine's queue.
     pub rank: u8,
 }
@@ -97,7 +99,11 @@
                 knowledge.note_session(key, &entry.id, now_ms);
             }
             let rank = demand.engine_rank();
-            Some(EnginePlan { salt, weight_version, blocks, fetch_until, rank })
+            let allowed_ms = node.settings.bounds.weights_ms;
+            let named = knowledge.weights.get(&prompt.model);
+            let taken_back_at_ms =
+                named.and_then(|named| named.taken_back_at_ms(weight_version, allowed_ms));
+            Some(EnginePlan { salt, weight_version, blocks, fetch_until, taken_back_at_ms, rank })
         }
         _ => None,
     };
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -1,6 +1,6 @@
 //! The gateways that made themselves known in the store.
 
-use protocol::ids::HostName;
+use protocol::ids::{FailureDomain, HostName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,12 +14,27 @@
 pub struct GatewayRecord {
     /// Its host.
     pub host: HostName,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
     /// Where other gateways reach it.
     pub peers: SocketAddr,
     /// The start of its process, as Unix milliseconds.
     pub life: u64,
 }
 
+/// The gateways that may all read the stores by themselves: a store of kept blocks holds a dozen
+/// questions open.
+const MOST_READERS: usize = 12;
+
+/// Where a gateway learns what the stores say.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// It asks them itself.
+    Stores,
+    /// It follows the gateway at this address.
+    Gateway(SocketAddr),
+}
+
 #[derive(Debug)]
 struct Listed {
     record: GatewayRecord,
@@ -76,6 +91,23 @@
         all.filter(|record| record.host != self.own)
     }
 
+    /// Says how this gateway learns what the platform's store and the stores of kept blocks say.
+    ///
+    /// Load pattern: with many gateways, the calls of each to every store cost more than all else,
+    /// and a store of kept blocks serves only a dozen. One gateway a failure domain reads; the
+    /// others follow it, and read by themselves when it falls behind.
+    pub fn source(&self, own_domain: &FailureDomain) -> Source {
+        if !self.is_listed || self.count() <= MOST_READERS {
+            return Source::Stores;
+        }
+        let in_domain = |record: &&GatewayRecord| record.failure_domain == *own_domain;
+        let first = self.others().filter(in_domain).min_by(|left, right| left.host.cmp(&right.host));
+        match first {
+            Some(first) if first.host < self.own => Source::Gateway(first.peers),
+            _ => Source::Stores,
+        }
+    }
+
     /// Returns the place of this gateway among all by name, for turns that need no talk.
     pub fn own_rank(&self) -> usize {
         self.others().filter(|record| record.host < self.own).count()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`pool`]; [`follow`] keeps up with the platform's store.
 
 pub mod answer;
+pub mod block_log;
 pub mod callers;
 pub mod clock;
 pub mod connect;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,7 +1,8 @@
 //! State that all parts of a gateway share.
 
+use crate::block_log::{BlockEvent, BlockLog};
 use crate::clock::{self, Clock};
-use crate::gateways::Gateways;
+use crate::gateways::{Gateways, Source};
 use crate::metrics::Metrics;
 use crate::peers::News;
 use crate::pool::Pool;
@@ -68,6 +69,8 @@
     pub blocks: BlockIndex,
     /// The weights named for each model.
     pub weights: BTreeMap<ModelName, NamedVersions>,
+    /// The latest changes of what the stores keep.
+    pub block_log: BlockLog,
     /// The gateways.
     pub gateways: Gateways,
     sessions: HashMap<[u8; 8], (ServerId, u64)>,
@@ -88,6 +91,19 @@
         self.weights.entry(model).or_default().note(version, since_ms)
     }
 
+    /// Applies what happened at a store of kept blocks; says whether it must be listed anew.
+    pub fn apply_blocks(&mut self, event: BlockEvent) -> bool {
+        let must_list = match &event {
+            BlockEvent::Reported(store, report) => self.blocks.apply(*store, report),
+            BlockEvent::Forgotten(store) => {
+                self.blocks.forget_store(*store);
+                false
+            }
+        };
+        self.block_log.push(event);
+        must_list
+    }
+
     /// Notes where a session's request went.
     pub fn note_session(&mut self, key: [u8; 8], server: &ServerId, now_ms: u64) {
         if self.sessions.len() >= MAX_SESSIONS {
@@ -123,6 +139,8 @@
     pub life: u64,
     /// Woken when weights are named or servers report other weights.
     pub weights_changed: Notify,
+    /// Woken when followers have something to learn.
+    pub has_learnt: Notify,
     /// Woken when there is news for other gateways.
     pub has_news: Notify,
     /// Woken when a server falls silent.
@@ -157,6 +175,7 @@
             retry_share: RetryShare::new(bounds),
             crashes: Crashes::new(),
             blocks: BlockIndex::new(),
+            block_log: BlockLog::default(),
             weights: BTreeMap::new(),
             gateways: Gateways::new(settings.host.clone()),
             sessions: HashMap::new(),
@@ -168,6 +187,7 @@
             pool: Pool::new(),
             life: crate::clock::unix_ms(),
             weights_changed: Notify::new(),
+            has_learnt: Notify::new(),
             has_news: Notify::new(),
             silence: Notify::new(),
             news: Mutex::new(News::default()),
@@ -223,6 +243,11 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
+    /// Says where this gateway learns what the stores say.
+    pub fn source(&self) -> Source {
+        self.knowledge().gateways.source(&self.settings.failure_domain)
+    }
+
     /// Adds news for other gateways.
     pub fn tell(&self, add: impl FnOnce(&mut News)) {
         add(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner));
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -1,5 +1,6 @@
 //! Messages between gateways.
 
+use crate::block_log::BlockEvent;
 use crate::gateways::GatewayRecord;
 use dispatch::registry::{ServerEntry, ServerId, Standing};
 use protocol::ids::ModelName;
@@ -27,6 +28,45 @@
     pub gateways: Vec<GatewayRecord>,
 }
 
+/// The path of what a follower does not know yet.
+pub const FOLLOW_PATH: &str = "/peers/follow";
+
+/// What a follower knows already.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct FollowRequest {
+    /// The life of the gateway that it follows, when it last learnt from it.
+    pub life: u64,
+    /// The version of the configuration.
+    pub configuration: u64,
+    /// The generation of the registry of the gateway that it follows.
+    pub servers: u64,
+    /// The number of the next change of kept blocks.
+    pub blocks: u64,
+}
+
+/// What a follower learns.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FollowAnswer {
+    /// What it knows from now on.
+    pub next: FollowRequest,
+    /// How old it is, in milliseconds.
+    pub age_ms: u64,
+    /// The record of a newer configuration.
+    pub configuration: Option<Vec<u8>>,
+    /// The newest weight version named for each model.
+    pub weights: BTreeMap<ModelName, u64>,
+    /// The servers, if something changed.
+    pub servers: Option<Vec<(ServerEntry, Standing)>>,
+    /// Whether the changes of kept blocks start from nothing.
+    pub is_whole: bool,
+    /// The changes of kept blocks.
+    pub blocks: Vec<BlockEvent>,
+    /// The oldest weight version of each model whose kept parts may still be used.
+    pub oldest_used: Vec<(ModelName, u64)>,
+    /// The time on the servers' clock, in milliseconds, if known.
+    pub servers_clock_ms: Option<u64>,
+}
+
 /// What a gateway tells all others as it happens.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -14,7 +14,7 @@
 
 /// The age of what is known of the store from which on peers are asked. Reads come once a second
 /// and wait up to that long.
-const ASK_FROM_AGE_MS: u64 = 1_700;
+const ASK_FROM_AGE_MS: u64 = 2_600;
 /// How often peers are asked while the store cannot be read.
 const ASK_EVERY: Duration = Duration::from_millis(400);
 /// How long a peer may take. The farthest round trip takes some 30 ms.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,7 +1,10 @@
 //! Answers to other gateways.
 
 use crate::node::Node;
-use crate::peers::message::{self, NEWS_PATH, News, SNAPSHOT_PATH, Snapshot};
+use crate::peers::follow;
+use crate::peers::message::{
+    self, FOLLOW_PATH, FollowRequest, NEWS_PATH, News, SNAPSHOT_PATH, Snapshot,
+};
 use bytes::Bytes;
 use dispatch::crashes::ContentKey;
 use http::{Request, Response, StatusCode};
@@ -55,6 +58,13 @@
             Some(snapshot) => (StatusCode::OK, message::encode(&snapshot)),
             None => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         },
+        FOLLOW_PATH => match read_follow(request).await {
+            Some(known) => match follow::answer(&node, known).await {
+                Some(answer) => (StatusCode::OK, message::encode(&answer)),
+                None => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+            },
+            None => (StatusCode::BAD_REQUEST, Vec::new()),
+        },
         NEWS_PATH => {
             let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await;
             let news = body.ok().and_then(|body| message::decode::<News>(&body.to_bytes()));
@@ -73,6 +83,11 @@
     Ok(answer)
 }
 
+async fn read_follow(request: Request<Incoming>) -> Option<FollowRequest> {
+    let body = Limited::new(request.into_body(), MAX_NEWS_BYTES).collect().await.ok()?;
+    message::decode(&body.to_bytes())
+}
+
 fn snapshot(node: &Node) -> Option<Snapshot> {
     let age_ms = node.store_age_ms()?;
     let configuration = node.in_force().map(|held| held.record.clone());
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -1,6 +1,8 @@
 //! Following what the stores of kept blocks hold.
 
+use crate::block_log::BlockEvent;
 use crate::event;
+use crate::gateways::Source;
 use crate::link::{Call, CallError, Link, is_ok};
 use crate::node::Node;
 use dispatch::configuration::BlockStoreTraits;
@@ -43,7 +45,9 @@
 pub async fn run(node: Arc<Node>) {
     let mut watched: HashMap<SocketAddr, AbortHandle> = HashMap::new();
     loop {
-        if let Some(in_force) = node.in_force() {
+        if node.source() != Source::Stores {
+            watched.drain().for_each(|(_, task)| task.abort());
+        } else if let Some(in_force) = node.in_force() {
             let stores: HashMap<SocketAddr, ServiceName> = in_force
                 .configuration
                 .block_stores()
@@ -53,7 +57,7 @@
                 let is_kept = stores.contains_key(address);
                 if !is_kept {
                     task.abort();
-                    node.knowledge().blocks.forget_store(*address);
+                    tell(&node, BlockEvent::Forgotten(*address));
                 }
                 is_kept
             });
@@ -83,7 +87,7 @@
             }
             Err(error) => {
                 // Whatever it held may be gone or half written by now.
-                node.knowledge().blocks.forget_store(address);
+                tell(&node, BlockEvent::Forgotten(address));
                 next = 0;
                 node.metrics.count("block_store_failures", name.as_str());
                 if !std::mem::replace(&mut is_lost, true) {
@@ -115,7 +119,7 @@
         if !is_ok(&answer) {
             return Err(WatchError::Refused(answer.status()));
         }
-        node.knowledge().blocks.forget_store(address);
+        tell(node, BlockEvent::Forgotten(address));
         apply(node, address, &engine::read_list(answer.body())?, next);
     }
     Ok(())
@@ -126,5 +130,17 @@
     if let Some(clock_ms) = changes.clock_ms {
         node.note_servers_clock(clock_ms);
     }
-    node.knowledge().blocks.apply(address, &changes.report)
+    if changes.report.changes.is_empty() && !changes.report.has_gap && *next > 0 {
+        let is_known = node.knowledge().blocks.is_known(address, changes.report.boot_epoch);
+        if is_known {
+            return false;
+        }
+    }
+    tell(node, BlockEvent::Reported(address, changes.report.clone()))
+}
+
+fn tell(node: &Node, event: BlockEvent) -> bool {
+    let must_list = node.knowledge().apply_blocks(event);
+    node.has_learnt.notify_waiters();
+    must_list
 }
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -15,8 +15,11 @@
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// How long a health check may take. The farthest round trip takes some 30 ms.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
-/// The pause between two checks of a server that stays silent. Checks are paid for.
+/// The first pause between two checks of a server that stays silent; it doubles each time, as
+/// checks are paid for and the registry names the server gone soon.
 const CHECK_PAUSE: Duration = Duration::from_millis(700);
+/// The longest pause between two checks.
+const LONGEST_CHECK_PAUSE: Duration = Duration::from_secs(3);
 /// How often idle connections are swept, in looks.
 const SWEEP_EVERY_LOOKS: u32 = 10;
 
@@ -65,6 +68,7 @@
     checked: Arc<Mutex<HashSet<ServerId>>>,
 ) {
     let path = check_path(&node, &entry);
+    let mut pause = CHECK_PAUSE;
     while node.knowledge().loads.is_suspected(&entry.id) && is_usable(&node, &entry) {
         node.metrics.count("health_checks", "sent");
         let passed = passes(&entry, &path).await;
@@ -77,7 +81,8 @@
         node.knowledge().loads.unhealthy(&entry.id, now_ms);
         node.pool.forget(&entry.id);
         node.silence.notify_waiters();
-        tokio::time::sleep(CHECK_PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = (2 * pause).min(LONGEST_CHECK_PAUSE);
     }
     checked.lock().unwrap_or_else(PoisonError::into_inner).remove(&entry.id);
 }
