--- /dev/null
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -0,0 +1,164 @@
+//! The installation of a play: every path between processes runs over a link that can be cut.
+
+use crate::caller;
+use crate::fleet::{configuration, settings};
+use crate::process::Gateway;
+use standins::fleet::{Availability, Behaviour, Server, ServerKind, Store};
+use standins::relay::{Cut, Link, LinkConfig, Relay};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::Mutex;
+
+pub const SERVERS: usize = 3;
+const LINK: LinkConfig = LinkConfig { delay_ms: 1.0, bytes_per_s: None };
+
+/// A server behind its link.
+pub struct Member {
+    pub server: Server,
+    pub link: Arc<Link>,
+    pub relay: Relay,
+    pub service: &'static str,
+    pub heartbeat: AtomicU64,
+}
+
+impl Member {
+    async fn start(id: &str, kind: ServerKind, service: &'static str) -> Self {
+        let server = Server::start(id, kind).await.unwrap();
+        let link = Link::new(LINK);
+        let relay = Relay::start(Arc::clone(&link), server.address()).await.unwrap();
+        Self { server, link, relay, service, heartbeat: AtomicU64::new(0) }
+    }
+
+    /// Writes the server's next heartbeat.
+    pub fn beat(&self, store: &Store) {
+        let heartbeat = self.heartbeat.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut entry = self.server.entry(self.service, "east-1", heartbeat, "ready");
+        entry["address"] = self.relay.address().to_string().into();
+        store.register(&self.server.id(), &entry);
+    }
+}
+
+/// A place for a gateway; its process changes with kills and restarts.
+pub struct Place {
+    pub host: String,
+    pub store_link: Arc<Link>,
+    store_relay: Relay,
+    pub gateway: Mutex<Option<Gateway>>,
+    /// Callers find the gateway here, whichever process listens.
+    pub callers: Relay,
+    /// The lines of processes that ended.
+    pub ended: std::sync::Mutex<Vec<Vec<serde_json::Value>>>,
+}
+
+pub struct World {
+    pub store: Store,
+    pub members: Vec<Member>,
+    pub places: Vec<Place>,
+    pub version: AtomicU64,
+    pub weights: AtomicU64,
+}
+
+impl World {
+    pub async fn start(gateways: usize) -> Arc<Self> {
+        let store = Store::start().await.unwrap();
+        let mut members = Vec::new();
+        for index in 0..SERVERS {
+            let desk = Member::start(&format!("desk-{index}"), ServerKind::Plain, "desk").await;
+            let id = format!("engine-{index}");
+            let engine = Member::start(&id, ServerKind::Engine, "notes").await;
+            members.extend([desk, engine]);
+        }
+        members.iter().for_each(|member| member.beat(&store));
+        store.put_configuration(&configuration(1, &["alpha-key"]));
+        let mut places = Vec::new();
+        for index in 0..gateways {
+            places.push(Place::start(&store, format!("gateway-{index}")).await);
+        }
+        let (version, weights) = (AtomicU64::new(1), AtomicU64::new(1));
+        let world = Arc::new(Self { store, members, places, version, weights });
+        for place in &world.places {
+            place.restart().await;
+        }
+        world
+    }
+
+    /// Ends all faults and starts what is down.
+    pub async fn heal(&self) {
+        self.store.set_availability(Availability::Up);
+        for member in &self.members {
+            member.link.set_cut(Cut::None);
+            member.server.behave(Behaviour::Serves);
+            member.server.cut_after_events(None);
+            member.beat(&self.store);
+            member.beat(&self.store);
+        }
+        for place in &self.places {
+            place.store_link.set_cut(Cut::None);
+            place.resume().await;
+            if place.gateway.lock().await.is_none() {
+                place.restart().await;
+            }
+        }
+    }
+}
+
+impl Place {
+    async fn start(store: &Store, host: String) -> Self {
+        let store_link = Link::new(LINK);
+        let store_relay = Relay::start(Arc::clone(&store_link), store.address()).await.unwrap();
+        let callers = Relay::start(Link::new(LINK), store.address()).await.unwrap();
+        let ended = std::sync::Mutex::new(Vec::new());
+        Self { host, store_link, store_relay, gateway: Mutex::new(None), callers, ended }
+    }
+
+    /// Starts a process in place of the one before, if there is one.
+    pub async fn restart(&self) {
+        self.kill().await;
+        let store = self.store_relay.address().to_string();
+        let gateway = Gateway::start(&settings(&self.host, &store, &[])).await;
+        self.callers.set_target(gateway.callers);
+        *self.gateway.lock().await = Some(gateway);
+    }
+
+    pub async fn kill(&self) {
+        if let Some(mut gateway) = self.gateway.lock().await.take() {
+            gateway.kill();
+            self.ended.lock().unwrap().push(gateway.all_lines());
+        }
+    }
+
+    /// Sends SIGTERM, and starts another process once this one has ended.
+    pub async fn replace(&self) {
+        if let Some(gateway) = self.gateway.lock().await.as_ref() {
+            gateway.terminate();
+        }
+        loop {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            let mut gateway = self.gateway.lock().await;
+            if gateway.as_mut().is_none_or(|gateway| gateway.ended().is_some()) {
+                break;
+            }
+        }
+        self.restart().await;
+    }
+
+    pub async fn pause(&self) {
+        if let Some(gateway) = self.gateway.lock().await.as_ref() {
+            gateway.signal("STOP");
+        }
+    }
+
+    pub async fn resume(&self) {
+        if let Some(gateway) = self.gateway.lock().await.as_ref() {
+            gateway.signal("CONT");
+        }
+    }
+
+    /// Says whether a request on this gateway's path is served.
+    pub async fn serves(&self, path: &str) -> bool {
+        let request = caller::request(path, &caller::new_id(), "", "body");
+        let sent = caller::send(self.callers.address(), &request);
+        let answer = tokio::time::timeout(std::time::Duration::from_secs(7), sent).await;
+        answer.is_ok_and(|got| got.status == 200)
+    }
+}
