Let long prompts wait at the gateway for room that quick questions need

Change: a long prompt is placed only where it leaves a fifth of a server's memory free, by own sends and those that other gateways are taken to have; else it waits for room.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -5,7 +5,7 @@
 
 use crate::blocks::READ_AGAIN_MS_PER_TOKEN;
 use crate::configuration::EngineTraits;
-use crate::demand::Demand;
+use crate::demand::{Demand, Prompt};
 use crate::load::{Health, LoadView};
 use crate::registry::{ServerEntry, ServerId};
 use protocol::ids::{FailureDomain, Region};
@@ -39,6 +39,10 @@
 /// What a part costs that is read and cannot be kept, in milliseconds a token: the next request of
 /// its session reads it again.
 const UNKEPT_MS_PER_TOKEN: f64 = 0.02;
+/// The prompts that wait for room, in tokens of prompt and answer. Quick questions are shorter.
+const LONG_PROMPT_TOKENS: u64 = 5_000;
+/// The share of a server's memory that long prompts may fill.
+const LONG_PROMPT_SHARE: f64 = 0.8;
 /// How much earlier the server of the same session is expected to be done, in milliseconds.
 const AFFINITY_MS: f64 = 25.0;
 
@@ -51,6 +55,8 @@
     pub regions: HashMap<FailureDomain, Region>,
     /// The prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// The gateways that send to the same servers.
+    pub gateways: usize,
 }
 
 /// A server that could run the request.
@@ -103,6 +109,8 @@
     NoneKnown,
     /// The request is larger than the memory of any server.
     TooLarge,
+    /// A long prompt would push out what runs on every server; it waits for room.
+    NoRoom,
 }
 
 /// Chooses the server with the least cost; `spread` breaks ties.
@@ -123,6 +131,11 @@
     {
         return Err(NoServer::TooLarge);
     }
+    if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
+        && !has_room(standpoint, engines, prompt, candidates)
+    {
+        return Err(NoServer::NoRoom);
+    }
     let offset = spread as usize % candidates.len().max(1);
     let rotated = candidates[offset..].iter().chain(&candidates[..offset]);
     let costed = rotated.map(|candidate| {
@@ -141,6 +154,29 @@
     })
 }
 
+/// Says whether a prompt leaves some healthy server the memory that quick questions need.
+///
+/// Load pattern: long prompts fill every server, and each quick question then preempts one of
+/// them, whose prompt is read in again.
+fn has_room(
+    standpoint: &Standpoint,
+    engines: &EngineTraits,
+    prompt: &Prompt,
+    candidates: &[Candidate<'_>],
+) -> bool {
+    if prompt.run_tokens() < LONG_PROMPT_TOKENS || candidates.is_empty() {
+        return true;
+    }
+    let own: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
+    let others = (standpoint.gateways.saturating_sub(1)) as f64 * own as f64 / candidates.len() as f64;
+    let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
+    candidates.iter().any(|candidate| {
+        let held = candidate.load.memory_tokens;
+        let wanted = (held + prompt.run_tokens()) as f64 + others;
+        candidate.load.health == Health::Good && (held == 0 || wanted <= limit)
+    })
+}
+
 /// The expected time to the first byte if this gateway's sends were all.
 fn first_byte_ms(standpoint: &Standpoint, candidate: &Candidate<'_>) -> f64 {
     let read_ms = candidate.blocks.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
 use http::Response;
 use rand::Rng;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Most sends that servers refuse before the caller is told to come back.
 const MAX_REFUSED_SENDS: u32 = 3;
@@ -50,6 +51,10 @@
         }
         let placed = match place::place(&job) {
             Ok(placed) => placed,
+            Err(NoServer::NoRoom) => {
+                wait_for_room(&job).await;
+                continue;
+            }
             Err(reason) => return job.refuse_unplaced(reason),
         };
         if job.sends > 0 && !job.try_repeat() {
@@ -75,9 +80,19 @@
     }
 }
 
+/// Waits until a send ends, or a little while: the other gateways' sends end unseen.
+async fn wait_for_room(job: &Job) {
+    /// How often a waiting request is looked at.
+    const LOOK_EVERY: Duration = Duration::from_millis(60);
+    job.node.metrics.count("waits", "room");
+    // Room or not, the request is looked at again.
+    drop(tokio::time::timeout(LOOK_EVERY, job.node.has_room.notified()).await);
+}
+
 impl Job {
     fn refuse_unplaced(&mut self, reason: NoServer) -> Response<AnswerBody> {
         let refusal = match reason {
+            NoServer::NoRoom => Refusal::Overloaded,
             NoServer::NoneKnown => Refusal::NoServer,
             NoServer::TooLarge => Refusal::TooLarge,
         };
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -3,7 +3,7 @@
 use crate::forward::job::Job;
 use crate::node::{Knowledge, Node};
 use dispatch::blocks::{BlockPlan, CacheSalt, Place};
-use dispatch::choice::{self, BlockCost, Candidate, Chosen, NoServer};
+use dispatch::choice::{self, BlockCost, Candidate, Chosen, NoServer, Standpoint};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
 use dispatch::load::{FlightId, Weight};
@@ -76,8 +76,10 @@
     });
     let candidates = candidates(&knowledge, job, engines, newest, now_ms);
     let spread = rand::random::<u64>();
+    let standpoint =
+        Standpoint { gateways: knowledge.gateways.count(), ..node.standpoint.clone() };
     let chosen =
-        choice::choose(&node.standpoint, demand, engines, newest, &candidates, spread)?;
+        choice::choose(&standpoint, demand, engines, newest, &candidates, spread)?;
     let entry = candidates
         .iter()
         .find(|candidate| candidate.entry.id == chosen.server)
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -143,6 +143,8 @@
     pub has_learnt: Notify,
     /// Woken when there is news for other gateways.
     pub has_news: Notify,
+    /// Woken when a send ends and a server may have room.
+    pub has_room: Notify,
     /// Woken when a server falls silent.
     pub silence: Notify,
     in_force: Mutex<Option<Arc<InForce>>>,
@@ -168,6 +170,7 @@
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
             prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
+            gateways: 1,
         };
         let knowledge = Knowledge {
             registry: Registry::new(),
@@ -189,6 +192,7 @@
             weights_changed: Notify::new(),
             has_learnt: Notify::new(),
             has_news: Notify::new(),
+            has_room: Notify::new(),
             silence: Notify::new(),
             news: Mutex::new(News::default()),
             in_force: Mutex::new(None),
