Replay load at its worst against the decisions

Change: a coarse model of engines compares the serving policy with one rank for all and with the fewest requests: dark servers, clumps, long prompts that fill memory, sessions kept elsewhere.

--- /dev/null
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -0,0 +1,304 @@
+//! Load at its worst, replayed against the decisions with a small model of the engines.
+//!
+//! The model has one queue a server, ordered by the engine's rank, reads prompts at a fixed rate
+//! and knows the memory of runs; it is coarse, and only compares policies with each other.
+
+mod common;
+
+use common::{demand, engines, server, standpoint};
+use dispatch::choice::{BlockCost, Candidate, NoServer, Standpoint, choose};
+use dispatch::demand::{Demand, Prompt};
+use dispatch::load::{Health, LoadView};
+use dispatch::registry::ServerEntry;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+/// Prompt tokens that a server reads in a millisecond.
+const READ_PER_MS: f64 = 55.0;
+/// How long a run takes after its prompt is read, in milliseconds.
+const LONG_RUN_MS: f64 = 500.0;
+const QUICK_RUN_MS: f64 = 40.0;
+/// The objectives of the two kinds of requests, in milliseconds.
+const LONG_OBJECTIVE_MS: f64 = 1_000.0;
+const QUICK_OBJECTIVE_MS: f64 = 1_200.0;
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    /// The decisions that serve, at the engines' ranks.
+    Serving,
+    /// The same servers, but every request at one rank.
+    OneRank,
+    /// The server with the fewest requests, at one rank.
+    LeastRequests,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    demand: Demand,
+    arrives_ms: f64,
+    is_quick: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Queued {
+    job: Job,
+    rank: u8,
+    read_ms: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    waiting: Vec<Queued>,
+    reading: Option<(Queued, f64)>,
+    running: Vec<(f64, u64)>,
+    is_dark: bool,
+}
+
+impl Engine {
+    fn memory(&self) -> u64 {
+        let tokens = |queued: &Queued| tokens(&queued.job);
+        let waiting: u64 = self.waiting.iter().map(tokens).sum();
+        let reading = self.reading.as_ref().map_or(0, |(queued, _)| tokens(queued));
+        waiting + reading + self.running.iter().map(|(_, tokens)| tokens).sum::<u64>()
+    }
+
+    fn view(&self) -> LoadView {
+        let waiting_ms: f64 = self.waiting.iter().map(|queued| queued.read_ms).sum();
+        LoadView {
+            health: if self.is_dark { Health::Suspected } else { Health::Good },
+            unstarted_ms: waiting_ms + self.reading.as_ref().map_or(0.0, |(queued, _)| queued.read_ms),
+            in_flight: self.waiting.len() + self.running.len() + usize::from(self.reading.is_some()),
+            memory_tokens: self.memory(),
+            header: None,
+        }
+    }
+
+    /// Lets a millisecond pass and returns first bytes as (job, time).
+    fn step(&mut self, now_ms: f64) -> Option<(Job, f64)> {
+        self.running.retain(|(until_ms, _)| *until_ms > now_ms);
+        if self.is_dark {
+            return None;
+        }
+        if self.reading.is_none() {
+            let next = (0..self.waiting.len()).min_by_key(|index| self.waiting[*index].rank)?;
+            let queued = self.waiting.remove(next);
+            let until_ms = now_ms + queued.read_ms;
+            self.reading = Some((queued, until_ms));
+        }
+        let (queued, until_ms) = self.reading.take()?;
+        if until_ms > now_ms {
+            self.reading = Some((queued, until_ms));
+            return None;
+        }
+        let run_ms = if queued.job.is_quick { QUICK_RUN_MS } else { LONG_RUN_MS };
+        self.running.push((now_ms + run_ms, tokens(&queued.job)));
+        Some((queued.job, now_ms))
+    }
+}
+
+fn tokens(job: &Job) -> u64 {
+    job.demand.prompt.as_ref().map_or(0, Prompt::run_tokens)
+}
+
+/// What came of a replay: shares in hundredths of those that arrived, and p99 of the first byte.
+#[derive(Debug, Eq, PartialEq)]
+struct Outcome {
+    quick_in_time: u64,
+    long_in_time: u64,
+    quick_p99_ms: u64,
+}
+
+/// Arrivals of a day at its peak: clumps of quick questions beside long prompts.
+fn arrivals(seed: u64, quick_per_s: f64, long_per_s: f64, length_ms: u64) -> Vec<Job> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    for now_ms in 0..length_ms {
+        let clump = if now_ms % 900 < 300 { 2.0 } else { 0.5 };
+        for (per_s, is_quick) in [(quick_per_s, true), (long_per_s, false)] {
+            if random.random::<f64>() < clump * per_s / 1_000.0 {
+                let session = random.random_range(2..500);
+                let mut wanted = match is_quick {
+                    true => demand(session, 1_300, 500),
+                    false => demand(session, 8_600, 2_900),
+                };
+                wanted.route_rank = u8::from(!is_quick);
+                jobs.push(Job { demand: wanted, arrives_ms: now_ms as f64, is_quick });
+            }
+        }
+    }
+    jobs
+}
+
+fn replay(policy: Policy, jobs: &[Job], dark: &[usize], length_ms: u64) -> Outcome {
+    let entries: Vec<ServerEntry> = (0..9)
+        .map(|index| server(&format!("server-{index}"), ["east-1", "east-2", "west-1"][index % 3], 1))
+        .collect();
+    let mut engines_now = vec![Engine::default(); entries.len()];
+    dark.iter().for_each(|index| engines_now[*index].is_dark = true);
+    let standpoint = Standpoint { gateways: 1, ..standpoint() };
+    let mut first_bytes: BTreeMap<bool, Vec<f64>> = BTreeMap::new();
+    let mut held: Vec<Job> = Vec::new();
+    let mut next = jobs.iter().peekable();
+    for now in 0..length_ms + 8_000 {
+        let now_ms = now as f64;
+        while let Some(job) = next.next_if(|job| job.arrives_ms <= now_ms) {
+            held.push(job.clone());
+        }
+        held.retain(|job| !place(policy, &standpoint, &entries, &mut engines_now, job));
+        for engine in &mut engines_now {
+            if let Some((job, at_ms)) = engine.step(now_ms) {
+                first_bytes.entry(job.is_quick).or_default().push(at_ms - job.arrives_ms);
+            }
+        }
+    }
+    let count = |is_quick| jobs.iter().filter(|job| job.is_quick == is_quick).count().max(1);
+    let in_time = |is_quick, objective_ms: f64| {
+        let seen = first_bytes.get(&is_quick).map_or(&[] as &[f64], Vec::as_slice);
+        let good = seen.iter().filter(|took_ms| **took_ms <= objective_ms).count();
+        (100 * good / count(is_quick)) as u64
+    };
+    let mut quick = first_bytes.get(&true).cloned().unwrap_or_default();
+    quick.sort_by(f64::total_cmp);
+    Outcome {
+        quick_in_time: in_time(true, QUICK_OBJECTIVE_MS),
+        long_in_time: in_time(false, LONG_OBJECTIVE_MS),
+        quick_p99_ms: quick.get(quick.len() * 99 / 100).map_or(0, |took_ms| *took_ms as u64),
+    }
+}
+
+/// Places a job; says whether it found a server.
+fn place(
+    policy: Policy,
+    standpoint: &Standpoint,
+    entries: &[ServerEntry],
+    servers: &mut [Engine],
+    job: &Job,
+) -> bool {
+    let read_tokens = job.demand.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens);
+    let blocks = BlockCost { read_tokens, ..BlockCost::default() };
+    let candidates: Vec<Candidate<'_>> = entries
+        .iter()
+        .zip(servers.iter())
+        .map(|(entry, engine)| Candidate {
+            entry,
+            load: engine.view(),
+            blocks,
+            weight_version: Some(1),
+            has_session: false,
+        })
+        .collect();
+    let chosen = match policy {
+        Policy::LeastRequests => {
+            let least = servers.iter().enumerate().min_by_key(|(_, engine)| engine.view().in_flight);
+            least.map(|(index, _)| index)
+        }
+        Policy::Serving | Policy::OneRank => {
+            match choose(standpoint, &job.demand, Some(&engines()), Some(1), &candidates, 0) {
+                Ok(chosen) => entries.iter().position(|entry| entry.id == chosen.server),
+                Err(NoServer::NoRoom) => return false,
+                Err(NoServer::NoneKnown | NoServer::TooLarge) => None,
+            }
+        }
+    };
+    let rank = if policy == Policy::Serving { job.demand.engine_rank() } else { 5 };
+    if let Some(index) = chosen {
+        let read_ms = read_tokens as f64 / READ_PER_MS;
+        servers[index].waiting.push(Queued { job: job.clone(), rank, read_ms });
+    }
+    true
+}
+
+/// Load pattern: quick questions and long prompts of organisations with one rank, while a quarter
+/// of the servers is dark.
+#[test]
+fn quick_questions_pass_long_prompts_while_servers_are_dark() {
+    let jobs = arrivals(3, 60.0, 24.0, 20_000);
+    let serving = replay(Policy::Serving, &jobs, &[0, 4], 20_000);
+    let one_rank = replay(Policy::OneRank, &jobs, &[0, 4], 20_000);
+    assert!(serving.quick_in_time >= 97, "{serving:?}");
+    assert!(serving.quick_in_time > one_rank.quick_in_time, "{serving:?} {one_rank:?}");
+    assert!(serving.quick_p99_ms < one_rank.quick_p99_ms, "{serving:?} {one_rank:?}");
+}
+
+/// Load pattern: servers are dark while the registry still names them.
+#[test]
+fn dark_servers_cost_nothing_once_they_are_suspected() {
+    let jobs = arrivals(5, 40.0, 8.0, 10_000);
+    let serving = replay(Policy::Serving, &jobs, &[1, 5], 10_000);
+    let least = replay(Policy::LeastRequests, &jobs, &[1, 5], 10_000);
+    assert!(serving.quick_in_time >= 97 && serving.long_in_time >= 90, "{serving:?}");
+    assert!(least.quick_in_time < serving.quick_in_time, "{least:?}");
+}
+
+/// Load pattern: clumps of arrivals at a load that all servers together bear.
+#[test]
+fn clumps_spread_over_servers_by_the_work_and_not_by_the_number() {
+    let jobs = arrivals(7, 52.0, 14.0, 20_000);
+    let serving = replay(Policy::Serving, &jobs, &[], 20_000);
+    let least = replay(Policy::LeastRequests, &jobs, &[], 20_000);
+    assert!(serving.quick_in_time >= 99, "{serving:?}");
+    assert!(serving.long_in_time >= least.long_in_time, "{serving:?} {least:?}");
+    assert!(serving.quick_p99_ms < least.quick_p99_ms, "{serving:?} {least:?}");
+}
+
+/// Load pattern: long prompts come faster than they end.
+#[test]
+fn long_prompts_leave_memory_for_quick_questions() {
+    let entry = server("only", "east-1", 1);
+    let engine = |memory_tokens, in_flight| LoadView {
+        health: Health::Good,
+        unstarted_ms: 0.0,
+        in_flight,
+        memory_tokens,
+        header: None,
+    };
+    let place = |load, wanted: &Demand| {
+        let candidate = Candidate {
+            entry: &entry,
+            load,
+            blocks: BlockCost::default(),
+            weight_version: Some(1),
+            has_session: false,
+        };
+        let standpoint = Standpoint { gateways: 1, ..standpoint() };
+        choose(&standpoint, wanted, Some(&engines()), Some(1), &[candidate], 0).map(|_| ())
+    };
+    let (long, quick) = (demand(9, 8_600, 2_900), demand(9, 1_300, 500));
+    assert_eq!(place(engine(48_000, 4), &long), Ok(()));
+    assert_eq!(place(engine(60_000, 5), &long), Err(NoServer::NoRoom));
+    assert_eq!(place(engine(60_000, 5), &quick), Ok(()));
+    assert_eq!(place(engine(0, 0), &demand(9, 70_000, 5_000)), Ok(()), "the largest run alone");
+    assert_eq!(place(engine(0, 0), &demand(9, 90_000, 5_000)), Err(NoServer::TooLarge));
+}
+
+/// Load pattern: a session's parts are kept in the other region.
+#[test]
+fn a_prompt_goes_where_its_session_is_kept() {
+    let near = server("near", "east-1", 1);
+    let far = server("far", "west-1", 1);
+    let idle = LoadView {
+        health: Health::Good,
+        unstarted_ms: 0.0,
+        in_flight: 0,
+        memory_tokens: 0,
+        header: None,
+    };
+    let kept = BlockCost { read_tokens: 2_900, fetch_ms: 60.0, ..BlockCost::default() };
+    let unkept = BlockCost { read_tokens: 12_000, read_shared_tokens: 9_100, ..BlockCost::default() };
+    let candidate = |entry, blocks| Candidate {
+        entry,
+        load: idle,
+        blocks,
+        weight_version: Some(1),
+        has_session: false,
+    };
+    let choose_from = |blocks_near, blocks_far| {
+        let candidates = [candidate(&near, blocks_near), candidate(&far, blocks_far)];
+        let wanted = demand(9, 8_600, 2_900);
+        choose(&standpoint(), &wanted, Some(&engines()), Some(1), &candidates, 0).unwrap().server
+    };
+    assert_eq!(choose_from(unkept, kept), far.id);
+    assert_eq!(choose_from(kept, unkept), near.id);
+    assert_eq!(choose_from(kept, kept), near.id);
+}
