Compare the serving policy with the one before in the replay

Cause: the replay's plain policy shared the waiting for room, so both kept all quick questions in time; the test as first written compared a gain with itself. Change: the plain policy is the least unread work at one rank, as served before.

--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -27,7 +27,7 @@
 enum Policy {
     /// The decisions that serve, at the engines' ranks.
     Serving,
-    /// The same servers, but every request at one rank.
+    /// The server with the least unread work, every request at one rank and none waiting for room.
     OneRank,
     /// The server with the fewest requests, at one rank.
     LeastRequests,
@@ -193,7 +193,15 @@
             let least = servers.iter().enumerate().min_by_key(|(_, engine)| engine.view().in_flight);
             least.map(|(index, _)| index)
         }
-        Policy::Serving | Policy::OneRank => {
+        Policy::OneRank => {
+            let unread_ms = |engine: &Engine| {
+                let view = engine.view();
+                if view.health == Health::Good { view.unstarted_ms } else { f64::MAX }
+            };
+            let least = servers.iter().enumerate();
+            least.min_by(|a, b| unread_ms(a.1).total_cmp(&unread_ms(b.1))).map(|(index, _)| index)
+        }
+        Policy::Serving => {
             match choose(standpoint, &job.demand, Some(&engines()), Some(1), &candidates, 0) {
                 Ok(chosen) => entries.iter().position(|entry| entry.id == chosen.server),
                 Err(NoServer::NoRoom) => return false,
