Reload changed settings, with or without a signal

Cause: SIGHUP was logged and nothing read; a file that changes without a signal went unnoticed. Change: seeds are taken over, wrong settings leave the old in force with a line and a count.

--- a/crates/camphorwardd/src/cli.rs
+++ b/crates/camphorwardd/src/cli.rs
@@ -87,7 +87,7 @@
         _ => tokio::runtime::Builder::new_multi_thread(),
     };
     let runtime = builder.worker_threads(settings.worker_threads).enable_all().build()?;
-    if let Err(error) = runtime.block_on(gateway::daemon::run(settings)) {
+    if let Err(error) = runtime.block_on(gateway::daemon::run(settings, path)) {
         eprintln!("camphorwardd: {error}");
         return Ok(ExitCode::from(EXIT_CANNOT_START));
     }
--- a/crates/camphorwardd/tests/gateway/answers.rs
+++ b/crates/camphorwardd/tests/gateway/answers.rs
@@ -14,10 +14,16 @@
     let gateway = fleet.gateway("gateway-1").await;
     let id = new_id();
     let got = send(gateway.callers, &request("/orders/7?x=1", &id, "", "body")).await;
-    assert_eq!((got.status, got.body.as_str()), (200, format!("answer to {id} with 4 bytes").as_str()));
+    assert_eq!(
+        (got.status, got.body.as_str()),
+        (200, format!("answer to {id} with 4 bytes").as_str())
+    );
     assert!(got.header("x-server-seal").is_some());
     let ran = fleet.desks[0].ran();
-    assert_eq!((ran[0].request.method.as_str(), ran[0].request.target.as_str()), ("POST", "/orders/7?x=1"));
+    assert_eq!(
+        (ran[0].request.method.as_str(), ran[0].request.target.as_str()),
+        ("POST", "/orders/7?x=1")
+    );
     let got = post(&gateway, NOTES).await;
     assert!(got.is_whole);
     assert_eq!(got.body.matches("data: token").count(), 5);
@@ -39,7 +45,9 @@
     assert_eq!(request.header("x-expect-version"), "1");
     assert_eq!(request.header("x-cache-salt"), "1/m");
     assert_ne!(request.header("x-request-priority"), "0");
-    for name in ["authorization", "x-kv-fetch", "x-hold", "x-pin-ms", "kv-from", "x-kv-backup", "x-hop"] {
+    for name in
+        ["authorization", "x-kv-fetch", "x-hold", "x-pin-ms", "kv-from", "x-kv-backup", "x-hop"]
+    {
         assert_eq!(request.header(name), "", "{name}");
     }
     let left: u64 = request.header("x-deadline-ms").parse().unwrap();
@@ -48,7 +56,9 @@
 
 #[tokio::test]
 async fn what_may_have_run_is_never_called_not_run() {
-    for behaviour in [Behaviour::Resets, Behaviour::Foreign, Behaviour::Truncates, Behaviour::UnframedReset] {
+    for behaviour in
+        [Behaviour::Resets, Behaviour::Foreign, Behaviour::Truncates, Behaviour::UnframedReset]
+    {
         let fleet = Fleet::start(1, 0).await;
         let gateway = fleet.gateway("gateway-1").await;
         fleet.desks[0].behave(behaviour);
@@ -61,7 +71,8 @@
 
 #[tokio::test]
 async fn safe_requests_get_a_second_server() {
-    for behaviour in [Behaviour::Resets, Behaviour::Foreign, Behaviour::Truncates, Behaviour::Fails] {
+    for behaviour in [Behaviour::Resets, Behaviour::Foreign, Behaviour::Truncates, Behaviour::Fails]
+    {
         let fleet = Fleet::start(2, 0).await;
         let gateway = fleet.gateway("gateway-1").await;
         fleet.desks[0].behave(behaviour);
@@ -112,7 +123,8 @@
     fleet.engines[0].cut_after_events(Some(2));
     while fleet.engines[0].ran().is_empty() {
         let got = post(&gateway, NOTES).await;
-        let ids: Vec<&str> = got.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
+        let ids: Vec<&str> =
+            got.body.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
         assert!(got.is_whole, "{got:?}");
         assert_eq!(ids, ["1", "2", "3", "4", "5"]);
     }
--- a/crates/camphorwardd/tests/gateway/membership.rs
+++ b/crates/camphorwardd/tests/gateway/membership.rs
@@ -71,7 +71,7 @@
 #[tokio::test]
 async fn all_gateways_killed_at_once_serve_again_from_the_store() {
     let fleet = Fleet::start(1, 1).await;
-    let mut gateways = vec![fleet.gateway("gateway-1").await, fleet.gateway("gateway-2").await];
+    let mut gateways = [fleet.gateway("gateway-1").await, fleet.gateway("gateway-2").await];
     gateways.iter_mut().for_each(Gateway::kill);
     let again = fleet.gateway("gateway-1").await;
     assert_eq!(post(&again, ORDERS).await.status, 200);
--- a/crates/camphorwardd/tests/gateway/process.rs
+++ b/crates/camphorwardd/tests/gateway/process.rs
@@ -15,7 +15,7 @@
     pub peers: SocketAddr,
     pub metrics: SocketAddr,
     lines: Arc<Mutex<Vec<Value>>>,
-    _settings: NamedTempFile,
+    settings_file: NamedTempFile,
 }
 
 /// Writes settings into a file and returns the command that starts a gateway with them.
@@ -58,14 +58,20 @@
             peers: address("peers"),
             metrics: SocketAddr::from(([127, 0, 0, 1], port)),
             lines,
-            _settings: file,
+            settings_file: file,
         }
     }
 
     /// Returns the lines of one event.
     pub fn lines(&self, event: &str) -> Vec<Value> {
-        let lines = self.lines.lock().unwrap();
-        lines.iter().filter(|line| line["event"] == event).cloned().collect()
+        let lines = self.all_lines();
+        lines.into_iter().filter(|line| line["event"] == event).collect()
+    }
+
+    /// Writes other settings into the file and tells the process.
+    pub fn change_settings(&self, settings: &str) {
+        std::fs::write(self.settings_file.path(), settings).unwrap();
+        self.signal("HUP");
     }
 
     /// Returns all lines.
--- a/crates/camphorwardd/tests/gateway/refusals.rs
+++ b/crates/camphorwardd/tests/gateway/refusals.rs
@@ -50,7 +50,10 @@
     let fleet = Fleet::start(1, 0).await;
     let gateway = fleet.gateway("gateway-1").await;
     let hidden = request(ORDERS, &new_id(), "", "");
-    let framings = ["Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"];
+    let framings = [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+    ];
     for framing in framings {
         let outer = request(ORDERS, &new_id(), "", "").replace("Content-Length: 0\r\n", framing);
         let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
--- a/crates/camphorwardd/tests/gateway/settings.rs
+++ b/crates/camphorwardd/tests/gateway/settings.rs
@@ -1,11 +1,13 @@
 //! Wrong settings stop the start and name the field.
 
-use crate::fleet::settings;
+use crate::caller;
+use crate::fleet::{Fleet, ORDERS, settings};
 use crate::process::command;
 use serde_json::Value;
 
 fn start_with(change: impl FnOnce(&mut Value)) -> (Option<i32>, String) {
-    let mut value: Value = serde_json::from_str(&settings("gateway-1", "127.0.0.1:1", &[])).unwrap();
+    let mut value: Value =
+        serde_json::from_str(&settings("gateway-1", "127.0.0.1:1", &[])).unwrap();
     change(&mut value);
     let (mut command, _file) = command(&value.to_string());
     let output = command.arg("--check").output().unwrap();
@@ -47,3 +49,16 @@
     let output = command.output().unwrap();
     assert_eq!(output.status.code(), Some(2));
 }
+
+#[tokio::test]
+async fn changed_settings_are_taken_over_and_wrong_ones_are_not() {
+    let fleet = Fleet::start(1, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    let seeds = vec!["127.0.0.1:9".to_owned()];
+    gateway.change_settings(&fleet.settings("gateway-1", &seeds));
+    caller::until_line(&gateway, "reloaded").await;
+    assert_eq!(gateway.lines("reloaded")[0]["seeds"][0], "127.0.0.1:9");
+    gateway.change_settings("{ \"host\": 5 }");
+    caller::until_line(&gateway, "reload_failed").await;
+    assert_eq!(caller::post(&gateway, ORDERS).await.status, 200);
+}
--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -12,18 +12,26 @@
         caller::until_listed(gateway, 2).await;
     }
     fleet.store.name_weights("m", 2);
-    until("all have them", || fleet.engines.iter().all(|engine| engine.weight_version() == 2)).await;
+    until("all have them", || fleet.engines.iter().all(|engine| engine.weight_version() == 2))
+        .await;
     let claims: usize = gateways.iter().map(|gateway| gateway.lines("lease_claimed").len()).sum();
     assert_eq!(claims, 1);
     for engine in &fleet.engines {
         let orders = engine.orders();
         assert_eq!(orders.len(), 1);
-        assert_eq!((orders[0]["op"].as_str(), orders[0]["switchMode"].as_str()), (Some("version"), Some("queue")));
+        assert_eq!(
+            (orders[0]["op"].as_str(), orders[0]["switchMode"].as_str()),
+            (Some("version"), Some("queue"))
+        );
         assert_eq!(orders[0]["expect"].as_u64(), Some(0));
         assert_eq!(orders[0]["fence"], fleet.engines[0].orders()[0]["fence"]);
     }
-    let conditions = fleet.store.appends().into_iter().filter(|(topic, _)| topic == "keyed.steward");
-    assert!(conditions.into_iter().all(|(_, at)| at.is_some()), "a lease is never appended without condition");
+    let conditions =
+        fleet.store.appends().into_iter().filter(|(topic, _)| topic == "keyed.steward");
+    assert!(
+        conditions.into_iter().all(|(_, at)| at.is_some()),
+        "a lease is never appended without condition"
+    );
     for gateway in &gateways {
         caller::until_status(gateway, NOTES, 200).await;
     }
@@ -39,13 +47,20 @@
     let mut first = fleet.gateway("gateway-1").await;
     let second = fleet.gateway("gateway-2").await;
     fleet.store.name_weights("m", 2);
-    until("the first round is done", || fleet.engines.iter().all(|engine| engine.weight_version() == 2)).await;
+    until("the first round is done", || {
+        fleet.engines.iter().all(|engine| engine.weight_version() == 2)
+    })
+    .await;
     first.kill();
     fleet.store.name_weights("m", 3);
-    until("the second round is done", || fleet.engines.iter().all(|engine| engine.weight_version() == 3)).await;
+    until("the second round is done", || {
+        fleet.engines.iter().all(|engine| engine.weight_version() == 3)
+    })
+    .await;
     caller::until_line(&second, "lease_claimed").await;
     for engine in &fleet.engines {
-        let fences: Vec<u64> = engine.orders().iter().map(|order| order["fence"].as_u64().unwrap()).collect();
+        let fences: Vec<u64> =
+            engine.orders().iter().map(|order| order["fence"].as_u64().unwrap()).collect();
         assert!(fences.is_sorted() && fences.first() < fences.last(), "{fences:?}");
     }
 }
--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -69,8 +69,11 @@
             place.store_link.set_cut(Cut::None);
         }
         5 => {
-            let availability =
-                if lasts.as_millis() % 2 == 0 { Availability::Refuses } else { Availability::Silent };
+            let availability = if lasts.as_millis().is_multiple_of(2) {
+                Availability::Refuses
+            } else {
+                Availability::Silent
+            };
             world.store.set_availability(availability);
             tokio::time::sleep(lasts).await;
             world.store.set_availability(Availability::Up);
--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -6,9 +6,9 @@
 use crate::configuration::{BlockStoreTraits, Configuration};
 use crate::demand::{Demand, PartId, PromptPart};
 use placement::rendezvous;
-use smallvec::SmallVec;
 use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region, ServiceName};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -20,11 +20,7 @@
 
 impl CacheSalt {
     /// Builds the salt of a model's weight version, with the organisation where it shares nothing.
-    pub fn new(
-        model: &ModelName,
-        weight_version: u64,
-        dedicated: Option<&OrganisationId>,
-    ) -> Self {
+    pub fn new(model: &ModelName, weight_version: u64, dedicated: Option<&OrganisationId>) -> Self {
         match dedicated {
             None => Self(format!("{weight_version}/{model}")),
             Some(organisation) => Self(format!("{weight_version}/{model}/{organisation}")),
@@ -290,7 +286,8 @@
     /// Returns everything that is held, as reports from nothing.
     pub fn dump(&self) -> Vec<(SocketAddr, BlockReport)> {
         let reports = self.stores.iter().filter_map(|(store, state)| {
-            let stored = |(key, tokens): (&BlockKey, &u64)| BlockChange::Stored(key.clone(), *tokens);
+            let stored =
+                |(key, tokens): (&BlockKey, &u64)| BlockChange::Stored(key.clone(), *tokens);
             let changes = state.parts.iter().map(stored).collect();
             let boot_epoch = state.boot_epoch?;
             Some((*store, BlockReport { boot_epoch, has_gap: false, changes }))
@@ -433,13 +430,12 @@
         place: &Place<'_>,
         now_ms: u64,
     ) -> Option<Source> {
-        let read_ms = part.tokens as f64
-            * (1.0 / place.prefill_tokens_per_ms + READ_AGAIN_MS_PER_TOKEN);
+        let read_ms =
+            part.tokens as f64 * (1.0 / place.prefill_tokens_per_ms + READ_AGAIN_MS_PER_TOKEN);
         let sources = configuration.block_stores().filter_map(|(_, store)| {
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
-            let transfer_ms =
-                place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
+            let transfer_ms = place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
             let in_use = (state.link.now(now_ms) * place.gateways as f64).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
             (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
@@ -476,7 +472,8 @@
 
     /// A store whose content is unknown takes nothing.
     fn has_room(&self, store: &BlockStoreTraits, tokens: u64, now_ms: u64) -> bool {
-        let is_known = self.stores.get(&store.address).is_some_and(|state| state.boot_epoch.is_some());
+        let is_known =
+            self.stores.get(&store.address).is_some_and(|state| state.boot_epoch.is_some());
         let limit = (store.memory_tokens as f64 * FILL_SHARE) as u64;
         is_known && self.used_tokens(store.address, now_ms) + tokens <= limit
     }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -168,7 +168,8 @@
         return true;
     }
     let own: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
-    let others = (standpoint.gateways.saturating_sub(1)) as f64 * own as f64 / candidates.len() as f64;
+    let others =
+        (standpoint.gateways.saturating_sub(1)) as f64 * own as f64 / candidates.len() as f64;
     let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
     candidates.iter().any(|candidate| {
         let held = candidate.load.memory_tokens;
@@ -180,7 +181,10 @@
 /// The expected time to the first byte if this gateway's sends were all.
 fn first_byte_ms(standpoint: &Standpoint, candidate: &Candidate<'_>) -> f64 {
     let read_ms = candidate.blocks.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
-    candidate.load.unstarted_ms + read_ms + candidate.blocks.fetch_ms + RUNNING_MS * candidate.load.in_flight as f64
+    candidate.load.unstarted_ms
+        + read_ms
+        + candidate.blocks.fetch_ms
+        + RUNNING_MS * candidate.load.in_flight as f64
 }
 
 fn cost_ms(
@@ -238,9 +242,10 @@
     if *domain == standpoint.domain {
         return 0.0;
     }
-    let answer_bytes = demand.prompt.as_ref().map_or(PLAIN_ANSWER_BYTES, |prompt| {
-        ANSWER_BYTES_PER_TOKEN * prompt.output_tokens as f64
-    });
+    let answer_bytes = demand
+        .prompt
+        .as_ref()
+        .map_or(PLAIN_ANSWER_BYTES, |prompt| ANSWER_BYTES_PER_TOKEN * prompt.output_tokens as f64);
     let kilobytes = (demand.body_bytes as f64 + answer_bytes) / 1_000.0;
     let region = |domain| standpoint.regions.get(domain);
     let is_same_region = region(domain) == region(&standpoint.domain);
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -162,13 +162,7 @@
     }
 
     /// Notes the end of a send.
-    pub fn finished(
-        &mut self,
-        server: &ServerId,
-        flight: FlightId,
-        outcome: Outcome,
-        now_ms: u64,
-    ) {
+    pub fn finished(&mut self, server: &ServerId, flight: FlightId, outcome: Outcome, now_ms: u64) {
         let load = self.servers.entry(server.clone()).or_default();
         load.flights.retain(|other| other.id != flight);
         let pause_ms = match outcome {
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -144,11 +144,7 @@
     }
 
     /// Applies a full listing of the newest records: what it does not name is absent.
-    pub fn replace_all(
-        &mut self,
-        records: Vec<ServerRecord>,
-        now_ms: u64,
-    ) -> Vec<RegistryChange> {
+    pub fn replace_all(&mut self, records: Vec<ServerRecord>, now_ms: u64) -> Vec<RegistryChange> {
         let mut named = std::collections::HashSet::new();
         let mut changes = Vec::new();
         for record in records {
@@ -185,10 +181,7 @@
     }
 
     /// Returns the servers that take new requests of a service.
-    pub fn usable<'a>(
-        &'a self,
-        service: &'a ServiceName,
-    ) -> impl Iterator<Item = &'a ServerEntry> {
+    pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a ServerEntry> {
         let all = self.servers.values();
         let usable = all.filter(|known| known.standing != Standing::Leaving);
         usable.map(|known| &known.entry).filter(move |entry| entry.service == *service)
@@ -237,7 +230,8 @@
             let id = entry.id.clone();
             let incarnation = entry.incarnation;
             changes.extend(self.apply(ServerRecord::Present(entry), now_ms));
-            let known = self.servers.get(&id).filter(|known| known.entry.incarnation == incarnation);
+            let known =
+                self.servers.get(&id).filter(|known| known.entry.incarnation == incarnation);
             if standing == Standing::Leaving && known.is_some() {
                 changes.extend(self.note_gone(&id));
             }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -43,7 +43,12 @@
 }
 
 pub fn standpoint() -> Standpoint {
-    Standpoint { domain: id("east-1"), regions: regions(), prefill_tokens_per_ms: 55.0, gateways: 7 }
+    Standpoint {
+        domain: id("east-1"),
+        regions: regions(),
+        prefill_tokens_per_ms: 55.0,
+        gateways: 7,
+    }
 }
 
 pub fn engines() -> EngineTraits {
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -67,8 +67,11 @@
         let waiting_ms: f64 = self.waiting.iter().map(|queued| queued.read_ms).sum();
         LoadView {
             health: if self.is_dark { Health::Suspected } else { Health::Good },
-            unstarted_ms: waiting_ms + self.reading.as_ref().map_or(0.0, |(queued, _)| queued.read_ms),
-            in_flight: self.waiting.len() + self.running.len() + usize::from(self.reading.is_some()),
+            unstarted_ms: waiting_ms
+                + self.reading.as_ref().map_or(0.0, |(queued, _)| queued.read_ms),
+            in_flight: self.waiting.len()
+                + self.running.len()
+                + usize::from(self.reading.is_some()),
             memory_tokens: self.memory(),
             header: None,
         }
@@ -132,7 +135,9 @@
 
 fn replay(policy: Policy, jobs: &[Job], dark: &[usize], length_ms: u64) -> Outcome {
     let entries: Vec<ServerEntry> = (0..9)
-        .map(|index| server(&format!("server-{index}"), ["east-1", "east-2", "west-1"][index % 3], 1))
+        .map(|index| {
+            server(&format!("server-{index}"), ["east-1", "east-2", "west-1"][index % 3], 1)
+        })
         .collect();
     let mut engines_now = vec![Engine::default(); entries.len()];
     dark.iter().for_each(|index| engines_now[*index].is_dark = true);
@@ -190,7 +195,8 @@
         .collect();
     let chosen = match policy {
         Policy::LeastRequests => {
-            let least = servers.iter().enumerate().min_by_key(|(_, engine)| engine.view().in_flight);
+            let least =
+                servers.iter().enumerate().min_by_key(|(_, engine)| engine.view().in_flight);
             least.map(|(index, _)| index)
         }
         Policy::OneRank => {
@@ -293,7 +299,8 @@
         header: None,
     };
     let kept = BlockCost { read_tokens: 2_900, fetch_ms: 60.0, ..BlockCost::default() };
-    let unkept = BlockCost { read_tokens: 12_000, read_shared_tokens: 9_100, ..BlockCost::default() };
+    let unkept =
+        BlockCost { read_tokens: 12_000, read_shared_tokens: 9_100, ..BlockCost::default() };
     let candidate = |entry, blocks| Candidate {
         entry,
         load: idle,
--- a/crates/dispatch/tests/requests.rs
+++ b/crates/dispatch/tests/requests.rs
@@ -43,10 +43,8 @@
 
 #[test]
 fn weights_share_requests_out() {
-    let services = [("x", 90), ("y", 10)].map(|(name, weight)| WeightedService {
-        service: id(name),
-        weight,
-    });
+    let services =
+        [("x", 90), ("y", 10)].map(|(name, weight)| WeightedService { service: id(name), weight });
     let to_y = (0..1_000).filter(|spread| pick_service(&services, *spread) == Some(&id("y")));
     assert_eq!(to_y.count(), 100);
     assert_eq!(pick_service(&[], 5), None);
@@ -84,7 +82,8 @@
 
 #[test]
 fn quick_routes_go_first_within_a_rank() {
-    let rank = |rank, route_rank| Demand { rank, route_rank, ..demand(9, 1_000, 500) }.engine_rank();
+    let rank =
+        |rank, route_rank| Demand { rank, route_rank, ..demand(9, 1_000, 500) }.engine_rank();
     assert!(rank(1, 0) < rank(1, 1), "the question before the long prompt");
     assert!(rank(0, 2) < rank(1, 0), "the organisation before the route");
     assert!(rank(200, 200) <= 9);
--- a/crates/dispatch/tests/retry_share.rs
+++ b/crates/dispatch/tests/retry_share.rs
@@ -49,9 +49,9 @@
         let earlier = [from, from.saturating_sub(5_000), from.saturating_sub(10_000)];
         earlier.into_iter().map(|from| in_window(&firsts, from)).fold(0.0, f64::max)
     };
-    repeats.iter().all(|from| {
-        in_window(&repeats, *from) <= BOUNDS.ratio * requests(*from) + BOUNDS.slack
-    })
+    repeats
+        .iter()
+        .all(|from| in_window(&repeats, *from) <= BOUNDS.ratio * requests(*from) + BOUNDS.slack)
 }
 
 #[test]
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -39,9 +39,9 @@
         return;
     }
     let watch = Watch::new(node.now_ms());
-    let max_head = node.in_force().map_or(FIRST_HEADER_BYTES, |in_force| {
-        in_force.configuration.limits.max_header_bytes
-    });
+    let max_head = node
+        .in_force()
+        .map_or(FIRST_HEADER_BYTES, |in_force| in_force.configuration.limits.max_header_bytes);
     let io = TokioIo::new(WatchedStream::new(stream, watch.clone(), node.clock));
     let service = {
         let (node, traffic, watch) = (Arc::clone(&node), Arc::clone(&traffic), watch.clone());
@@ -70,7 +70,7 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep(Duration::from_millis(wait_ms.min(LOOK_EVERY_MS).max(1))) => {
+            () = tokio::time::sleep(Duration::from_millis(wait_ms.clamp(1, LOOK_EVERY_MS))) => {
                 if let Some(reason) = overdue(&node, &watch) {
                     node.metrics.count("caller_connections", reason);
                     return;
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -132,8 +132,7 @@
 pub fn refuse(node: &Node, id: Option<&HeaderValue>, refusal: Refusal) -> Response<AnswerBody> {
     /// When a caller should come back that met a gateway without a configuration.
     const NO_CONFIGURATION_RETRY_MS: u64 = 300;
-    let retry_after_ms =
-        (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
+    let retry_after_ms = (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
     node.metrics.count("refusals", refusal.as_str());
     event!(warn, node.now_ms(), "request_refused", {
         "request": id.and_then(|id| id.to_str().ok()),
@@ -160,9 +159,9 @@
 
 fn identify<'a>(in_force: &'a InForce, route: &Route, headers: &HeaderMap) -> Identity<'a> {
     let text = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let key = text.and_then(|text| text.split_once(' ')).and_then(|(scheme, key)| {
-        scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
-    });
+    let key = text
+        .and_then(|text| text.split_once(' '))
+        .and_then(|(scheme, key)| scheme.eq_ignore_ascii_case("bearer").then(|| key.trim()));
     routes::identify(&in_force.configuration, route, key)
 }
 
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,9 +1,9 @@
 //! Opening connections that notice a silent other side.
 
+use bytes::Bytes;
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use http_body_util::Full;
-use bytes::Bytes;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::SocketAddr;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,9 +10,10 @@
 use crate::{watch_blocks, watch_servers};
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::AbortHandle;
@@ -24,6 +25,8 @@
 const DRAIN_SHARE: f64 = 0.94;
 /// How long the log's writer gets for the last lines.
 const LAST_LINES: Duration = Duration::from_millis(250);
+/// How often it is looked whether the settings file changed without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(3);
 /// How often the drain looks whether requests are left.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
@@ -32,7 +35,7 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be listened on or a signal cannot be watched.
-pub async fn run(settings: GatewaySettings) -> io::Result<()> {
+pub async fn run(settings: GatewaySettings, file: &Path) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -40,12 +43,18 @@
     let node = Arc::new(Node::new(settings));
     let traffic = Arc::new(Traffic::default());
     let accepting = start(&node, &traffic, listeners);
+    let mut changed = modified(file);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => {
-                event!(info, node.now_ms(), "reload_requested", { "signal": "SIGHUP" });
+            _ = hangup.recv() => reload(&node, file),
+            () = tokio::time::sleep(SETTINGS_LOOK) => {
+                let now_changed = modified(file);
+                if now_changed != changed {
+                    changed = now_changed;
+                    reload(&node, file);
+                }
             }
         }
     }
@@ -53,6 +62,25 @@
     Ok(())
 }
 
+/// Returns when a file was last written; `None` if that cannot be told.
+fn modified(file: &Path) -> Option<SystemTime> {
+    std::fs::metadata(file).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// Reads the settings again; wrong ones leave the old in force.
+fn reload(node: &Node, file: &Path) {
+    match GatewaySettings::read(file) {
+        Ok(settings) => {
+            node.reload(&settings);
+            event!(info, node.now_ms(), "reloaded", { "seeds": node.seeds() });
+        }
+        Err(error) => {
+            node.metrics.count("reloads", "failed");
+            event!(warn, node.now_ms(), "reload_failed", { "error": error.to_string() });
+        }
+    }
+}
+
 /// The listeners of a gateway.
 struct Listening {
     callers: TcpListener,
@@ -106,15 +134,14 @@
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
     tokio::spawn(operators::accept(Arc::clone(node), listening.ready));
     tokio::spawn(operators::accept(Arc::clone(node), listening.metrics));
-    let accepting =
-        callers::accept(Arc::clone(node), Arc::clone(traffic), listening.callers);
+    let accepting = callers::accept(Arc::clone(node), Arc::clone(traffic), listening.callers);
     tokio::spawn(accepting).abort_handle()
 }
 
 async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| io::Error::new(error.kind(), format!("cannot listen on {address}: {error}")))
+    TcpListener::bind(address).await.map_err(|error| {
+        io::Error::new(error.kind(), format!("cannot listen on {address}: {error}"))
+    })
 }
 
 /// Answers what comes in until the balancer sends nothing more and all requests have ended.
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -20,11 +20,7 @@
     /// # Errors
     ///
     /// Says why the store could not be read.
-    pub async fn read(
-        &mut self,
-        node: &Node,
-        store: &mut StoreClient,
-    ) -> Result<(), StoreError> {
+    pub async fn read(&mut self, node: &Node, store: &mut StoreClient) -> Result<(), StoreError> {
         let changes = match self.next {
             None => self.list(node, store).await?,
             Some(from) => self.read_on(node, store, from).await?,
@@ -77,11 +73,7 @@
 }
 
 /// Logs changes of the registry and acts on them.
-pub fn note_changes(
-    node: &Node,
-    changes: impl IntoIterator<Item = RegistryChange>,
-    source: &str,
-) {
+pub fn note_changes(node: &Node, changes: impl IntoIterator<Item = RegistryChange>, source: &str) {
     for change in changes {
         let now_ms = node.now_ms();
         match change {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -16,8 +16,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use platform::headers::{
-    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, FETCH_UNTIL, LOAD,
-    NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, WEIGHT_VERSIONS, read_load,
+    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, FETCH_UNTIL,
+    LOAD, NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, WEIGHT_VERSIONS, read_load,
 };
 use platform::prompt;
 use std::sync::Arc;
@@ -160,8 +160,12 @@
 pub async fn send(job: &mut Job, placed: Placed) -> Attempt {
     let node = Arc::clone(&job.node);
     let server = placed.entry.id.clone();
-    let flight =
-        Flight { node: Arc::clone(&node), server: server.clone(), id: placed.flight, is_open: true };
+    let flight = Flight {
+        node: Arc::clone(&node),
+        server: server.clone(),
+        id: placed.flight,
+        is_open: true,
+    };
     let Some(mut connection) = connection(&node, &placed.entry).await else {
         flight.end(Outcome::Broken);
         return Attempt::NotRun(NotRun::Unconnected);
@@ -340,9 +344,7 @@
     pub fn may_leave_silent(&self, server: &ServerId) -> bool {
         let route = &self.request.route;
         let has_sends_left = (self.ran_on.len() as u32) + 1 < route.max_attempts;
-        route.kind.is_repeatable()
-            && has_sends_left
-            && self.node.knowledge().loads.is_dead(server)
+        route.kind.is_repeatable() && has_sends_left && self.node.knowledge().loads.is_dead(server)
     }
 }
 
@@ -433,12 +435,22 @@
                     job.last_event = events.last_id;
                 }
                 let first_ms = job.node.now_ms().saturating_sub(job.request.arrived_ms);
-                Attempt::Streaming(Box::new(Streaming { head, first: events.bytes, source, first_ms }))
+                Attempt::Streaming(Box::new(Streaming {
+                    head,
+                    first: events.bytes,
+                    source,
+                    first_ms,
+                }))
             }
             Ok(None) => {
                 // A stream that ends properly without an event is passed on as it is.
                 let first_ms = job.node.now_ms().saturating_sub(job.request.arrived_ms);
-                Attempt::Streaming(Box::new(Streaming { head, first: Bytes::new(), source, first_ms }))
+                Attempt::Streaming(Box::new(Streaming {
+                    head,
+                    first: Bytes::new(),
+                    source,
+                    first_ms,
+                }))
             }
             Err(reason) => {
                 source.flight.end(reason.outcome());
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -65,7 +65,8 @@
     pub fn can_try_another(&self, server: &ServerId) -> bool {
         let known = self.node.knowledge();
         let mut others = known.registry.usable(&self.request.demand.service);
-        let has_other = others.any(|entry| entry.id != *server && !self.excluded.contains(&entry.id));
+        let has_other =
+            others.any(|entry| entry.id != *server && !self.excluded.contains(&entry.id));
         has_other && (self.ran_on.len() as u32) + 1 < self.request.route.max_attempts
     }
 
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -71,15 +71,14 @@
     let configuration = &request.in_force.configuration;
     let engines = configuration.services.get(&demand.service).and_then(|found| found.engines());
     let mut knowledge = node.knowledge();
-    let newest = demand.prompt.as_ref().and_then(|prompt| {
-        knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest)
-    });
+    let newest = demand
+        .prompt
+        .as_ref()
+        .and_then(|prompt| knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest));
     let candidates = candidates(&knowledge, job, engines, newest, now_ms);
     let spread = rand::random::<u64>();
-    let standpoint =
-        Standpoint { gateways: knowledge.gateways.count(), ..node.standpoint.clone() };
-    let chosen =
-        choice::choose(&standpoint, demand, engines, newest, &candidates, spread)?;
+    let standpoint = Standpoint { gateways: knowledge.gateways.count(), ..node.standpoint.clone() };
+    let chosen = choice::choose(&standpoint, demand, engines, newest, &candidates, spread)?;
     let entry = candidates
         .iter()
         .find(|candidate| candidate.entry.id == chosen.server)
@@ -87,8 +86,12 @@
         .ok_or(NoServer::NoneKnown)?;
     let engine = match (&demand.prompt, engines) {
         (Some(prompt), Some(engines)) => {
-            let weight_version =
-                entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(FIRST_WEIGHTS);
+            let weight_version = entry
+                .weight_versions
+                .get(&prompt.model)
+                .copied()
+                .or(newest)
+                .unwrap_or(FIRST_WEIGHTS);
             let salt = salt(job, &prompt.model, weight_version);
             let place = block_place(&knowledge, job, engines, &entry.domain);
             let mut blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::{AnswerBody, streamed_body, strip_hop_headers};
 use crate::event;
-use crate::forward::attempt::{self, Attempt, MayHaveRun, Streaming, StreamSource};
+use crate::forward::attempt::{self, Attempt, MayHaveRun, StreamSource, Streaming};
 use crate::forward::job::Job;
 use crate::forward::place;
 use bytes::Bytes;
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -101,7 +101,8 @@
             return Source::Stores;
         }
         let in_domain = |record: &&GatewayRecord| record.failure_domain == *own_domain;
-        let first = self.others().filter(in_domain).min_by(|left, right| left.host.cmp(&right.host));
+        let first =
+            self.others().filter(in_domain).min_by(|left, right| left.host.cmp(&right.host));
         match first {
             Some(first) if first.host < self.own => Source::Gateway(first.peers),
             _ => Source::Stores,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -18,6 +18,7 @@
 use dispatch::routes::RouteTable;
 use protocol::ids::ModelName;
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -150,6 +151,7 @@
     in_force: Mutex<Option<Arc<InForce>>>,
     knowledge: Mutex<Knowledge>,
     news: Mutex<News>,
+    seeds: Mutex<Vec<SocketAddr>>,
     is_draining: AtomicBool,
     /// When the process ends at the latest; zero while it is not to end.
     ends_ms: AtomicU64,
@@ -197,6 +199,7 @@
             news: Mutex::new(News::default()),
             in_force: Mutex::new(None),
             knowledge: Mutex::new(knowledge),
+            seeds: Mutex::new(settings.seeds.clone().unwrap_or_default()),
             is_draining: AtomicBool::new(false),
             ends_ms: AtomicU64::new(0),
             store_read_ms: AtomicU64::new(0),
@@ -252,6 +255,17 @@
         self.knowledge().gateways.source(&self.settings.failure_domain)
     }
 
+    /// Returns the peers' addresses of a few gateways, which may be stale.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes over what of changed settings needs no new process.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        let seeds = settings.seeds.clone().unwrap_or_default();
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+
     /// Adds news for other gateways.
     pub fn tell(&self, add: impl FnOnce(&mut News)) {
         add(&mut self.news.lock().unwrap_or_else(PoisonError::into_inner));
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -46,7 +46,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (status, body) = match request.uri().path() {
-        READY_PATH => (if is_ready(&node) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, String::new()),
+        READY_PATH => (
+            if is_ready(&node) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE },
+            String::new(),
+        ),
         METRICS_PATH => (StatusCode::OK, node.metrics.to_text()),
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -51,7 +51,7 @@
     drop(knowledge);
     if peers.is_empty() {
         let own = node.settings.listen.peers;
-        peers = node.settings.seeds.clone().unwrap_or_default();
+        peers = node.seeds();
         peers.retain(|seed| Some(*seed) != own);
     }
     peers.choose(&mut rand::rng()).copied()
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -133,15 +133,15 @@
     ///
     /// Says which field is wrong and why.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let value = jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
-            .map_err(|error| SettingsError::Syntax(error.to_string()))?
-            .ok_or_else(|| SettingsError::Syntax("the text is empty".to_owned()))?;
-        let settings: Self = serde_path_to_error::deserialize(value).map_err(|error| {
-            SettingsError::Field {
+        let value =
+            jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
+                .map_err(|error| SettingsError::Syntax(error.to_string()))?
+                .ok_or_else(|| SettingsError::Syntax("the text is empty".to_owned()))?;
+        let settings: Self =
+            serde_path_to_error::deserialize(value).map_err(|error| SettingsError::Field {
                 field: error.path().to_string(),
                 reason: error.inner().to_string(),
-            }
-        })?;
+            })?;
         settings.check()?;
         Ok(settings)
     }
--- a/crates/gateway/src/steward/frees.rs
+++ b/crates/gateway/src/steward/frees.rs
@@ -34,7 +34,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
     /// The gateways have been told; parts are freed at the given time.
-    Told { free_at_ms: u64 },
+    Told {
+        free_at_ms: u64,
+    },
     Freed,
 }
 
@@ -83,7 +85,9 @@
         node.knowledge().gateways.others().map(|record| record.peers).collect();
     let calls = gateways.iter().map(|address| {
         let call = Call::post(NEWS_PATH, body.clone(), ANSWER_TIMEOUT);
-        async move { Link::new(*address).call(call).await.is_ok_and(|answer| answer.status().is_success()) }
+        async move {
+            Link::new(*address).call(call).await.is_ok_and(|answer| answer.status().is_success())
+        }
     });
     let confirmed = join_all(calls).await.into_iter().filter(|confirmed| *confirmed).count();
     let unheard_ms = if confirmed == gateways.len() {
@@ -106,7 +110,8 @@
     for (name, store) in in_force.configuration.block_stores() {
         let (epoch, parts) = node.knowledge().blocks.outdated(store.address, model, newest);
         let Some(epoch) = epoch.filter(|_| !parts.is_empty()) else { continue };
-        let until_ms = holding.valid_until_ms(node).and_then(|at_ms| node.to_servers_clock_ms(at_ms));
+        let until_ms =
+            holding.valid_until_ms(node).and_then(|at_ms| node.to_servers_clock_ms(at_ms));
         let Some(until_ms) = until_ms else { return false };
         let freed = free(store.address, epoch, until_ms, &parts).await;
         all_freed &= freed;
--- a/crates/gateway/src/steward/orders.rs
+++ b/crates/gateway/src/steward/orders.rs
@@ -112,10 +112,13 @@
         "orders_accepted": orders_accepted,
         "status": status,
     });
-    node.metrics.count("orders", status.map_or("unanswered", |status| match status {
-        200 | 202 => "accepted",
-        _ => "refused",
-    }));
+    node.metrics.count(
+        "orders",
+        status.map_or("unanswered", |status| match status {
+            200 | 202 => "accepted",
+            _ => "refused",
+        }),
+    );
     match answer {
         Ok(StatusCode::ACCEPTED | StatusCode::OK) | Err(_) => {
             // An order without an answer may have been accepted.
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -51,7 +51,9 @@
             let stores: HashMap<SocketAddr, ServiceName> = in_force
                 .configuration
                 .block_stores()
-                .map(|(name, store): (&ServiceName, &BlockStoreTraits)| (store.address, name.clone()))
+                .map(|(name, store): (&ServiceName, &BlockStoreTraits)| {
+                    (store.address, name.clone())
+                })
                 .collect();
             watched.retain(|address, task| {
                 let is_kept = stores.contains_key(address);
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -217,10 +217,8 @@
         };
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != id {
-            let headers = [
-                ("X-Instance-Id", id.as_str()),
-                ("X-Attempt-Id", request.header("x-attempt-id")),
-            ];
+            let headers =
+                [("X-Instance-Id", id.as_str()), ("X-Attempt-Id", request.header("x-attempt-id"))];
             write_answer(&mut stream, 421, &headers, b"").await?;
             continue;
         }
