Average the use of a link over longer where gateways are many

Cause: one fetch of 40 ms, times 87 gateways, made a store's link look full for two seconds, so its parts were read again. Change: the use is averaged over 0.2 s for each gateway, 1.5 s at least; a test that failed before.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -74,8 +74,11 @@
     pub changes: Vec<BlockChange>,
 }
 
-/// How long use of a link is averaged over, in milliseconds.
-const USE_WINDOW_MS: f64 = 1_500.0;
+/// How long use of a link is averaged over, in milliseconds for each gateway: one gateway's
+/// transfers stand for those of all, and the fewer it makes, the longer it takes to tell.
+const USE_WINDOW_MS: f64 = 200.0;
+/// The least time that use is averaged over, in milliseconds.
+const LEAST_USE_WINDOW_MS: f64 = 1_500.0;
 /// The use of a link beyond which it counts as full.
 const FULL_USE: f64 = 0.95;
 /// How much longer a transfer to another failure domain takes, by the platform's pages.
@@ -96,17 +99,26 @@
 }
 
 impl LinkUse {
-    fn now(&self, now_ms: u64) -> f64 {
+    /// Returns the share of the link's time that all gateways use, if all use it as this one does.
+    fn by_all(&self, gateways: usize, now_ms: u64) -> f64 {
+        self.by_own(gateways, now_ms) * gateways as f64
+    }
+
+    fn by_own(&self, gateways: usize, now_ms: u64) -> f64 {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.average * (-passed_ms / USE_WINDOW_MS).exp()
+        self.average * (-passed_ms / use_window_ms(gateways)).exp()
     }
 
-    fn add(&mut self, busy_ms: f64, now_ms: u64) {
-        self.average = self.now(now_ms) + busy_ms / USE_WINDOW_MS;
+    fn add(&mut self, busy_ms: f64, gateways: usize, now_ms: u64) {
+        self.average = self.by_own(gateways, now_ms) + busy_ms / use_window_ms(gateways);
         self.at_ms = now_ms;
     }
 }
 
+fn use_window_ms(gateways: usize) -> f64 {
+    (USE_WINDOW_MS * gateways as f64).max(LEAST_USE_WINDOW_MS)
+}
+
 /// Fetches shorter than this say nothing of a link's speed, in milliseconds.
 const LEAST_FETCH_MS: f64 = 20.0;
 /// The greatest slowdown that is told apart.
@@ -410,7 +422,8 @@
                 else {
                     continue;
                 };
-                state.link.add(place.transfer_ms(store, part.tokens), now_ms);
+                let transfer_ms = place.transfer_ms(store, part.tokens);
+                state.link.add(transfer_ms, place.gateways, now_ms);
             }
             let saved = plan.save[index].and_then(|address| self.stores.get_mut(&address));
             if let Some(state) = saved {
@@ -436,7 +449,7 @@
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
             let transfer_ms = place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
-            let in_use = (state.link.now(now_ms) * place.gateways as f64).min(FULL_USE);
+            let in_use = state.link.by_all(place.gateways, now_ms).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
             (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
                 .then_some(Source { store: store.address, cost_ms })
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -176,3 +176,19 @@
     assert_eq!(world.sources(&quick(100), &salt(1), 0)[1], PartSource::TooFar);
     assert_eq!(world.sources(&quick(100), &salt(1), 20_000)[1], PartSource::Store);
 }
+
+/// Load pattern: with many gateways each one's transfers are rare, and one of them must not make a
+/// link look full.
+#[test]
+fn one_transfer_of_many_gateways_leaves_the_link_free() {
+    let mut world = World::new(2_000_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    let (domain, regions) = (world.domain.clone(), world.regions.clone());
+    let place = Place { domain: &domain, regions: &regions, gateways: 87, ..world.place() };
+    let demand = demand(9, 8_000, 2_000);
+    let plan = world.index.plan(&world.configuration, &demand, &salt(1), &place, 0);
+    let mut index = std::mem::take(&mut world.index);
+    index.book(&world.configuration, &demand, &salt(1), &place, &plan, 0);
+    let again = index.plan(&world.configuration, &demand, &salt(1), &place, 100);
+    assert_eq!(again.sources[1], PartSource::Store);
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -268,7 +268,7 @@
 }
 
 fn log_send(job: &Job, placed: &Placed, is_reused: bool) {
-    event!(debug, job.node.now_ms(), "request_sent", {
+    event!(info, job.node.now_ms(), "request_sent", {
         "request": job.request.id_text(),
         "server": placed.entry.id.as_str(),
         "cost_ms": placed.chosen.cost_ms,
