--- a/crates/camphorwardd/tests/gateway/process.rs
+++ b/crates/camphorwardd/tests/gateway/process.rs
@@ -86,7 +86,7 @@
 
     /// Sends a signal to this process; one that has ended takes none.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let mut kill = Command::new("kill");
         kill.args([&format!("-{name}"), &id]).stderr(Stdio::null());
         drop(kill.status());
@@ -98,6 +98,11 @@
         self.child.wait().unwrap();
     }
 
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns how the process ended, if it has.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -127,15 +127,21 @@
         }
     }
 
-    /// Sends SIGTERM, and starts another process once this one has ended.
+    /// Sends SIGTERM, and starts another process once this one has ended or was replaced.
     pub async fn replace(&self) {
-        if let Some(gateway) = self.gateway.lock().await.as_ref() {
+        let Some(leaving) = self.gateway.lock().await.as_ref().map(|gateway| {
             gateway.terminate();
-        }
+            gateway.id()
+        }) else {
+            return;
+        };
         loop {
             tokio::time::sleep(std::time::Duration::from_millis(50)).await;
             let mut gateway = self.gateway.lock().await;
-            if gateway.as_mut().is_none_or(|gateway| gateway.ended().is_some()) {
+            let Some(gateway) = gateway.as_mut().filter(|gateway| gateway.id() == leaving) else {
+                return;
+            };
+            if gateway.ended().is_some() {
                 break;
             }
         }
