Split sends, streams and request heads, and serve short calls by one listener

Cause: the file of sends held three jobs, and readiness, metrics and peers each accepted by a copy. Change: moves only; an unused setting goes.

--- a/crates/camphorwardd/tests/gateway/fleet.rs
+++ b/crates/camphorwardd/tests/gateway/fleet.rs
@@ -73,7 +73,7 @@
         "seeds": seeds,
         "store": { "address": store },
         "bounds": {
-            "drain_ms": 2500, "shutdown_s": 8, "converge_ms": 2500, "retry_ratio": 0.2,
+            "drain_ms": 2500, "shutdown_s": 8, "retry_ratio": 0.2,
             "retry_slack": 54, "retry_window_s": 10, "steward_turn_ms": 3000,
             "weights_ms": 10000
         },
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,9 +2,11 @@
 
 mod attempt;
 mod events;
+mod head;
 mod job;
 mod place;
 mod relay;
+mod source;
 
 pub use crate::forward::place::MOST_FETCH_MS;
 
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -4,28 +4,24 @@
 use crate::event;
 use crate::follow;
 use crate::forward::events::EventSplitter;
+use crate::forward::head;
 use crate::forward::job::Job;
 use crate::forward::place::Placed;
+use crate::forward::source::StreamSource;
 use crate::node::Node;
 use crate::pool::ServerConnection;
 use bytes::Bytes;
 use dispatch::configuration::RouteKind;
 use dispatch::load::{FlightId, Outcome};
 use dispatch::registry::{ServerEntry, ServerId};
-use http::{HeaderValue, Request, Response, StatusCode, response};
+use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform::headers::{
-    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, FETCH_UNTIL,
-    LOAD, NOT_RUN, REQUEST_ID, SAVE_PARTS, SERVER_ID, WEIGHT_VERSIONS, read_load,
-};
+use platform::headers::{LOAD, NOT_RUN, REQUEST_ID, SERVER_ID, WEIGHT_VERSIONS, read_load};
 use platform::prompt;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The header by which a stream goes on after an event.
-const LAST_EVENT_ID: http::HeaderName = http::HeaderName::from_static("last-event-id");
-
 /// How one send went.
 #[derive(Debug)]
 pub enum Attempt {
@@ -107,19 +103,6 @@
     pub first_ms: u64,
 }
 
-/// Where a stream's events come from.
-#[derive(Debug)]
-pub struct StreamSource {
-    /// The rest of the body.
-    pub body: Incoming,
-    /// Bytes of an event that is not whole yet.
-    pub splitter: EventSplitter,
-    /// The connection, kept open as long as the stream.
-    pub connection: ServerConnection,
-    /// The send.
-    pub flight: Flight,
-}
-
 /// A send that is counted on its server until it ends.
 #[derive(Debug)]
 pub struct Flight {
@@ -170,7 +153,7 @@
         flight.end(Outcome::Broken);
         return Attempt::NotRun(NotRun::Unconnected);
     };
-    let request = build(job, &placed);
+    let request = head::build(job, &placed);
     job.sends += 1;
     let sent_ms = node.now_ms();
     log_send(job, &placed, connection.is_reused);
@@ -231,42 +214,6 @@
     }
 }
 
-fn build(job: &Job, placed: &Placed) -> Request<Full<Bytes>> {
-    let caller = &job.request;
-    let mut request = Request::new(Full::new(caller.body.clone()));
-    *request.method_mut() = caller.method.clone();
-    *request.uri_mut() = caller.target.parse().unwrap_or_default();
-    let headers = request.headers_mut();
-    *headers = caller.headers.clone();
-    headers.insert(DEADLINE_MS, HeaderValue::from(job.remaining_ms()));
-    if let Ok(id) = HeaderValue::from_str(placed.entry.id.as_str()) {
-        headers.insert(EXPECT_SERVER, id);
-    }
-    if let Some(id) = job.last_event.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
-        headers.insert(LAST_EVENT_ID, id);
-    }
-    if let Some(plan) = &placed.engine {
-        if let Ok(salt) = HeaderValue::from_str(plan.salt.as_str()) {
-            headers.insert(CACHE_SALT, salt);
-        }
-        headers.insert(EXPECT_WEIGHTS, HeaderValue::from(plan.weight_version));
-        if let Some(until_ms) = plan.fetch_until {
-            headers.insert(FETCH_UNTIL, HeaderValue::from(until_ms));
-        }
-        headers.insert(ENGINE_RANK, HeaderValue::from(u16::from(plan.rank)));
-        let places = [
-            (FETCH_PARTS, prompt::write_fetch(&plan.blocks)),
-            (SAVE_PARTS, prompt::write_save(&plan.blocks)),
-        ];
-        for (name, text) in places {
-            if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
-                headers.insert(name, value);
-            }
-        }
-    }
-    request
-}
-
 fn log_send(job: &Job, placed: &Placed, is_reused: bool) {
     event!(info, job.node.now_ms(), "request_sent", {
         "request": job.request.id_text(),
@@ -460,59 +407,6 @@
     }
 }
 
-impl StreamSource {
-    /// Returns the next whole events; `None` at the stream's proper end.
-    ///
-    /// # Errors
-    ///
-    /// Says why no more events come.
-    pub async fn next_events(
-        &mut self,
-        job: &Job,
-    ) -> Result<Option<crate::forward::events::WholeEvents>, MayHaveRun> {
-        loop {
-            let frame = match await_frame(job, self).await? {
-                None if self.splitter.has_rest() => return Err(MayHaveRun::Broke),
-                None => return Ok(None),
-                Some(frame) => frame,
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            self.flight.heard();
-            if let Some(events) = self.splitter.push(&data) {
-                return Ok(Some(events));
-            }
-            if self.splitter.is_overfull() {
-                return Err(MayHaveRun::Broke);
-            }
-        }
-    }
-}
-
-async fn await_frame(
-    job: &Job,
-    source: &mut StreamSource,
-) -> Result<Option<http_body::Frame<Bytes>>, MayHaveRun> {
-    let deadline = tokio::time::sleep(Duration::from_millis(job.remaining_ms()));
-    tokio::pin!(deadline);
-    loop {
-        let silence = job.node.silence.notified();
-        tokio::select! {
-            biased;
-            frame = source.body.frame() => return match frame {
-                None => Ok(None),
-                Some(Ok(frame)) => Ok(Some(frame)),
-                Some(Err(_)) => Err(MayHaveRun::Broke),
-            },
-            () = &mut deadline => return Err(MayHaveRun::Late),
-            () = silence => {
-                if job.may_leave_silent(&source.flight.server) {
-                    return Err(MayHaveRun::Silent);
-                }
-            }
-        }
-    }
-}
-
 /// A server whose address another one has is gone; it comes back with new heartbeats only.
 fn note_gone(node: &Node, server: &ServerId) {
     let now_ms = node.now_ms();
--- /dev/null
+++ b/crates/gateway/src/forward/head.rs
@@ -0,0 +1,52 @@
+//! The request as a server gets it.
+
+use crate::forward::job::Job;
+use crate::forward::place::Placed;
+use bytes::Bytes;
+use http::{HeaderValue, Request};
+use http_body_util::Full;
+use platform::headers::{
+    CACHE_SALT, DEADLINE_MS, ENGINE_RANK, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_PARTS, FETCH_UNTIL,
+    SAVE_PARTS,
+};
+use platform::prompt;
+
+/// The header by which a stream goes on after an event.
+const LAST_EVENT_ID: http::HeaderName = http::HeaderName::from_static("last-event-id");
+
+/// Builds the request for the server that was chosen.
+pub fn build(job: &Job, placed: &Placed) -> Request<Full<Bytes>> {
+    let caller = &job.request;
+    let mut request = Request::new(Full::new(caller.body.clone()));
+    *request.method_mut() = caller.method.clone();
+    *request.uri_mut() = caller.target.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    *headers = caller.headers.clone();
+    headers.insert(DEADLINE_MS, HeaderValue::from(job.remaining_ms()));
+    if let Ok(id) = HeaderValue::from_str(placed.entry.id.as_str()) {
+        headers.insert(EXPECT_SERVER, id);
+    }
+    if let Some(id) = job.last_event.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
+        headers.insert(LAST_EVENT_ID, id);
+    }
+    if let Some(plan) = &placed.engine {
+        if let Ok(salt) = HeaderValue::from_str(plan.salt.as_str()) {
+            headers.insert(CACHE_SALT, salt);
+        }
+        headers.insert(EXPECT_WEIGHTS, HeaderValue::from(plan.weight_version));
+        if let Some(until_ms) = plan.fetch_until {
+            headers.insert(FETCH_UNTIL, HeaderValue::from(until_ms));
+        }
+        headers.insert(ENGINE_RANK, HeaderValue::from(u16::from(plan.rank)));
+        let places = [
+            (FETCH_PARTS, prompt::write_fetch(&plan.blocks)),
+            (SAVE_PARTS, prompt::write_save(&plan.blocks)),
+        ];
+        for (name, text) in places {
+            if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+                headers.insert(name, value);
+            }
+        }
+    }
+    request
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -2,9 +2,10 @@
 
 use crate::answer::{AnswerBody, streamed_body, strip_hop_headers};
 use crate::event;
-use crate::forward::attempt::{self, Attempt, MayHaveRun, StreamSource, Streaming};
+use crate::forward::attempt::{self, Attempt, MayHaveRun, Streaming};
 use crate::forward::job::Job;
 use crate::forward::place;
+use crate::forward::source::StreamSource;
 use bytes::Bytes;
 use dispatch::load::Outcome;
 use futures_util::stream;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod gateways;
 pub mod link;
+pub mod listener;
 pub mod logs;
 pub mod metrics;
 pub mod node;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -61,8 +61,6 @@
     pub drain_ms: u64,
     /// How long after SIGTERM the process may live, in seconds.
     pub shutdown_s: f64,
-    /// How long a configuration may take to be in force, in milliseconds.
-    pub converge_ms: u64,
     /// The repeats allowed for each first send to a service, over all gateways.
     pub retry_ratio: f64,
     /// The repeats allowed besides, over all gateways.
