Split the kept blocks' file, and drop the learning of slow stores

Cause: one file held reports, places, plans and the index. Change: moves, and the code that did nothing goes. Ruled out: weighting it less: without a slow link it has nothing to tell.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -3,150 +3,40 @@
 //! Load pattern: far more sessions return than fit the engines' memory, which turns over within a
 //! few seconds, so nearly every returning prompt finds its parts in a store or nowhere.
 
+mod link_use;
+mod place;
+mod plan;
+mod report;
+
+pub use crate::blocks::place::Place;
+pub use crate::blocks::plan::{BlockPlan, PartSource};
+pub use crate::blocks::report::{BlockChange, BlockKey, BlockReport, CacheSalt};
+
+use crate::blocks::link_use::LinkUse;
 use crate::configuration::{BlockStoreTraits, Configuration};
-use crate::demand::{Demand, PartId, PromptPart};
+use crate::demand::{Demand, PromptPart};
 use placement::rendezvous;
-use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region, ServiceName};
-use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
+use protocol::ids::{ModelName, ServiceName};
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 
-/// The text under which engines and stores find parts: parts under different texts never match.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct CacheSalt(String);
-
-impl CacheSalt {
-    /// Builds the salt of a model's weight version, with the organisation where it shares nothing.
-    pub fn new(model: &ModelName, weight_version: u64, dedicated: Option<&OrganisationId>) -> Self {
-        match dedicated {
-            None => Self(format!("{weight_version}/{model}")),
-            Some(organisation) => Self(format!("{weight_version}/{model}/{organisation}")),
-        }
-    }
-
-    /// Wraps a salt that a store reported.
-    pub fn from_report(text: &str) -> Self {
-        Self(text.to_owned())
-    }
-
-    /// Says whether the parts were made by weights of a model older than a version.
-    pub fn is_older(&self, model: &ModelName, weight_version: u64) -> bool {
-        let mut fields = self.0.split('/');
-        let made = fields.next().and_then(|digits| digits.parse::<u64>().ok());
-        made.is_some_and(|made| made < weight_version) && fields.next() == Some(model.as_str())
-    }
-
-    /// Returns the salt as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Display for CacheSalt {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-/// Identifies a part under its salt.
-pub type BlockKey = (CacheSalt, PartId);
-
-/// A change that a store reported.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum BlockChange {
-    /// The part is complete with that many tokens.
-    Stored(BlockKey, u64),
-    /// The part is gone.
-    Dropped(BlockKey),
-}
-
-/// One answer to a question for a store's changes.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct BlockReport {
-    /// Changes at every restart of the store.
-    pub boot_epoch: u64,
-    /// Whether changes before these were lost.
-    pub has_gap: bool,
-    /// The changes in order.
-    pub changes: Vec<BlockChange>,
-}
-
-/// How long use of a link is averaged over, in milliseconds for each gateway: one gateway's
-/// transfers stand for those of all, and the fewer it makes, the longer it takes to tell.
-const USE_WINDOW_MS: f64 = 200.0;
-/// The least time that use is averaged over, in milliseconds.
-const LEAST_USE_WINDOW_MS: f64 = 1_500.0;
 /// The use of a link beyond which it counts as full.
 const FULL_USE: f64 = 0.95;
-/// How much longer a transfer to another failure domain takes, by the platform's pages.
-const OTHER_DOMAIN_FACTOR: f64 = 2.0;
-/// How much longer a transfer to another region takes, by the platform's pages.
-const OTHER_REGION_FACTOR: f64 = 10.0;
 /// The longest transfer that is started, in milliseconds: longer ones hold up all behind them.
 const LONGEST_TRANSFER_MS: f64 = 220.0;
 /// What reading a token again costs besides its time, in milliseconds of waiting: the accelerators
 /// read it instead of others' prompts.
 pub const READ_AGAIN_MS_PER_TOKEN: f64 = 0.06;
 
-/// The share of its time that a store's link is in use, as this gateway causes it.
-#[derive(Clone, Copy, Debug, Default)]
-struct LinkUse {
-    average: f64,
-    at_ms: u64,
-}
-
-impl LinkUse {
-    /// Returns the share of the link's time that all gateways use, if all use it as this one does.
-    fn by_all(&self, gateways: usize, now_ms: u64) -> f64 {
-        self.by_own(gateways, now_ms) * gateways as f64
-    }
-
-    fn by_own(&self, gateways: usize, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.average * (-passed_ms / use_window_ms(gateways)).exp()
-    }
-
-    fn add(&mut self, busy_ms: f64, gateways: usize, now_ms: u64) {
-        self.average = self.by_own(gateways, now_ms) + busy_ms / use_window_ms(gateways);
-        self.at_ms = now_ms;
-    }
-}
-
-fn use_window_ms(gateways: usize) -> f64 {
-    (USE_WINDOW_MS * gateways as f64).max(LEAST_USE_WINDOW_MS)
-}
-
-/// Fetches shorter than this say nothing of a link's speed, in milliseconds.
-const LEAST_FETCH_MS: f64 = 20.0;
-/// The greatest slowdown that is told apart.
-const MOST_SLOWDOWN: f64 = 12.0;
-/// The weight of one observation of a link's slowdown.
-const SLOWDOWN_WEIGHT: f64 = 0.0;
-/// How long a slowdown is remembered, in milliseconds, while nothing new is observed.
-const SLOWDOWN_MEMORY_MS: f64 = 1_500.0;
-
 #[derive(Clone, Debug, Default)]
 struct StoreState {
     link: LinkUse,
-    /// How much longer transfers take than the configuration lets expect; below one is none.
-    slowdown: f64,
-    slowdown_ms: u64,
     boot_epoch: Option<u64>,
     parts: HashMap<BlockKey, u64>,
     /// Saves under way from this gateway: tokens and when they count as lost.
     pending: HashMap<BlockKey, (u64, u64)>,
 }
 
-impl StoreState {
-    fn slowdown(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.slowdown_ms) as f64;
-        1.0 + (self.slowdown - 1.0).max(0.0) * (-passed_ms / SLOWDOWN_MEMORY_MS).exp()
-    }
-}
-
 /// How long a save may take before it counts as lost, in milliseconds. The largest part of the
 /// sheets takes under a second on the slowest link.
 const SAVE_MS: u64 = 3_000;
@@ -164,90 +54,6 @@
     oldest_used: HashMap<ModelName, u64>,
 }
 
-/// Where a part comes from, and why.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum PartSource {
-    /// A store.
-    Store,
-    /// The server reads it, as it belongs to this request alone.
-    Own,
-    /// The server reads it, as no store is known to hold it.
-    Unkept,
-    /// The server reads it, as a save of it is under way.
-    BeingSaved,
-    /// The server reads it, as a fetch would take longer.
-    TooFar,
-    /// The server reads it, as older weights made what is kept.
-    Retired,
-}
-
-impl PartSource {
-    /// Returns the source's name in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            PartSource::Store => "store",
-            PartSource::Own => "own",
-            PartSource::Unkept => "unkept",
-            PartSource::BeingSaved => "being_saved",
-            PartSource::TooFar => "too_far",
-            PartSource::Retired => "retired",
-        }
-    }
-}
-
-/// Where a request's parts come from and go to, an entry a part.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct BlockPlan {
-    /// The stores to fetch from.
-    pub fetch: Vec<Option<SocketAddr>>,
-    /// The stores to save to.
-    pub save: Vec<Option<SocketAddr>>,
-    /// Why.
-    pub sources: SmallVec<[PartSource; 4]>,
-    /// The tokens that come from stores.
-    pub fetched_tokens: u64,
-    /// The expected time of the fetches, in milliseconds.
-    pub fetch_ms: f64,
-    /// The shared tokens that the server reads, as nothing near enough keeps them.
-    pub read_shared_tokens: u64,
-    /// The shared tokens that no store near the server has room for.
-    pub unkept_tokens: u64,
-}
-
-/// A server's place and what transfers to it take.
-#[derive(Clone, Debug)]
-pub struct Place<'a> {
-    /// The server's failure domain.
-    pub domain: &'a FailureDomain,
-    /// The region of each failure domain.
-    pub regions: &'a HashMap<FailureDomain, Region>,
-    /// The bytes of a token.
-    pub token_bytes: u64,
-    /// The prompt tokens that an engine reads in a millisecond.
-    pub prefill_tokens_per_ms: f64,
-    /// The gateways that use the stores as much as this one.
-    pub gateways: usize,
-}
-
-impl Place<'_> {
-    fn is_same_region(&self, other: &FailureDomain) -> bool {
-        self.domain == other || self.regions.get(self.domain) == self.regions.get(other)
-    }
-
-    /// The time that a transfer holds the store's link.
-    fn transfer_ms(&self, store: &BlockStoreTraits, tokens: u64) -> f64 {
-        let factor = if *self.domain == store.domain {
-            1.0
-        } else if self.is_same_region(&store.domain) {
-            OTHER_DOMAIN_FACTOR
-        } else {
-            OTHER_REGION_FACTOR
-        };
-        let bits = (tokens * self.token_bytes * 8) as f64;
-        store.transfer_delay_ms + factor * bits / (store.link_mbps * 1_000.0)
-    }
-}
-
 impl BlockIndex {
     /// Creates an index of nothing.
     pub fn new() -> Self {
@@ -333,20 +139,6 @@
         (state.boot_epoch, parts)
     }
 
-    /// Notes how much longer than expected an answer took whose parts came from some stores.
-    pub fn note_fetched(&mut self, plan: &BlockPlan, excess_ms: f64, now_ms: u64) {
-        let observed = (excess_ms / plan.fetch_ms.max(LEAST_FETCH_MS)).clamp(1.0, MOST_SLOWDOWN);
-        let mut stores: Vec<SocketAddr> = plan.fetch.iter().flatten().copied().collect();
-        stores.sort_unstable();
-        stores.dedup();
-        for store in stores {
-            let Some(state) = self.stores.get_mut(&store) else { continue };
-            let average = state.slowdown(now_ms);
-            state.slowdown = average + SLOWDOWN_WEIGHT * (observed - average);
-            state.slowdown_ms = now_ms;
-        }
-    }
-
     /// Plans a request's transfers to and from the stores near a server.
     pub fn plan(
         &self,
@@ -448,7 +240,7 @@
         let sources = configuration.block_stores().filter_map(|(_, store)| {
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
-            let transfer_ms = place.transfer_ms(store, part.tokens) * state.slowdown(now_ms);
+            let transfer_ms = place.transfer_ms(store, part.tokens);
             let in_use = state.link.by_all(place.gateways, now_ms).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + 2.0 * in_use / (1.0 - in_use));
             (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
--- /dev/null
+++ b/crates/dispatch/src/blocks/place.rs
@@ -0,0 +1,43 @@
+//! Places of servers, and how long transfers to them take.
+
+use crate::configuration::BlockStoreTraits;
+use protocol::ids::{FailureDomain, Region};
+use std::collections::HashMap;
+
+/// How much longer a transfer to another failure domain takes, by the platform's pages.
+const OTHER_DOMAIN_FACTOR: f64 = 2.0;
+/// How much longer a transfer to another region takes, by the platform's pages.
+const OTHER_REGION_FACTOR: f64 = 10.0;
+/// A server's place and what transfers to it take.
+#[derive(Clone, Debug)]
+pub struct Place<'a> {
+    /// The server's failure domain.
+    pub domain: &'a FailureDomain,
+    /// The region of each failure domain.
+    pub regions: &'a HashMap<FailureDomain, Region>,
+    /// The bytes of a token.
+    pub token_bytes: u64,
+    /// The prompt tokens that an engine reads in a millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// The gateways that use the stores as much as this one.
+    pub gateways: usize,
+}
+
+impl Place<'_> {
+    pub(super) fn is_same_region(&self, other: &FailureDomain) -> bool {
+        self.domain == other || self.regions.get(self.domain) == self.regions.get(other)
+    }
+
+    /// The time that a transfer holds the store's link.
+    pub(super) fn transfer_ms(&self, store: &BlockStoreTraits, tokens: u64) -> f64 {
+        let factor = if *self.domain == store.domain {
+            1.0
+        } else if self.is_same_region(&store.domain) {
+            OTHER_DOMAIN_FACTOR
+        } else {
+            OTHER_REGION_FACTOR
+        };
+        let bits = (tokens * self.token_bytes * 8) as f64;
+        store.transfer_delay_ms + factor * bits / (store.link_mbps * 1_000.0)
+    }
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -155,7 +155,6 @@
     };
     let request = head::build(job, &placed);
     job.sends += 1;
-    let sent_ms = node.now_ms();
     log_send(job, &placed, connection.is_reused);
     let sending = connection.connection.sender.try_send_request(request);
     let (head, body) = match await_head(job, &placed, sending).await {
@@ -182,13 +181,7 @@
         return exchange.end_refused(job, &placed, reason).await;
     }
     if job.request.route.kind.is_stream() && exchange.head.status.is_success() {
-        let attempt = exchange.start_stream(job).await;
-        if let (Attempt::Streaming(_), Some(plan)) = (&attempt, &placed.engine) {
-            let took_ms = node.now_ms().saturating_sub(sent_ms) as f64;
-            let excess_ms = took_ms - placed.chosen.first_byte_ms + plan.blocks.fetch_ms;
-            node.knowledge().blocks.note_fetched(&plan.blocks, excess_ms, node.now_ms());
-        }
-        return attempt;
+        return exchange.start_stream(job).await;
     }
     exchange.read_whole(job).await
 }
