Bound how long a long prompt waits for room

Cause: where every server stayed full a long prompt could wait at the gateway until its time was over and then be refused; what can still be served must be sent while time is left. Change: after a quarter of its time it goes to a server's queue; a test of both sides of the bound. Ruled out: refusing it there: servers order their queues by rank, and most still serve it in time.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -46,6 +46,16 @@
 /// How much earlier the server of the same session is expected to be done, in milliseconds.
 const AFFINITY_MS: f64 = 25.0;
 
+/// The share of a request's time that it may wait for room at a gateway. After that a server's
+/// queue is the better place: what is left suffices to be served there.
+const WAIT_SHARE: f64 = 0.25;
+
+/// Says whether a request that came at one time and ends at another may still wait for room.
+pub fn may_wait(arrived_ms: u64, deadline_at_ms: u64, now_ms: u64) -> bool {
+    let waited_ms = now_ms.saturating_sub(arrived_ms) as f64;
+    waited_ms < WAIT_SHARE * deadline_at_ms.saturating_sub(arrived_ms) as f64
+}
+
 /// Where the gateway stands and what it assumes of engines.
 #[derive(Clone, Debug)]
 pub struct Standpoint {
@@ -57,6 +67,8 @@
     pub prefill_tokens_per_ms: f64,
     /// The gateways that send to the same servers.
     pub gateways: usize,
+    /// Whether the request may wait for room at the gateway.
+    pub may_wait: bool,
 }
 
 /// A server that could run the request.
@@ -132,6 +144,7 @@
         return Err(NoServer::TooLarge);
     }
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
+        && standpoint.may_wait
         && !has_room(standpoint, engines, prompt, candidates)
     {
         return Err(NoServer::NoRoom);
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -48,6 +48,7 @@
         regions: regions(),
         prefill_tokens_per_ms: 55.0,
         gateways: 7,
+        may_wait: true,
     }
 }
 
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use common::{demand, engines, server, standpoint};
-use dispatch::choice::{BlockCost, Candidate, NoServer, Standpoint, choose};
+use dispatch::choice::{BlockCost, Candidate, NoServer, Standpoint, choose, may_wait};
 use dispatch::demand::{Demand, Prompt};
 use dispatch::load::{Health, LoadView};
 use dispatch::registry::ServerEntry;
@@ -286,6 +286,36 @@
     assert_eq!(place(engine(0, 0), &demand(9, 90_000, 5_000)), Err(NoServer::TooLarge));
 }
 
+/// Load pattern: every server stays full for longer than a long prompt can wait.
+#[test]
+fn a_long_prompt_waits_for_a_part_of_its_time_only() {
+    assert!(may_wait(10_000, 25_000, 13_700));
+    assert!(!may_wait(10_000, 25_000, 13_800));
+    let entry = server("only", "east-1", 1);
+    let full = LoadView {
+        health: Health::Good,
+        unstarted_ms: 0.0,
+        in_flight: 5,
+        memory_tokens: 75_000,
+        header: None,
+    };
+    let candidate = Candidate {
+        entry: &entry,
+        load: full,
+        blocks: BlockCost::default(),
+        weight_version: Some(1),
+        has_session: false,
+    };
+    let long = demand(9, 8_600, 2_900);
+    let place = |may_wait| {
+        let standpoint = Standpoint { may_wait, ..standpoint() };
+        choose(&standpoint, &long, Some(&engines()), Some(1), std::slice::from_ref(&candidate), 0)
+            .map(|_| ())
+    };
+    assert_eq!(place(true), Err(NoServer::NoRoom));
+    assert_eq!(place(false), Ok(()));
+}
+
 /// Load pattern: a session's parts are kept in the other region.
 #[test]
 fn a_prompt_goes_where_its_session_is_kept() {
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -77,7 +77,11 @@
         .and_then(|prompt| knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest));
     let candidates = candidates(&knowledge, job, engines, newest, now_ms);
     let spread = rand::random::<u64>();
-    let standpoint = Standpoint { gateways: knowledge.gateways.count(), ..node.standpoint.clone() };
+    let standpoint = Standpoint {
+        gateways: knowledge.gateways.count(),
+        may_wait: choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms),
+        ..node.standpoint.clone()
+    };
     let chosen = choice::choose(&standpoint, demand, engines, newest, &candidates, spread)?;
     let entry = candidates
         .iter()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -173,6 +173,7 @@
             regions: settings.regions.clone(),
             prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
             gateways: 1,
+            may_wait: true,
         };
         let knowledge = Knowledge {
             registry: Registry::new(),
