Plan each failure domain once, and drop what nothing uses

Change: plans are kept for the choice; the sum of a store's tokens is kept with its parts; what changes from request to request stands in a Moment beside the Standpoint; Call::expecting serves both. Tests keep their assertions.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -16,7 +16,7 @@
 use crate::configuration::{BlockStoreTraits, Configuration};
 use crate::demand::{Demand, PromptPart};
 use placement::rendezvous;
-use protocol::ids::{ModelName, ServiceName};
+use protocol::ids::ModelName;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -33,6 +33,8 @@
     link: LinkUse,
     boot_epoch: Option<u64>,
     parts: HashMap<BlockKey, u64>,
+    /// The sum of the parts' tokens.
+    tokens: u64,
     /// Saves under way from this gateway: tokens and when they count as lost.
     pending: HashMap<BlockKey, (u64, u64)>,
 }
@@ -86,10 +88,11 @@
             match change {
                 BlockChange::Stored(key, tokens) => {
                     state.pending.remove(key);
-                    state.parts.insert(key.clone(), *tokens);
+                    let before = state.parts.insert(key.clone(), *tokens).unwrap_or(0);
+                    state.tokens = state.tokens + *tokens - before;
                 }
                 BlockChange::Dropped(key) => {
-                    state.parts.remove(key);
+                    state.tokens -= state.parts.remove(key).unwrap_or(0);
                 }
             }
         }
@@ -122,7 +125,7 @@
     pub fn used_tokens(&self, store: SocketAddr, now_ms: u64) -> u64 {
         let Some(state) = self.stores.get(&store) else { return 0 };
         let pending = state.pending.values().filter(|(_, until_ms)| *until_ms > now_ms);
-        state.parts.values().sum::<u64>() + pending.map(|(tokens, _)| tokens).sum::<u64>()
+        state.tokens + pending.map(|(tokens, _)| tokens).sum::<u64>()
     }
 
     /// Returns the parts that a store holds and that older weights of a model made.
@@ -163,7 +166,8 @@
             }
             let key = (salt.clone(), part.id);
             let source = self.source(configuration, &key, part, place, now_ms);
-            let target = if self.is_kept(&key) {
+            let is_kept = self.is_kept(&key);
+            let target = if is_kept {
                 Target::Held
             } else {
                 self.target(configuration, &key, part, place, now_ms)
@@ -177,7 +181,7 @@
             }
             plan.sources.push(match (&source, target) {
                 (Some(_), _) => PartSource::Store,
-                (None, _) if self.is_kept(&key) => PartSource::TooFar,
+                (None, _) if is_kept => PartSource::TooFar,
                 (None, Target::Held) => PartSource::BeingSaved,
                 (None, _) => PartSource::Unkept,
             });
@@ -258,17 +262,16 @@
         place: &Place<'_>,
         now_ms: u64,
     ) -> Target {
-        let near: Vec<(&ServiceName, &BlockStoreTraits)> = configuration
-            .block_stores()
-            .filter(|(_, store)| place.is_same_region(&store.domain))
-            .collect();
         let is_pending = |state: &StoreState| {
             state.pending.get(key).is_some_and(|(_, until_ms)| *until_ms > now_ms)
         };
         if self.stores.values().any(is_pending) {
             return Target::Held;
         }
-        let roomy = near.into_iter().filter(|(_, store)| self.has_room(store, part.tokens, now_ms));
+        let roomy = configuration
+            .block_stores()
+            .filter(|(_, store)| place.is_same_region(&store.domain))
+            .filter(|(_, store)| self.has_room(store, part.tokens, now_ms));
         match rendezvous::winner(&key.1.to_bytes(), roomy, |(name, _)| name.as_str().as_bytes()) {
             Some((_, store)) => Target::Store(store.address),
             None => Target::NoRoom,
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -65,10 +65,19 @@
     pub regions: HashMap<FailureDomain, Region>,
     /// The prompt tokens that an engine reads in a millisecond.
     pub prefill_tokens_per_ms: f64,
+}
+
+/// What a choice depends on besides the request and the servers.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// The newest weight version named for the model.
+    pub newest_version: Option<u64>,
     /// The gateways that send to the same servers.
     pub gateways: usize,
     /// Whether the request may wait for room at the gateway.
     pub may_wait: bool,
+    /// Breaks ties.
+    pub spread: u64,
 }
 
 /// A server that could run the request.
@@ -125,7 +134,7 @@
     NoRoom,
 }
 
-/// Chooses the server with the least cost; `spread` breaks ties.
+/// Chooses the server with the least cost.
 ///
 /// # Errors
 ///
@@ -134,9 +143,8 @@
     standpoint: &Standpoint,
     demand: &Demand,
     engines: Option<&EngineTraits>,
-    newest_version: Option<u64>,
+    moment: &Moment,
     candidates: &[Candidate<'_>],
-    spread: u64,
 ) -> Result<Chosen, NoServer> {
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
         && prompt.run_tokens() > engines.memory_tokens
@@ -144,15 +152,15 @@
         return Err(NoServer::TooLarge);
     }
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
-        && standpoint.may_wait
-        && !has_room(standpoint, engines, prompt, candidates)
+        && moment.may_wait
+        && !has_room(moment.gateways, engines, prompt, candidates)
     {
         return Err(NoServer::NoRoom);
     }
-    let offset = spread as usize % candidates.len().max(1);
+    let offset = moment.spread as usize % candidates.len().max(1);
     let rotated = candidates[offset..].iter().chain(&candidates[..offset]);
     let costed = rotated.map(|candidate| {
-        (cost_ms(standpoint, demand, engines, newest_version, candidate), candidate)
+        (cost_ms(standpoint, demand, engines, moment.newest_version, candidate), candidate)
     });
     let best = costed.min_by(|(left, _), (right, _)| left.total_cmp(right));
     let Some((cost_ms, candidate)) = best else {
@@ -172,7 +180,7 @@
 /// Load pattern: long prompts fill every server, and each quick question then preempts one of
 /// them, whose prompt is read in again.
 fn has_room(
-    standpoint: &Standpoint,
+    gateways: usize,
     engines: &EngineTraits,
     prompt: &Prompt,
     candidates: &[Candidate<'_>],
@@ -181,8 +189,7 @@
         return true;
     }
     let own: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
-    let others =
-        (standpoint.gateways.saturating_sub(1)) as f64 * own as f64 / candidates.len() as f64;
+    let others = gateways.saturating_sub(1) as f64 * own as f64 / candidates.len() as f64;
     let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
     candidates.iter().any(|candidate| {
         let held = candidate.load.memory_tokens;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -175,11 +175,6 @@
         changes
     }
 
-    /// Forgets servers that left long ago, so that the registry stays small.
-    pub fn forget(&mut self, id: &ServerId) {
-        self.servers.remove(id);
-    }
-
     /// Returns the servers that take new requests of a service.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a ServerEntry> {
         let all = self.servers.values();
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -139,7 +139,7 @@
     }
 
     /// Returns the oldest version that requests may still go to, where `allowed_ms` is the
-    /// installation's bound, and forgets versions before it.
+    /// installation's bound.
     pub fn oldest_usable(&self, allowed_ms: u64, now_ms: u64) -> u64 {
         let bound_ms = (OLD_WEIGHTS_SHARE * allowed_ms as f64) as u64;
         let due = self.named.iter().filter(|(_, since_ms)| now_ms >= since_ms + bound_ms);
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Servers, stores and requests that the tests share.
 #![allow(dead_code)]
 
-use dispatch::choice::Standpoint;
+use dispatch::choice::{Moment, Standpoint};
 use dispatch::configuration::{
     BlockStoreTraits, CallerLimits, Configuration, EngineTraits, RouteKind, Service, ServiceKind,
 };
@@ -43,13 +43,11 @@
 }
 
 pub fn standpoint() -> Standpoint {
-    Standpoint {
-        domain: id("east-1"),
-        regions: regions(),
-        prefill_tokens_per_ms: 55.0,
-        gateways: 7,
-        may_wait: true,
-    }
+    Standpoint { domain: id("east-1"), regions: regions(), prefill_tokens_per_ms: 55.0 }
+}
+
+pub fn moment(gateways: usize) -> Moment {
+    Moment { newest_version: Some(1), gateways, may_wait: true, spread: 0 }
 }
 
 pub fn engines() -> EngineTraits {
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -5,8 +5,8 @@
 
 mod common;
 
-use common::{demand, engines, server, standpoint};
-use dispatch::choice::{BlockCost, Candidate, NoServer, Standpoint, choose, may_wait};
+use common::{demand, engines, moment, server, standpoint};
+use dispatch::choice::{BlockCost, Candidate, Moment, NoServer, Standpoint, choose, may_wait};
 use dispatch::demand::{Demand, Prompt};
 use dispatch::load::{Health, LoadView};
 use dispatch::registry::ServerEntry;
@@ -141,7 +141,7 @@
         .collect();
     let mut engines_now = vec![Engine::default(); entries.len()];
     dark.iter().for_each(|index| engines_now[*index].is_dark = true);
-    let standpoint = Standpoint { gateways: 1, ..standpoint() };
+    let standpoint = standpoint();
     let mut first_bytes: BTreeMap<bool, Vec<f64>> = BTreeMap::new();
     let mut held: Vec<Job> = Vec::new();
     let mut next = jobs.iter().peekable();
@@ -208,7 +208,7 @@
             least.min_by(|a, b| unread_ms(a.1).total_cmp(&unread_ms(b.1))).map(|(index, _)| index)
         }
         Policy::Serving => {
-            match choose(standpoint, &job.demand, Some(&engines()), Some(1), &candidates, 0) {
+            match choose(standpoint, &job.demand, Some(&engines()), &moment(1), &candidates) {
                 Ok(chosen) => entries.iter().position(|entry| entry.id == chosen.server),
                 Err(NoServer::NoRoom) => return false,
                 Err(NoServer::NoneKnown | NoServer::TooLarge) => None,
@@ -275,8 +275,7 @@
             weight_version: Some(1),
             has_session: false,
         };
-        let standpoint = Standpoint { gateways: 1, ..standpoint() };
-        choose(&standpoint, wanted, Some(&engines()), Some(1), &[candidate], 0).map(|_| ())
+        choose(&standpoint(), wanted, Some(&engines()), &moment(1), &[candidate]).map(|_| ())
     };
     let (long, quick) = (demand(9, 8_600, 2_900), demand(9, 1_300, 500));
     assert_eq!(place(engine(48_000, 4), &long), Ok(()));
@@ -308,8 +307,8 @@
     };
     let long = demand(9, 8_600, 2_900);
     let place = |may_wait| {
-        let standpoint = Standpoint { may_wait, ..standpoint() };
-        choose(&standpoint, &long, Some(&engines()), Some(1), std::slice::from_ref(&candidate), 0)
+        let moment = Moment { may_wait, ..moment(7) };
+        choose(&standpoint(), &long, Some(&engines()), &moment, std::slice::from_ref(&candidate))
             .map(|_| ())
     };
     assert_eq!(place(true), Err(NoServer::NoRoom));
@@ -341,7 +340,7 @@
     let choose_from = |blocks_near, blocks_far| {
         let candidates = [candidate(&near, blocks_near), candidate(&far, blocks_far)];
         let wanted = demand(9, 8_600, 2_900);
-        choose(&standpoint(), &wanted, Some(&engines()), Some(1), &candidates, 0).unwrap().server
+        choose(&standpoint(), &wanted, Some(&engines()), &moment(7), &candidates).unwrap().server
     };
     assert_eq!(choose_from(unkept, kept), far.id);
     assert_eq!(choose_from(kept, unkept), near.id);
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -21,12 +21,6 @@
     pub fn now_ms(&self) -> u64 {
         read_ms(ClockId::Boottime) - self.origin_ms
     }
-
-    /// Returns by how much suspension has set the clock ahead of the one that timers use, in
-    /// milliseconds; only differences mean something.
-    pub fn suspended_ms() -> u64 {
-        read_ms(ClockId::Boottime).saturating_sub(read_ms(ClockId::Monotonic))
-    }
 }
 
 impl Default for Clock {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -124,7 +124,7 @@
         const LONGEST_MS: u64 = 1_000;
         let usable_ms = self.remaining_ms() / 4;
         let most_ms = usable_ms.clamp(SHORTEST_MS + 1, LONGEST_MS);
-        rand::rng().random_range(SHORTEST_MS..most_ms.max(SHORTEST_MS + 1))
+        rand::rng().random_range(SHORTEST_MS..most_ms)
     }
 
     fn refuse(&mut self, refusal: Refusal, retry_after_ms: Option<u64>) -> Response<AnswerBody> {
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -3,7 +3,7 @@
 use crate::forward::job::Job;
 use crate::node::{Knowledge, Node};
 use dispatch::blocks::{BlockPlan, CacheSalt, Place};
-use dispatch::choice::{self, BlockCost, Candidate, Chosen, NoServer, Standpoint};
+use dispatch::choice::{self, BlockCost, Candidate, Chosen, Moment, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
 use dispatch::load::{FlightId, Weight};
@@ -75,14 +75,15 @@
         .prompt
         .as_ref()
         .and_then(|prompt| knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest));
-    let candidates = candidates(&knowledge, job, engines, newest, now_ms);
-    let spread = rand::random::<u64>();
-    let standpoint = Standpoint {
+    let mut plans = Plans::new();
+    let candidates = candidates(&knowledge, job, engines, newest, &mut plans, now_ms);
+    let moment = Moment {
+        newest_version: newest,
         gateways: knowledge.gateways.count(),
         may_wait: choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms),
-        ..node.standpoint.clone()
+        spread: rand::random(),
     };
-    let chosen = choice::choose(&standpoint, demand, engines, newest, &candidates, spread)?;
+    let chosen = choice::choose(&node.standpoint, demand, engines, &moment, &candidates)?;
     let entry = candidates
         .iter()
         .find(|candidate| candidate.entry.id == chosen.server)
@@ -90,15 +91,11 @@
         .ok_or(NoServer::NoneKnown)?;
     let engine = match (&demand.prompt, engines) {
         (Some(prompt), Some(engines)) => {
-            let weight_version = entry
-                .weight_versions
-                .get(&prompt.model)
-                .copied()
-                .or(newest)
-                .unwrap_or(FIRST_WEIGHTS);
+            let weight_version = weight_version(&entry, prompt, newest);
             let salt = salt(job, &prompt.model, weight_version);
             let place = block_place(&knowledge, job, engines, &entry.domain);
-            let mut blocks = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+            let planned = plans.into_iter().find(|planned| planned.is_for(&entry, weight_version));
+            let mut blocks = planned.ok_or(NoServer::NoneKnown)?.plan;
             let fetch_until = fetch_until(node, demand, now_ms);
             if fetch_until.is_none() {
                 blocks.fetch.fill(None);
@@ -121,11 +118,42 @@
     Ok(Placed { entry, chosen, flight, engine })
 }
 
+/// A plan that serves all servers of one failure domain with the same weights.
+#[derive(Debug)]
+struct Planned {
+    domain: FailureDomain,
+    weight_version: u64,
+    plan: BlockPlan,
+}
+
+type Plans = SmallVec<[Planned; 4]>;
+
+impl Planned {
+    fn is_for(&self, entry: &ServerEntry, weight_version: u64) -> bool {
+        self.domain == entry.domain && self.weight_version == weight_version
+    }
+
+    fn cost(&self, prompt: &Prompt) -> BlockCost {
+        BlockCost {
+            read_tokens: prompt.input_tokens.saturating_sub(self.plan.fetched_tokens),
+            read_shared_tokens: self.plan.read_shared_tokens,
+            unkept_tokens: self.plan.unkept_tokens,
+            fetch_ms: self.plan.fetch_ms,
+        }
+    }
+}
+
+/// Returns the weights that a server is taken to have.
+fn weight_version(entry: &ServerEntry, prompt: &Prompt, newest: Option<u64>) -> u64 {
+    entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(FIRST_WEIGHTS)
+}
+
 fn candidates<'a>(
     knowledge: &'a Knowledge,
     job: &'a Job,
     engines: Option<&EngineTraits>,
     newest: Option<u64>,
+    plans: &mut Plans,
     now_ms: u64,
 ) -> Vec<Candidate<'a>> {
     let demand = &job.request.demand;
@@ -134,8 +162,6 @@
     let session_server = session.and_then(|key| knowledge.session_server(&key, now_ms));
     let usable = knowledge.registry.usable(&demand.service);
     let untried = usable.filter(|entry| !job.excluded.contains(&entry.id));
-    // Servers of one failure domain with the same weights share what stores mean for them.
-    let mut costs: SmallVec<[(&FailureDomain, Option<u64>, BlockCost); 8]> = SmallVec::new();
     let mut candidates = Vec::new();
     let oldest_usable = oldest_usable_weights(knowledge, job, now_ms);
     for entry in untried {
@@ -143,23 +169,19 @@
         if version.is_some_and(|version| version < oldest_usable) {
             continue;
         }
-        let known = costs.iter().find(|cost| *cost.0 == entry.domain && cost.1 == version);
-        let blocks = match (known, prompt, engines) {
-            (Some(known), _, _) => known.2,
-            (None, Some(prompt), Some(engines)) => {
-                let made_by = version.or(newest).unwrap_or(FIRST_WEIGHTS);
-                let salt = salt(job, &prompt.model, made_by);
-                let place = block_place(knowledge, job, engines, &entry.domain);
-                let configuration = &job.request.in_force.configuration;
-                let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
-                let cost = BlockCost {
-                    read_tokens: prompt.input_tokens.saturating_sub(plan.fetched_tokens),
-                    read_shared_tokens: plan.read_shared_tokens,
-                    unkept_tokens: plan.unkept_tokens,
-                    fetch_ms: plan.fetch_ms,
-                };
-                costs.push((&entry.domain, version, cost));
-                cost
+        let blocks = match (prompt, engines) {
+            (Some(prompt), Some(engines)) => {
+                let weight_version = weight_version(entry, prompt, newest);
+                let known = plans.iter().position(|plan| plan.is_for(entry, weight_version));
+                let index = known.unwrap_or_else(|| {
+                    let salt = salt(job, &prompt.model, weight_version);
+                    let place = block_place(knowledge, job, engines, &entry.domain);
+                    let configuration = &job.request.in_force.configuration;
+                    let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
+                    plans.push(Planned { domain: entry.domain.clone(), weight_version, plan });
+                    plans.len() - 1
+                });
+                plans[index].cost(prompt)
             }
             _ => BlockCost::default(),
         };
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,9 +3,11 @@
 
 use crate::connect::{self, ClientConnection};
 use bytes::Bytes;
+use dispatch::registry::ServerId;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use platform::codec::CONTENT_TYPE;
+use platform::headers::EXPECT_SERVER;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -57,6 +59,14 @@
         call.with_header(http::header::CONTENT_TYPE, HeaderValue::from_static(CONTENT_TYPE))
     }
 
+    /// Names the only server that may take the call.
+    pub fn expecting(self, server: &ServerId) -> Self {
+        match HeaderValue::from_str(server.as_str()) {
+            Ok(id) => self.with_header(EXPECT_SERVER, id),
+            Err(_) => self,
+        }
+    }
+
     /// Adds a header.
     pub fn with_header(mut self, name: http::HeaderName, value: http::HeaderValue) -> Self {
         self.headers.insert(name, value);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,13 +26,8 @@
 
     /// Counts one event; `label` tells its reason or kind.
     pub fn count(&self, name: &'static str, label: &str) {
-        self.add(name, label, 1);
-    }
-
-    /// Counts several events.
-    pub fn add(&self, name: &'static str, label: &str, by: u64) {
         let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        *counters.entry((name, label.to_owned())).or_default() += by;
+        *counters.entry((name, label.to_owned())).or_default() += 1;
     }
 
     /// Records a latency.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -172,8 +172,6 @@
             domain: settings.failure_domain.clone(),
             regions: settings.regions.clone(),
             prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
-            gateways: 1,
-            may_wait: true,
         };
         let knowledge = Knowledge {
             registry: Registry::new(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -98,11 +98,6 @@
         });
     }
 
-    /// Closes all idle connections.
-    pub fn clear(&self) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
-    }
-
     /// Closes the idle connections to one server.
     pub fn forget(&self, server: &ServerId) {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(server);
--- a/crates/gateway/src/steward/orders.rs
+++ b/crates/gateway/src/steward/orders.rs
@@ -8,9 +8,8 @@
 use dispatch::registry::{ServerEntry, ServerId};
 use dispatch::rollout::Step;
 use futures_util::future::join_all;
-use http::{HeaderValue, StatusCode};
+use http::StatusCode;
 use platform::engine::{self, LoadWeights, ORDER_PATH, REPORT_PATH, ServerReport};
-use platform::headers::EXPECT_SERVER;
 use protocol::ids::ModelName;
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,7 +72,7 @@
 
 async fn report(node: &Node, entry: &ServerEntry) -> Option<ServerReport> {
     node.metrics.count("health_checks", "report");
-    let call = expecting(Call::get(REPORT_PATH, ANSWER_TIMEOUT), entry);
+    let call = Call::get(REPORT_PATH, ANSWER_TIMEOUT).expecting(&entry.id);
     let answer = Link::new(entry.address).call(call).await.ok()?;
     let report = is_ok(&answer).then(|| engine::read_report(answer.body()).ok()).flatten()?;
     let is_same_life =
@@ -83,17 +82,10 @@
 
 async fn send_order(entry: &ServerEntry, order: LoadWeights<'_>) -> Result<StatusCode, CallError> {
     let call = Call::post(ORDER_PATH, engine::write_order(&order), ANSWER_TIMEOUT);
-    let answer = Link::new(entry.address).call(expecting(call, entry)).await?;
+    let answer = Link::new(entry.address).call(call.expecting(&entry.id)).await?;
     Ok(answer.status())
 }
 
-fn expecting(call: Call, entry: &ServerEntry) -> Call {
-    match HeaderValue::from_str(entry.id.as_str()) {
-        Ok(id) => call.with_header(EXPECT_SERVER, id),
-        Err(_) => call,
-    }
-}
-
 fn note_answer(
     node: &Node,
     states: &mut States,
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -4,9 +4,8 @@
 use crate::link::{Call, Link};
 use crate::node::Node;
 use dispatch::registry::{ServerEntry, ServerId};
-use http::{HeaderValue, StatusCode};
+use http::StatusCode;
 use platform::engine::REPORT_PATH;
-use platform::headers::EXPECT_SERVER;
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -104,10 +103,7 @@
 }
 
 async fn passes(entry: &ServerEntry, path: &str) -> bool {
-    let mut call = Call::get(path, CHECK_TIMEOUT);
-    if let Ok(id) = HeaderValue::from_str(entry.id.as_str()) {
-        call = call.with_header(EXPECT_SERVER, id);
-    }
+    let call = Call::get(path, CHECK_TIMEOUT).expecting(&entry.id);
     let answer = Link::new(entry.address).call(call).await;
     // A full server refuses the check, which shows that it lives.
     answer.is_ok_and(|answer| answer.status() != StatusCode::MISDIRECTED_REQUEST)
