Tell gateways each other's sends by datagrams

Cause: each gateway knew its own sends only. Ruled out: asking servers for their memory: their reports are some hundred ms old and priced as health checks; taking the other gateways to send as this one does: with seven gateways and six long runs a server that guess is mostly wrong. Change: every 40 ms and more, a gateway whose sends changed tells them to those that send to the same servers (all of a small installation, its failure domain's in a large one). Placement and the wait for room count them; gateways that tell nothing are taken to send as the known ones do.

--- a/crates/camphorwardd/tests/gateway/membership.rs
+++ b/crates/camphorwardd/tests/gateway/membership.rs
@@ -68,6 +68,24 @@
     assert!(sources.iter().all(|source| source == "peer"), "{sources:?}");
 }
 
+#[tokio::test]
+async fn gateways_know_each_others_sends_until_one_is_gone() {
+    let fleet = Fleet::start(1, 1).await;
+    let first = fleet.gateway("gateway-1").await;
+    let mut second = fleet.gateway("gateway-2").await;
+    let known = |gateway: &Gateway| {
+        let lines = gateway.lines("gateways_reporting");
+        lines.last().map(|line| line["count"].as_u64().unwrap())
+    };
+    until("both know each other", || known(&first) == Some(1) && known(&second) == Some(1)).await;
+    assert_eq!(post(&first, ORDERS).await.status, 200);
+    caller::until_line(&first, "request_sent").await;
+    let sent = first.lines("request_sent");
+    assert_eq!(sent.last().map(|line| line["known_gateways"].as_u64()), Some(Some(2)));
+    second.kill();
+    until("the second is left out", || known(&first) == Some(0)).await;
+}
+
 #[tokio::test]
 async fn all_gateways_killed_at_once_serve_again_from_the_store() {
     let fleet = Fleet::start(1, 1).await;
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -74,6 +74,8 @@
     pub newest_version: Option<u64>,
     /// The gateways that send to the same servers.
     pub gateways: usize,
+    /// Of these, the ones whose sends are known, this one included.
+    pub known_gateways: usize,
     /// Whether the request may wait for room at the gateway.
     pub may_wait: bool,
     /// Breaks ties.
@@ -153,7 +155,7 @@
     }
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
         && moment.may_wait
-        && !has_room(moment.gateways, engines, prompt, candidates)
+        && !has_room(moment, engines, prompt, candidates)
     {
         return Err(NoServer::NoRoom);
     }
@@ -180,7 +182,7 @@
 /// Load pattern: long prompts fill every server, and each quick question then preempts one of
 /// them, whose prompt is read in again.
 fn has_room(
-    gateways: usize,
+    moment: &Moment,
     engines: &EngineTraits,
     prompt: &Prompt,
     candidates: &[Candidate<'_>],
@@ -188,17 +190,20 @@
     if prompt.run_tokens() < LONG_PROMPT_TOKENS || candidates.is_empty() {
         return true;
     }
-    let own: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
-    let others = gateways.saturating_sub(1) as f64 * own as f64 / candidates.len() as f64;
+    let known: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
+    // Gateways that told nothing are taken to use all servers as those do that did.
+    let unknown_gateways = moment.gateways.saturating_sub(moment.known_gateways) as f64;
+    let unknown = unknown_gateways / moment.known_gateways.max(1) as f64 * known as f64
+        / candidates.len() as f64;
     let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
     candidates.iter().any(|candidate| {
         let held = candidate.load.memory_tokens;
-        let wanted = (held + prompt.run_tokens()) as f64 + others;
+        let wanted = (held + prompt.run_tokens()) as f64 + unknown;
         candidate.load.health == Health::Good && (held == 0 || wanted <= limit)
     })
 }
 
-/// The expected time to the first byte if this gateway's sends were all.
+/// The expected time to the first byte by the sends that are known.
 fn first_byte_ms(standpoint: &Standpoint, candidate: &Candidate<'_>) -> f64 {
     let read_ms = candidate.blocks.read_tokens as f64 / standpoint.prefill_tokens_per_ms;
     candidate.load.unstarted_ms
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -3,7 +3,13 @@
 //! Load patterns: servers fall silent and stay in the registry for seconds; a server fails part of
 //! its requests while its health check passes; several gateways fill the same free server at once.
 
+mod told;
+
+pub use crate::load::told::{LoadReport, SendsToServer, ServerTag};
+
+use crate::load::told::ToldLoads;
 use crate::registry::ServerId;
+use protocol::ids::HostName;
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
 
@@ -73,8 +79,9 @@
     Abandoned,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ServerLoad {
+    tag: ServerTag,
     flights: SmallVec<[Flight; 8]>,
     last_heard_ms: u64,
     header: Option<(LoadHeader, u64)>,
@@ -87,6 +94,32 @@
     occupied_until_ms: u64,
 }
 
+impl ServerLoad {
+    fn new(server: &ServerId) -> Self {
+        Self {
+            tag: ServerTag::new(server),
+            flights: SmallVec::new(),
+            last_heard_ms: 0,
+            header: None,
+            outcomes: VecDeque::new(),
+            avoided_until_ms: 0,
+            suspected_since_ms: None,
+            is_dead: false,
+            occupied_until_ms: 0,
+        }
+    }
+
+    fn own_sends(&self) -> SendsToServer {
+        let unstarted = self.flights.iter().filter(|flight| !flight.has_started);
+        let unstarted_ms: f64 = unstarted.map(|flight| flight.weight.service_ms).sum();
+        SendsToServer {
+            in_flight: self.flights.len() as u32,
+            memory_tokens: self.flights.iter().map(|flight| flight.weight.memory_tokens).sum(),
+            unstarted_ms: unstarted_ms as u32,
+        }
+    }
+}
+
 /// Says whether a server should take new requests.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Health {
@@ -103,21 +136,43 @@
 pub struct LoadView {
     /// Whether it should take new requests.
     pub health: Health,
-    /// Own sends that have not started yet, in milliseconds of service.
+    /// The known sends that have not started yet, in milliseconds of service.
     pub unstarted_ms: f64,
-    /// Own sends in flight.
+    /// The known sends in flight, own ones and those that other gateways told.
     pub in_flight: usize,
-    /// Own sends' tokens in its memory.
+    /// Their tokens in its memory.
     pub memory_tokens: u64,
     /// What the server last said itself, if that is recent.
     pub header: Option<LoadHeader>,
 }
 
+impl LoadView {
+    fn new(
+        health: Health,
+        own: SendsToServer,
+        told: SendsToServer,
+        header: Option<LoadHeader>,
+    ) -> Self {
+        Self {
+            health,
+            unstarted_ms: f64::from(own.unstarted_ms + told.unstarted_ms),
+            in_flight: (own.in_flight + told.in_flight) as usize,
+            memory_tokens: own.memory_tokens + told.memory_tokens,
+            header,
+        }
+    }
+}
+
 /// Holds the load of all servers.
 #[derive(Debug, Default)]
 pub struct Loads {
     servers: HashMap<ServerId, ServerLoad>,
     next_flight: u64,
+    told: ToldLoads,
+    /// The number of the latest report of own sends.
+    reports: u64,
+    /// Whether own sends changed since that report.
+    is_changed: bool,
 }
 
 impl Loads {
@@ -126,18 +181,51 @@
         Self::default()
     }
 
+    fn server_mut(&mut self, server: &ServerId) -> &mut ServerLoad {
+        self.servers.entry(server.clone()).or_insert_with(|| ServerLoad::new(server))
+    }
+
+    /// Returns a report of all own sends if they changed since the last one, or if a report is
+    /// wanted anyway.
+    pub fn report(&mut self, host: &HostName, life: u64, is_wanted: bool) -> Option<LoadReport> {
+        if !std::mem::replace(&mut self.is_changed, false) && !is_wanted {
+            return None;
+        }
+        self.reports += 1;
+        let in_use = self.servers.values().filter(|load| !load.flights.is_empty());
+        let mut servers: Vec<_> = in_use.map(|load| (load.tag, load.own_sends())).collect();
+        servers.sort_by_key(|(tag, _)| *tag);
+        Some(LoadReport { host: host.clone(), life, number: self.reports, servers })
+    }
+
+    /// Takes another gateway's report of its sends.
+    pub fn note_report(&mut self, report: LoadReport, now_ms: u64) {
+        self.told.note(report, now_ms);
+    }
+
+    /// Leaves out gateways that have reported nothing for a while.
+    pub fn expire_reports(&mut self, now_ms: u64) {
+        self.told.expire(now_ms);
+    }
+
+    /// Returns the number of other gateways whose sends are known.
+    pub fn reporting_gateways(&self) -> usize {
+        self.told.gateways()
+    }
+
     /// Notes a send.
     pub fn sent(&mut self, server: &ServerId, weight: Weight, now_ms: u64) -> FlightId {
         self.next_flight += 1;
         let id = FlightId(self.next_flight);
-        let load = self.servers.entry(server.clone()).or_default();
+        let load = self.server_mut(server);
         load.flights.push(Flight { id, weight, sent_ms: now_ms, has_started: false });
+        self.is_changed = true;
         id
     }
 
     /// Notes bytes from a server.
     pub fn heard(&mut self, server: &ServerId, now_ms: u64) {
-        let load = self.servers.entry(server.clone()).or_default();
+        let load = self.server_mut(server);
         load.last_heard_ms = now_ms;
         load.suspected_since_ms = None;
         load.is_dead = false;
@@ -152,18 +240,20 @@
         now_ms: u64,
     ) {
         self.heard(server, now_ms);
-        let load = self.servers.entry(server.clone()).or_default();
+        let load = self.server_mut(server);
         if let Some(header) = header {
             load.header = Some((header, now_ms));
         }
         if let Some(flight) = load.flights.iter_mut().find(|other| other.id == flight) {
             flight.has_started = true;
         }
+        self.is_changed = true;
     }
 
     /// Notes the end of a send.
     pub fn finished(&mut self, server: &ServerId, flight: FlightId, outcome: Outcome, now_ms: u64) {
-        let load = self.servers.entry(server.clone()).or_default();
+        self.is_changed = true;
+        let load = self.server_mut(server);
         load.flights.retain(|other| other.id != flight);
         let pause_ms = match outcome {
             Outcome::Abandoned => return,
@@ -179,19 +269,19 @@
 
     /// Notes that a server takes no requests for a while, as it loads weights.
     pub fn occupy(&mut self, server: &ServerId, until_ms: u64) {
-        self.servers.entry(server.clone()).or_default().occupied_until_ms = until_ms;
+        self.server_mut(server).occupied_until_ms = until_ms;
     }
 
     /// Notes that a server has finished loading weights.
     pub fn release(&mut self, server: &ServerId) {
-        self.servers.entry(server.clone()).or_default().occupied_until_ms = 0;
+        self.server_mut(server).occupied_until_ms = 0;
     }
 
     /// Notes a passed health check.
     pub fn healthy(&mut self, server: &ServerId, now_ms: u64) {
         self.heard(server, now_ms);
         // Sends from before the check stay unanswered; they must not raise the suspicion again.
-        let load = self.servers.entry(server.clone()).or_default();
+        let load = self.server_mut(server);
         for flight in &mut load.flights {
             flight.weight.silence_ms = u64::MAX;
         }
@@ -200,7 +290,7 @@
 
     /// Notes a failed health check of a suspected server.
     pub fn unhealthy(&mut self, server: &ServerId, now_ms: u64) {
-        let load = self.servers.entry(server.clone()).or_default();
+        let load = self.server_mut(server);
         load.suspected_since_ms.get_or_insert(now_ms);
         load.is_dead = true;
     }
@@ -236,23 +326,17 @@
     /// Returns a server's load.
     pub fn view(&self, server: &ServerId, now_ms: u64) -> LoadView {
         let Some(load) = self.servers.get(server) else {
-            return LoadView {
-                health: Health::Good,
-                unstarted_ms: 0.0,
-                in_flight: 0,
-                memory_tokens: 0,
-                header: None,
-            };
+            let told = self.told.to(ServerTag::new(server));
+            return LoadView::new(Health::Good, SendsToServer::default(), told, None);
         };
-        let unstarted = load.flights.iter().filter(|flight| !flight.has_started);
-        let recent = load.header.filter(|(_, at_ms)| at_ms + HEADER_MEMORY_MS > now_ms);
-        LoadView {
-            health: health(load, now_ms),
-            unstarted_ms: unstarted.map(|flight| flight.weight.service_ms).sum(),
-            in_flight: load.flights.len(),
-            memory_tokens: load.flights.iter().map(|flight| flight.weight.memory_tokens).sum(),
-            header: recent.map(|(header, _)| header),
-        }
+        let header = load.header.filter(|(_, at_ms)| at_ms + HEADER_MEMORY_MS > now_ms);
+        let told = self.told.to(load.tag);
+        LoadView::new(
+            health(load, now_ms),
+            load.own_sends(),
+            told,
+            header.map(|(header, _)| header),
+        )
     }
 
     /// Forgets a server that left, once nothing is in flight there.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -47,7 +47,7 @@
 }
 
 pub fn moment(gateways: usize) -> Moment {
-    Moment { newest_version: Some(1), gateways, may_wait: true, spread: 0 }
+    Moment { newest_version: Some(1), gateways, known_gateways: 1, may_wait: true, spread: 0 }
 }
 
 pub fn engines() -> EngineTraits {
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -1,9 +1,14 @@
 //! Health and load of servers from a gateway's own sends.
 
-use dispatch::load::{FlightId, Health, LoadHeader, Loads, Outcome, Weight};
+mod common;
+
+use common::id;
+use dispatch::load::{FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, Weight};
 use dispatch::registry::ServerId;
 
 const WEIGHT: Weight = Weight { service_ms: 100.0, memory_tokens: 3_000, silence_ms: 500 };
+/// A long prompt: 12,000 tokens that take 218 ms to read.
+const LONG: Weight = Weight { service_ms: 218.0, memory_tokens: 12_000, silence_ms: 1_000 };
 
 fn sent(loads: &mut Loads, server: &ServerId, now_ms: u64) -> FlightId {
     loads.sent(server, WEIGHT, now_ms)
@@ -88,3 +93,57 @@
     loads.release(&server);
     assert_eq!(loads.view(&server, 100).health, Health::Good);
 }
+
+fn report_of(loads: &mut Loads, host: &str, life: u64) -> LoadReport {
+    loads.report(&id(host), life, true).unwrap()
+}
+
+/// Load pattern: clumps of arrivals at several gateways, each of which sees the same free server.
+#[test]
+fn sends_of_other_gateways_count_until_they_stop_telling() {
+    let server = ServerId::new("a");
+    let (mut own, mut other) = (Loads::new(), Loads::new());
+    let flight = other.sent(&server, LONG, 0);
+    own.note_report(report_of(&mut other, "host-2", 1), 0);
+    let view = own.view(&server, 10);
+    assert_eq!((view.in_flight, view.memory_tokens, view.unstarted_ms), (1, 12_000, 218.0));
+    assert_eq!(own.reporting_gateways(), 1);
+    own.sent(&server, LONG, 20);
+    assert_eq!(own.view(&server, 20).memory_tokens, 24_000, "own and told sends add up");
+
+    other.started(&server, flight, None, 30);
+    own.note_report(report_of(&mut other, "host-2", 1), 30);
+    assert_eq!(own.view(&server, 30).unstarted_ms, 218.0, "only the own send has not started");
+    own.expire_reports(900);
+    assert_eq!(own.view(&server, 900).in_flight, 2);
+    own.expire_reports(1_100);
+    assert_eq!((own.view(&server, 1_100).in_flight, own.reporting_gateways()), (1, 0));
+}
+
+#[test]
+fn a_report_that_was_overtaken_changes_nothing() {
+    let server = ServerId::new("a");
+    let (mut own, mut other) = (Loads::new(), Loads::new());
+    let flight = other.sent(&server, LONG, 0);
+    let early = report_of(&mut other, "host-2", 1);
+    other.finished(&server, flight, Outcome::Answered, 10);
+    let late = report_of(&mut other, "host-2", 1);
+    own.note_report(late, 20);
+    own.note_report(early.clone(), 21);
+    assert_eq!(own.view(&server, 21).in_flight, 0);
+    let next_life = LoadReport { life: 2, ..early };
+    own.note_report(next_life, 22);
+    assert_eq!(own.view(&server, 22).in_flight, 1, "a restarted gateway counts anew");
+}
+
+#[test]
+fn a_report_is_made_only_when_something_changed_or_one_is_wanted() {
+    let server = ServerId::new("a");
+    let mut loads = Loads::new();
+    let host = id("host-1");
+    assert_eq!(loads.report(&host, 1, false), None);
+    loads.sent(&server, LONG, 0);
+    assert_eq!(loads.report(&host, 1, false).map(|report| report.servers.len()), Some(1));
+    assert_eq!(loads.report(&host, 1, false), None);
+    assert_eq!(loads.report(&host, 1, true).map(|report| report.number), Some(2));
+}
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -5,10 +5,10 @@
 
 mod common;
 
-use common::{demand, engines, moment, server, standpoint};
+use common::{demand, engines, id, moment, server, standpoint};
 use dispatch::choice::{BlockCost, Candidate, Moment, NoServer, Standpoint, choose, may_wait};
 use dispatch::demand::{Demand, Prompt};
-use dispatch::load::{Health, LoadView};
+use dispatch::load::{Health, LoadView, Loads, ServerTag, Weight};
 use dispatch::registry::ServerEntry;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -346,3 +346,66 @@
     assert_eq!(choose_from(kept, unkept), near.id);
     assert_eq!(choose_from(kept, kept), near.id);
 }
+
+/// The memory that the fullest server would need for a clump of long prompts at seven gateways.
+fn fullest_after_a_clump(are_told: bool) -> u64 {
+    const GATEWAYS: usize = 7;
+    const ARRIVALS: usize = 42;
+    const EVERY_MS: u64 = 15;
+    const TOLD_EVERY_MS: u64 = 60;
+    let entries: Vec<ServerEntry> =
+        (0..9).map(|index| server(&format!("server-{index}"), "east-1", 1)).collect();
+    let mut gateways: Vec<Loads> = (0..GATEWAYS).map(|_| Loads::new()).collect();
+    let wanted = demand(9, 8_600, 2_900);
+    let weight = Weight { service_ms: 218.0, memory_tokens: 11_564, silence_ms: 1_000 };
+    let mut random = SmallRng::seed_from_u64(11);
+    for arrival in 0..ARRIVALS {
+        let now_ms = arrival as u64 * EVERY_MS;
+        if are_told && now_ms.is_multiple_of(TOLD_EVERY_MS) {
+            for teller in 0..GATEWAYS {
+                let host = id(&format!("host-{teller}"));
+                let report = gateways[teller].report(&host, 1, true).unwrap();
+                let hearers = (0..GATEWAYS).filter(|hearer| *hearer != teller);
+                hearers.for_each(|hearer| gateways[hearer].note_report(report.clone(), now_ms));
+            }
+        }
+        let loads = &mut gateways[random.random_range(0..GATEWAYS)];
+        let candidates: Vec<Candidate<'_>> = entries
+            .iter()
+            .map(|entry| Candidate {
+                entry,
+                load: loads.view(&entry.id, now_ms),
+                blocks: BlockCost::default(),
+                weight_version: Some(1),
+                has_session: false,
+            })
+            .collect();
+        let moment = Moment {
+            known_gateways: 1 + loads.reporting_gateways(),
+            may_wait: false,
+            spread: random.random(),
+            ..moment(GATEWAYS)
+        };
+        let chosen = choose(&standpoint(), &wanted, Some(&engines()), &moment, &candidates);
+        loads.sent(&chosen.unwrap().server, weight, now_ms);
+    }
+    let mut held = |entry: &ServerEntry| {
+        let sent = |loads: &mut Loads| {
+            let report = loads.report(&id("host"), 1, true).unwrap();
+            let tag = ServerTag::new(&entry.id);
+            let to_server = report.servers.iter().filter(|(server, _)| *server == tag);
+            to_server.map(|(_, sends)| sends.memory_tokens).sum::<u64>()
+        };
+        gateways.iter_mut().map(sent).sum::<u64>()
+    };
+    entries.iter().map(&mut held).max().unwrap_or(0)
+}
+
+/// Load pattern: a clump of long prompts reaches several gateways, each of which sees the same
+/// free servers. What overfills a server's memory is preempted and read in again.
+#[test]
+fn gateways_that_tell_their_sends_do_not_fill_one_server_together() {
+    let memory_tokens = engines().memory_tokens;
+    assert!(fullest_after_a_clump(true) < memory_tokens, "{}", fullest_after_a_clump(true));
+    assert!(fullest_after_a_clump(false) > memory_tokens, "{}", fullest_after_a_clump(false));
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::AbortHandle;
 
@@ -85,7 +85,7 @@
 struct Listening {
     callers: TcpListener,
     ready: TcpListener,
-    peers: Option<TcpListener>,
+    peers: Option<(TcpListener, UdpSocket)>,
     metrics: TcpListener,
 }
 
@@ -96,14 +96,14 @@
         callers: bind(settings.listen.callers).await?,
         ready: bind(settings.listen.ready).await?,
         peers: match settings.listen.peers {
-            Some(address) => Some(bind(address).await?),
+            Some(address) => Some(bind_peers(address).await?),
             None => None,
         },
         metrics: bind(metrics_address).await?,
     };
     settings.listen.callers = listening.callers.local_addr()?;
     settings.listen.ready = listening.ready.local_addr()?;
-    if let Some(peers) = &listening.peers {
+    if let Some((peers, _)) = &listening.peers {
         settings.listen.peers = Some(peers.local_addr()?);
     }
     settings.listen.metrics_port = listening.metrics.local_addr()?.port();
@@ -122,11 +122,12 @@
         "peers": listen.peers,
         "metrics_port": listen.metrics_port,
     });
-    if let Some(listener) = listening.peers {
+    if let Some((listener, socket)) = listening.peers {
         tokio::spawn(peers::accept(Arc::clone(node), listener));
         tokio::spawn(discovery::run(Arc::clone(node)));
         tokio::spawn(peers::pull(Arc::clone(node)));
         tokio::spawn(peers::push(Arc::clone(node)));
+        tokio::spawn(peers::share_loads(Arc::clone(node), socket));
     }
     tokio::spawn(follow::run(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
@@ -144,6 +145,16 @@
     })
 }
 
+/// Opens the port for calls of other gateways, and the same one for their datagrams.
+async fn bind_peers(address: SocketAddr) -> io::Result<(TcpListener, UdpSocket)> {
+    let listener = bind(address).await?;
+    let address = listener.local_addr()?;
+    let socket = UdpSocket::bind(address).await.map_err(|error| {
+        io::Error::new(error.kind(), format!("cannot listen for datagrams on {address}: {error}"))
+    })?;
+    Ok((listener, socket))
+}
+
 /// Answers what comes in until the balancer sends nothing more and all requests have ended.
 ///
 /// New connections may come until the listener closes: a failure domain without ready gateways gets
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -214,6 +214,7 @@
         "cost_ms": placed.chosen.cost_ms,
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
+        "known_gateways": placed.known_gateways,
         "fetched_tokens": placed.engine.as_ref().map(|plan| plan.blocks.fetched_tokens),
         "rank": job.request.demand.rank,
         "engine_rank": placed.engine.as_ref().map(|plan| plan.rank),
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -35,6 +35,8 @@
     pub entry: ServerEntry,
     /// The choice and its inputs.
     pub chosen: Chosen,
+    /// The gateways whose sends were known, this one included.
+    pub known_gateways: usize,
     /// The send in the server's load.
     pub flight: FlightId,
     /// What only model engines are told.
@@ -79,7 +81,8 @@
     let candidates = candidates(&knowledge, job, engines, newest, &mut plans, now_ms);
     let moment = Moment {
         newest_version: newest,
-        gateways: knowledge.gateways.count(),
+        gateways: 1 + knowledge.gateways.near(&node.settings.failure_domain).count(),
+        known_gateways: 1 + knowledge.loads.reporting_gateways(),
         may_wait: choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms),
         spread: rand::random(),
     };
@@ -115,7 +118,7 @@
     };
     let weight = weight(job, demand.prompt.as_ref(), engines, engine.as_ref());
     let flight = knowledge.loads.sent(&entry.id, weight, now_ms);
-    Ok(Placed { entry, chosen, flight, engine })
+    Ok(Placed { entry, chosen, known_gateways: moment.known_gateways, flight, engine })
 }
 
 /// A plan that serves all servers of one failure domain with the same weights.
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -22,8 +22,8 @@
     pub life: u64,
 }
 
-/// The gateways that may all read the stores by themselves: a store of kept blocks holds a dozen
-/// questions open.
+/// The gateways of a small installation. These may all read the stores by themselves: a store of
+/// kept blocks holds a dozen questions open.
 const MOST_READERS: usize = 12;
 
 /// Where a gateway learns what the stores say.
@@ -109,6 +109,17 @@
         }
     }
 
+    /// Returns the other gateways that send to the same servers as this one: all of a small
+    /// installation, those of its failure domain in a large one, where each domain has servers
+    /// enough of its own.
+    pub fn near<'a>(
+        &'a self,
+        own_domain: &'a FailureDomain,
+    ) -> impl Iterator<Item = &'a GatewayRecord> {
+        let is_small = self.count() <= MOST_READERS;
+        self.others().filter(move |record| is_small || record.failure_domain == *own_domain)
+    }
+
     /// Returns the place of this gateway among all by name, for turns that need no talk.
     pub fn own_rank(&self) -> usize {
         self.others().filter(|record| record.host < self.own).count()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,12 +1,14 @@
-//! Calls between gateways: snapshots for those that cannot read the store, and news.
+//! Calls between gateways: snapshots for those that cannot read the store, news, and own sends.
 
 mod follow;
+mod loads;
 mod message;
 mod pull;
 mod push;
 mod serve;
 
 pub use crate::peers::follow::Follower;
+pub use crate::peers::loads::run as share_loads;
 pub use crate::peers::message::{NEWS_PATH, News, Snapshot, decode, encode};
 pub use crate::peers::pull::run as pull;
 pub use crate::peers::push::run as push;
