Relay sends and link use between failure domains, and compare a sample of servers

Change: one gateway of each domain takes the domain's sums to the others and brings theirs back; reports hold the use of the stores' links; where gateways are many, two random healthy servers of each domain and the session's own are compared.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -8,7 +8,7 @@
 mod plan;
 mod report;
 
-pub use crate::blocks::place::Place;
+pub use crate::blocks::place::{LinkShares, Place};
 pub use crate::blocks::plan::{BlockPlan, PartSource};
 pub use crate::blocks::report::{BlockChange, BlockKey, BlockReport, CacheSalt};
 
@@ -104,6 +104,14 @@
         self.stores.get(&store).is_some_and(|state| state.boot_epoch == Some(boot_epoch))
     }
 
+    /// Returns the shares of the stores' links that this gateway uses, for reports to others.
+    pub fn own_link_shares(&self, stands_for: f64, now_ms: u64) -> LinkShares {
+        let shares = self.stores.iter().map(|(store, state)| {
+            (*store, (1_000.0 * state.link.get(stands_for, now_ms)).round() as u32)
+        });
+        shares.filter(|(_, thousandths)| *thousandths > 0).collect()
+    }
+
     /// Returns everything that is held, as reports from nothing.
     pub fn dump(&self) -> Vec<(SocketAddr, BlockReport)> {
         let reports = self.stores.iter().filter_map(|(store, state)| {
@@ -219,7 +227,7 @@
                     continue;
                 };
                 let transfer_ms = place.transfer_ms(store, part.tokens);
-                state.link.add(transfer_ms, place.gateways, now_ms);
+                state.link.add(transfer_ms, place.stands_for, now_ms);
             }
             let saved = plan.save[index].and_then(|address| self.stores.get_mut(&address));
             if let Some(state) = saved {
@@ -245,7 +253,8 @@
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
             let transfer_ms = place.transfer_ms(store, part.tokens);
-            let in_use = state.link.by_all(place.gateways, now_ms).min(FULL_USE);
+            let own_use = state.link.get(place.stands_for, now_ms);
+            let in_use = place.link_use(store, own_use).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + queued_transfers(in_use));
             (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
                 .then_some(Source { store: store.address, cost_ms })
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -3,6 +3,10 @@
 //! Load patterns: clumps of arrivals at one gateway; long prompts before quick questions; a
 //! quarter of the servers gone while the registry still names them; weights being replaced.
 
+mod sample;
+
+pub use crate::choice::sample::sample;
+
 use crate::blocks::READ_AGAIN_MS_PER_TOKEN;
 use crate::configuration::EngineTraits;
 use crate::demand::{Demand, Prompt};
@@ -72,10 +76,8 @@
 pub struct Moment {
     /// The newest weight version named for the model.
     pub newest_version: Option<u64>,
-    /// The gateways that send to the same servers.
-    pub gateways: usize,
-    /// Of these, the ones whose sends are known, this one included.
-    pub known_gateways: usize,
+    /// How many gateways each one stands for whose sends are known.
+    pub stands_for: f64,
     /// Whether the request may wait for room at the gateway.
     pub may_wait: bool,
     /// Breaks ties.
@@ -192,9 +194,7 @@
     }
     let known: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
     // Gateways that told nothing are taken to use all servers as those do that did.
-    let unknown_gateways = moment.gateways.saturating_sub(moment.known_gateways) as f64;
-    let unknown = unknown_gateways / moment.known_gateways.max(1) as f64 * known as f64
-        / candidates.len() as f64;
+    let unknown = (moment.stands_for - 1.0) * known as f64 / candidates.len() as f64;
     let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
     candidates.iter().any(|candidate| {
         let held = candidate.load.memory_tokens;
--- /dev/null
+++ b/crates/dispatch/src/choice/sample.rs
@@ -0,0 +1,47 @@
+//! The servers that are compared for one request.
+//!
+//! Load pattern: many gateways hear of each other's sends some hundred milliseconds late. All see
+//! the same few free servers meanwhile, and flood them in turns.
+
+use crate::choice::Candidate;
+use crate::load::Health;
+use smallvec::SmallVec;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// The gateways up to which all servers are compared: reports then take no longer than a few
+/// requests to come.
+const FEW_GATEWAYS: usize = 12;
+/// The healthy servers of each failure domain that are compared where gateways are many. Two random
+/// ones are enough to find a free one, and no server is among them for many requests at once.
+const SAMPLED_PER_DOMAIN: usize = 2;
+
+/// Keeps a random sample of the healthy servers of each failure domain, and what may hold the
+/// session. Where no server is healthy, all stay.
+pub fn sample(candidates: &mut Vec<Candidate<'_>>, gateways: usize, spread: u64) {
+    let is_good = |candidate: &Candidate<'_>| candidate.load.health == Health::Good;
+    if gateways <= FEW_GATEWAYS || !candidates.iter().any(is_good) {
+        return;
+    }
+    candidates.sort_by_cached_key(|candidate| {
+        let mut hasher = DefaultHasher::new();
+        (spread, &candidate.entry.id).hash(&mut hasher);
+        hasher.finish()
+    });
+    let mut taken = SmallVec::<[(_, usize); 8]>::new();
+    candidates.retain(|candidate| {
+        if candidate.has_session {
+            return true;
+        }
+        if !is_good(candidate) {
+            return false;
+        }
+        let domain = &candidate.entry.domain;
+        let known = taken.iter().position(|(other, _)| *other == domain);
+        let index = known.unwrap_or_else(|| {
+            taken.push((domain, 0));
+            taken.len() - 1
+        });
+        taken[index].1 += 1;
+        taken[index].1 <= SAMPLED_PER_DOMAIN
+    });
+}
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -5,11 +5,12 @@
 
 mod told;
 
-pub use crate::load::told::{LoadReport, SendsToServer, ServerTag};
+pub use crate::load::told::{LoadReport, Sender, SendsToServer, ServerTag};
 
-use crate::load::told::ToldLoads;
+use crate::blocks::LinkShares;
+use crate::load::told::{Sums, ToldLoads};
 use crate::registry::ServerId;
-use protocol::ids::HostName;
+use protocol::ids::{FailureDomain, HostName};
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
 
@@ -163,13 +164,24 @@
     }
 }
 
+/// A gateway that reports its sends.
+#[derive(Clone, Copy, Debug)]
+pub struct Reporter<'a> {
+    /// Its host.
+    pub host: &'a HostName,
+    /// Its failure domain.
+    pub domain: &'a FailureDomain,
+    /// The start of its process, as Unix milliseconds.
+    pub life: u64,
+}
+
 /// Holds the load of all servers.
 #[derive(Debug, Default)]
 pub struct Loads {
     servers: HashMap<ServerId, ServerLoad>,
     next_flight: u64,
     told: ToldLoads,
-    /// The number of the latest report of own sends.
+    /// The number of the latest report.
     reports: u64,
     /// Whether own sends changed since that report.
     is_changed: bool,
@@ -187,15 +199,41 @@
 
     /// Returns a report of all own sends if they changed since the last one, or if a report is
     /// wanted anyway.
-    pub fn report(&mut self, host: &HostName, life: u64, is_wanted: bool) -> Option<LoadReport> {
+    pub fn report(
+        &mut self,
+        reporter: &Reporter<'_>,
+        links: &LinkShares,
+        is_wanted: bool,
+    ) -> Option<LoadReport> {
         if !std::mem::replace(&mut self.is_changed, false) && !is_wanted {
             return None;
         }
+        let mut sums = Sums::default();
+        sums.add(1, &self.own_sends(), links);
+        Some(self.number(Sender::Gateway(reporter.host.clone()), reporter, sums))
+    }
+
+    /// Returns a report of the sends of a failure domain's gateways, this one included.
+    pub fn domain_report(&mut self, reporter: &Reporter<'_>, links: &LinkShares) -> LoadReport {
+        let mut sums = self.told.sums(|sender| matches!(sender, Sender::Gateway(_)));
+        sums.add(1, &self.own_sends(), links);
+        self.number(Sender::FailureDomain(reporter.domain.clone()), reporter, sums)
+    }
+
+    /// Returns a report of the sends of all other failure domains.
+    pub fn elsewhere_report(&mut self, reporter: &Reporter<'_>) -> LoadReport {
+        let sums = self.told.sums(|sender| matches!(sender, Sender::FailureDomain(_)));
+        self.number(Sender::Elsewhere, reporter, sums)
+    }
+
+    fn number(&mut self, sender: Sender, reporter: &Reporter<'_>, sums: Sums) -> LoadReport {
         self.reports += 1;
+        sums.into_report(sender, reporter.host, reporter.life, self.reports)
+    }
+
+    fn own_sends(&self) -> Vec<(ServerTag, SendsToServer)> {
         let in_use = self.servers.values().filter(|load| !load.flights.is_empty());
-        let mut servers: Vec<_> = in_use.map(|load| (load.tag, load.own_sends())).collect();
-        servers.sort_by_key(|(tag, _)| *tag);
-        Some(LoadReport { host: host.clone(), life, number: self.reports, servers })
+        in_use.map(|load| (load.tag, load.own_sends())).collect()
     }
 
     /// Takes another gateway's report of its sends.
@@ -209,8 +247,18 @@
     }
 
     /// Returns the number of other gateways whose sends are known.
-    pub fn reporting_gateways(&self) -> usize {
-        self.told.gateways()
+    pub const fn reporting_gateways(&self) -> usize {
+        self.told.gateways() as usize
+    }
+
+    /// Returns the use of the stores' links by other gateways.
+    pub const fn told_links(&self) -> &LinkShares {
+        self.told.links()
+    }
+
+    /// Returns the hosts of the gateways that report to this one themselves.
+    pub fn reporting_hosts(&self) -> impl Iterator<Item = &HostName> {
+        self.told.hosts()
     }
 
     /// Notes a send.
--- a/crates/dispatch/src/load/told.rs
+++ b/crates/dispatch/src/load/told.rs
@@ -3,8 +3,9 @@
 //! Load pattern: a clump of arrivals reaches several gateways at once. Each knows its own sends
 //! only, so all choose the same free server, whose memory then does not hold the prompts.
 
+use crate::blocks::LinkShares;
 use crate::registry::ServerId;
-use protocol::ids::HostName;
+use protocol::ids::{FailureDomain, HostName};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 
@@ -45,62 +46,148 @@
     }
 }
 
-/// All sends of a gateway at one moment.
+/// Whose sends a report holds.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub enum Sender {
+    /// Those of one gateway.
+    Gateway(HostName),
+    /// Those of all gateways of a failure domain, gathered by one of them.
+    FailureDomain(FailureDomain),
+    /// Those of all other failure domains, gathered for the gateways of one.
+    Elsewhere,
+}
+
+/// Sends at one moment.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
-    /// The gateway.
+    /// Whose sends they are.
+    pub sender: Sender,
+    /// The gateway that wrote the report.
     pub host: HostName,
     /// The start of its process, as Unix milliseconds.
     pub life: u64,
     /// Counts the reports of that life; datagrams overtake each other.
     pub number: u64,
+    /// The gateways whose sends these are.
+    pub gateways: u32,
     /// The servers with sends in flight.
     pub servers: Vec<(ServerTag, SendsToServer)>,
+    /// The use of the links of stores of kept blocks.
+    pub links: LinkShares,
+}
+
+impl LoadReport {
+    /// Says whether a report is later than this one. Those of two hosts cannot be compared; the one
+    /// that comes later counts.
+    fn is_before(&self, other: &Self) -> bool {
+        self.host != other.host || (self.life, self.number) < (other.life, other.number)
+    }
+}
+
+/// Sums of sends by server.
+#[derive(Debug, Default)]
+pub(super) struct Sums {
+    by_server: HashMap<ServerTag, SendsToServer>,
+    links: LinkShares,
+    gateways: u32,
+}
+
+impl Sums {
+    /// Adds the sends of some gateways.
+    pub(super) fn add<'a>(
+        &mut self,
+        gateways: u32,
+        servers: impl IntoIterator<Item = &'a (ServerTag, SendsToServer)>,
+        links: &LinkShares,
+    ) {
+        self.gateways += gateways;
+        for (store, share) in links {
+            *self.links.entry(*store).or_default() += share;
+        }
+        for (server, sends) in servers {
+            self.by_server.entry(*server).or_default().add(sends);
+        }
+    }
+
+    /// Makes a report of the sums.
+    pub(super) fn into_report(
+        self,
+        sender: Sender,
+        host: &HostName,
+        life: u64,
+        number: u64,
+    ) -> LoadReport {
+        let mut servers: Vec<_> = self.by_server.into_iter().collect();
+        servers.sort_by_key(|(server, _)| *server);
+        let (host, gateways, links) = (host.clone(), self.gateways, self.links);
+        LoadReport { sender, host, life, number, gateways, servers, links }
+    }
 }
 
 /// The latest reports of other gateways.
 #[derive(Debug, Default)]
 pub(super) struct ToldLoads {
-    reports: HashMap<HostName, (LoadReport, u64)>,
-    sums: HashMap<ServerTag, SendsToServer>,
+    reports: HashMap<Sender, (LoadReport, u64)>,
+    all: Sums,
 }
 
 impl ToldLoads {
-    /// Takes a report, unless a later one of its gateway came before.
+    /// Takes a report, unless a later one of its sender came before.
     pub(super) fn note(&mut self, report: LoadReport, now_ms: u64) {
-        let order = |report: &LoadReport| (report.life, report.number);
-        let held = self.reports.get(&report.host);
-        if held.is_none_or(|(held, _)| order(held) < order(&report)) {
-            self.reports.insert(report.host.clone(), (report, now_ms));
-            self.sum();
+        let held = self.reports.get(&report.sender);
+        if held.is_none_or(|(held, _)| held.is_before(&report)) {
+            self.reports.insert(report.sender.clone(), (report, now_ms));
+            self.sum_all();
         }
     }
 
-    /// Leaves out gateways that have told nothing for a while.
+    /// Leaves out senders that have told nothing for a while.
     pub(super) fn expire(&mut self, now_ms: u64) {
         let before = self.reports.len();
         self.reports.retain(|_, (_, at_ms)| now_ms < *at_ms + REPORT_MEMORY_MS);
         if self.reports.len() != before {
-            self.sum();
+            self.sum_all();
         }
     }
 
     /// Returns the sends of all others to a server.
     pub(super) fn to(&self, server: ServerTag) -> SendsToServer {
-        self.sums.get(&server).copied().unwrap_or_default()
+        self.all.by_server.get(&server).copied().unwrap_or_default()
+    }
+
+    /// Returns the use of the stores' links by all others.
+    pub(super) const fn links(&self) -> &LinkShares {
+        &self.all.links
     }
 
     /// Returns the number of gateways whose sends are known.
-    pub(super) fn gateways(&self) -> usize {
-        self.reports.len()
+    pub(super) const fn gateways(&self) -> u32 {
+        self.all.gateways
+    }
+
+    /// Returns the hosts whose own reports are held.
+    pub(super) fn hosts(&self) -> impl Iterator<Item = &HostName> {
+        self.reports.keys().filter_map(|sender| match sender {
+            Sender::Gateway(host) => Some(host),
+            Sender::FailureDomain(_) | Sender::Elsewhere => None,
+        })
     }
 
-    fn sum(&mut self) {
-        self.sums.clear();
-        for (report, _) in self.reports.values() {
-            for (server, sends) in &report.servers {
-                self.sums.entry(*server).or_default().add(sends);
-            }
+    /// Returns the sums over some senders.
+    pub(super) fn sums(&self, is_wanted: impl Fn(&Sender) -> bool) -> Sums {
+        let mut sums = Sums::default();
+        for (report, _) in self.reports.values().filter(|(report, _)| is_wanted(&report.sender)) {
+            sums.add(report.gateways, &report.servers, &report.links);
         }
+        sums
+    }
+
+    /// What a relay gathered from elsewhere replaces what it heard there.
+    fn sum_all(&mut self) {
+        let has_domains = self.reports.keys().any(|key| matches!(key, Sender::FailureDomain(_)));
+        self.all = self.sums(|sender| match sender {
+            Sender::Gateway(_) | Sender::FailureDomain(_) => true,
+            Sender::Elsewhere => !has_domains,
+        });
     }
 }
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -3,13 +3,16 @@
 mod common;
 
 use common::{address, configuration, demand, id, regions, store};
-use dispatch::blocks::{BlockChange, BlockIndex, BlockReport, CacheSalt, PartSource, Place};
+use dispatch::blocks::{
+    BlockChange, BlockIndex, BlockReport, CacheSalt, LinkShares, PartSource, Place,
+};
 use dispatch::configuration::Configuration;
 use dispatch::demand::{Demand, PartId};
 use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region};
 use std::collections::HashMap;
 
 const EAST: &str = "127.0.0.1:11";
+static NOTHING_TOLD: LinkShares = LinkShares::new();
 const WEST: &str = "127.0.0.1:12";
 
 struct World {
@@ -43,13 +46,7 @@
     }
 
     fn place(&self) -> Place<'_> {
-        Place {
-            domain: &self.domain,
-            regions: &self.regions,
-            token_bytes: 18_432,
-            prefill_tokens_per_ms: 55.0,
-            gateways: 7,
-        }
+        place(&self.domain, &self.regions, &NOTHING_TOLD)
     }
 
     fn sources(&self, demand: &Demand, salt: &CacheSalt, now_ms: u64) -> Vec<PartSource> {
@@ -59,18 +56,28 @@
 
     fn book(&mut self, demand: &Demand, salt: &CacheSalt, now_ms: u64) {
         let (domain, regions) = (self.domain.clone(), self.regions.clone());
-        let place = Place {
-            domain: &domain,
-            regions: &regions,
-            token_bytes: 18_432,
-            prefill_tokens_per_ms: 55.0,
-            gateways: 7,
-        };
+        let place = place(&domain, &regions, &NOTHING_TOLD);
         let plan = self.index.plan(&self.configuration, demand, salt, &place, now_ms);
         self.index.book(&self.configuration, demand, salt, &place, &plan, now_ms);
     }
 }
 
+/// A place for one of seven gateways that tell each other nothing, unless told otherwise.
+fn place<'a>(
+    domain: &'a FailureDomain,
+    regions: &'a HashMap<FailureDomain, Region>,
+    told_links: &'a LinkShares,
+) -> Place<'a> {
+    Place {
+        domain,
+        regions,
+        token_bytes: 18_432,
+        prefill_tokens_per_ms: 55.0,
+        told_links,
+        stands_for: 7.0,
+    }
+}
+
 fn salt(version: u64) -> CacheSalt {
     CacheSalt::new(&id::<ModelName>("m"), version, None)
 }
@@ -184,7 +191,7 @@
     let mut world = World::new(2_000_000);
     world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
     let (domain, regions) = (world.domain.clone(), world.regions.clone());
-    let place = Place { domain: &domain, regions: &regions, gateways: 87, ..world.place() };
+    let place = Place { stands_for: 87.0, ..place(&domain, &regions, &NOTHING_TOLD) };
     let demand = demand(9, 8_000, 2_000);
     let plan = world.index.plan(&world.configuration, &demand, &salt(1), &place, 0);
     let mut index = std::mem::take(&mut world.index);
@@ -206,3 +213,31 @@
     }
     assert_eq!(world.sources(&demand(200, 8_600, 2_900), &salt(1), 150)[1], PartSource::Store);
 }
+
+/// Load pattern: of many gateways each fetches a long part now and then, which by itself says
+/// nothing of the link; what all of them use is known.
+#[test]
+fn what_gateways_tell_of_a_link_replaces_a_guess_from_own_transfers() {
+    let mut world = World::new(2_000_000);
+    let parts = (100..110).map(|part| stored(&salt(1), part, 8_600)).collect();
+    world.report(EAST, 1, parts);
+    let (domain, regions) = (world.domain.clone(), world.regions.clone());
+    let mut index = std::mem::take(&mut world.index);
+    let wanted = demand(100, 8_600, 2_900);
+    let told = |thousandths| LinkShares::from([(address(EAST), thousandths)]);
+    let source = |index: &BlockIndex, told_links: &LinkShares, stands_for| {
+        let place = Place { stands_for, ..place(&domain, &regions, told_links) };
+        index.plan(&world.configuration, &wanted, &salt(1), &place, 0).sources[1]
+    };
+    let place_87 = Place { stands_for: 87.0, ..place(&domain, &regions, &NOTHING_TOLD) };
+    for part in 101..110 {
+        let other = demand(part, 8_600, 2_900);
+        let plan = index.plan(&world.configuration, &other, &salt(1), &place_87, 0);
+        index.book(&world.configuration, &other, &salt(1), &place_87, &plan, 0);
+    }
+    assert_eq!(source(&index, &NOTHING_TOLD, 87.0), PartSource::TooFar);
+    assert_eq!(source(&index, &told(200), 1.0), PartSource::Store);
+    assert_eq!(source(&index, &told(1_000), 1.0), PartSource::TooFar);
+    let own = index.own_link_shares(1.0, 0);
+    assert_eq!(own.keys().collect::<Vec<_>>(), [&address(EAST)]);
+}
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -1,11 +1,13 @@
 //! Servers, stores and requests that the tests share.
 #![allow(dead_code)]
 
+use dispatch::blocks::LinkShares;
 use dispatch::choice::{Moment, Standpoint};
 use dispatch::configuration::{
     BlockStoreTraits, CallerLimits, Configuration, EngineTraits, RouteKind, Service, ServiceKind,
 };
 use dispatch::demand::{Demand, PartId, Prompt, PromptPart};
+use dispatch::load::{LoadReport, Loads, Reporter};
 use dispatch::registry::{ServerEntry, ServerId};
 use protocol::ids::{ConfigVersion, FailureDomain, Incarnation, ModelName, Region, ServiceName};
 use smallvec::SmallVec;
@@ -46,8 +48,10 @@
     Standpoint { domain: id("east-1"), regions: regions(), prefill_tokens_per_ms: 55.0 }
 }
 
+/// A moment at which only one gateway's sends are known.
 pub fn moment(gateways: usize) -> Moment {
-    Moment { newest_version: Some(1), gateways, known_gateways: 1, may_wait: true, spread: 0 }
+    let stands_for = gateways as f64;
+    Moment { newest_version: Some(1), stands_for, may_wait: true, spread: 0 }
 }
 
 pub fn engines() -> EngineTraits {
@@ -121,3 +125,15 @@
 pub fn address(text: &str) -> SocketAddr {
     id(text)
 }
+
+/// A gateway that reports from the first failure domain.
+pub fn reporting<T>(host: &str, domain: &str, life: u64, run: impl FnOnce(&Reporter) -> T) -> T {
+    run(&Reporter { host: &id(host), domain: &id(domain), life })
+}
+
+/// The report of a gateway's own sends.
+pub fn report_of(loads: &mut Loads, host: &str, life: u64) -> LoadReport {
+    reporting(host, "east-1", life, |reporter| {
+        loads.report(reporter, &LinkShares::new(), true).unwrap()
+    })
+}
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use common::id;
+use common::{report_of, reporting};
+use dispatch::blocks::LinkShares;
 use dispatch::load::{FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, Weight};
 use dispatch::registry::ServerId;
 
@@ -94,10 +95,6 @@
     assert_eq!(loads.view(&server, 100).health, Health::Good);
 }
 
-fn report_of(loads: &mut Loads, host: &str, life: u64) -> LoadReport {
-    loads.report(&id(host), life, true).unwrap()
-}
-
 /// Load pattern: clumps of arrivals at several gateways, each of which sees the same free server.
 #[test]
 fn sends_of_other_gateways_count_until_they_stop_telling() {
@@ -140,10 +137,44 @@
 fn a_report_is_made_only_when_something_changed_or_one_is_wanted() {
     let server = ServerId::new("a");
     let mut loads = Loads::new();
-    let host = id("host-1");
-    assert_eq!(loads.report(&host, 1, false), None);
+    let report = |loads: &mut Loads, is_wanted| {
+        reporting("host-1", "east-1", 1, |reporter| {
+            loads.report(reporter, &LinkShares::new(), is_wanted)
+        })
+    };
+    assert_eq!(report(&mut loads, false), None);
     loads.sent(&server, LONG, 0);
-    assert_eq!(loads.report(&host, 1, false).map(|report| report.servers.len()), Some(1));
-    assert_eq!(loads.report(&host, 1, false), None);
-    assert_eq!(loads.report(&host, 1, true).map(|report| report.number), Some(2));
+    assert_eq!(report(&mut loads, false).map(|report| report.servers.len()), Some(1));
+    assert_eq!(report(&mut loads, false), None);
+    assert_eq!(report(&mut loads, true).map(|report| report.number), Some(2));
+}
+
+/// Load pattern: gateways of one failure domain send most of their requests to others, where each
+/// gateway's own sends say little.
+#[test]
+fn a_relay_takes_its_domains_sums_to_others_and_brings_theirs_back() {
+    let server = ServerId::new("a");
+    let domain_report = |loads: &mut Loads, host, domain| {
+        reporting(host, domain, 1, |reporter| loads.domain_report(reporter, &LinkShares::new()))
+    };
+    let elsewhere_report = |loads: &mut Loads, host| {
+        reporting(host, "east-1", 1, |reporter| loads.elsewhere_report(reporter))
+    };
+    let [mut own, mut relay, mut far] = std::array::from_fn(|_| Loads::new());
+    far.sent(&server, LONG, 0);
+    relay.sent(&server, LONG, 0);
+    relay.note_report(domain_report(&mut far, "host-w", "west-1"), 10);
+    own.note_report(report_of(&mut relay, "host-1", 1), 10);
+    own.note_report(elsewhere_report(&mut relay, "host-1"), 10);
+    assert_eq!(own.view(&server, 20).memory_tokens, 24_000);
+    assert_eq!(own.reporting_gateways(), 2);
+    assert_eq!(relay.view(&server, 20).memory_tokens, 24_000);
+
+    own.sent(&server, LONG, 20);
+    relay.note_report(report_of(&mut own, "host-2", 1), 20);
+    far.note_report(domain_report(&mut relay, "host-1", "east-1"), 30);
+    assert_eq!((far.view(&server, 30).in_flight, far.reporting_gateways()), (3, 2));
+    // Another host takes over as the relay, and its count starts anew.
+    own.note_report(elsewhere_report(&mut relay, "host-0"), 40);
+    assert_eq!(own.reporting_gateways(), 2);
 }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -6,7 +6,7 @@
 use dispatch::choice::{self, BlockCost, Candidate, Chosen, Moment, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
-use dispatch::load::{FlightId, Weight};
+use dispatch::load::{FlightId, Loads, Weight};
 use dispatch::registry::ServerEntry;
 use dispatch::rollout::NamedVersions;
 use protocol::ids::{FailureDomain, ModelName};
@@ -78,14 +78,18 @@
         .as_ref()
         .and_then(|prompt| knowledge.weights.get(&prompt.model).and_then(NamedVersions::newest));
     let mut plans = Plans::new();
-    let candidates = candidates(&knowledge, job, engines, newest, &mut plans, now_ms);
+    let mut candidates = candidates(&knowledge, job, engines, newest, &mut plans, now_ms);
+    let spread = rand::random();
+    if engines.is_some() {
+        choice::sample(&mut candidates, knowledge.gateways.count(), spread);
+    }
     let moment = Moment {
         newest_version: newest,
-        gateways: 1 + knowledge.gateways.near(&node.settings.failure_domain).count(),
-        known_gateways: 1 + knowledge.loads.reporting_gateways(),
+        stands_for: knowledge.stands_for(),
         may_wait: choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms),
-        spread: rand::random(),
+        spread,
     };
+    let known_gateways = 1 + knowledge.loads.reporting_gateways();
     let chosen = choice::choose(&node.standpoint, demand, engines, &moment, &candidates)?;
     let entry = candidates
         .iter()
@@ -96,7 +100,9 @@
         (Some(prompt), Some(engines)) => {
             let weight_version = weight_version(&entry, prompt, newest);
             let salt = salt(job, &prompt.model, weight_version);
-            let place = block_place(&knowledge, job, engines, &entry.domain);
+            let knowledge = &mut *knowledge;
+            let stands_for = knowledge.stands_for();
+            let place = block_place(&knowledge.loads, job, engines, &entry.domain, stands_for);
             let planned = plans.into_iter().find(|planned| planned.is_for(&entry, weight_version));
             let mut blocks = planned.ok_or(NoServer::NoneKnown)?.plan;
             let fetch_until = fetch_until(node, demand, now_ms);
@@ -118,7 +124,7 @@
     };
     let weight = weight(job, demand.prompt.as_ref(), engines, engine.as_ref());
     let flight = knowledge.loads.sent(&entry.id, weight, now_ms);
-    Ok(Placed { entry, chosen, known_gateways: moment.known_gateways, flight, engine })
+    Ok(Placed { entry, chosen, known_gateways, flight, engine })
 }
 
 /// A plan that serves all servers of one failure domain with the same weights.
@@ -166,6 +172,7 @@
     let usable = knowledge.registry.usable(&demand.service);
     let untried = usable.filter(|entry| !job.excluded.contains(&entry.id));
     let mut candidates = Vec::new();
+    let stands_for = knowledge.stands_for();
     let oldest_usable = oldest_usable_weights(knowledge, job, now_ms);
     for entry in untried {
         let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
@@ -178,7 +185,8 @@
                 let known = plans.iter().position(|plan| plan.is_for(entry, weight_version));
                 let index = known.unwrap_or_else(|| {
                     let salt = salt(job, &prompt.model, weight_version);
-                    let place = block_place(knowledge, job, engines, &entry.domain);
+                    let loads = &knowledge.loads;
+                    let place = block_place(loads, job, engines, &entry.domain, stands_for);
                     let configuration = &job.request.in_force.configuration;
                     let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
                     plans.push(Planned { domain: entry.domain.clone(), weight_version, plan });
@@ -213,10 +221,11 @@
 }
 
 fn block_place<'a>(
-    knowledge: &Knowledge,
+    loads: &'a Loads,
     job: &'a Job,
     engines: &EngineTraits,
     domain: &'a FailureDomain,
+    stands_for: f64,
 ) -> Place<'a> {
     let standpoint = &job.node.standpoint;
     Place {
@@ -224,7 +233,8 @@
         regions: &standpoint.regions,
         token_bytes: engines.token_bytes,
         prefill_tokens_per_ms: standpoint.prefill_tokens_per_ms,
-        gateways: knowledge.gateways.count(),
+        told_links: loads.told_links(),
+        stands_for,
     }
 }
 
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -26,6 +26,9 @@
 /// kept blocks holds a dozen questions open.
 const MOST_READERS: usize = 12;
 
+/// The gateways of another failure domain that are sent a domain's sums.
+const RELAYS_PER_DOMAIN: usize = 2;
+
 /// Where a gateway learns what the stores say.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Source {
@@ -97,7 +100,7 @@
     /// and a store of kept blocks serves only a dozen. One gateway a failure domain reads; the
     /// others follow it, and read by themselves when it falls behind.
     pub fn source(&self, own_domain: &FailureDomain) -> Source {
-        if !self.is_listed || self.count() <= MOST_READERS {
+        if !self.is_listed || self.is_small() {
             return Source::Stores;
         }
         let in_domain = |record: &&GatewayRecord| record.failure_domain == *own_domain;
@@ -109,17 +112,35 @@
         }
     }
 
-    /// Returns the other gateways that send to the same servers as this one: all of a small
-    /// installation, those of its failure domain in a large one, where each domain has servers
-    /// enough of its own.
+    /// Says whether all gateways tell each other their sends. In a large installation those of a
+    /// failure domain do, and one of them gathers the sums for the other domains.
+    pub fn is_small(&self) -> bool {
+        self.count() <= MOST_READERS
+    }
+
+    /// Returns the other gateways that are told this one's sends.
     pub fn near<'a>(
         &'a self,
         own_domain: &'a FailureDomain,
     ) -> impl Iterator<Item = &'a GatewayRecord> {
-        let is_small = self.count() <= MOST_READERS;
+        let is_small = self.is_small();
         self.others().filter(move |record| is_small || record.failure_domain == *own_domain)
     }
 
+    /// Returns the gateways that take the sums of a failure domain to the others: the first of each
+    /// other domain by name, and the next ones, as the first may be gone.
+    pub fn relays(&self, own_domain: &FailureDomain) -> Vec<SocketAddr> {
+        let mut taken: BTreeMap<&FailureDomain, usize> = BTreeMap::new();
+        let others = self.by_host.values().map(|listed| &listed.record);
+        let relays = others.filter(|record| record.failure_domain != *own_domain);
+        let relays = relays.filter(|record| {
+            let taken = taken.entry(&record.failure_domain).or_default();
+            *taken += 1;
+            *taken <= RELAYS_PER_DOMAIN
+        });
+        relays.map(|record| record.peers).collect()
+    }
+
     /// Returns the place of this gateway among all by name, for turns that need no talk.
     pub fn own_rank(&self) -> usize {
         self.others().filter(|record| record.host < self.own).count()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -105,6 +105,12 @@
         must_list
     }
 
+    /// Returns how many gateways each one stands for whose sends are known.
+    pub fn stands_for(&self) -> f64 {
+        let known = 1 + self.loads.reporting_gateways();
+        (self.gateways.count() as f64 / known as f64).max(1.0)
+    }
+
     /// Notes where a session's request went.
     pub fn note_session(&mut self, key: [u8; 8], server: &ServerId, now_ms: u64) {
         if self.sessions.len() >= MAX_SESSIONS {
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -1,11 +1,13 @@
-//! Telling other gateways of own sends by datagrams, and hearing of theirs.
+//! Telling other gateways of sends by datagrams, and hearing of theirs.
 //!
-//! A datagram that is lost is made good by the next one, as each holds all sends.
+//! A datagram that is lost is made good by the next one, as each holds all sends. In a large
+//! installation the gateways of a failure domain tell each other, and one of them, the relay, takes
+//! the domain's sums to the others and brings theirs back.
 
 use crate::event;
 use crate::node::Node;
 use crate::peers::message;
-use dispatch::load::LoadReport;
+use dispatch::load::{LoadReport, Reporter, Sender};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,27 +28,17 @@
 /// Tells and hears for as long as the process lives.
 pub async fn run(node: Arc<Node>, socket: UdpSocket) {
     let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
-    let mut told_ms = 0;
-    let mut known = 0;
+    let mut teller = Teller { socket, told_ms: 0, known: 0 };
     let mut next_tell = Instant::now();
     loop {
         tokio::select! {
-            received = socket.recv_from(&mut datagram) => match received {
+            received = teller.socket.recv_from(&mut datagram) => match received {
                 Ok((length, _)) => hear(&node, &datagram[..length]),
                 // A peer's port that nobody listens on shows up here; the peer is just not there.
                 Err(_) => node.metrics.count("peer_failures", "load_report"),
             },
             () = sleep_until(next_tell) => {
-                let now_ms = node.now_ms();
-                node.knowledge().loads.expire_reports(now_ms);
-                note_known(&node, &mut known);
-                let listeners = listeners(&node);
-                if let Some(report) = report(&node, now_ms >= told_ms + TELL_AGAIN_MS) {
-                    tell(&node, &socket, &report, &listeners).await;
-                    told_ms = now_ms;
-                }
-                let every_ms = TELL_EVERY_MS + TELL_EVERY_MS_PER_GATEWAY * listeners.len() as u64;
-                next_tell = Instant::now() + Duration::from_millis(every_ms);
+                next_tell = Instant::now() + teller.tell(&node).await;
             }
         }
     }
@@ -57,38 +49,83 @@
         node.metrics.count("peer_failures", "load_report");
         return;
     };
-    if report.host != node.settings.host {
+    // A relay's word on this gateway's own domain would count sends twice.
+    let is_own = match &report.sender {
+        Sender::Gateway(host) => *host == node.settings.host,
+        Sender::FailureDomain(domain) => *domain == node.settings.failure_domain,
+        Sender::Elsewhere => false,
+    };
+    if !is_own {
         node.knowledge().loads.note_report(report, node.now_ms());
         node.has_room.notify_one();
     }
 }
 
-/// Logs how many gateways' sends are known, whenever that changes.
-fn note_known(node: &Node, known: &mut usize) {
-    let count = node.knowledge().loads.reporting_gateways();
-    let before = std::mem::replace(known, count);
-    if count != before {
-        event!(info, node.now_ms(), "gateways_reporting", { "count": count, "before": before });
-    }
+/// What a gateway tells, and when it last did.
+struct Teller {
+    socket: UdpSocket,
+    told_ms: u64,
+    /// The gateways whose sends were known at the last look.
+    known: usize,
 }
 
-/// Returns the gateways that send to the same servers.
-fn listeners(node: &Node) -> Vec<SocketAddr> {
-    let knowledge = node.knowledge();
-    let near = knowledge.gateways.near(&node.settings.failure_domain);
-    near.map(|record| record.peers).collect()
-}
+impl Teller {
+    /// Tells what is due and returns the time until the next look.
+    async fn tell(&mut self, node: &Node) -> Duration {
+        let now_ms = node.now_ms();
+        let settings = &node.settings;
+        let (near, relays) = {
+            let mut knowledge = node.knowledge();
+            knowledge.loads.expire_reports(now_ms);
+            let near = knowledge.gateways.near(&settings.failure_domain);
+            let near: Vec<SocketAddr> = near.map(|record| record.peers).collect();
+            let mut reporting = knowledge.loads.reporting_hosts();
+            let is_relay =
+                !knowledge.gateways.is_small() && reporting.all(|host| settings.host < *host);
+            let relays = is_relay.then(|| knowledge.gateways.relays(&settings.failure_domain));
+            (near, relays)
+        };
+        self.note_known(node);
+        let reporter =
+            Reporter { host: &settings.host, domain: &settings.failure_domain, life: node.life };
+        let is_wanted = now_ms >= self.told_ms + TELL_AGAIN_MS;
+        let (own, relayed) = {
+            let mut knowledge = node.knowledge();
+            let links = knowledge.blocks.own_link_shares(knowledge.stands_for(), now_ms);
+            let loads = &mut knowledge.loads;
+            let own = loads.report(&reporter, &links, is_wanted);
+            let relayed = relays.map(|relays| {
+                let domain = loads.domain_report(&reporter, &links);
+                (relays, domain, loads.elsewhere_report(&reporter))
+            });
+            (own, relayed)
+        };
+        if let Some(own) = own {
+            self.told_ms = now_ms;
+            self.send(node, &own, &near).await;
+        }
+        if let Some((relays, domain, elsewhere)) = relayed {
+            self.send(node, &domain, &relays).await;
+            self.send(node, &elsewhere, &near).await;
+        }
+        Duration::from_millis(TELL_EVERY_MS + TELL_EVERY_MS_PER_GATEWAY * near.len() as u64)
+    }
 
-/// Returns a report of own sends if they changed or one is wanted.
-fn report(node: &Node, is_wanted: bool) -> Option<LoadReport> {
-    node.knowledge().loads.report(&node.settings.host, node.life, is_wanted)
-}
+    /// Logs how many gateways' sends are known, whenever that changes.
+    fn note_known(&mut self, node: &Node) {
+        let count = node.knowledge().loads.reporting_gateways();
+        let before = std::mem::replace(&mut self.known, count);
+        if count != before {
+            event!(info, node.now_ms(), "gateways_reporting", { "count": count, "before": before });
+        }
+    }
 
-async fn tell(node: &Node, socket: &UdpSocket, report: &LoadReport, listeners: &[SocketAddr]) {
-    let datagram = message::encode(report);
-    for listener in listeners {
-        if socket.send_to(&datagram, listener).await.is_err() {
-            node.metrics.count("peer_failures", "load_report");
+    async fn send(&self, node: &Node, report: &LoadReport, listeners: &[SocketAddr]) {
+        let datagram = message::encode(report);
+        for listener in listeners {
+            if self.socket.send_to(&datagram, listener).await.is_err() {
+                node.metrics.count("peer_failures", "load_report");
+            }
         }
     }
 }
