Place waiting prompts by whether they can still be in time

Cause: whoever found room first took it: a prompt that had waited for seconds, and was late already, went before one that could still be in time, and newcomers passed both. Change: prompts that wait for room stand in a line: by the organisation's rank, then those that can be in time by how soon that ends, then the late ones. All are woken when room may be there.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -60,6 +60,11 @@
     waited_ms < WAIT_SHARE * deadline_at_ms.saturating_sub(arrived_ms) as f64
 }
 
+/// Says whether a request may have to wait for room: quick questions go at once.
+pub fn needs_room(demand: &Demand) -> bool {
+    demand.prompt.as_ref().is_some_and(|prompt| prompt.run_tokens() >= LONG_PROMPT_TOKENS)
+}
+
 /// Where the gateway stands and what it assumes of engines.
 #[derive(Clone, Debug)]
 pub struct Standpoint {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod retry_share;
 pub mod rollout;
 pub mod routes;
+pub mod waiting;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,6 @@
 use http::Response;
 use rand::Rng;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// Most sends that servers refuse before the caller is told to come back.
 const MAX_REFUSED_SENDS: u32 = 3;
@@ -54,11 +53,12 @@
         let placed = match place::place(&job) {
             Ok(placed) => placed,
             Err(NoServer::NoRoom) => {
-                wait_for_room(&job).await;
+                job.wait_in_line().await;
                 continue;
             }
             Err(reason) => return job.refuse_unplaced(reason),
         };
+        job.leave_line();
         if job.sends > 0 && !job.try_repeat() {
             return job.give_up(Refusal::ServersRefused);
         }
@@ -82,15 +82,6 @@
     }
 }
 
-/// Waits until a send ends, or a little while: the other gateways' sends end unseen.
-async fn wait_for_room(job: &Job) {
-    /// How often a waiting request is looked at.
-    const LOOK_EVERY: Duration = Duration::from_millis(60);
-    job.node.metrics.count("waits", "room");
-    // Room or not, the request is looked at again.
-    drop(tokio::time::timeout(LOOK_EVERY, job.node.has_room.notified()).await);
-}
-
 impl Job {
     fn refuse_unplaced(&mut self, reason: NoServer) -> Response<AnswerBody> {
         let refusal = match reason {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -128,7 +128,7 @@
         if std::mem::replace(&mut self.is_open, false) {
             let now_ms = self.node.now_ms();
             self.node.knowledge().loads.finished(&self.server, self.id, outcome, now_ms);
-            self.node.has_room.notify_one();
+            self.node.has_room.notify_waiters();
         }
     }
 }
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -6,8 +6,10 @@
 use crate::node::Node;
 use dispatch::configuration::RouteKind;
 use dispatch::registry::ServerId;
+use dispatch::waiting::Ticket;
 use smallvec::SmallVec;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A request on its way.
 #[derive(Debug)]
@@ -26,10 +28,27 @@
     pub excluded: SmallVec<[ServerId; 4]>,
     /// The last whole event passed on, for streams that go on elsewhere.
     pub last_event: Option<String>,
+    /// The place in the line of those that wait for room.
+    in_line: Option<InLine>,
     /// Whether the end was logged.
     pub is_ended: bool,
 }
 
+/// A place in the line, left when dropped.
+#[derive(Debug)]
+struct InLine {
+    node: Arc<Node>,
+    ticket: Ticket,
+}
+
+impl Drop for InLine {
+    fn drop(&mut self) {
+        self.node.knowledge().line.leave(self.ticket);
+        // The next one in the line may find room too.
+        self.node.has_room.notify_waiters();
+    }
+}
+
 impl Job {
     /// Starts a request.
     pub fn new(node: Arc<Node>, request: CallerRequest) -> Self {
@@ -41,10 +60,35 @@
             ran_on: SmallVec::new(),
             excluded: SmallVec::new(),
             last_event: None,
+            in_line: None,
             is_ended: false,
         }
     }
 
+    /// Returns the place in the line of those that wait for room.
+    pub fn ticket(&self) -> Option<Ticket> {
+        self.in_line.as_ref().map(|in_line| in_line.ticket)
+    }
+
+    /// Waits in the line of those that wait for room, until something changed or a little while.
+    pub async fn wait_in_line(&mut self) {
+        /// How often a waiting request is looked at: sends of gateways that tell nothing end unseen.
+        const LOOK_EVERY: Duration = Duration::from_millis(60);
+        let node = Arc::clone(&self.node);
+        if self.in_line.is_none() {
+            node.metrics.count("waits", "room");
+            let ticket = node.knowledge().line.enter(&self.request.demand);
+            self.in_line = Some(InLine { node: Arc::clone(&node), ticket });
+        }
+        // Room or not, the request is looked at again.
+        drop(tokio::time::timeout(LOOK_EVERY, node.has_room.notified()).await);
+    }
+
+    /// Leaves the line, placed or not.
+    pub fn leave_line(&mut self) {
+        self.in_line = None;
+    }
+
     /// Returns the time that is left.
     pub fn remaining_ms(&self) -> u64 {
         self.request.demand.deadline_at_ms.saturating_sub(self.node.now_ms())
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -73,6 +73,13 @@
     let configuration = &request.in_force.configuration;
     let engines = configuration.services.get(&demand.service).and_then(|found| found.engines());
     let mut knowledge = node.knowledge();
+    let may_wait = choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms);
+    if may_wait
+        && choice::needs_room(demand)
+        && !knowledge.line.is_first(job.ticket(), demand, now_ms)
+    {
+        return Err(NoServer::NoRoom);
+    }
     let newest = demand
         .prompt
         .as_ref()
@@ -83,12 +90,8 @@
     if engines.is_some() {
         choice::sample(&mut candidates, knowledge.gateways.count(), spread);
     }
-    let moment = Moment {
-        newest_version: newest,
-        stands_for: knowledge.stands_for(),
-        may_wait: choice::may_wait(request.arrived_ms, demand.deadline_at_ms, now_ms),
-        spread,
-    };
+    let moment =
+        Moment { newest_version: newest, stands_for: knowledge.stands_for(), may_wait, spread };
     let known_gateways = 1 + knowledge.loads.reporting_gateways();
     let chosen = choice::choose(&node.standpoint, demand, engines, &moment, &candidates)?;
     let entry = candidates
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 use dispatch::retry_share::{BudgetBounds, RetryShare};
 use dispatch::rollout::NamedVersions;
 use dispatch::routes::RouteTable;
+use dispatch::waiting::WaitingLine;
 use protocol::ids::ModelName;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -74,6 +75,8 @@
     pub block_log: BlockLog,
     /// The gateways.
     pub gateways: Gateways,
+    /// The prompts that wait for room.
+    pub line: WaitingLine,
     sessions: HashMap<[u8; 8], (ServerId, u64)>,
 }
 
@@ -188,6 +191,7 @@
             block_log: BlockLog::default(),
             weights: BTreeMap::new(),
             gateways: Gateways::new(settings.host.clone()),
+            line: WaitingLine::new(),
             sessions: HashMap::new(),
         };
         Self {
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -57,7 +57,7 @@
     };
     if !is_own {
         node.knowledge().loads.note_report(report, node.now_ms());
-        node.has_room.notify_one();
+        node.has_room.notify_waiters();
     }
 }
 
