Count on what engines hold in memory, and fetch from there

Cause: half of the shared tokens that were read again had been read by some engine less than 2.5 s before: kept too far away, not saved yet, or with no room in a store, while that engine still held them. Change: gateways tell in which server each session runs, and follow the memory of their own failure domain's engines. A server that holds a prompt's first parts costs neither their fetch nor their reading; other servers fetch from that engine, whose link is nine times that of the large stores, when that is cheaper than a store.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -7,14 +7,16 @@
 mod place;
 mod plan;
 mod report;
+mod resident;
 
-pub use crate::blocks::place::{LinkShares, Place};
+pub use crate::blocks::place::{Holder, LinkShares, Place};
 pub use crate::blocks::plan::{BlockPlan, PartSource};
 pub use crate::blocks::report::{BlockChange, BlockKey, BlockReport, CacheSalt};
 
 use crate::blocks::link_use::LinkUse;
+use crate::blocks::resident::Residents;
 use crate::configuration::{BlockStoreTraits, Configuration};
-use crate::demand::{Demand, PromptPart};
+use crate::demand::{Demand, Prompt, PromptPart};
 use placement::rendezvous;
 use protocol::ids::ModelName;
 use std::collections::HashMap;
@@ -45,6 +47,8 @@
 /// The share of a store's memory that is filled; blocks are rounded up and saves of other
 /// gateways are seen late.
 const FILL_SHARE: f64 = 0.97;
+/// The share of fetches from engines that find the part gone, as reports take some time.
+const ENGINE_MISS_SHARE: f64 = 0.1;
 /// Parts shorter than this are read again rather than fetched: the transfer's delay costs more.
 const LEAST_TOKENS: u64 = 64;
 
@@ -52,6 +56,7 @@
 #[derive(Debug, Default)]
 pub struct BlockIndex {
     stores: HashMap<SocketAddr, StoreState>,
+    residents: Residents,
     /// The oldest weight version of each model whose parts may be fetched and saved.
     oldest_used: HashMap<ModelName, u64>,
 }
@@ -99,6 +104,45 @@
         report.has_gap
     }
 
+    /// Applies a report of what an engine holds in its memory.
+    pub fn apply_engine(&mut self, engine: SocketAddr, report: &BlockReport, now_ms: u64) {
+        self.residents.apply(engine, report, now_ms);
+    }
+
+    /// Forgets what an engine holds, since it restarted or cannot be asked.
+    pub fn forget_engine(&mut self, engine: SocketAddr) {
+        self.residents.forget(engine);
+    }
+
+    /// Says whether an engine holds some shared part of a prompt.
+    pub fn is_holder(
+        &self,
+        engine: SocketAddr,
+        prompt: &Prompt,
+        salt: &CacheSalt,
+        now_ms: u64,
+    ) -> bool {
+        prompt
+            .shared_parts()
+            .iter()
+            .any(|part| self.residents.holds(engine, &(salt.clone(), part.id), part.tokens, now_ms))
+    }
+
+    /// Returns the number of a prompt's first parts that an engine holds itself; a later part is
+    /// of use only with all before it.
+    pub fn resident_parts(
+        &self,
+        engine: SocketAddr,
+        prompt: &Prompt,
+        salt: &CacheSalt,
+        now_ms: u64,
+    ) -> usize {
+        let is_held = |part: &&PromptPart| {
+            self.residents.holds(engine, &(salt.clone(), part.id), part.tokens, now_ms)
+        };
+        prompt.shared_parts().iter().take_while(is_held).count()
+    }
+
     /// Says whether a store's content is known in a boot epoch.
     pub fn is_known(&self, store: SocketAddr, boot_epoch: u64) -> bool {
         self.stores.get(&store).is_some_and(|state| state.boot_epoch == Some(boot_epoch))
@@ -169,6 +213,7 @@
                 plan.sources.push(if is_own { PartSource::Own } else { PartSource::Retired });
                 plan.read_shared_tokens += if is_own { 0 } else { part.tokens };
                 plan.fetch.push(None);
+                plan.part_fetch_ms.push(0.0);
                 plan.save.push(None);
                 continue;
             }
@@ -188,6 +233,7 @@
                 None => plan.read_shared_tokens += part.tokens,
             }
             plan.sources.push(match (&source, target) {
+                (Some(source), _) if source.is_engine => PartSource::Engine,
                 (Some(_), _) => PartSource::Store,
                 (None, _) if is_kept => PartSource::TooFar,
                 (None, Target::Held) => PartSource::BeingSaved,
@@ -196,7 +242,8 @@
             if source.is_none() && target == Target::NoRoom {
                 plan.unkept_tokens += part.tokens;
             }
-            plan.fetch.push(source.map(|source| source.store));
+            plan.part_fetch_ms.push(source.map_or(0.0, |source| source.cost_ms));
+            plan.fetch.push(source.map(|source| source.address));
             plan.save.push(target.address());
         }
         plan
@@ -220,7 +267,9 @@
         let stores: HashMap<SocketAddr, &BlockStoreTraits> =
             configuration.block_stores().map(|(_, store)| (store.address, store)).collect();
         for (index, part) in prompt.parts.iter().enumerate() {
-            for address in [plan.fetch[index], plan.save[index]].into_iter().flatten() {
+            let is_resident = plan.sources[index] == PartSource::Resident;
+            let fetched = plan.fetch[index].filter(|_| !is_resident);
+            for address in [fetched, plan.save[index]].into_iter().flatten() {
                 let (Some(store), Some(state)) =
                     (stores.get(&address), self.stores.get_mut(&address))
                 else {
@@ -238,7 +287,7 @@
         }
     }
 
-    /// Returns the cheapest store that holds a part, unless reading it costs less.
+    /// Returns the cheapest store or engine that holds a part, unless reading it costs less.
     fn source(
         &self,
         configuration: &Configuration,
@@ -256,10 +305,27 @@
             let own_use = state.link.get(place.stands_for, now_ms);
             let in_use = place.link_use(store, own_use).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + queued_transfers(in_use));
-            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms)
-                .then_some(Source { store: store.address, cost_ms })
+            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms).then_some(Source {
+                address: store.address,
+                cost_ms,
+                is_engine: false,
+            })
+        });
+        let engines = place.engines.iter().filter_map(|engine| {
+            let holds = || self.residents.holds(engine.address, key, part.tokens, now_ms);
+            if !engine.has_session && !holds() {
+                return None;
+            }
+            let link_mbps = place.engine_link_mbps?;
+            let transfer_ms = place.engine_transfer_ms(engine.domain, link_mbps, part.tokens);
+            let cost_ms = transfer_ms + ENGINE_MISS_SHARE * read_ms;
+            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms).then_some(Source {
+                address: engine.address,
+                cost_ms,
+                is_engine: true,
+            })
         });
-        sources.min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+        sources.chain(engines).min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
     /// Returns a store of the region with room for a part.
@@ -301,10 +367,11 @@
     in_use / (2.0 * (1.0 - in_use))
 }
 
-/// A store that a part is fetched from.
+/// A store or an engine that a part is fetched from.
 #[derive(Clone, Copy, Debug)]
 struct Source {
-    store: SocketAddr,
+    address: SocketAddr,
+    is_engine: bool,
     cost_ms: f64,
 }
 
--- a/crates/dispatch/src/blocks/place.rs
+++ b/crates/dispatch/src/blocks/place.rs
@@ -9,6 +9,8 @@
 const OTHER_DOMAIN_FACTOR: f64 = 2.0;
 /// How much longer a transfer to another region takes, by the platform's pages.
 const OTHER_REGION_FACTOR: f64 = 10.0;
+/// What a fetch from an engine waits besides, in milliseconds: the engine works in steps.
+const ENGINE_DELAY_MS: f64 = 6.0;
 /// A server's place and what transfers to it take.
 #[derive(Clone, Debug)]
 pub struct Place<'a> {
@@ -16,6 +18,10 @@
     pub domain: &'a FailureDomain,
     /// The region of each failure domain.
     pub regions: &'a HashMap<FailureDomain, Region>,
+    /// The engines whose memory may be fetched from.
+    pub engines: &'a [Holder<'a>],
+    /// The bandwidth of the engines' links, in megabits a second.
+    pub engine_link_mbps: Option<f64>,
     /// The bytes of a token.
     pub token_bytes: u64,
     /// The prompt tokens that an engine reads in a millisecond.
@@ -26,6 +32,17 @@
     pub stands_for: f64,
 }
 
+/// An engine that holds parts of a prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct Holder<'a> {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: &'a FailureDomain,
+    /// Whether it runs the session, or did a moment ago, and so holds all shared parts.
+    pub has_session: bool,
+}
+
 /// The shares of the time of stores' links that transfers take, in thousandths.
 pub type LinkShares = BTreeMap<SocketAddr, u32>;
 
@@ -42,14 +59,28 @@
 
     /// The time that a transfer holds the store's link.
     pub(super) fn transfer_ms(&self, store: &BlockStoreTraits, tokens: u64) -> f64 {
-        let factor = if *self.domain == store.domain {
+        store.transfer_delay_ms + self.link_ms(&store.domain, store.link_mbps, tokens)
+    }
+
+    /// The time of a fetch from an engine's memory.
+    pub(super) fn engine_transfer_ms(
+        &self,
+        domain: &FailureDomain,
+        link_mbps: f64,
+        tokens: u64,
+    ) -> f64 {
+        ENGINE_DELAY_MS + self.link_ms(domain, link_mbps, tokens)
+    }
+
+    fn link_ms(&self, other: &FailureDomain, link_mbps: f64, tokens: u64) -> f64 {
+        let factor = if self.domain == other {
             1.0
-        } else if self.is_same_region(&store.domain) {
+        } else if self.is_same_region(other) {
             OTHER_DOMAIN_FACTOR
         } else {
             OTHER_REGION_FACTOR
         };
         let bits = (tokens * self.token_bytes * 8) as f64;
-        store.transfer_delay_ms + factor * bits / (store.link_mbps * 1_000.0)
+        factor * bits / (link_mbps * 1_000.0)
     }
 }
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -76,6 +76,11 @@
     pub memory_tokens: u64,
     /// The bytes that one token takes in memory and on links.
     pub token_bytes: u64,
+    /// The bandwidth of a server's link to others, in megabits a second; `None` if parts cannot be
+    /// fetched from servers.
+    pub link_mbps: Option<f64>,
+    /// The calls for changes of its memory that a server holds open at once.
+    pub max_watchers: u32,
     /// The models that are served.
     pub models: SmallVec<[ModelName; 1]>,
 }
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -3,11 +3,14 @@
 //! Load patterns: servers fall silent and stay in the registry for seconds; a server fails part of
 //! its requests while its health check passes; several gateways fill the same free server at once.
 
+mod sessions;
 mod told;
 
+pub use crate::load::sessions::SessionTag;
 pub use crate::load::told::{LoadReport, Sender, SendsToServer, ServerTag};
 
 use crate::blocks::LinkShares;
+use crate::load::sessions::Sessions;
 use crate::load::told::{Sums, ToldLoads};
 use crate::registry::ServerId;
 use protocol::ids::{FailureDomain, HostName};
@@ -44,6 +47,8 @@
     pub memory_tokens: u64,
     /// How long the server may stay silent after the send before it is suspected, in milliseconds.
     pub silence_ms: u64,
+    /// The session whose parts it leaves in the server's memory.
+    pub session: Option<SessionTag>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -181,6 +186,7 @@
     servers: HashMap<ServerId, ServerLoad>,
     next_flight: u64,
     told: ToldLoads,
+    sessions: Sessions,
     /// The number of the latest report.
     reports: u64,
     /// Whether own sends changed since that report.
@@ -204,13 +210,19 @@
         reporter: &Reporter<'_>,
         links: &LinkShares,
         is_wanted: bool,
+        now_ms: u64,
     ) -> Option<LoadReport> {
+        let sessions = self.own_sessions();
+        for (session, server) in &sessions {
+            self.sessions.note(*session, *server, now_ms);
+        }
         if !std::mem::replace(&mut self.is_changed, false) && !is_wanted {
             return None;
         }
         let mut sums = Sums::default();
         sums.add(1, &self.own_sends(), links);
-        Some(self.number(Sender::Gateway(reporter.host.clone()), reporter, sums))
+        let sender = Sender::Gateway(reporter.host.clone());
+        Some(LoadReport { sessions, ..self.number(sender, reporter, sums) })
     }
 
     /// Returns a report of the sends of a failure domain's gateways, this one included.
@@ -236,8 +248,23 @@
         in_use.map(|load| (load.tag, load.own_sends())).collect()
     }
 
+    fn own_sessions(&self) -> Vec<(SessionTag, ServerTag)> {
+        let flights = self.servers.values().flat_map(|load| {
+            load.flights.iter().filter_map(|flight| Some((flight.weight.session?, load.tag)))
+        });
+        flights.collect()
+    }
+
+    /// Returns the server where a session's parts probably are.
+    pub fn session_server(&self, session: SessionTag, now_ms: u64) -> Option<ServerTag> {
+        self.sessions.server(session, now_ms)
+    }
+
     /// Takes another gateway's report of its sends.
     pub fn note_report(&mut self, report: LoadReport, now_ms: u64) {
+        for (session, server) in &report.sessions {
+            self.sessions.note(*session, *server, now_ms);
+        }
         self.told.note(report, now_ms);
     }
 
@@ -266,7 +293,11 @@
         self.next_flight += 1;
         let id = FlightId(self.next_flight);
         let load = self.server_mut(server);
+        let tag = load.tag;
         load.flights.push(Flight { id, weight, sent_ms: now_ms, has_started: false });
+        if let Some(session) = weight.session {
+            self.sessions.note(session, tag, now_ms);
+        }
         self.is_changed = true;
         id
     }
--- a/crates/dispatch/src/load/told.rs
+++ b/crates/dispatch/src/load/told.rs
@@ -4,6 +4,7 @@
 //! only, so all choose the same free server, whose memory then does not hold the prompts.
 
 use crate::blocks::LinkShares;
+use crate::load::SessionTag;
 use crate::registry::ServerId;
 use protocol::ids::{FailureDomain, HostName};
 use serde::{Deserialize, Serialize};
@@ -74,6 +75,8 @@
     pub servers: Vec<(ServerTag, SendsToServer)>,
     /// The use of the links of stores of kept blocks.
     pub links: LinkShares,
+    /// The sessions whose requests are in flight, with their servers; only of one gateway's sends.
+    pub sessions: Vec<(SessionTag, ServerTag)>,
 }
 
 impl LoadReport {
@@ -120,7 +123,7 @@
         let mut servers: Vec<_> = self.by_server.into_iter().collect();
         servers.sort_by_key(|(server, _)| *server);
         let (host, gateways, links) = (host.clone(), self.gateways, self.links);
-        LoadReport { sender, host, life, number, gateways, servers, links }
+        LoadReport { sender, host, life, number, gateways, servers, links, sessions: Vec::new() }
     }
 }
 
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -4,7 +4,8 @@
 
 use common::{address, configuration, demand, id, regions, store};
 use dispatch::blocks::{
-    BlockChange, BlockIndex, BlockReport, CacheSalt, LinkShares, PartSource, Place,
+    BlockChange, BlockIndex, BlockPlan, BlockReport, CacheSalt, Holder, LinkShares, PartSource,
+    Place,
 };
 use dispatch::configuration::Configuration;
 use dispatch::demand::{Demand, PartId};
@@ -71,6 +72,8 @@
     Place {
         domain,
         regions,
+        engines: &[],
+        engine_link_mbps: Some(280_000.0),
         token_bytes: 18_432,
         prefill_tokens_per_ms: 55.0,
         told_links,
@@ -241,3 +244,71 @@
     let own = index.own_link_shares(1.0, 0);
     assert_eq!(own.keys().collect::<Vec<_>>(), [&address(EAST)]);
 }
+
+const ENGINE: &str = "127.0.0.1:21";
+
+/// Plans for a server of the first domain, where an engine of the second holds what it reported.
+fn plan_beside_an_engine(world: &World, has_session: bool, now_ms: u64) -> BlockPlan {
+    let engine_domain: FailureDomain = id("east-2");
+    let holder = Holder { address: address(ENGINE), domain: &engine_domain, has_session };
+    let place = Place { engines: &[holder], ..world.place() };
+    let demand = demand(9, 8_000, 2_000);
+    world.index.plan(&world.configuration, &demand, &salt(1), &place, now_ms)
+}
+
+fn report_engine(world: &mut World, boot_epoch: u64, changes: Vec<BlockChange>, now_ms: u64) {
+    let report = BlockReport { boot_epoch, has_gap: false, changes };
+    world.index.apply_engine(address(ENGINE), &report, now_ms);
+}
+
+/// Load pattern: a session returns within seconds, while an engine holds its parts and the link of
+/// the store is slow or its save is still under way.
+#[test]
+fn parts_in_an_engines_memory_are_fetched_from_there() {
+    use PartSource::{Engine, Own, Store, Unkept};
+    let mut world = World::new(500_000);
+    let sources = |world: &World, now_ms| plan_beside_an_engine(world, false, now_ms).sources;
+    report_engine(&mut world, 1, vec![stored(&salt(1), 9, 8_000)], 0);
+    assert_eq!(sources(&world, 10).as_slice(), [Unkept, Engine, Own]);
+    let plan = plan_beside_an_engine(&world, false, 10);
+    assert_eq!(plan.fetch[1], Some(address(ENGINE)));
+    assert!(plan.part_fetch_ms[1] < 80.0, "{}", plan.part_fetch_ms[1]);
+    assert_eq!(sources(&world, 6_000)[1], Unkept, "reports are not believed for ever");
+
+    report_engine(&mut world, 1, vec![stored(&salt(1), 9, 4_000)], 20);
+    assert_eq!(sources(&world, 30)[1], Unkept, "a part of it has yielded");
+    report_engine(&mut world, 1, vec![stored(&salt(1), 9, 8_000)], 40);
+    report_engine(&mut world, 2, vec![stored(&salt(1), 1, 512)], 50);
+    assert_eq!(sources(&world, 60).as_slice(), [Engine, Unkept, Own], "the engine restarted");
+    world.index.forget_engine(address(ENGINE));
+    assert_eq!(sources(&world, 70).as_slice(), [Unkept, Unkept, Own]);
+    let running = plan_beside_an_engine(&world, true, 80).sources;
+    assert_eq!(running.as_slice(), [Engine, Engine, Own], "what a run reads need not be reported");
+
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    assert_eq!(sources(&world, 90)[1], Store);
+}
+
+#[test]
+fn what_a_server_holds_itself_is_neither_read_nor_waited_for() {
+    let mut world = World::new(500_000);
+    world.report(EAST, 1, vec![stored(&salt(1), 9, 8_000)]);
+    let demand = demand(9, 8_000, 2_000);
+    let prompt = demand.prompt.as_ref().unwrap();
+    report_engine(&mut world, 1, vec![stored(&salt(1), 9, 8_000)], 0);
+    let resident =
+        |world: &World| world.index.resident_parts(address(ENGINE), prompt, &salt(1), 10);
+    assert_eq!(resident(&world), 0, "of no use without the part before it");
+    report_engine(&mut world, 1, vec![stored(&salt(1), 1, 512)], 0);
+    assert_eq!(resident(&world), 2);
+
+    let mut plan = world.index.plan(&world.configuration, &demand, &salt(1), &world.place(), 10);
+    let before = plan.clone();
+    assert_eq!((before.fetched_tokens, before.read_shared_tokens), (8_000, 512));
+    plan.use_resident(&prompt.parts, 2);
+    assert_eq!((plan.fetched_tokens, plan.read_shared_tokens), (8_512, 0));
+    assert!(plan.fetch_ms.abs() < 1e-9 && before.fetch_ms > 20.0);
+    assert_eq!(plan.fetch, before.fetch, "in case that it is gone by then");
+    use PartSource::{Own, Resident};
+    assert_eq!(plan.sources.as_slice(), [Resident, Resident, Own]);
+}
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -59,6 +59,8 @@
         slots: 64,
         memory_tokens: 80_000,
         token_bytes: 18_432,
+        link_mbps: Some(280_000.0),
+        max_watchers: 12,
         models: SmallVec::from_iter([id("m")]),
     }
 }
@@ -133,7 +135,12 @@
 
 /// The report of a gateway's own sends.
 pub fn report_of(loads: &mut Loads, host: &str, life: u64) -> LoadReport {
+    report_at(loads, host, life, 0)
+}
+
+/// The report of a gateway's own sends at a time.
+pub fn report_at(loads: &mut Loads, host: &str, life: u64, now_ms: u64) -> LoadReport {
     reporting(host, "east-1", life, |reporter| {
-        loads.report(reporter, &LinkShares::new(), true).unwrap()
+        loads.report(reporter, &LinkShares::new(), true, now_ms).unwrap()
     })
 }
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -2,14 +2,18 @@
 
 mod common;
 
-use common::{report_of, reporting};
-use dispatch::blocks::LinkShares;
-use dispatch::load::{FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, Weight};
+use common::{demand, id, report_at, report_of, reporting};
+use dispatch::blocks::{CacheSalt, LinkShares};
+use dispatch::load::{
+    FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, ServerTag, SessionTag, Weight,
+};
 use dispatch::registry::ServerId;
 
-const WEIGHT: Weight = Weight { service_ms: 100.0, memory_tokens: 3_000, silence_ms: 500 };
+const WEIGHT: Weight =
+    Weight { service_ms: 100.0, memory_tokens: 3_000, silence_ms: 500, session: None };
 /// A long prompt: 12,000 tokens that take 218 ms to read.
-const LONG: Weight = Weight { service_ms: 218.0, memory_tokens: 12_000, silence_ms: 1_000 };
+const LONG: Weight =
+    Weight { service_ms: 218.0, memory_tokens: 12_000, silence_ms: 1_000, session: None };
 
 fn sent(loads: &mut Loads, server: &ServerId, now_ms: u64) -> FlightId {
     loads.sent(server, WEIGHT, now_ms)
@@ -139,7 +143,7 @@
     let mut loads = Loads::new();
     let report = |loads: &mut Loads, is_wanted| {
         reporting("host-1", "east-1", 1, |reporter| {
-            loads.report(reporter, &LinkShares::new(), is_wanted)
+            loads.report(reporter, &LinkShares::new(), is_wanted, 0)
         })
     };
     assert_eq!(report(&mut loads, false), None);
@@ -178,3 +182,29 @@
     own.note_report(elsewhere_report(&mut relay, "host-0"), 40);
     assert_eq!(own.reporting_gateways(), 2);
 }
+
+fn session(version: u64, session: u64) -> SessionTag {
+    let salt = CacheSalt::new(&id("m"), version, None);
+    SessionTag::new(&salt, &demand(session, 8_600, 2_900).prompt.unwrap()).unwrap()
+}
+
+/// Load pattern: a session returns within seconds, through any gateway, while the server of its
+/// last run still holds what that read.
+#[test]
+fn a_session_is_expected_where_it_runs_or_did_a_moment_ago() {
+    let server = ServerId::new("a");
+    let (mut own, mut other) = (Loads::new(), Loads::new());
+    let flight = other.sent(&server, Weight { session: Some(session(1, 9)), ..LONG }, 0);
+    own.note_report(report_of(&mut other, "host-2", 1), 50);
+    let tag = Some(ServerTag::new(&server));
+    assert_eq!(own.session_server(session(1, 9), 900), tag);
+    assert_eq!(own.session_server(session(1, 8), 900), None, "another session");
+    assert_eq!(own.session_server(session(2, 9), 900), None, "other weights");
+    own.note_report(report_at(&mut other, "host-2", 1, 900), 900);
+    assert_eq!(own.session_server(session(1, 9), 1_800), tag, "the run goes on");
+    other.finished(&server, flight, Outcome::Answered, 1_000);
+    own.note_report(report_at(&mut other, "host-2", 1, 1_000), 1_000);
+    assert_eq!(own.session_server(session(1, 9), 1_890), tag);
+    assert_eq!(own.session_server(session(1, 9), 1_900), None, "its parts have yielded");
+    assert_eq!(other.session_server(session(1, 9), 1_890), tag);
+}
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -359,7 +359,8 @@
         (0..9).map(|index| server(&format!("server-{index}"), "east-1", 1)).collect();
     let mut gateways: Vec<Loads> = (0..GATEWAYS).map(|_| Loads::new()).collect();
     let wanted = demand(9, 8_600, 2_900);
-    let weight = Weight { service_ms: 218.0, memory_tokens: 11_564, silence_ms: 1_000 };
+    let weight =
+        Weight { service_ms: 218.0, memory_tokens: 11_564, silence_ms: 1_000, session: None };
     let mut random = SmallRng::seed_from_u64(11);
     for arrival in 0..ARRIVALS {
         let now_ms = arrival as u64 * EVERY_MS;
--- a/crates/gateway/src/block_log.rs
+++ b/crates/gateway/src/block_log.rs
@@ -8,13 +8,17 @@
 /// The changes kept at most; a follower asks several times a second.
 const MAX_ENTRIES: usize = 2_048;
 
-/// What happened at a store.
+/// What happened at a store or an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum BlockEvent {
     /// It reported changes.
     Reported(SocketAddr, BlockReport),
     /// It cannot be asked, or lost its content.
     Forgotten(SocketAddr),
+    /// An engine reported changes of its memory.
+    EngineReported(SocketAddr, BlockReport),
+    /// An engine cannot be asked.
+    EngineForgotten(SocketAddr),
 }
 
 /// Numbers the changes since the start.
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -2,11 +2,11 @@
 
 use crate::forward::job::Job;
 use crate::node::{Knowledge, Node};
-use dispatch::blocks::{BlockPlan, CacheSalt, Place};
+use dispatch::blocks::{BlockPlan, CacheSalt, Holder, Place};
 use dispatch::choice::{self, BlockCost, Candidate, Chosen, Moment, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
-use dispatch::load::{FlightId, Loads, Weight};
+use dispatch::load::{FlightId, Loads, ServerTag, SessionTag, Weight};
 use dispatch::registry::ServerEntry;
 use dispatch::rollout::NamedVersions;
 use protocol::ids::{FailureDomain, ModelName};
@@ -105,17 +105,20 @@
             let salt = salt(job, &prompt.model, weight_version);
             let knowledge = &mut *knowledge;
             let stands_for = knowledge.stands_for();
-            let place = block_place(&knowledge.loads, job, engines, &entry.domain, stands_for);
+            let place = block_place(&knowledge.loads, job, engines, &entry.domain, stands_for, &[]);
             let planned = plans.into_iter().find(|planned| planned.is_for(&entry, weight_version));
             let mut blocks = planned.ok_or(NoServer::NoneKnown)?.plan;
+            let resident = resident_parts(knowledge, &entry, prompt, &salt, now_ms);
+            blocks.use_resident(&prompt.parts, resident);
+            blocks
+                .fetch
+                .iter_mut()
+                .for_each(|from| *from = from.filter(|from| *from != entry.address));
             let fetch_until = fetch_until(node, demand, now_ms);
             if fetch_until.is_none() {
                 blocks.fetch.fill(None);
             }
             knowledge.blocks.book(configuration, demand, &salt, &place, &blocks, now_ms);
-            if let Some(key) = prompt.affinity_key() {
-                knowledge.note_session(key, &entry.id, now_ms);
-            }
             let rank = demand.engine_rank();
             let allowed_ms = node.settings.bounds.weights_ms;
             let named = knowledge.weights.get(&prompt.model);
@@ -130,11 +133,13 @@
     Ok(Placed { entry, chosen, known_gateways, flight, engine })
 }
 
-/// A plan that serves all servers of one failure domain with the same weights.
+/// A plan that serves all servers of one failure domain with the same weights, but for what a server
+/// holds itself.
 #[derive(Debug)]
 struct Planned {
     domain: FailureDomain,
     weight_version: u64,
+    salt: CacheSalt,
     plan: BlockPlan,
 }
 
@@ -145,13 +150,22 @@
         self.domain == entry.domain && self.weight_version == weight_version
     }
 
-    fn cost(&self, prompt: &Prompt) -> BlockCost {
-        BlockCost {
-            read_tokens: prompt.input_tokens.saturating_sub(self.plan.fetched_tokens),
-            read_shared_tokens: self.plan.read_shared_tokens,
-            unkept_tokens: self.plan.unkept_tokens,
-            fetch_ms: self.plan.fetch_ms,
+    fn cost(&self, prompt: &Prompt, resident: usize) -> BlockCost {
+        if resident > 0 {
+            let mut plan = self.plan.clone();
+            plan.use_resident(&prompt.parts, resident);
+            return block_cost(&plan, prompt);
         }
+        block_cost(&self.plan, prompt)
+    }
+}
+
+fn block_cost(plan: &BlockPlan, prompt: &Prompt) -> BlockCost {
+    BlockCost {
+        read_tokens: prompt.input_tokens.saturating_sub(plan.fetched_tokens),
+        read_shared_tokens: plan.read_shared_tokens,
+        unkept_tokens: plan.unkept_tokens,
+        fetch_ms: plan.fetch_ms,
     }
 }
 
@@ -170,8 +184,6 @@
 ) -> Vec<Candidate<'a>> {
     let demand = &job.request.demand;
     let prompt = demand.prompt.as_ref();
-    let session = prompt.and_then(Prompt::affinity_key);
-    let session_server = session.and_then(|key| knowledge.session_server(&key, now_ms));
     let usable = knowledge.registry.usable(&demand.service);
     let untried = usable.filter(|entry| !job.excluded.contains(&entry.id));
     let mut candidates = Vec::new();
@@ -182,6 +194,7 @@
         if version.is_some_and(|version| version < oldest_usable) {
             continue;
         }
+        let mut has_session = false;
         let blocks = match (prompt, engines) {
             (Some(prompt), Some(engines)) => {
                 let weight_version = weight_version(entry, prompt, newest);
@@ -189,13 +202,20 @@
                 let index = known.unwrap_or_else(|| {
                     let salt = salt(job, &prompt.model, weight_version);
                     let loads = &knowledge.loads;
-                    let place = block_place(loads, job, engines, &entry.domain, stands_for);
+                    let holders = holders(knowledge, demand, prompt, &salt, now_ms);
+                    let domain = &entry.domain;
+                    let place = block_place(loads, job, engines, domain, stands_for, &holders);
                     let configuration = &job.request.in_force.configuration;
                     let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
-                    plans.push(Planned { domain: entry.domain.clone(), weight_version, plan });
+                    let domain = entry.domain.clone();
+                    plans.push(Planned { domain, weight_version, salt, plan });
                     plans.len() - 1
                 });
-                plans[index].cost(prompt)
+                let salt = &plans[index].salt;
+                has_session = session_server(knowledge, prompt, salt, now_ms)
+                    == Some(ServerTag::new(&entry.id));
+                let resident = resident_parts(knowledge, entry, prompt, salt, now_ms);
+                plans[index].cost(prompt, resident)
             }
             _ => BlockCost::default(),
         };
@@ -204,7 +224,7 @@
             load: knowledge.loads.view(&entry.id, now_ms),
             blocks,
             weight_version: version,
-            has_session: session_server == Some(&entry.id),
+            has_session,
         });
     }
     candidates
@@ -223,17 +243,64 @@
     CacheSalt::new(model, weight_version, dedicated)
 }
 
+/// Returns the engines that hold parts of a prompt and answer.
+fn holders<'a>(
+    knowledge: &'a Knowledge,
+    demand: &'a Demand,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> SmallVec<[Holder<'a>; 4]> {
+    let session_server = session_server(knowledge, prompt, salt, now_ms);
+    let engines = knowledge.registry.usable(&demand.service);
+    let holders = engines.filter_map(|entry| {
+        let has_session = session_server == Some(ServerTag::new(&entry.id));
+        let is_holder =
+            has_session || knowledge.blocks.is_holder(entry.address, prompt, salt, now_ms);
+        let holder = Holder { address: entry.address, domain: &entry.domain, has_session };
+        (is_holder && !knowledge.loads.is_suspected(&entry.id)).then_some(holder)
+    });
+    holders.collect()
+}
+
+/// Returns the server where a prompt's shared parts probably are.
+fn session_server(
+    knowledge: &Knowledge,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> Option<ServerTag> {
+    knowledge.loads.session_server(SessionTag::new(salt, prompt)?, now_ms)
+}
+
+/// Returns the number of a prompt's first parts that a server probably holds itself.
+fn resident_parts(
+    knowledge: &Knowledge,
+    entry: &ServerEntry,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> usize {
+    if session_server(knowledge, prompt, salt, now_ms) == Some(ServerTag::new(&entry.id)) {
+        return prompt.shared_parts().len();
+    }
+    knowledge.blocks.resident_parts(entry.address, prompt, salt, now_ms)
+}
+
 fn block_place<'a>(
     loads: &'a Loads,
     job: &'a Job,
     engines: &EngineTraits,
     domain: &'a FailureDomain,
     stands_for: f64,
+    holders: &'a [Holder<'a>],
 ) -> Place<'a> {
     let standpoint = &job.node.standpoint;
     Place {
         domain,
         regions: &standpoint.regions,
+        engines: holders,
+        engine_link_mbps: engines.link_mbps,
         token_bytes: engines.token_bytes,
         prefill_tokens_per_ms: standpoint.prefill_tokens_per_ms,
         told_links: loads.told_links(),
@@ -252,6 +319,7 @@
             service_ms: PLAIN_SERVICE_MS,
             memory_tokens: 0,
             silence_ms: PLAIN_SILENCE_MS,
+            session: None,
         };
     };
     let fetched = engine.map_or(0, |plan| plan.blocks.fetched_tokens);
@@ -261,6 +329,7 @@
         service_ms: read_ms,
         memory_tokens: prompt.run_tokens(),
         silence_ms: ENGINE_SILENCE_MS + (ENGINE_SILENCE_READS * read_ms) as u64,
+        session: engine.and_then(|plan| SessionTag::new(&plan.salt, prompt)),
     }
 }
 
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -24,7 +24,7 @@
 
 /// The gateways of a small installation. These may all read the stores by themselves: a store of
 /// kept blocks holds a dozen questions open.
-const MOST_READERS: usize = 12;
+pub const MOST_READERS: usize = 12;
 
 /// The gateways of another failure domain that are sent a domain's sums.
 const RELAYS_PER_DOMAIN: usize = 2;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,20 +12,18 @@
 use dispatch::configuration::Configuration;
 use dispatch::crashes::Crashes;
 use dispatch::load::Loads;
-use dispatch::registry::{Registry, ServerId};
+use dispatch::registry::Registry;
 use dispatch::retry_share::{BudgetBounds, RetryShare};
 use dispatch::rollout::NamedVersions;
 use dispatch::routes::RouteTable;
 use dispatch::waiting::WaitingLine;
 use protocol::ids::ModelName;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
-/// How long a session is expected to be in its last server's memory, in milliseconds.
-const SESSION_MEMORY_MS: u64 = 2_500;
 /// The age of what is known of the store up to which kept parts are fetched, in milliseconds.
 /// Longer than most outages of the store, short against the time that freed memory is missed.
 pub const FETCH_KNOWLEDGE_MS: u64 = 6_000;
@@ -34,8 +32,6 @@
 /// How long before the start such weights count as named, in milliseconds, until the steward's
 /// record tells.
 const BEFORE_START_MS: u64 = 5_000;
-/// The sessions remembered at most.
-const MAX_SESSIONS: usize = 8_192;
 
 /// The configuration in force with what is derived from it.
 #[derive(Debug)]
@@ -77,7 +73,6 @@
     pub gateways: Gateways,
     /// The prompts that wait for room.
     pub line: WaitingLine,
-    sessions: HashMap<[u8; 8], (ServerId, u64)>,
 }
 
 impl Knowledge {
@@ -95,14 +90,23 @@
         self.weights.entry(model).or_default().note(version, since_ms)
     }
 
-    /// Applies what happened at a store of kept blocks; says whether it must be listed anew.
-    pub fn apply_blocks(&mut self, event: BlockEvent) -> bool {
+    /// Applies what happened at a store of kept blocks or an engine; says whether the store must be
+    /// listed anew.
+    pub fn apply_blocks(&mut self, event: BlockEvent, now_ms: u64) -> bool {
         let must_list = match &event {
             BlockEvent::Reported(store, report) => self.blocks.apply(*store, report),
             BlockEvent::Forgotten(store) => {
                 self.blocks.forget_store(*store);
                 false
             }
+            BlockEvent::EngineReported(engine, report) => {
+                self.blocks.apply_engine(*engine, report, now_ms);
+                false
+            }
+            BlockEvent::EngineForgotten(engine) => {
+                self.blocks.forget_engine(*engine);
+                false
+            }
         };
         self.block_log.push(event);
         must_list
@@ -113,23 +117,6 @@
         let known = 1 + self.loads.reporting_gateways();
         (self.gateways.count() as f64 / known as f64).max(1.0)
     }
-
-    /// Notes where a session's request went.
-    pub fn note_session(&mut self, key: [u8; 8], server: &ServerId, now_ms: u64) {
-        if self.sessions.len() >= MAX_SESSIONS {
-            self.sessions.retain(|_, (_, at_ms)| *at_ms + SESSION_MEMORY_MS > now_ms);
-        }
-        if self.sessions.len() >= MAX_SESSIONS {
-            self.sessions.clear();
-        }
-        self.sessions.insert(key, (server.clone(), now_ms));
-    }
-
-    /// Returns the server where a session is probably still in memory.
-    pub fn session_server(&self, key: &[u8; 8], now_ms: u64) -> Option<&ServerId> {
-        let (server, at_ms) = self.sessions.get(key)?;
-        (*at_ms + SESSION_MEMORY_MS > now_ms).then_some(server)
-    }
 }
 
 /// A gateway's state.
@@ -192,7 +179,6 @@
             weights: BTreeMap::new(),
             gateways: Gateways::new(settings.host.clone()),
             line: WaitingLine::new(),
-            sessions: HashMap::new(),
         };
         Self {
             standpoint,
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -77,11 +77,11 @@
     }
     if learnt.is_whole {
         for (store, _) in knowledge.blocks.dump() {
-            knowledge.apply_blocks(BlockEvent::Forgotten(store));
+            knowledge.apply_blocks(BlockEvent::Forgotten(store), now_ms);
         }
     }
     for event in learnt.blocks {
-        knowledge.apply_blocks(event);
+        knowledge.apply_blocks(event, now_ms);
     }
     let changes = learnt.servers.map(|servers| knowledge.registry.merge(servers, now_ms));
     drop(knowledge);
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -93,7 +93,7 @@
             let mut knowledge = node.knowledge();
             let links = knowledge.blocks.own_link_shares(knowledge.stands_for(), now_ms);
             let loads = &mut knowledge.loads;
-            let own = loads.report(&reporter, &links, is_wanted);
+            let own = loads.report(&reporter, &links, is_wanted, now_ms);
             let relayed = relays.map(|relays| {
                 let domain = loads.domain_report(&reporter, &links);
                 (relays, domain, loads.elsewhere_report(&reporter))
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -1,17 +1,20 @@
-//! Following what the stores of kept blocks hold.
+//! Following what the stores of kept blocks hold, and the engines in their memory.
+
+mod engines;
 
 use crate::block_log::BlockEvent;
 use crate::event;
-use crate::gateways::Source;
+use crate::gateways::{MOST_READERS, Source};
 use crate::link::{Call, CallError, Link, is_ok};
 use crate::node::Node;
-use dispatch::configuration::BlockStoreTraits;
+use dispatch::configuration::{Configuration, EngineTraits};
+use dispatch::registry::ServerId;
 use http::HeaderValue;
 use platform::codec::FormatError;
 use platform::engine::{self, Changes};
 use platform::headers::WAIT_MS;
 use protocol::ids::ServiceName;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -41,31 +44,31 @@
     Format(#[from] FormatError),
 }
 
-/// Follows every store of the configuration in force.
+/// Follows every store of the configuration in force, and the engines of the region.
 pub async fn run(node: Arc<Node>) {
-    let mut watched: HashMap<SocketAddr, AbortHandle> = HashMap::new();
+    let mut watched: HashMap<Watched, AbortHandle> = HashMap::new();
     loop {
         if node.source() != Source::Stores {
             watched.drain().for_each(|(_, task)| task.abort());
         } else if let Some(in_force) = node.in_force() {
-            let stores: HashMap<SocketAddr, ServiceName> = in_force
-                .configuration
-                .block_stores()
-                .map(|(name, store): (&ServiceName, &BlockStoreTraits)| {
-                    (store.address, name.clone())
-                })
-                .collect();
-            watched.retain(|address, task| {
-                let is_kept = stores.contains_key(address);
+            let wanted = wanted(&node, &in_force.configuration);
+            watched.retain(|watched, task| {
+                let is_kept = wanted.contains(watched);
                 if !is_kept {
                     task.abort();
-                    tell(&node, BlockEvent::Forgotten(*address));
+                    tell(&node, watched.forgotten());
                 }
                 is_kept
             });
-            for (address, name) in stores {
-                watched.entry(address).or_insert_with(|| {
-                    tokio::spawn(follow(Arc::clone(&node), address, name)).abort_handle()
+            for wanted in wanted {
+                let node = &node;
+                watched.entry(wanted.clone()).or_insert_with(|| {
+                    let node = Arc::clone(node);
+                    match wanted {
+                        Watched::Store(address, name) => tokio::spawn(follow(node, address, name)),
+                        Watched::Engine(address, _) => tokio::spawn(engines::follow(node, address)),
+                    }
+                    .abort_handle()
                 });
             }
         }
@@ -73,6 +76,42 @@
     }
 }
 
+/// What is followed.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+enum Watched {
+    Store(SocketAddr, ServiceName),
+    Engine(SocketAddr, ServerId),
+}
+
+impl Watched {
+    /// Returns what becomes of knowledge that is not kept up.
+    const fn forgotten(&self) -> BlockEvent {
+        match self {
+            Watched::Store(address, _) => BlockEvent::Forgotten(*address),
+            Watched::Engine(address, _) => BlockEvent::EngineForgotten(*address),
+        }
+    }
+}
+
+fn wanted(node: &Node, configuration: &Configuration) -> HashSet<Watched> {
+    let stores = configuration.block_stores();
+    let mut wanted: HashSet<Watched> =
+        stores.map(|(name, store)| Watched::Store(store.address, name.clone())).collect();
+    let knowledge = node.knowledge();
+    for service in configuration.services.values() {
+        let may_watch = |engines: &EngineTraits| {
+            engines.link_mbps.is_some() && engines.max_watchers as usize >= MOST_READERS
+        };
+        if !service.engines().is_some_and(may_watch) {
+            continue;
+        }
+        let usable = knowledge.registry.usable(&service.name);
+        let near = usable.filter(|entry| engines::is_near(node, &entry.domain));
+        wanted.extend(near.map(|entry| Watched::Engine(entry.address, entry.id.clone())));
+    }
+    wanted
+}
+
 async fn follow(node: Arc<Node>, address: SocketAddr, name: ServiceName) {
     let mut link = Link::new(address);
     let mut next = 0;
@@ -142,7 +181,7 @@
 }
 
 fn tell(node: &Node, event: BlockEvent) -> bool {
-    let must_list = node.knowledge().apply_blocks(event);
+    let must_list = node.knowledge().apply_blocks(event, node.now_ms());
     node.has_learnt.notify_waiters();
     must_list
 }
