--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -78,11 +78,6 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
-    /// Returns the key by which requests that share the most land on the same server.
-    pub fn affinity_key(&self) -> Option<[u8; 8]> {
-        self.shared_parts().last().or(self.parts.last()).map(|part| part.id.to_bytes())
-    }
-
     /// Returns the memory that the whole run takes, in tokens.
     pub const fn run_tokens(&self) -> u64 {
         self.input_tokens + self.output_tokens
--- /dev/null
+++ b/crates/dispatch/tests/many_gateways.rs
@@ -0,0 +1,169 @@
+//! Load at its worst as several gateways see it, who know each other's sends late or not at all.
+
+mod common;
+
+use common::{demand, engines, id, moment, report_of, server, standpoint};
+use dispatch::choice::{BlockCost, Candidate, Moment, choose, sample};
+use dispatch::load::{Health, LoadView, Loads, ServerTag, Weight};
+use dispatch::registry::ServerEntry;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// The memory that the fullest server would need for a clump of long prompts at seven gateways.
+fn fullest_after_a_clump(are_told: bool) -> u64 {
+    const GATEWAYS: usize = 7;
+    const ARRIVALS: usize = 42;
+    const EVERY_MS: u64 = 15;
+    const TOLD_EVERY_MS: u64 = 60;
+    let entries: Vec<ServerEntry> =
+        (0..9).map(|index| server(&format!("server-{index}"), "east-1", 1)).collect();
+    let mut gateways: Vec<Loads> = (0..GATEWAYS).map(|_| Loads::new()).collect();
+    let wanted = demand(9, 8_600, 2_900);
+    let weight =
+        Weight { service_ms: 218.0, memory_tokens: 11_564, silence_ms: 1_000, session: None };
+    let mut random = SmallRng::seed_from_u64(11);
+    for arrival in 0..ARRIVALS {
+        let now_ms = arrival as u64 * EVERY_MS;
+        if are_told && now_ms.is_multiple_of(TOLD_EVERY_MS) {
+            for teller in 0..GATEWAYS {
+                let report = report_of(&mut gateways[teller], &format!("host-{teller}"), 1);
+                let hearers = (0..GATEWAYS).filter(|hearer| *hearer != teller);
+                hearers.for_each(|hearer| gateways[hearer].note_report(report.clone(), now_ms));
+            }
+        }
+        let loads = &mut gateways[random.random_range(0..GATEWAYS)];
+        let candidates: Vec<Candidate<'_>> = entries
+            .iter()
+            .map(|entry| Candidate {
+                entry,
+                load: loads.view(&entry.id, now_ms),
+                blocks: BlockCost::default(),
+                weight_version: Some(1),
+                has_session: false,
+            })
+            .collect();
+        let moment = Moment {
+            stands_for: GATEWAYS as f64 / (1 + loads.reporting_gateways()) as f64,
+            may_wait: false,
+            spread: random.random(),
+            ..moment(GATEWAYS)
+        };
+        let chosen = choose(&standpoint(), &wanted, Some(&engines()), &moment, &candidates);
+        loads.sent(&chosen.unwrap().server, weight, now_ms);
+    }
+    let mut held = |entry: &ServerEntry| {
+        let sent = |loads: &mut Loads| {
+            let report = report_of(loads, "host", 1);
+            let tag = ServerTag::new(&entry.id);
+            let to_server = report.servers.iter().filter(|(server, _)| *server == tag);
+            to_server.map(|(_, sends)| sends.memory_tokens).sum::<u64>()
+        };
+        gateways.iter_mut().map(sent).sum::<u64>()
+    };
+    entries.iter().map(&mut held).max().unwrap_or(0)
+}
+
+/// Load pattern: a clump of long prompts reaches several gateways, each of which sees the same
+/// free servers. What overfills a server's memory is preempted and read in again.
+#[test]
+fn gateways_that_tell_their_sends_do_not_fill_one_server_together() {
+    let memory_tokens = engines().memory_tokens;
+    assert!(fullest_after_a_clump(true) < memory_tokens, "{}", fullest_after_a_clump(true));
+    assert!(fullest_after_a_clump(false) > memory_tokens, "{}", fullest_after_a_clump(false));
+}
+
+/// The most requests that meet at one server while all gateways know the sends of some time ago.
+fn most_at_one_server(gateways: usize) -> usize {
+    const SERVERS: usize = 90;
+    const TOLD_EVERY_MS: usize = 300;
+    const RUN_MS: usize = 300;
+    const LENGTH_MS: usize = 6_000;
+    const ARRIVALS_PER_MS: f64 = 0.66;
+    let entries: Vec<ServerEntry> = (0..SERVERS)
+        .map(|index| {
+            server(&format!("server-{index}"), ["east-1", "east-2", "west-1"][index % 3], 1)
+        })
+        .collect();
+    let mut random = SmallRng::seed_from_u64(13);
+    let mut ends_ms: Vec<Vec<usize>> = vec![Vec::new(); SERVERS];
+    let mut known = vec![0; SERVERS];
+    let mut most = 0;
+    let wanted = demand(9, 1_300, 500);
+    for now_ms in 0..LENGTH_MS {
+        ends_ms.iter_mut().for_each(|ends_ms| ends_ms.retain(|end_ms| *end_ms > now_ms));
+        if now_ms.is_multiple_of(TOLD_EVERY_MS) {
+            known = ends_ms.iter().map(Vec::len).collect();
+        }
+        if random.random::<f64>() > ARRIVALS_PER_MS {
+            continue;
+        }
+        let mut candidates: Vec<Candidate<'_>> = entries
+            .iter()
+            .zip(&known)
+            .map(|(entry, in_flight)| Candidate {
+                entry,
+                load: LoadView {
+                    health: Health::Good,
+                    unstarted_ms: 30.0 * *in_flight as f64,
+                    in_flight: *in_flight,
+                    memory_tokens: 0,
+                    header: None,
+                },
+                blocks: BlockCost::default(),
+                weight_version: Some(1),
+                has_session: false,
+            })
+            .collect();
+        let spread = random.random();
+        sample(&mut candidates, gateways, spread);
+        let moment = Moment { spread, ..moment(1) };
+        let chosen = choose(&standpoint(), &wanted, Some(&engines()), &moment, &candidates);
+        let chosen = chosen.unwrap().server;
+        let index = entries.iter().position(|entry| entry.id == chosen).unwrap();
+        ends_ms[index].push(now_ms + RUN_MS);
+        most = most.max(ends_ms[index].len());
+    }
+    most
+}
+
+/// Load pattern: many gateways hear of each other's sends late, see the same few free servers, and
+/// flood them in turns.
+#[test]
+fn many_gateways_do_not_flood_the_servers_that_were_free_a_moment_ago() {
+    let (sampled, all) = (most_at_one_server(87), most_at_one_server(1));
+    assert!(2 * sampled < all, "{sampled} {all}");
+}
+
+#[test]
+fn a_sample_keeps_every_domain_and_the_session() {
+    let entries: Vec<ServerEntry> = (0..40)
+        .map(|index| {
+            server(&format!("server-{index}"), ["east-1", "east-2", "west-1"][index % 3], 1)
+        })
+        .collect();
+    let candidates = |health| -> Vec<Candidate<'_>> {
+        let load =
+            LoadView { health, unstarted_ms: 0.0, in_flight: 0, memory_tokens: 0, header: None };
+        let candidate = |(index, entry)| Candidate {
+            entry,
+            load,
+            blocks: BlockCost::default(),
+            weight_version: Some(1),
+            has_session: index == 7,
+        };
+        entries.iter().enumerate().map(candidate).collect()
+    };
+    for spread in 0..50 {
+        let mut sampled = candidates(Health::Good);
+        sample(&mut sampled, 87, spread);
+        assert!(sampled.iter().any(|candidate| candidate.has_session));
+        for domain in ["east-1", "east-2", "west-1"] {
+            let others = sampled.iter().filter(|candidate| !candidate.has_session);
+            let in_domain = others.filter(|candidate| candidate.entry.domain == id(domain));
+            assert_eq!(in_domain.count(), 2, "{domain}");
+        }
+    }
+    let mut unhealthy = candidates(Health::Suspected);
+    sample(&mut unhealthy, 87, 1);
+    assert_eq!(unhealthy.len(), 40, "none is healthy, so all are compared");
+}
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -1,15 +1,18 @@
 //! Choosing a server for a request and what travels with it.
 
+mod kept;
+
 use crate::forward::job::Job;
+use crate::forward::place::kept::{block_place, has_session, holders, resident_parts, salt};
 use crate::node::{Knowledge, Node};
-use dispatch::blocks::{BlockPlan, CacheSalt, Holder, Place};
+use dispatch::blocks::{BlockPlan, CacheSalt};
 use dispatch::choice::{self, BlockCost, Candidate, Chosen, Moment, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
-use dispatch::load::{FlightId, Loads, ServerTag, SessionTag, Weight};
+use dispatch::load::{FlightId, SessionTag, Weight};
 use dispatch::registry::ServerEntry;
 use dispatch::rollout::NamedVersions;
-use protocol::ids::{FailureDomain, ModelName};
+use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
 
 /// How long a plain service may stay silent after a send before it is suspected, in milliseconds.
@@ -110,10 +113,10 @@
             let mut blocks = planned.ok_or(NoServer::NoneKnown)?.plan;
             let resident = resident_parts(knowledge, &entry, prompt, &salt, now_ms);
             blocks.use_resident(&prompt.parts, resident);
-            blocks
-                .fetch
-                .iter_mut()
-                .for_each(|from| *from = from.filter(|from| *from != entry.address));
+            // A server does not fetch from itself.
+            for source in &mut blocks.fetch {
+                *source = source.filter(|address| *address != entry.address);
+            }
             let fetch_until = fetch_until(node, demand, now_ms);
             if fetch_until.is_none() {
                 blocks.fetch.fill(None);
@@ -194,7 +197,7 @@
         if version.is_some_and(|version| version < oldest_usable) {
             continue;
         }
-        let mut has_session = false;
+        let mut is_session_here = false;
         let blocks = match (prompt, engines) {
             (Some(prompt), Some(engines)) => {
                 let weight_version = weight_version(entry, prompt, newest);
@@ -212,8 +215,7 @@
                     plans.len() - 1
                 });
                 let salt = &plans[index].salt;
-                has_session = session_server(knowledge, prompt, salt, now_ms)
-                    == Some(ServerTag::new(&entry.id));
+                is_session_here = has_session(knowledge, entry, prompt, salt, now_ms);
                 let resident = resident_parts(knowledge, entry, prompt, salt, now_ms);
                 plans[index].cost(prompt, resident)
             }
@@ -224,7 +226,7 @@
             load: knowledge.loads.view(&entry.id, now_ms),
             blocks,
             weight_version: version,
-            has_session,
+            has_session: is_session_here,
         });
     }
     candidates
@@ -237,77 +239,6 @@
     named.map_or(0, |named| named.oldest_usable(job.node.settings.bounds.weights_ms, now_ms))
 }
 
-fn salt(job: &Job, model: &ModelName, weight_version: u64) -> CacheSalt {
-    let demand = &job.request.demand;
-    let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
-    CacheSalt::new(model, weight_version, dedicated)
-}
-
-/// Returns the engines that hold parts of a prompt and answer.
-fn holders<'a>(
-    knowledge: &'a Knowledge,
-    demand: &'a Demand,
-    prompt: &Prompt,
-    salt: &CacheSalt,
-    now_ms: u64,
-) -> SmallVec<[Holder<'a>; 4]> {
-    let session_server = session_server(knowledge, prompt, salt, now_ms);
-    let engines = knowledge.registry.usable(&demand.service);
-    let holders = engines.filter_map(|entry| {
-        let has_session = session_server == Some(ServerTag::new(&entry.id));
-        let is_holder =
-            has_session || knowledge.blocks.is_holder(entry.address, prompt, salt, now_ms);
-        let holder = Holder { address: entry.address, domain: &entry.domain, has_session };
-        (is_holder && !knowledge.loads.is_suspected(&entry.id)).then_some(holder)
-    });
-    holders.collect()
-}
-
-/// Returns the server where a prompt's shared parts probably are.
-fn session_server(
-    knowledge: &Knowledge,
-    prompt: &Prompt,
-    salt: &CacheSalt,
-    now_ms: u64,
-) -> Option<ServerTag> {
-    knowledge.loads.session_server(SessionTag::new(salt, prompt)?, now_ms)
-}
-
-/// Returns the number of a prompt's first parts that a server probably holds itself.
-fn resident_parts(
-    knowledge: &Knowledge,
-    entry: &ServerEntry,
-    prompt: &Prompt,
-    salt: &CacheSalt,
-    now_ms: u64,
-) -> usize {
-    if session_server(knowledge, prompt, salt, now_ms) == Some(ServerTag::new(&entry.id)) {
-        return prompt.shared_parts().len();
-    }
-    knowledge.blocks.resident_parts(entry.address, prompt, salt, now_ms)
-}
-
-fn block_place<'a>(
-    loads: &'a Loads,
-    job: &'a Job,
-    engines: &EngineTraits,
-    domain: &'a FailureDomain,
-    stands_for: f64,
-    holders: &'a [Holder<'a>],
-) -> Place<'a> {
-    let standpoint = &job.node.standpoint;
-    Place {
-        domain,
-        regions: &standpoint.regions,
-        engines: holders,
-        engine_link_mbps: engines.link_mbps,
-        token_bytes: engines.token_bytes,
-        prefill_tokens_per_ms: standpoint.prefill_tokens_per_ms,
-        told_links: loads.told_links(),
-        stands_for,
-    }
-}
-
 fn weight(
     job: &Job,
     prompt: Option<&Prompt>,
--- /dev/null
+++ b/crates/gateway/src/forward/place/kept.rs
@@ -0,0 +1,87 @@
+//! What is known of the kept parts of one request's prompt.
+
+use crate::forward::job::Job;
+use crate::node::Knowledge;
+use dispatch::blocks::{CacheSalt, Holder, Place};
+use dispatch::configuration::EngineTraits;
+use dispatch::demand::{Demand, Prompt};
+use dispatch::load::{Loads, ServerTag, SessionTag};
+use dispatch::registry::ServerEntry;
+use protocol::ids::{FailureDomain, ModelName};
+use smallvec::SmallVec;
+
+/// Returns the text under which a request's parts are cached.
+pub(super) fn salt(job: &Job, model: &ModelName, weight_version: u64) -> CacheSalt {
+    let demand = &job.request.demand;
+    let dedicated = demand.organisation.as_ref().filter(|_| demand.is_dedicated);
+    CacheSalt::new(model, weight_version, dedicated)
+}
+
+/// Returns the engines that hold parts of a prompt and answer.
+pub(super) fn holders<'a>(
+    knowledge: &'a Knowledge,
+    demand: &'a Demand,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> SmallVec<[Holder<'a>; 4]> {
+    let engines = knowledge.registry.usable(&demand.service);
+    let holders = engines.filter_map(|entry| {
+        let has_session = has_session(knowledge, entry, prompt, salt, now_ms);
+        let is_holder =
+            has_session || knowledge.blocks.is_holder(entry.address, prompt, salt, now_ms);
+        let holder = Holder { address: entry.address, domain: &entry.domain, has_session };
+        (is_holder && !knowledge.loads.is_suspected(&entry.id)).then_some(holder)
+    });
+    holders.collect()
+}
+
+/// Says whether a prompt's shared parts probably are in a server's memory, as the session runs there
+/// or did a moment ago.
+pub(super) fn has_session(
+    knowledge: &Knowledge,
+    entry: &ServerEntry,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> bool {
+    let session = SessionTag::new(salt, prompt);
+    let server = session.and_then(|session| knowledge.loads.session_server(session, now_ms));
+    server.is_some_and(|server| server == ServerTag::new(&entry.id))
+}
+
+/// Returns the number of a prompt's first parts that a server probably holds itself.
+pub(super) fn resident_parts(
+    knowledge: &Knowledge,
+    entry: &ServerEntry,
+    prompt: &Prompt,
+    salt: &CacheSalt,
+    now_ms: u64,
+) -> usize {
+    if has_session(knowledge, entry, prompt, salt, now_ms) {
+        return prompt.shared_parts().len();
+    }
+    knowledge.blocks.resident_parts(entry.address, prompt, salt, now_ms)
+}
+
+/// Returns what transfers to a server of a failure domain depend on.
+pub(super) fn block_place<'a>(
+    loads: &'a Loads,
+    job: &'a Job,
+    engines: &EngineTraits,
+    domain: &'a FailureDomain,
+    stands_for: f64,
+    holders: &'a [Holder<'a>],
+) -> Place<'a> {
+    let standpoint = &job.node.standpoint;
+    Place {
+        domain,
+        regions: &standpoint.regions,
+        engines: holders,
+        engine_link_mbps: engines.link_mbps,
+        token_bytes: engines.token_bytes,
+        prefill_tokens_per_ms: standpoint.prefill_tokens_per_ms,
+        told_links: loads.told_links(),
+        stands_for,
+    }
+}
