--- a/crates/camphorwardd/tests/gateway/settings.rs
+++ b/crates/camphorwardd/tests/gateway/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::caller;
 use crate::fleet::{Fleet, ORDERS, settings};
-use crate::process::command;
+use crate::process::{Gateway, command, until};
 use serde_json::Value;
 
 fn start_with(change: impl FnOnce(&mut Value)) -> (Option<i32>, String) {
@@ -43,6 +43,30 @@
     assert!(error.contains("prefill_tokens_per_ms"), "{error}");
 }
 
+#[test]
+fn a_share_of_logged_requests_beyond_one_is_named() {
+    for share in [-0.1, 1.5] {
+        let (code, error) = start_with(|value| value["log"]["request_share"] = Value::from(share));
+        assert_eq!(code, Some(2));
+        assert!(error.contains("log.request_share"), "{error}");
+    }
+}
+
+#[tokio::test]
+async fn everyday_lines_are_written_for_a_share_of_requests_and_failures_always() {
+    let fleet = Fleet::start(1, 0).await;
+    let mut value: Value = serde_json::from_str(&fleet.settings("gateway-1", &[])).unwrap();
+    value["log"]["request_share"] = Value::from(0.0);
+    let gateway = Gateway::start(&value.to_string()).await;
+    caller::until_ready(&gateway).await;
+    until("the server is known", || !gateway.lines("server_joined").is_empty()).await;
+    assert_eq!(caller::post(&gateway, ORDERS).await.status, 200);
+    assert_eq!(caller::post(&gateway, "/nowhere/").await.status, 404);
+    caller::until_line(&gateway, "request_refused").await;
+    assert!(gateway.lines("request_sent").is_empty());
+    assert!(gateway.lines("request_answered").is_empty());
+}
+
 #[test]
 fn a_text_that_is_no_json_is_refused() {
     let (mut command, _file) = command("{ \"host\": ");
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -208,6 +208,9 @@
 }
 
 fn log_send(job: &Job, placed: &Placed, is_reused: bool) {
+    if !job.is_logged {
+        return;
+    }
     event!(info, job.node.now_ms(), "request_sent", {
         "request": job.request.id_text(),
         "server": placed.entry.id.as_str(),
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -3,6 +3,7 @@
 use crate::callers::CallerRequest;
 use crate::event;
 use crate::forward::attempt::{MayHaveRun, NotRun};
+use crate::logs;
 use crate::node::Node;
 use dispatch::configuration::RouteKind;
 use dispatch::registry::ServerId;
@@ -30,6 +31,8 @@
     pub last_event: Option<String>,
     /// The place in the line of those that wait for room.
     in_line: Option<InLine>,
+    /// Whether everyday lines of this request are written.
+    pub is_logged: bool,
     /// Whether the end was logged.
     pub is_ended: bool,
 }
@@ -52,9 +55,11 @@
 impl Job {
     /// Starts a request.
     pub fn new(node: Arc<Node>, request: CallerRequest) -> Self {
+        let is_logged = logs::is_in_share(request.id_text(), node.settings.log.request_share);
         Self {
             node,
             request,
+            is_logged,
             sends: 0,
             refused_sends: 0,
             ran_on: SmallVec::new(),
@@ -169,6 +174,9 @@
         node.metrics.count("answers", http_class(status));
         node.metrics.record_ms("first_byte", &self.request.route.name, first_byte_ms);
         node.metrics.record_ms("whole_answer", &self.request.route.name, took_ms);
+        if !self.is_logged {
+            return;
+        }
         event!(info, node.now_ms(), "request_answered", {
             "request": self.request.id_text(),
             "route": self.request.route.name,
@@ -188,6 +196,9 @@
             return;
         }
         self.node.metrics.count("callers_left", &self.request.route.name);
+        if !self.is_logged {
+            return;
+        }
         event!(info, self.node.now_ms(), "caller_left", {
             "request": self.request.id_text(),
             "route": self.request.route.name,
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,6 +5,7 @@
 
 use crate::settings::{LogLevel, LogSettings};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -48,6 +49,14 @@
     WriteLogger::init(to_filter(settings.level), config, writer).map_err(io::Error::other)
 }
 
+/// Says whether a request is among the share whose everyday lines are written. All gateways agree on
+/// a request, so that its lines are all there or none.
+pub fn is_in_share(request: &str, share: f64) -> bool {
+    let mut hasher = DefaultHasher::new();
+    request.hash(&mut hasher);
+    (hasher.finish() as f64) < share * u64::MAX as f64 || share >= 1.0
+}
+
 struct BoundedWriter {
     sender: SyncSender<Vec<u8>>,
     line: Vec<u8>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -94,6 +94,13 @@
     pub level: LogLevel,
     /// The most lines a second; the rest is counted.
     pub max_lines_per_s: u32,
+    /// The share of requests whose everyday lines are written; lines on failures always are.
+    #[serde(default = "all")]
+    pub request_share: f64,
+}
+
+const fn all() -> f64 {
+    1.0
 }
 
 /// Reports settings that cannot be used.
@@ -157,6 +164,9 @@
         if self.prefill_tokens_per_ms.is_nan() || self.prefill_tokens_per_ms <= 0.0 {
             return wrong("prefill_tokens_per_ms", "must be above zero");
         }
+        if !(0.0..=1.0).contains(&self.log.request_share) {
+            return wrong("log.request_share", "must lie between 0 and 1");
+        }
         if self.bounds.retry_ratio < 0.0 || self.bounds.retry_slack < 0.0 {
             return wrong("bounds", "retry_ratio and retry_slack must not be negative");
         }
