Add up what other gateways tell without overflow

Cause: a last read of the change: sums of sends and link use came from datagrams of other processes and overflowed on absurd values; a socket whose receives fail would have kept a core busy. Change: saturating sums; a short pause after a failed receive. The test fails before.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -197,13 +197,13 @@
     if prompt.run_tokens() < LONG_PROMPT_TOKENS || candidates.is_empty() {
         return true;
     }
-    let known: u64 = candidates.iter().map(|candidate| candidate.load.memory_tokens).sum();
+    let known: f64 = candidates.iter().map(|candidate| candidate.load.memory_tokens as f64).sum();
     // Gateways that told nothing are taken to use all servers as those do that did.
-    let unknown = (moment.stands_for - 1.0) * known as f64 / candidates.len() as f64;
+    let unknown = (moment.stands_for - 1.0) * known / candidates.len() as f64;
     let limit = LONG_PROMPT_SHARE * engines.memory_tokens as f64;
     candidates.iter().any(|candidate| {
         let held = candidate.load.memory_tokens;
-        let wanted = (held + prompt.run_tokens()) as f64 + unknown;
+        let wanted = held as f64 + prompt.run_tokens() as f64 + unknown;
         candidate.load.health == Health::Good && (held == 0 || wanted <= limit)
     })
 }
@@ -236,7 +236,7 @@
         cost_ms += PLAIN_CROWDED_MS * load.in_flight as f64;
     }
     if let (Some(engines), Some(prompt)) = (engines, &demand.prompt)
-        && load.memory_tokens + prompt.run_tokens() > engines.memory_tokens
+        && load.memory_tokens.saturating_add(prompt.run_tokens()) > engines.memory_tokens
     {
         cost_ms += MEMORY_MS;
     }
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -159,11 +159,13 @@
         told: SendsToServer,
         header: Option<LoadHeader>,
     ) -> Self {
+        let mut all = own;
+        all.add(&told);
         Self {
             health,
-            unstarted_ms: f64::from(own.unstarted_ms + told.unstarted_ms),
-            in_flight: (own.in_flight + told.in_flight) as usize,
-            memory_tokens: own.memory_tokens + told.memory_tokens,
+            unstarted_ms: f64::from(all.unstarted_ms),
+            in_flight: all.in_flight as usize,
+            memory_tokens: all.memory_tokens,
             header,
         }
     }
--- a/crates/dispatch/src/load/told.rs
+++ b/crates/dispatch/src/load/told.rs
@@ -40,10 +40,11 @@
 }
 
 impl SendsToServer {
-    fn add(&mut self, other: &Self) {
-        self.in_flight += other.in_flight;
-        self.memory_tokens += other.memory_tokens;
-        self.unstarted_ms += other.unstarted_ms;
+    /// Adds other sends; what other processes tell may be anything.
+    pub(super) fn add(&mut self, other: &Self) {
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        self.unstarted_ms = self.unstarted_ms.saturating_add(other.unstarted_ms);
     }
 }
 
@@ -103,9 +104,10 @@
         servers: impl IntoIterator<Item = &'a (ServerTag, SendsToServer)>,
         links: &LinkShares,
     ) {
-        self.gateways += gateways;
+        self.gateways = self.gateways.saturating_add(gateways);
         for (store, share) in links {
-            *self.links.entry(*store).or_default() += share;
+            let sum = self.links.entry(*store).or_default();
+            *sum = sum.saturating_add(*share);
         }
         for (server, sends) in servers {
             self.by_server.entry(*server).or_default().add(sends);
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -5,7 +5,8 @@
 use common::{demand, id, report_at, report_of, reporting};
 use dispatch::blocks::{CacheSalt, LinkShares};
 use dispatch::load::{
-    FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, ServerTag, SessionTag, Weight,
+    FlightId, Health, LoadHeader, LoadReport, Loads, Outcome, SendsToServer, ServerTag, SessionTag,
+    Weight,
 };
 use dispatch::registry::ServerId;
 
@@ -208,3 +209,20 @@
     assert_eq!(own.session_server(session(1, 9), 1_900), None, "its parts have yielded");
     assert_eq!(other.session_server(session(1, 9), 1_890), tag);
 }
+
+#[test]
+fn reports_of_absurd_sends_add_up_to_the_most() {
+    let server = ServerId::new("a");
+    let mut own = Loads::new();
+    own.sent(&server, LONG, 0);
+    let sends =
+        SendsToServer { in_flight: u32::MAX, memory_tokens: u64::MAX, unstarted_ms: u32::MAX };
+    for host in ["host-2", "host-3"] {
+        let report = report_of(&mut Loads::new(), host, 1);
+        let links = LinkShares::from([("127.0.0.1:11".parse().unwrap(), u32::MAX)]);
+        let servers = vec![(ServerTag::new(&server), sends)];
+        own.note_report(LoadReport { gateways: u32::MAX, servers, links, ..report }, 0);
+    }
+    assert_eq!(own.view(&server, 0).memory_tokens, u64::MAX);
+    assert_eq!(own.reporting_gateways(), u32::MAX as usize);
+}
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -95,7 +95,7 @@
     }
     let moment =
         Moment { newest_version: newest, stands_for: knowledge.stands_for(), may_wait, spread };
-    let known_gateways = 1 + knowledge.loads.reporting_gateways();
+    let known_gateways = knowledge.loads.reporting_gateways().saturating_add(1);
     let chosen = choice::choose(&node.standpoint, demand, engines, &moment, &candidates)?;
     let entry = candidates
         .iter()
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -114,7 +114,7 @@
 
     /// Returns how many gateways each one stands for whose sends are known.
     pub fn stands_for(&self) -> f64 {
-        let known = 1 + self.loads.reporting_gateways();
+        let known = self.loads.reporting_gateways().saturating_add(1);
         (self.gateways.count() as f64 / known as f64).max(1.0)
     }
 }
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -22,6 +22,8 @@
 /// The time after which an unchanged report is told again, in milliseconds; well within the time
 /// for which a report counts.
 const TELL_AGAIN_MS: u64 = 400;
+/// The pause after a datagram that could not be received.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// The largest datagram accepted, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
@@ -34,8 +36,11 @@
         tokio::select! {
             received = teller.socket.recv_from(&mut datagram) => match received {
                 Ok((length, _)) => hear(&node, &datagram[..length]),
-                // A peer's port that nobody listens on shows up here; the peer is just not there.
-                Err(_) => node.metrics.count("peer_failures", "load_report"),
+                Err(_) => {
+                    // A peer's port that nobody listens on may show up here, again and again.
+                    node.metrics.count("peer_failures", "load_report");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
             },
             () = sleep_until(next_tell) => {
                 next_tell = Instant::now() + teller.tell(&node).await;
