--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,13 +1,16 @@
-//! What one gateway knows of each server's load and health from its own sends.
+//! What one gateway knows of each server: its load by own sends and those that others tell, its
+//! health by own sends only.
 //!
 //! Load patterns: servers fall silent and stay in the registry for seconds; a server fails part of
 //! its requests while its health check passes; several gateways fill the same free server at once.
 
 mod sessions;
 mod told;
+mod view;
 
 pub use crate::load::sessions::SessionTag;
 pub use crate::load::told::{LoadReport, Sender, SendsToServer, ServerTag};
+pub use crate::load::view::{Health, LoadHeader, LoadView};
 
 use crate::blocks::LinkShares;
 use crate::load::sessions::Sessions;
@@ -59,17 +62,6 @@
     has_started: bool,
 }
 
-/// What a server says of its load in an answer's header.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct LoadHeader {
-    /// The requests that run.
-    pub running: u32,
-    /// The requests that wait.
-    pub waiting: u32,
-    /// The requests that it runs at once.
-    pub slots: u32,
-}
-
 /// How a send ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -126,51 +118,6 @@
     }
 }
 
-/// Says whether a server should take new requests.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Health {
-    /// Nothing speaks against it.
-    Good,
-    /// It failed, shed or broke recently, or is loading weights.
-    Avoided,
-    /// It has been silent for too long.
-    Suspected,
-}
-
-/// A server's load as placement sees it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LoadView {
-    /// Whether it should take new requests.
-    pub health: Health,
-    /// The known sends that have not started yet, in milliseconds of service.
-    pub unstarted_ms: f64,
-    /// The known sends in flight, own ones and those that other gateways told.
-    pub in_flight: usize,
-    /// Their tokens in its memory.
-    pub memory_tokens: u64,
-    /// What the server last said itself, if that is recent.
-    pub header: Option<LoadHeader>,
-}
-
-impl LoadView {
-    fn new(
-        health: Health,
-        own: SendsToServer,
-        told: SendsToServer,
-        header: Option<LoadHeader>,
-    ) -> Self {
-        let mut all = own;
-        all.add(&told);
-        Self {
-            health,
-            unstarted_ms: f64::from(all.unstarted_ms),
-            in_flight: all.in_flight as usize,
-            memory_tokens: all.memory_tokens,
-            header,
-        }
-    }
-}
-
 /// A gateway that reports its sends.
 #[derive(Clone, Copy, Debug)]
 pub struct Reporter<'a> {
