Look a session's server up once a plan, and ask for changes in one place

Placement hashed the session's and the server's tags two to three times for each candidate, also where no server is known for the session; asking a store and an engine for changes, and the test whether a fetch is worth it, stood twice; a comment still named the region's engines where only the own failure domain's are followed. Change: the session's server is kept with the plan; ask_changes and one closure serve both. Tests and bounds are as before. Ruled out: one listener and one watched connection for the older daemon and the gateway, and one outcome type for the replays of admission and dispatch: alike in shape only.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -298,6 +298,9 @@
     ) -> Option<Source> {
         let read_ms =
             part.tokens as f64 * (1.0 / place.prefill_tokens_per_ms + READ_AGAIN_MS_PER_TOKEN);
+        let is_worth_it = |transfer_ms: f64, cost_ms: f64| {
+            transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms
+        };
         let sources = configuration.block_stores().filter_map(|(_, store)| {
             let state = self.stores.get(&store.address)?;
             state.parts.get(key).filter(|held| **held >= part.tokens)?;
@@ -305,11 +308,8 @@
             let own_use = state.link.get(place.stands_for, now_ms);
             let in_use = place.link_use(store, own_use).min(FULL_USE);
             let cost_ms = transfer_ms * (1.0 + queued_transfers(in_use));
-            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms).then_some(Source {
-                address: store.address,
-                cost_ms,
-                is_engine: false,
-            })
+            let source = Source { address: store.address, cost_ms, is_engine: false };
+            is_worth_it(transfer_ms, cost_ms).then_some(source)
         });
         let engines = place.engines.iter().filter_map(|engine| {
             let holds = || self.residents.holds(engine.address, key, part.tokens, now_ms);
@@ -319,11 +319,8 @@
             let link_mbps = place.engine_link_mbps?;
             let transfer_ms = place.engine_transfer_ms(engine.domain, link_mbps, part.tokens);
             let cost_ms = transfer_ms + ENGINE_MISS_SHARE * read_ms;
-            (transfer_ms <= LONGEST_TRANSFER_MS && cost_ms < read_ms).then_some(Source {
-                address: engine.address,
-                cost_ms,
-                is_engine: true,
-            })
+            let source = Source { address: engine.address, cost_ms, is_engine: true };
+            is_worth_it(transfer_ms, cost_ms).then_some(source)
         });
         sources.chain(engines).min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -3,13 +3,15 @@
 mod kept;
 
 use crate::forward::job::Job;
-use crate::forward::place::kept::{block_place, has_session, holders, resident_parts, salt};
+use crate::forward::place::kept::{
+    block_place, holders, is_at, resident_parts, salt, session_server,
+};
 use crate::node::{Knowledge, Node};
 use dispatch::blocks::{BlockPlan, CacheSalt};
 use dispatch::choice::{self, BlockCost, Candidate, Chosen, Moment, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::demand::{Demand, Prompt};
-use dispatch::load::{FlightId, SessionTag, Weight};
+use dispatch::load::{FlightId, ServerTag, SessionTag, Weight};
 use dispatch::registry::ServerEntry;
 use dispatch::rollout::NamedVersions;
 use protocol::ids::FailureDomain;
@@ -110,8 +112,10 @@
             let stands_for = knowledge.stands_for();
             let place = block_place(&knowledge.loads, job, engines, &entry.domain, stands_for, &[]);
             let planned = plans.into_iter().find(|planned| planned.is_for(&entry, weight_version));
-            let mut blocks = planned.ok_or(NoServer::NoneKnown)?.plan;
-            let resident = resident_parts(knowledge, &entry, prompt, &salt, now_ms);
+            let planned = planned.ok_or(NoServer::NoneKnown)?;
+            let has_session = is_at(planned.session_server, &entry);
+            let mut blocks = planned.plan;
+            let resident = resident_parts(knowledge, &entry, has_session, prompt, &salt, now_ms);
             blocks.use_resident(&prompt.parts, resident);
             // A server does not fetch from itself.
             for source in &mut blocks.fetch {
@@ -143,6 +147,8 @@
     domain: FailureDomain,
     weight_version: u64,
     salt: CacheSalt,
+    /// Where the session's parts probably are.
+    session_server: Option<ServerTag>,
     plan: BlockPlan,
 }
 
@@ -197,7 +203,7 @@
         if version.is_some_and(|version| version < oldest_usable) {
             continue;
         }
-        let mut is_session_here = false;
+        let mut has_session = false;
         let blocks = match (prompt, engines) {
             (Some(prompt), Some(engines)) => {
                 let weight_version = weight_version(entry, prompt, newest);
@@ -205,19 +211,21 @@
                 let index = known.unwrap_or_else(|| {
                     let salt = salt(job, &prompt.model, weight_version);
                     let loads = &knowledge.loads;
-                    let holders = holders(knowledge, demand, prompt, &salt, now_ms);
+                    let session_server = session_server(knowledge, prompt, &salt, now_ms);
+                    let holders = holders(knowledge, demand, session_server, prompt, &salt, now_ms);
                     let domain = &entry.domain;
                     let place = block_place(loads, job, engines, domain, stands_for, &holders);
                     let configuration = &job.request.in_force.configuration;
                     let plan = knowledge.blocks.plan(configuration, demand, &salt, &place, now_ms);
                     let domain = entry.domain.clone();
-                    plans.push(Planned { domain, weight_version, salt, plan });
+                    plans.push(Planned { domain, weight_version, salt, session_server, plan });
                     plans.len() - 1
                 });
-                let salt = &plans[index].salt;
-                is_session_here = has_session(knowledge, entry, prompt, salt, now_ms);
-                let resident = resident_parts(knowledge, entry, prompt, salt, now_ms);
-                plans[index].cost(prompt, resident)
+                let planned = &plans[index];
+                has_session = is_at(planned.session_server, entry);
+                let salt = &planned.salt;
+                let resident = resident_parts(knowledge, entry, has_session, prompt, salt, now_ms);
+                planned.cost(prompt, resident)
             }
             _ => BlockCost::default(),
         };
@@ -226,7 +234,7 @@
             load: knowledge.loads.view(&entry.id, now_ms),
             blocks,
             weight_version: version,
-            has_session: is_session_here,
+            has_session,
         });
     }
     candidates
--- a/crates/gateway/src/forward/place/kept.rs
+++ b/crates/gateway/src/forward/place/kept.rs
@@ -21,13 +21,14 @@
 pub(super) fn holders<'a>(
     knowledge: &'a Knowledge,
     demand: &'a Demand,
+    session_server: Option<ServerTag>,
     prompt: &Prompt,
     salt: &CacheSalt,
     now_ms: u64,
 ) -> SmallVec<[Holder<'a>; 4]> {
     let engines = knowledge.registry.usable(&demand.service);
     let holders = engines.filter_map(|entry| {
-        let has_session = has_session(knowledge, entry, prompt, salt, now_ms);
+        let has_session = is_at(session_server, entry);
         let is_holder =
             has_session || knowledge.blocks.is_holder(entry.address, prompt, salt, now_ms);
         let holder = Holder { address: entry.address, domain: &entry.domain, has_session };
@@ -36,29 +37,32 @@
     holders.collect()
 }
 
-/// Says whether a prompt's shared parts probably are in a server's memory, as the session runs there
+/// Returns the server whose memory probably holds a prompt's shared parts, as the session runs there
 /// or did a moment ago.
-pub(super) fn has_session(
+pub(super) fn session_server(
     knowledge: &Knowledge,
-    entry: &ServerEntry,
     prompt: &Prompt,
     salt: &CacheSalt,
     now_ms: u64,
-) -> bool {
-    let session = SessionTag::new(salt, prompt);
-    let server = session.and_then(|session| knowledge.loads.session_server(session, now_ms));
-    server.is_some_and(|server| server == ServerTag::new(&entry.id))
+) -> Option<ServerTag> {
+    knowledge.loads.session_server(SessionTag::new(salt, prompt)?, now_ms)
+}
+
+/// Says whether a session's server is this one.
+pub(super) fn is_at(session_server: Option<ServerTag>, entry: &ServerEntry) -> bool {
+    session_server.is_some_and(|server| server == ServerTag::new(&entry.id))
 }
 
 /// Returns the number of a prompt's first parts that a server probably holds itself.
 pub(super) fn resident_parts(
     knowledge: &Knowledge,
     entry: &ServerEntry,
+    has_session: bool,
     prompt: &Prompt,
     salt: &CacheSalt,
     now_ms: u64,
 ) -> usize {
-    if has_session(knowledge, entry, prompt, salt, now_ms) {
+    if has_session {
         return prompt.shared_parts().len();
     }
     knowledge.blocks.resident_parts(entry.address, prompt, salt, now_ms)
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -44,7 +44,7 @@
     Format(#[from] FormatError),
 }
 
-/// Follows every store of the configuration in force, and the engines of the region.
+/// Follows every store of the configuration in force, and the engines of the own failure domain.
 pub async fn run(node: Arc<Node>) {
     let mut watched: HashMap<Watched, AbortHandle> = HashMap::new();
     loop {
@@ -143,15 +143,20 @@
     }
 }
 
-/// Asks for changes once; lists everything where changes were lost.
-async fn ask(node: &Node, link: &mut Link, next: &mut u64) -> Result<(), WatchError> {
-    let mut call = Call::get(engine::changes_path(*next), POLL_WAIT + ANSWER_TIMEOUT);
-    call = call.with_header(WAIT_MS, HeaderValue::from(POLL_WAIT.as_millis() as u64));
+/// Asks a store or an engine for its changes from a position on.
+async fn ask_changes(link: &mut Link, from: u64) -> Result<Changes, WatchError> {
+    let call = Call::get(engine::changes_path(from), POLL_WAIT + ANSWER_TIMEOUT);
+    let call = call.with_header(WAIT_MS, HeaderValue::from(POLL_WAIT.as_millis() as u64));
     let answer = link.call(call).await?;
     if !is_ok(&answer) {
         return Err(WatchError::Refused(answer.status()));
     }
-    let changes = engine::read_changes(answer.body())?;
+    Ok(engine::read_changes(answer.body())?)
+}
+
+/// Asks for changes once; lists everything where changes were lost.
+async fn ask(node: &Node, link: &mut Link, next: &mut u64) -> Result<(), WatchError> {
+    let changes = ask_changes(link, *next).await?;
     let address = link.address();
     let must_list = apply(node, address, &changes, next);
     if must_list {
--- a/crates/gateway/src/watch_blocks/engines.rs
+++ b/crates/gateway/src/watch_blocks/engines.rs
@@ -3,12 +3,9 @@
 //! What is known too late or not at all costs a fetch or a read, never a wrong answer.
 
 use crate::block_log::BlockEvent;
-use crate::link::{Call, Link, is_ok};
+use crate::link::Link;
 use crate::node::Node;
-use crate::watch_blocks::{ANSWER_TIMEOUT, POLL_WAIT, RETRY_PAUSE, WatchError, tell};
-use http::HeaderValue;
-use platform::engine;
-use platform::headers::WAIT_MS;
+use crate::watch_blocks::{RETRY_PAUSE, WatchError, ask_changes, tell};
 use protocol::ids::FailureDomain;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -42,13 +39,7 @@
 }
 
 async fn ask(node: &Node, link: &mut Link, next: &mut u64) -> Result<(), WatchError> {
-    let call = Call::get(engine::changes_path(*next), POLL_WAIT + ANSWER_TIMEOUT);
-    let call = call.with_header(WAIT_MS, HeaderValue::from(POLL_WAIT.as_millis() as u64));
-    let answer = link.call(call).await?;
-    if !is_ok(&answer) {
-        return Err(WatchError::Refused(answer.status()));
-    }
-    let changes = engine::read_changes(answer.body())?;
+    let changes = ask_changes(link, *next).await?;
     *next = changes.next;
     tell(node, BlockEvent::EngineReported(link.address(), changes.report));
     Ok(())
