Log why an aborted stream did not move to another server

Needed to tell the hypotheses on the lost requests apart: stream_aborted named the failure of the first server, not what kept the stream from moving. The line gets the field obstacle (no_attempt_left, no_server, over_budget, server_failed), and streams_not_moved counts it.

No logic is changed.

--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -24,6 +24,30 @@
     status: u16,
 }
 
+/// The reason why a stream did not continue on another server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Obstacle {
+    /// The route allows no further attempt, or the deadline has passed.
+    NoAttemptLeft,
+    /// No other server can take the request.
+    NoServer,
+    /// The retry budget is exhausted.
+    RetryBudget,
+    /// The other server failed the request.
+    ServerFailed,
+}
+
+impl Obstacle {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Obstacle::NoAttemptLeft => "no_attempt_left",
+            Obstacle::NoServer => "no_server",
+            Obstacle::RetryBudget => "over_budget",
+            Obstacle::ServerFailed => "server_failed",
+        }
+    }
+}
+
 /// Builds the answer from a stream whose first events have arrived.
 pub fn answer(job: Job, streaming: Streaming) -> Response<AnswerBody> {
     let Streaming { mut head, first, source, first_ms } = streaming;
@@ -62,8 +86,9 @@
                     return None;
                 }
                 Err(reason) => {
-                    if let Err(reason) = self.continue_on_another(source, reason).await {
-                        return Some(Err(self.abort(reason)));
+                    if let Err((reason, obstacle)) = self.continue_on_another(source, reason).await
+                    {
+                        return Some(Err(self.abort(reason, obstacle)));
                     }
                     if let Some(first) = self.first.take() {
                         return Some(Ok(first));
@@ -87,7 +112,7 @@
         &mut self,
         source: StreamSource,
         reason: MayHaveRun,
-    ) -> Result<(), MayHaveRun> {
+    ) -> Result<(), (MayHaveRun, Obstacle)> {
         let server = source.in_flight.server.clone();
         // The connection closes before the request is sent to another server.
         drop(source.connection);
@@ -95,9 +120,11 @@
         let mut reason = reason;
         self.job.record_may_have_run(&server, reason);
         while self.job.may_retry() && self.job.remaining_ms() > 0 {
-            let Ok(placed) = place::place(&self.job) else { return Err(reason) };
+            let Ok(placed) = place::place(&self.job) else {
+                return Err((reason, Obstacle::NoServer));
+            };
             if !self.job.take_retry() {
-                return Err(reason);
+                return Err((reason, Obstacle::RetryBudget));
             }
             let server = placed.entry.id.clone();
             match attempt::send(&mut self.job, placed).await {
@@ -106,7 +133,9 @@
                     self.source = Some(streaming.source);
                     return Ok(());
                 }
-                AttemptResult::Answered(_) => return Err(MayHaveRun::ServerFailed),
+                AttemptResult::Answered(_) => {
+                    return Err((MayHaveRun::ServerFailed, Obstacle::ServerFailed));
+                }
                 AttemptResult::NotRun(refused) => self.job.record_not_run(&server, refused),
                 AttemptResult::MayHaveRun(failed) => {
                     reason = failed;
@@ -114,17 +143,19 @@
                 }
             }
         }
-        Err(reason)
+        Err((reason, Obstacle::NoAttemptLeft))
     }
 
-    fn abort(&mut self, reason: MayHaveRun) -> io::Error {
+    fn abort(&mut self, reason: MayHaveRun, obstacle: Obstacle) -> io::Error {
         self.job.is_ended = true;
         let node = &self.job.node;
         node.metrics.count("streams_aborted", reason.as_str());
+        node.metrics.count("streams_not_moved", obstacle.as_str());
         event!(warn, node.now_ms(), "stream_aborted", {
             "request": self.job.request.id_text(),
             "route": self.job.request.route.name,
             "reason": reason.as_str(),
+            "obstacle": obstacle.as_str(),
             "last_event": self.job.last_event_id,
             "sends": self.job.attempts,
             "remaining_ms": self.job.remaining_ms(),
