Take a denied retry out of the load of its server

Callers saw nothing directly: each retry that the budget denied stayed in the load of the server it was placed on for good. The server looked busier to this gateway and its peers, was suspected after 500 ms without an answer to a request that was never sent, and got a health check for it.

Cause: place() recorded the attempt, but only send() made the guard that ends it; a retry denied between the two had none. Ruled out: a refused or unconnected attempt, which ended its record.

The guard is made where the attempt is recorded and is part of Placed.

--- a/crates/camphorwardd/tests/gateway/refusals.rs
+++ b/crates/camphorwardd/tests/gateway/refusals.rs
@@ -1,8 +1,8 @@
 //! Refusals: their status, and that no refused request ran.
 
 use crate::caller::{self, new_id, post, read, request, send};
-use crate::fleet::{Fleet, ORDERS, configuration};
-use crate::process::Gateway;
+use crate::fleet::{Fleet, ORDERS, STATUS, configuration};
+use crate::process::{Gateway, until};
 use standins::fleet::{Behaviour, Store};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -110,3 +110,30 @@
     assert!(fleet.desks[0].executed().is_empty());
     assert_eq!(fleet.desks[1].executed().len(), 6);
 }
+
+#[tokio::test]
+async fn a_denied_retry_leaves_no_load_on_the_server_it_was_for() {
+    let fleet = Fleet::start(2, 0).await;
+    let settings = fleet.settings("gateway-1", &[]);
+    let mut settings: serde_json::Value = serde_json::from_str(&settings).unwrap();
+    settings["bounds"]["retry_ratio"] = 0.into();
+    settings["bounds"]["retry_slack"] = 0.into();
+    let gateway = Gateway::start(&settings.to_string()).await;
+    caller::until_ready(&gateway).await;
+    until("all servers are listed", || gateway.lines("server_joined").len() >= 2).await;
+    fleet.desks[0].set_behaviour(Behaviour::Sheds);
+    while fleet.desks[0].refused() == 0 {
+        post(&gateway, STATUS).await;
+    }
+    let entry = fleet.desks[0].entry("desk", "east-1", 2, "draining");
+    fleet.store.register(&fleet.desks[0].id(), &entry);
+    until("the other server is left", || !gateway.lines("server_left").is_empty()).await;
+    assert_eq!(post(&gateway, STATUS).await.status, 200);
+    let is_sent_last = || {
+        let sent = gateway.lines("request_sent");
+        sent.last().is_some_and(|line| line["server"] == "desk-1")
+    };
+    until("the request to the other server is logged", is_sent_last).await;
+    let sent = gateway.lines("request_sent");
+    assert_eq!(sent.first().unwrap()["cost_ms"], sent.last().unwrap()["cost_ms"]);
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod events;
 mod head;
+mod in_flight;
 mod job;
 mod place;
 mod relay;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -6,6 +6,7 @@
 use crate::follow;
 use crate::forward::events::EventSplitter;
 use crate::forward::head;
+use crate::forward::in_flight::InFlightAttempt;
 use crate::forward::job::Job;
 use crate::forward::place::Placed;
 use crate::forward::source::StreamSource;
@@ -13,7 +14,7 @@
 use crate::pool::ServerConnection;
 use bytes::Bytes;
 use dispatch::configuration::RouteKind;
-use dispatch::load::{InFlightId, Outcome};
+use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
@@ -104,61 +105,21 @@
     pub first_ms: u64,
 }
 
-/// An attempt that counts as in flight on its server until it ends.
-#[derive(Debug)]
-pub struct InFlightAttempt {
-    node: Arc<Node>,
-    /// The server.
-    pub server: ServerId,
-    id: InFlightId,
-    is_open: bool,
-}
-
-impl InFlightAttempt {
-    /// Records the outcome of the attempt.
-    pub fn end(mut self, outcome: Outcome) {
-        self.close(outcome);
-    }
-
-    /// Records that bytes were received from the server.
-    pub fn record_activity(&self) {
-        self.node.state().loads.record_activity(&self.server, self.node.now_ms());
-    }
-
-    fn close(&mut self, outcome: Outcome) {
-        if std::mem::replace(&mut self.is_open, false) {
-            let now_ms = self.node.now_ms();
-            self.node.state().loads.finished(&self.server, self.id, outcome, now_ms);
-            self.node.capacity_freed.notify_waiters();
-        }
-    }
-}
-
-impl Drop for InFlightAttempt {
-    fn drop(&mut self) {
-        self.close(Outcome::Cancelled);
-    }
-}
-
 /// Sends a request to the chosen server.
 pub async fn send(job: &mut Job, placed: Placed) -> AttemptResult {
     let node = Arc::clone(&job.node);
     let server = placed.entry.id.clone();
-    let in_flight = InFlightAttempt {
-        node: Arc::clone(&node),
-        server: server.clone(),
-        id: placed.in_flight_id,
-        is_open: true,
-    };
     let Some(mut connection) = acquire_connection(&node, &placed.entry).await else {
-        in_flight.end(Outcome::ConnectionFailed);
+        placed.in_flight.end(Outcome::ConnectionFailed);
         return AttemptResult::NotRun(NotRun::ConnectFailed);
     };
     let request = head::build(job, &placed);
     job.attempts += 1;
     log_attempt(job, &placed, connection.is_reused);
     let sending = connection.connection.sender.try_send_request(request);
-    let (head, body) = match await_head(job, &placed, sending).await {
+    let answer = await_head(job, &placed, sending).await;
+    let Placed { in_flight, .. } = placed;
+    let (head, body) = match answer {
         Ok(answer) => answer.into_parts(),
         Err(Unanswered::Unsent) => {
             in_flight.end(Outcome::Cancelled);
@@ -175,11 +136,11 @@
     }
     connection.read_keep_alive(&head.headers);
     let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok()).and_then(parse_load);
-    node.state().loads.started(&server, in_flight.id, load, node.now_ms());
+    in_flight.start(load);
     record_weights(job, &server, &head);
     let exchange = Exchange { head, body, connection, in_flight };
     if let Some(reason) = refusal_reason(&exchange.head, &server) {
-        return exchange.end_refused(job, &placed, reason).await;
+        return exchange.end_refused(job, reason).await;
     }
     if job.request.route.kind.is_stream() && exchange.head.status.is_success() {
         return exchange.start_stream(job).await;
@@ -321,9 +282,9 @@
 
 impl Exchange {
     /// Ends the exchange of a request that did not run.
-    async fn end_refused(self, job: &Job, placed: &Placed, reason: NotRun) -> AttemptResult {
+    async fn end_refused(self, job: &Job, reason: NotRun) -> AttemptResult {
         let node = &job.node;
-        let server = placed.entry.id.clone();
+        let server = self.in_flight.server().clone();
         let outcome = match reason {
             NotRun::Shed | NotRun::WrongWeights => Outcome::Shed,
             _ => Outcome::ConnectionFailed,
@@ -356,7 +317,7 @@
             }
         };
         let node = Arc::clone(&job.node);
-        let server = in_flight.server.clone();
+        let server = in_flight.server().clone();
         node.pool.put(&server, connection, node.now_ms());
         let failed = head.status.is_server_error();
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Answered });
--- /dev/null
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -0,0 +1,56 @@
+//! Attempts in the load of their servers.
+
+use crate::node::Node;
+use dispatch::load::{InFlightId, LoadHeader, Outcome};
+use dispatch::registry::ServerId;
+use std::sync::Arc;
+
+/// An attempt that counts as in flight on its server until it ends or is dropped.
+#[derive(Debug)]
+pub struct InFlightAttempt {
+    node: Arc<Node>,
+    server: ServerId,
+    id: InFlightId,
+    is_open: bool,
+}
+
+impl InFlightAttempt {
+    /// Wraps an attempt that was recorded in the load of its server.
+    pub const fn new(node: Arc<Node>, server: ServerId, id: InFlightId) -> Self {
+        Self { node, server, id, is_open: true }
+    }
+
+    /// Returns the server.
+    pub const fn server(&self) -> &ServerId {
+        &self.server
+    }
+
+    /// Records that the head of the answer was received.
+    pub fn start(&self, load: Option<LoadHeader>) {
+        self.node.state().loads.started(&self.server, self.id, load, self.node.now_ms());
+    }
+
+    /// Records that bytes were received from the server.
+    pub fn record_activity(&self) {
+        self.node.state().loads.record_activity(&self.server, self.node.now_ms());
+    }
+
+    /// Records the outcome of the attempt.
+    pub fn end(mut self, outcome: Outcome) {
+        self.close(outcome);
+    }
+
+    fn close(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.is_open, false) {
+            let now_ms = self.node.now_ms();
+            self.node.state().loads.finished(&self.server, self.id, outcome, now_ms);
+            self.node.capacity_freed.notify_waiters();
+        }
+    }
+}
+
+impl Drop for InFlightAttempt {
+    fn drop(&mut self) {
+        self.close(Outcome::Cancelled);
+    }
+}
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -2,6 +2,7 @@
 
 mod blocks;
 
+use crate::forward::in_flight::InFlightAttempt;
 use crate::forward::job::Job;
 use crate::forward::place::blocks::{
     holders, is_session_server, resident_blocks, salt, session_server, transfer_context,
@@ -10,12 +11,13 @@
 use dispatch::blocks::{BlockPlan, CacheSalt};
 use dispatch::choice::{self, BlockCost, Candidate, ChoiceContext, Chosen, NoServer};
 use dispatch::configuration::EngineTraits;
-use dispatch::load::{AttemptCost, InFlightId, ServerTag, SessionTag};
+use dispatch::load::{AttemptCost, ServerTag, SessionTag};
 use dispatch::registry::ServerEntry;
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::rollout::TargetVersions;
 use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
+use std::sync::Arc;
 
 /// How long a server of a plain service may send nothing after an attempt was sent to it before it
 /// is suspected, in milliseconds. Orders take 60 ms at the median and under 450 ms at most.
@@ -44,8 +46,8 @@
     pub chosen: Chosen,
     /// The number of gateways whose load was reported, including this one.
     pub reporting_gateways: usize,
-    /// The attempt in the server's load.
-    pub in_flight_id: InFlightId,
+    /// The attempt in the server's load, which it leaves when dropped.
+    pub in_flight: InFlightAttempt,
     /// The options for inference engines; `None` for other services.
     pub engine: Option<EnginePlan>,
 }
@@ -146,7 +148,8 @@
     };
     let attempt_cost = attempt_cost(job, spec.prompt.as_ref(), engines, engine.as_ref());
     let in_flight_id = state.loads.sent(&entry.id, attempt_cost, now_ms);
-    Ok(Placed { entry, chosen, reporting_gateways, in_flight_id, engine })
+    let in_flight = InFlightAttempt::new(Arc::clone(node), entry.id.clone(), in_flight_id);
+    Ok(Placed { entry, chosen, reporting_gateways, in_flight, engine })
 }
 
 /// The block plan for all servers of one failure domain with the same weights, without the blocks
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -100,7 +100,7 @@
 
     fn finish(&mut self, source: StreamSource) {
         let node = &self.job.node;
-        let server = source.in_flight.server.clone();
+        let server = source.in_flight.server().clone();
         node.pool.put(&server, source.connection, node.now_ms());
         source.in_flight.end(Outcome::Answered);
         node.state().crashes.clear(&self.job.request.content);
@@ -113,7 +113,7 @@
         source: StreamSource,
         reason: MayHaveRun,
     ) -> Result<(), (MayHaveRun, Obstacle)> {
-        let server = source.in_flight.server.clone();
+        let server = source.in_flight.server().clone();
         // The connection closes before the request is sent to another server.
         drop(source.connection);
         source.in_flight.end(reason.outcome());
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -1,7 +1,8 @@
 //! The events of a streamed answer, as they arrive from a server.
 
-use crate::forward::attempt::{InFlightAttempt, MayHaveRun};
+use crate::forward::attempt::MayHaveRun;
 use crate::forward::events::{CompleteEvents, EventSplitter};
+use crate::forward::in_flight::InFlightAttempt;
 use crate::forward::job::Job;
 use crate::pool::ServerConnection;
 use bytes::Bytes;
@@ -65,7 +66,7 @@
             },
             () = &mut deadline => return Err(MayHaveRun::DeadlineExceeded),
             () = unresponsive => {
-                if job.may_abandon_unresponsive(&source.in_flight.server) {
+                if job.may_abandon_unresponsive(source.in_flight.server()) {
                     return Err(MayHaveRun::Unresponsive);
                 }
             }
