Let the stand-in for servers fall silent and go on

Callers saw nothing of this yet: a sound server that sends nothing for a second or two and then goes on could not be played, only one that never answers again. A paused server accepts connections and reads requests, but sends no byte on any connection until it is resumed. A caller that closes meanwhile is recorded.

--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 /// The kind of a server.
@@ -71,6 +72,7 @@
     reset_after_events: Option<u64>,
     executed: Vec<ExecutedRequest>,
     refused: u64,
+    is_paused: watch::Sender<bool>,
 }
 
 /// A running server; dropping it stops the server.
@@ -109,6 +111,7 @@
             reset_after_events: None,
             executed: Vec::new(),
             refused: 0,
+            is_paused: watch::Sender::new(false),
         }));
         let task = tokio::spawn(accept(listener, kind, Arc::clone(&state))).abort_handle();
         Ok(Self { address, kind, state, task })
@@ -162,6 +165,16 @@
         self.lock().reset_after_events = events;
     }
 
+    /// Stops sending on all connections; requests are still accepted and read.
+    pub fn pause(&self) {
+        self.lock().is_paused.send_replace(true);
+    }
+
+    /// Sends again, on each connection from where it stopped.
+    pub fn resume(&self) {
+        self.lock().is_paused.send_replace(false);
+    }
+
     /// Replaces the server's ID, as if another server had taken over the address.
     pub fn set_id(&self, id: &str) {
         self.lock().id = id.to_owned();
@@ -196,6 +209,13 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Waits while the server is paused.
+async fn until_resumed(state: &Mutex<State>) {
+    let mut is_paused = lock(state).is_paused.subscribe();
+    // The sender lives as long as the state.
+    drop(is_paused.wait_for(|is_paused| !is_paused).await);
+}
+
 async fn accept(listener: TcpListener, kind: ServerKind, state: Arc<Mutex<State>>) {
     while let Ok((stream, _)) = listener.accept().await {
         let state = Arc::clone(&state);
@@ -218,6 +238,7 @@
         };
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != id {
+            until_resumed(state).await;
             let headers =
                 [("X-Instance-Id", id.as_str()), ("X-Attempt-Id", request.header("x-attempt-id"))];
             write_answer(&mut stream, 421, &headers, b"").await?;
@@ -230,11 +251,15 @@
             return std::future::pending().await;
         }
         match request.path() {
-            "/health" => write_answer(&mut stream, 200, &[("X-Instance-Id", &id)], b"").await?,
+            "/health" => {
+                until_resumed(state).await;
+                write_answer(&mut stream, 200, &[("X-Instance-Id", &id)], b"").await?;
+            }
             "/camphorward/report" => report(&mut stream, state).await?,
             "/camphorward/order" => execute_command(&mut stream, state, &request).await?,
-            "/camphorward/kv-events" => kv_events(&mut stream, &request).await?,
+            "/camphorward/kv-events" => kv_events(&mut stream, state, &request).await?,
             _ if has_other_version(kind, state, &request) => {
+                until_resumed(state).await;
                 let headers = [
                     ("X-Instance-Id", id.as_str()),
                     ("X-Attempt-Id", request.header("x-attempt-id")),
@@ -258,6 +283,7 @@
 }
 
 async fn report(stream: &mut BufReader<TcpStream>, state: &Mutex<State>) -> io::Result<()> {
+    until_resumed(state).await;
     let body = {
         let state = lock(state);
         json!({
@@ -284,12 +310,18 @@
             409
         }
     };
+    until_resumed(state).await;
     write_answer(stream, status, &[], b"").await
 }
 
-async fn kv_events(stream: &mut BufReader<TcpStream>, request: &ReceivedRequest) -> io::Result<()> {
+async fn kv_events(
+    stream: &mut BufReader<TcpStream>,
+    state: &Mutex<State>,
+    request: &ReceivedRequest,
+) -> io::Result<()> {
     let wait_ms = request.header("wait-ms").parse().unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    until_resumed(state).await;
     let body = json!({ "bootEpoch": 1, "nextPageToken": 0, "lost": false, "events": [] });
     write_answer(stream, 200, &[], &encode(&body)).await
 }
@@ -315,6 +347,7 @@
     let id = request.header("x-attempt-id").to_owned();
     if behaviour == Behaviour::Sheds {
         lock(state).refused += 1;
+        until_resumed(state).await;
         let headers = [("X-Attempt-Id", id.as_str()), ("X-Not-Executed", "1")];
         write_answer(stream, 503, &headers, b"").await?;
         return Ok(true);
@@ -327,6 +360,9 @@
         ("X-Server-Seal", seal.as_str()),
         ("Keep-Alive", "timeout=5"),
     ];
+    if !wait_while_connected(stream, state, index, Duration::ZERO).await {
+        return Ok(false);
+    }
     match behaviour {
         Behaviour::Serves | Behaviour::Unresponsive | Behaviour::Sheds => match kind {
             ServerKind::Engine => {
@@ -387,7 +423,7 @@
     wait_while_connected(stream, state, index, execution_time).await
 }
 
-/// Waits; returns false and records it if the caller disconnects meanwhile.
+/// Waits, and longer while the server is paused; returns false and records it if the caller disconnects meanwhile.
 async fn wait_while_connected(
     stream: &mut BufReader<TcpStream>,
     state: &Mutex<State>,
@@ -395,13 +431,18 @@
     wait: Duration,
 ) -> bool {
     let mut byte = [0; 1];
+    let waited = async {
+        tokio::time::sleep(wait).await;
+        until_resumed(state).await;
+    };
     tokio::select! {
-        () = tokio::time::sleep(wait) => true,
+        biased;
         // Callers send nothing before they have the answer, so a read ends only at a disconnect.
         _ = stream.read(&mut byte) => {
             lock(state).executed[index].caller_disconnected = true;
             false
         }
+        () = waited => true,
     }
 }
 
