Test answers of servers that fall silent and go on

What callers saw: a stream aborted after event 3 of 100, or 502 server_broke about a second after the request, although the only server, or the first one, went on after some two seconds.

Cause, as far as the tests show it: once a health check fails, every retryable attempt on the server is given up before another server has accepted it. The tests cover no other server, one that refuses, and a spent retry share, each for started streams, streams without events and safe requests, and a started stream at a change of the configuration, a reload and a shutdown.

Ruled out: streams that are not resumable and unsafe requests, which go on, and requests that another healthy server takes over, which move.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -8,4 +8,5 @@
 mod refusals;
 mod settings;
 mod shutdown;
+mod silence;
 mod weights;
