Keep the request on a silent server until another one delivers

Callers saw a stream cut after some events, or a 502 after about a second, while the server was sound: it had sent nothing for about a second and went on. Beside a change of the configuration that is a LOST request: read, passed on, and its connection ended without a complete answer.

Cause: an attempt without a head and one failed health check marked the server as offline, and every retryable attempt on it was given up at once. Its connection closed first; only then were another server and a retry looked for. With no other server, a spent retry budget or a refusal nothing was left to answer from. A configuration that moves the route while the servers of the old service leave is one way to have no other server.

Ruled out: the retry itself (streams do move where a server takes them) and the deadline (remaining_ms was above 4,000 in each trace).

Change: silence is no reason to end an attempt any more. While a server is unresponsive, another one is tried beside it if the route, the servers and the retry budget allow that; the first of the two to deliver is used, and the other connection closes at once. This holds for plain answers, for streams before their first event and for streams under way. Attempts own what they need and no longer borrow the job, so that two can run.

--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -58,6 +58,11 @@
         self.id.to_str().unwrap_or("unprintable")
     }
 
+    /// Returns the time until the deadline, in milliseconds.
+    pub const fn remaining_ms(&self, now_ms: u64) -> u64 {
+        self.spec.deadline_at_ms.saturating_sub(now_ms)
+    }
+
     /// Reads a complete request and determines its route and organisation.
     ///
     /// # Errors
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod events;
 mod head;
+mod hedge;
 mod in_flight;
 mod job;
 mod place;
@@ -14,11 +15,14 @@
 use crate::answer::{AnswerBody, Refusal};
 use crate::callers::CallerRequest;
 use crate::event;
-use crate::forward::attempt::{AttemptResult, MayHaveRun, NotRun};
+use crate::forward::attempt::{Answered, AttemptResult, MayHaveRun, NotRun};
+use crate::forward::hedge::RunningAttempt;
 use crate::forward::job::Job;
 use crate::node::Node;
 use dispatch::choice::NoServer;
-use http::Response;
+use dispatch::configuration::RouteKind;
+use dispatch::registry::ServerId;
+use http::{Response, StatusCode};
 use rand::Rng;
 use std::sync::Arc;
 
@@ -61,12 +65,13 @@
             Err(reason) => return job.refuse_unplaced(reason),
         };
         job.leave_queue();
-        if job.attempts > 0 && !job.take_retry() {
+        if job.attempts() > 0 && !job.take_retry() {
             return job.abandon(Refusal::ServersRefused);
         }
-        let server = placed.entry.id.clone();
-        match attempt::send(&mut job, placed).await {
-            AttemptResult::Answered(answer) => return *answer,
+        let attempt = RunningAttempt::start(&job, placed);
+        let (server, result) = hedge::run(&mut job, attempt).await;
+        match job.check_answer(&server, result) {
+            AttemptResult::Answered(answered) => return job.finish_answered(&server, *answered),
             AttemptResult::Streaming(stream) => return relay::answer(job, *stream),
             AttemptResult::NotRun(reason) => {
                 job.record_not_run(&server, reason);
@@ -85,6 +90,30 @@
 }
 
 impl Job {
+    /// Turns an answer that is not passed on into the reason for that.
+    fn check_answer(&self, server: &ServerId, result: AttemptResult) -> AttemptResult {
+        let AttemptResult::Answered(answered) = &result else { return result };
+        let status = answered.response.status();
+        let is_safe = self.request.route.kind == RouteKind::Safe;
+        if status.is_server_error() && is_safe && self.can_try_another(server) {
+            return AttemptResult::MayHaveRun(MayHaveRun::ServerFailed);
+        }
+        // To the caller, these statuses mean that nothing ran, which this server did not confirm.
+        if matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) {
+            return AttemptResult::MayHaveRun(MayHaveRun::Aborted);
+        }
+        result
+    }
+
+    fn finish_answered(&mut self, server: &ServerId, answered: Answered) -> Response<AnswerBody> {
+        let status = answered.response.status();
+        if !status.is_server_error() {
+            self.node.state().crashes.clear(&self.request.content);
+        }
+        self.log_answered(server, status.as_u16(), answered.first_byte_ms);
+        answered.response
+    }
+
     fn refuse_unplaced(&mut self, reason: NoServer) -> Response<AnswerBody> {
         let refusal = match reason {
             NoServer::NoFreeCapacity => Refusal::Overloaded,
@@ -134,7 +163,7 @@
             "service": self.request.spec.service.as_str(),
             "reason": refusal.as_str(),
             "status": refusal.status().as_u16(),
-            "sends": self.attempts,
+            "sends": self.attempts(),
             "may_have_run": self.may_have_run(),
             "waited_ms": node.now_ms().saturating_sub(self.request.arrived_ms),
             "remaining_ms": self.remaining_ms(),
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -2,9 +2,10 @@
 //! events.
 
 use crate::answer::{AnswerBody, full_body, strip_hop_headers};
+use crate::callers::CallerRequest;
 use crate::event;
 use crate::follow;
-use crate::forward::events::EventSplitter;
+use crate::forward::events::{CompleteEvents, EventSplitter};
 use crate::forward::head;
 use crate::forward::in_flight::InFlightAttempt;
 use crate::forward::job::Job;
@@ -13,7 +14,6 @@
 use crate::node::Node;
 use crate::pool::ServerConnection;
 use bytes::Bytes;
-use dispatch::configuration::RouteKind;
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId};
 use http::{Request, Response, StatusCode, response};
@@ -22,13 +22,14 @@
 use platform::headers::{LOAD, NOT_EXECUTED, REQUEST_ID, SERVER_ID, WEIGHT_VERSIONS, parse_load};
 use platform::prompt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// The result of an attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
     /// The complete answer of the server.
-    Answered(Box<Response<AnswerBody>>),
+    Answered(Box<Answered>),
     /// The head of a stream and its first complete events.
     Streaming(Box<Streaming>),
     /// The request did not run on the server and never will.
@@ -63,7 +64,7 @@
     ServerFailed,
     /// The deadline passed.
     DeadlineExceeded,
-    /// The server answers neither the request nor health checks.
+    /// The server answered neither the request nor health checks, and another one answered first.
     Unresponsive,
     /// The request waited too long at a server with older weights.
     OldWeights,
@@ -92,60 +93,99 @@
     }
 }
 
+/// A complete plain answer.
+#[derive(Debug)]
+pub struct Answered {
+    /// The answer.
+    pub response: Response<AnswerBody>,
+    /// The time from the arrival of the request to the head of the answer, in milliseconds.
+    pub first_byte_ms: u64,
+}
+
 /// A stream whose first events have arrived.
 #[derive(Debug)]
 pub struct Streaming {
     /// The head of the answer.
     pub head: response::Parts,
-    /// The first complete events.
-    pub first: Bytes,
+    /// The first complete events; empty if the stream ended without one.
+    pub first: CompleteEvents,
     /// The source of the remaining events.
     pub source: StreamSource,
     /// The time from the arrival of the request to the first event, in milliseconds.
     pub first_ms: u64,
 }
 
-/// Sends a request to the chosen server.
-pub async fn send(job: &mut Job, placed: Placed) -> AttemptResult {
-    let node = Arc::clone(&job.node);
-    let server = placed.entry.id.clone();
-    let Some(mut connection) = acquire_connection(&node, &placed.entry).await else {
-        placed.in_flight.end(Outcome::ConnectionFailed);
-        return AttemptResult::NotRun(NotRun::ConnectFailed);
-    };
-    let request = head::build(job, &placed);
-    job.attempts += 1;
-    log_attempt(job, &placed, connection.is_reused);
-    let sending = connection.connection.sender.try_send_request(request);
-    let answer = await_head(job, &placed, sending).await;
-    let Placed { in_flight, .. } = placed;
-    let (head, body) = match answer {
-        Ok(answer) => answer.into_parts(),
-        Err(Unanswered::Unsent) => {
-            in_flight.end(Outcome::Cancelled);
-            return AttemptResult::NotRun(NotRun::Unsent);
-        }
-        Err(Unanswered::MayHaveRun(reason)) => {
-            in_flight.end(reason.outcome());
-            return AttemptResult::MayHaveRun(reason);
+/// An attempt that is about to be sent.
+#[derive(Debug)]
+pub struct Attempt {
+    node: Arc<Node>,
+    request: Arc<CallerRequest>,
+    placed: Placed,
+    /// The id of the event after which the stream is resumed.
+    last_event_id: Option<String>,
+    /// The number of attempts that were sent, over all attempts at the request.
+    sent: Arc<AtomicU32>,
+    is_logged: bool,
+}
+
+impl Attempt {
+    /// Prepares an attempt at a job on the chosen server.
+    pub fn new(job: &Job, placed: Placed) -> Self {
+        Self {
+            node: Arc::clone(&job.node),
+            request: Arc::clone(&job.request),
+            placed,
+            last_event_id: job.last_event_id.clone(),
+            sent: Arc::clone(&job.sent),
+            is_logged: job.is_logged,
         }
-    };
-    if head.headers.get(REQUEST_ID) != Some(&job.request.id) {
-        in_flight.end(Outcome::Failed);
-        return AttemptResult::MayHaveRun(MayHaveRun::Mismatched);
     }
-    connection.read_keep_alive(&head.headers);
-    let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok()).and_then(parse_load);
-    in_flight.start(load);
-    record_weights(job, &server, &head);
-    let exchange = Exchange { head, body, connection, in_flight };
-    if let Some(reason) = refusal_reason(&exchange.head, &server) {
-        return exchange.end_refused(job, reason).await;
-    }
-    if job.request.route.kind.is_stream() && exchange.head.status.is_success() {
-        return exchange.start_stream(job).await;
+
+    /// Sends the request and reads the answer, or the first events of a stream. Dropping the future
+    /// closes the connection to the server.
+    pub async fn send(self) -> AttemptResult {
+        let Self { node, request, placed, last_event_id, sent, is_logged } = self;
+        let server = placed.entry.id.clone();
+        let Some(mut connection) = acquire_connection(&node, &placed.entry).await else {
+            placed.in_flight.end(Outcome::ConnectionFailed);
+            return AttemptResult::NotRun(NotRun::ConnectFailed);
+        };
+        let server_request = head::build(&request, &placed, last_event_id.as_deref(), &node);
+        sent.fetch_add(1, Ordering::Relaxed);
+        if is_logged {
+            log_attempt(&request, &placed, connection.is_reused, &node);
+        }
+        let sending = connection.connection.sender.try_send_request(server_request);
+        let answer = await_head(&node, &request, &placed, sending).await;
+        let Placed { in_flight, .. } = placed;
+        let (head, body) = match answer {
+            Ok(answer) => answer.into_parts(),
+            Err(Unanswered::Unsent) => {
+                in_flight.end(Outcome::Cancelled);
+                return AttemptResult::NotRun(NotRun::Unsent);
+            }
+            Err(Unanswered::MayHaveRun(reason)) => {
+                in_flight.end(reason.outcome());
+                return AttemptResult::MayHaveRun(reason);
+            }
+        };
+        if head.headers.get(REQUEST_ID) != Some(&request.id) {
+            in_flight.end(Outcome::Failed);
+            return AttemptResult::MayHaveRun(MayHaveRun::Mismatched);
+        }
+        connection.read_keep_alive(&head.headers);
+        let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok());
+        in_flight.start(load.and_then(parse_load));
+        record_weights(&node, &request, &server, &head);
+        let exchange = Exchange { node, request, head, body, connection, in_flight };
+        if let Some(reason) = refusal_reason(&exchange.head, &server) {
+            return exchange.end_refused(reason).await;
+        }
+        if exchange.request.route.kind.is_stream() && exchange.head.status.is_success() {
+            return exchange.start_stream().await;
+        }
+        exchange.read_complete().await
     }
-    exchange.read_complete(job).await
 }
 
 async fn acquire_connection(node: &Node, entry: &ServerEntry) -> Option<ServerConnection> {
@@ -169,31 +209,30 @@
     }
 }
 
-fn log_attempt(job: &Job, placed: &Placed, is_reused: bool) {
-    if !job.is_logged {
-        return;
-    }
-    event!(info, job.node.now_ms(), "request_sent", {
-        "request": job.request.id_text(),
+fn log_attempt(request: &CallerRequest, placed: &Placed, is_reused: bool, node: &Node) {
+    let prompt = request.spec.prompt.as_ref();
+    let engine = placed.engine.as_ref();
+    event!(info, node.now_ms(), "request_sent", {
+        "request": request.id_text(),
         "server": placed.entry.id.as_str(),
         "cost_ms": placed.chosen.cost_ms,
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
         "known_gateways": placed.reporting_gateways,
-        "fetched_tokens": placed.engine.as_ref().map(|plan| plan.blocks.fetched_tokens),
-        "rank": job.request.spec.priority,
-        "engine_rank": placed.engine.as_ref().map(|plan| plan.priority),
-        "input_tokens": job.request.spec.prompt.as_ref().map(|prompt| prompt.input_tokens),
-        "parts": job.request.spec.prompt.as_ref().map(prompt::format_segments),
-        "read_shared_tokens": placed.engine.as_ref().map(|plan| plan.blocks.recomputed_tokens),
-        "fetch": placed.engine.as_ref().and_then(|plan| prompt::format_fetch(&plan.blocks)),
-        "save": placed.engine.as_ref().and_then(|plan| prompt::format_save(&plan.blocks)),
-        "sources": placed.engine.as_ref().map(|plan| {
+        "fetched_tokens": engine.map(|plan| plan.blocks.fetched_tokens),
+        "rank": request.spec.priority,
+        "engine_rank": engine.map(|plan| plan.priority),
+        "input_tokens": prompt.map(|prompt| prompt.input_tokens),
+        "parts": prompt.map(prompt::format_segments),
+        "read_shared_tokens": engine.map(|plan| plan.blocks.recomputed_tokens),
+        "fetch": engine.and_then(|plan| prompt::format_fetch(&plan.blocks)),
+        "save": engine.and_then(|plan| prompt::format_save(&plan.blocks)),
+        "sources": engine.map(|plan| {
             plan.blocks.sources.iter().map(|source| source.as_str()).collect::<Vec<_>>()
         }),
-        "salt": placed.engine.as_ref().map(|plan| plan.salt.as_str()),
+        "salt": engine.map(|plan| plan.salt.as_str()),
         "reused_connection": is_reused,
-        "remaining_ms": job.remaining_ms(),
+        "remaining_ms": request.remaining_ms(node.now_ms()),
     });
 }
 
@@ -203,10 +242,11 @@
     MayHaveRun(MayHaveRun),
 }
 
-/// Waits for the head of the answer, until the deadline passes, the time to abort the attempt is
-/// reached, or the server is found to be unresponsive.
+/// Waits for the head of the answer, until the deadline passes or the time to abort the attempt is
+/// reached.
 async fn await_head<F>(
-    job: &Job,
+    node: &Node,
+    request: &CallerRequest,
     placed: &Placed,
     sending: F,
 ) -> Result<Response<Incoming>, Unanswered>
@@ -218,46 +258,18 @@
         >,
     >,
 {
+    let now_ms = node.now_ms();
+    let remaining_ms = request.remaining_ms(now_ms);
     let abort_at_ms = placed.engine.as_ref().and_then(|plan| plan.abort_at_ms);
-    let abort_in_ms = abort_at_ms.map(|at_ms| at_ms.saturating_sub(job.node.now_ms()));
-    let aborts_first = abort_in_ms.is_some_and(|in_ms| in_ms < job.remaining_ms());
-    let wait_ms = abort_in_ms.unwrap_or(u64::MAX).min(job.remaining_ms());
-    let deadline = tokio::time::sleep(Duration::from_millis(wait_ms));
-    tokio::pin!(sending, deadline);
-    loop {
-        let unresponsive = job.node.server_unresponsive.notified();
-        tokio::select! {
-            biased;
-            answer = &mut sending => return answer.map_err(|mut error| {
-                match error.take_message() {
-                    Some(_) => Unanswered::Unsent,
-                    None => Unanswered::MayHaveRun(MayHaveRun::Aborted),
-                }
-            }),
-            () = &mut deadline => {
-                let reason = if aborts_first {
-                    MayHaveRun::OldWeights
-                } else {
-                    MayHaveRun::DeadlineExceeded
-                };
-                return Err(Unanswered::MayHaveRun(reason));
-            }
-            () = unresponsive => {
-                if job.may_abandon_unresponsive(&placed.entry.id) {
-                    return Err(Unanswered::MayHaveRun(MayHaveRun::Unresponsive));
-                }
-            }
-        }
-    }
-}
-
-impl Job {
-    /// Returns whether the request may be retried on another server now because its server answers
-    /// no health checks either.
-    pub fn may_abandon_unresponsive(&self, server: &ServerId) -> bool {
-        let route = &self.request.route;
-        let has_attempts_left = (self.may_have_run_on.len() as u32) + 1 < route.max_attempts;
-        route.kind.is_retryable() && has_attempts_left && self.node.state().loads.is_offline(server)
+    let abort_in_ms = abort_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms));
+    let wait_ms = abort_in_ms.unwrap_or(u64::MAX).min(remaining_ms);
+    match tokio::time::timeout(Duration::from_millis(wait_ms), sending).await {
+        Ok(answer) => answer.map_err(|mut error| match error.take_message() {
+            Some(_) => Unanswered::Unsent,
+            None => Unanswered::MayHaveRun(MayHaveRun::Aborted),
+        }),
+        Err(_) if wait_ms < remaining_ms => Err(Unanswered::MayHaveRun(MayHaveRun::OldWeights)),
+        Err(_) => Err(Unanswered::MayHaveRun(MayHaveRun::DeadlineExceeded)),
     }
 }
 
@@ -274,6 +286,8 @@
 
 /// An answer whose head has arrived.
 struct Exchange {
+    node: Arc<Node>,
+    request: Arc<CallerRequest>,
     head: response::Parts,
     body: Incoming,
     connection: ServerConnection,
@@ -281,30 +295,33 @@
 }
 
 impl Exchange {
+    fn remaining(&self) -> Duration {
+        Duration::from_millis(self.request.remaining_ms(self.node.now_ms()))
+    }
+
     /// Ends the exchange of a request that did not run.
-    async fn end_refused(self, job: &Job, reason: NotRun) -> AttemptResult {
-        let node = &job.node;
-        let server = self.in_flight.server().clone();
+    async fn end_refused(self, reason: NotRun) -> AttemptResult {
+        let remaining = self.remaining();
+        let Self { node, body, connection, in_flight, .. } = self;
         let outcome = match reason {
             NotRun::Shed | NotRun::WrongWeights => Outcome::Shed,
             _ => Outcome::ConnectionFailed,
         };
         if reason == NotRun::WrongServer {
-            remove_replaced(node, &server);
+            remove_replaced(&node, in_flight.server());
         }
-        let remaining = Duration::from_millis(job.remaining_ms());
-        if let Ok(Ok(_)) = tokio::time::timeout(remaining, self.body.collect()).await {
-            node.pool.put(&server, self.connection, node.now_ms());
+        if let Ok(Ok(_)) = tokio::time::timeout(remaining, body.collect()).await {
+            node.pool.put(in_flight.server(), connection, node.now_ms());
         }
-        self.in_flight.end(outcome);
+        in_flight.end(outcome);
         AttemptResult::NotRun(reason)
     }
 
     /// Reads a plain answer completely before any of it is passed on to the caller.
-    async fn read_complete(self, job: &mut Job) -> AttemptResult {
-        let Self { mut head, body, connection, in_flight } = self;
-        let first_byte_ms = job.node.now_ms().saturating_sub(job.request.arrived_ms);
-        let remaining = Duration::from_millis(job.remaining_ms());
+    async fn read_complete(self) -> AttemptResult {
+        let remaining = self.remaining();
+        let Self { node, request, mut head, body, connection, in_flight } = self;
+        let first_byte_ms = node.now_ms().saturating_sub(request.arrived_ms);
         let body = match tokio::time::timeout(remaining, body.collect()).await {
             Ok(Ok(collected)) => collected.to_bytes(),
             Ok(Err(_)) => {
@@ -316,62 +333,30 @@
                 return AttemptResult::MayHaveRun(MayHaveRun::DeadlineExceeded);
             }
         };
-        let node = Arc::clone(&job.node);
-        let server = in_flight.server().clone();
-        node.pool.put(&server, connection, node.now_ms());
+        node.pool.put(in_flight.server(), connection, node.now_ms());
         let failed = head.status.is_server_error();
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Answered });
-        if failed && job.request.route.kind == RouteKind::Safe && job.can_try_another(&server) {
-            return AttemptResult::MayHaveRun(MayHaveRun::ServerFailed);
-        }
-        let is_unconfirmed_refusal = head.status == StatusCode::SERVICE_UNAVAILABLE
-            || head.status == StatusCode::TOO_MANY_REQUESTS;
-        if is_unconfirmed_refusal {
-            // To the caller, these statuses mean that nothing ran, which this server did not
-            // confirm.
-            return AttemptResult::MayHaveRun(MayHaveRun::Aborted);
-        }
-        if !failed {
-            node.state().crashes.clear(&job.request.content);
-        }
         strip_hop_headers(&mut head.headers);
-        job.log_answered(&server, head.status.as_u16(), first_byte_ms);
-        AttemptResult::Answered(Box::new(Response::from_parts(head, full_body(body))))
+        let response = Response::from_parts(head, full_body(body));
+        AttemptResult::Answered(Box::new(Answered { response, first_byte_ms }))
     }
 
     /// Reads a stream up to its first complete events.
-    async fn start_stream(self, job: &mut Job) -> AttemptResult {
-        let Self { head, body, connection, in_flight } = self;
+    async fn start_stream(self) -> AttemptResult {
+        let Self { node, request, head, body, connection, in_flight } = self;
         let mut source =
             StreamSource { body, splitter: EventSplitter::new(), connection, in_flight };
-        match source.next_events(job).await {
-            Ok(Some(events)) => {
-                if events.last_id.is_some() {
-                    job.last_event_id = events.last_id;
-                }
-                let first_ms = job.node.now_ms().saturating_sub(job.request.arrived_ms);
-                AttemptResult::Streaming(Box::new(Streaming {
-                    head,
-                    first: events.bytes,
-                    source,
-                    first_ms,
-                }))
-            }
-            Ok(None) => {
-                // A stream that ends properly without an event is passed on as it is.
-                let first_ms = job.node.now_ms().saturating_sub(job.request.arrived_ms);
-                AttemptResult::Streaming(Box::new(Streaming {
-                    head,
-                    first: Bytes::new(),
-                    source,
-                    first_ms,
-                }))
-            }
+        let first = match source.next_events(&node, &request).await {
+            Ok(Some(events)) => events,
+            // A stream that ends properly without an event is passed on as it is.
+            Ok(None) => CompleteEvents::default(),
             Err(reason) => {
                 source.in_flight.end(reason.outcome());
-                AttemptResult::MayHaveRun(reason)
+                return AttemptResult::MayHaveRun(reason);
             }
-        }
+        };
+        let first_ms = node.now_ms().saturating_sub(request.arrived_ms);
+        AttemptResult::Streaming(Box::new(Streaming { head, first, source, first_ms }))
     }
 }
 
@@ -385,11 +370,11 @@
 }
 
 /// Records the weight version from a server's answer, which may be newer than its registry entry.
-fn record_weights(job: &Job, server: &ServerId, head: &response::Parts) {
-    let Some(prompt) = &job.request.spec.prompt else { return };
+fn record_weights(node: &Node, request: &CallerRequest, server: &ServerId, head: &response::Parts) {
+    let Some(prompt) = &request.spec.prompt else { return };
     let text = head.headers.get(WEIGHT_VERSIONS).and_then(|value| value.to_str().ok());
     let version = text.and_then(|text| text.rsplit(',').next()?.trim().parse::<u64>().ok());
     if let Some(version) = version {
-        job.node.state().registry.record_version(server, &prompt.model, version);
+        node.state().registry.record_version(server, &prompt.model, version);
     }
 }
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -12,7 +12,7 @@
 }
 
 /// Complete events, with the id of the last one.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct CompleteEvents {
     /// The bytes of all complete events, including their terminators.
     pub bytes: Bytes,
--- a/crates/gateway/src/forward/head.rs
+++ b/crates/gateway/src/forward/head.rs
@@ -1,7 +1,8 @@
 //! The request as it is sent to a server.
 
-use crate::forward::job::Job;
+use crate::callers::CallerRequest;
 use crate::forward::place::Placed;
+use crate::node::Node;
 use bytes::Bytes;
 use http::{HeaderValue, Request};
 use http_body_util::Full;
@@ -15,18 +16,22 @@
 const LAST_EVENT_ID: http::HeaderName = http::HeaderName::from_static("last-event-id");
 
 /// Builds the request for the chosen server.
-pub fn build(job: &Job, placed: &Placed) -> Request<Full<Bytes>> {
-    let caller = &job.request;
+pub fn build(
+    caller: &CallerRequest,
+    placed: &Placed,
+    last_event_id: Option<&str>,
+    node: &Node,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(caller.body.clone()));
     *request.method_mut() = caller.method.clone();
     *request.uri_mut() = caller.target.parse().unwrap_or_default();
     let headers = request.headers_mut();
     *headers = caller.headers.clone();
-    headers.insert(DEADLINE_MS, HeaderValue::from(job.remaining_ms()));
+    headers.insert(DEADLINE_MS, HeaderValue::from(caller.remaining_ms(node.now_ms())));
     if let Ok(id) = HeaderValue::from_str(placed.entry.id.as_str()) {
         headers.insert(EXPECT_SERVER, id);
     }
-    if let Some(id) = job.last_event_id.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
+    if let Some(id) = last_event_id.and_then(|id| HeaderValue::from_str(id).ok()) {
         headers.insert(LAST_EVENT_ID, id);
     }
     if let Some(plan) = &placed.engine {
--- /dev/null
+++ b/crates/gateway/src/forward/hedge.rs
@@ -0,0 +1,166 @@
+//! Hedged requests: while a server is unresponsive, another one is tried beside it, and the first to
+//! deliver is used.
+//!
+//! An unresponsive server may go on at any time, so its connection closes only after another server
+//! has delivered.
+
+use crate::event;
+use crate::forward::attempt::{Attempt, AttemptResult, MayHaveRun};
+use crate::forward::job::Job;
+use crate::forward::place::{self, Placed};
+use dispatch::registry::ServerId;
+use std::pin::Pin;
+use std::sync::Arc;
+
+/// The reason why no further attempt was made.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Obstacle {
+    /// The route allows no further attempt, or the deadline has passed.
+    NoAttemptLeft,
+    /// No other server can take the request.
+    NoServer,
+    /// The retry budget is exhausted.
+    RetryBudget,
+    /// The other server failed the request.
+    ServerFailed,
+}
+
+impl Obstacle {
+    /// Returns the reason's name in logs and counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Obstacle::NoAttemptLeft => "no_attempt_left",
+            Obstacle::NoServer => "no_server",
+            Obstacle::RetryBudget => "over_budget",
+            Obstacle::ServerFailed => "server_failed",
+        }
+    }
+}
+
+/// An unfinished attempt. Dropping it closes the connection to its server.
+pub struct RunningAttempt {
+    /// The server.
+    pub server: ServerId,
+    result: Pin<Box<dyn Future<Output = AttemptResult> + Send>>,
+}
+
+impl RunningAttempt {
+    /// Starts an attempt on the chosen server.
+    pub fn start(job: &Job, placed: Placed) -> Self {
+        let server = placed.entry.id.clone();
+        Self { server, result: Box::pin(Attempt::new(job, placed).send()) }
+    }
+
+    /// Waits for the result of the attempt. Dropping the future does not end the attempt.
+    pub async fn result(&mut self) -> AttemptResult {
+        self.result.as_mut().await
+    }
+}
+
+/// Waits for the result of an optional attempt; forever without one.
+pub async fn result_of(attempt: &mut Option<RunningAttempt>) -> AttemptResult {
+    match attempt {
+        Some(attempt) => attempt.result().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits for the result of an attempt, hedged while its server is unresponsive. Returns the server
+/// with the result; a failure is returned once no other attempt is unfinished.
+pub async fn run(job: &mut Job, first: RunningAttempt) -> (ServerId, AttemptResult) {
+    let node = Arc::clone(&job.node);
+    let mut first = first;
+    let mut hedge = None;
+    loop {
+        let unresponsive = node.server_unresponsive.notified();
+        tokio::select! {
+            biased;
+            result = first.result() => {
+                let Some(other) = hedge.take() else { return (first.server, result) };
+                if result.has_delivered() {
+                    job.record_unused_hedge(&other.server);
+                    return (first.server, result);
+                }
+                job.record_failure(&first.server, &result);
+                first = other;
+            }
+            result = result_of(&mut hedge) => {
+                let Some(other) = hedge.take() else { continue };
+                if result.has_delivered() {
+                    job.record_may_have_run(&first.server, MayHaveRun::Unresponsive);
+                    return (other.server, result);
+                }
+                job.record_failure(&other.server, &result);
+            }
+            () = unresponsive => {
+                if hedge.is_none() {
+                    hedge = job.start_hedge(&first.server);
+                }
+            }
+        }
+    }
+}
+
+impl Job {
+    /// Starts another attempt beside a number of unfinished ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no further attempt can be made now.
+    pub fn start_retry(&self, unfinished: u32) -> Result<RunningAttempt, Obstacle> {
+        if !self.may_retry_beside(unfinished) || self.remaining_ms() == 0 {
+            return Err(Obstacle::NoAttemptLeft);
+        }
+        let placed = place::place(self).map_err(|_| Obstacle::NoServer)?;
+        if !self.take_retry() {
+            return Err(Obstacle::RetryBudget);
+        }
+        Ok(RunningAttempt::start(self, placed))
+    }
+
+    /// Starts an attempt on another server if this one is unresponsive.
+    pub fn start_hedge(&mut self, server: &ServerId) -> Option<RunningAttempt> {
+        if !self.node.state().loads.is_offline(server) {
+            return None;
+        }
+        self.exclude(server);
+        let started = self.start_retry(1);
+        let kind = started.as_ref().map_or_else(|obstacle| obstacle.as_str(), |_| "started");
+        self.node.metrics.count("hedges", kind);
+        event!(warn, self.node.now_ms(), "request_hedged", {
+            "request": self.request.id_text(),
+            "route": self.request.route.name,
+            "server": server.as_str(),
+            "other_server": started.as_ref().ok().map(|other| other.server.as_str()),
+            "result": kind,
+            "last_event": self.last_event_id,
+            "remaining_ms": self.remaining_ms(),
+        });
+        started.ok()
+    }
+
+    /// Records an attempt that failed while another one goes on.
+    pub fn record_failure(&mut self, server: &ServerId, result: &AttemptResult) {
+        match result {
+            AttemptResult::NotRun(reason) => self.record_not_run(server, *reason),
+            AttemptResult::MayHaveRun(reason) => self.record_may_have_run(server, *reason),
+            AttemptResult::Answered(_) | AttemptResult::Streaming(_) => {
+                self.record_may_have_run(server, MayHaveRun::ServerFailed);
+            }
+        }
+    }
+
+    /// Records a hedge that is cancelled because the first server went on.
+    pub fn record_unused_hedge(&mut self, server: &ServerId) {
+        self.exclude(server);
+        self.may_have_run_on.push(server.clone());
+        self.node.metrics.count("hedges", "unused");
+    }
+}
+
+impl AttemptResult {
+    /// Returns whether the result holds bytes for the caller.
+    const fn has_delivered(&self) -> bool {
+        matches!(self, AttemptResult::Answered(_) | AttemptResult::Streaming(_))
+    }
+}
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -10,6 +10,7 @@
 use dispatch::waiting::Ticket;
 use smallvec::SmallVec;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// A request that is being forwarded.
@@ -18,9 +19,9 @@
     /// The state of the gateway.
     pub node: Arc<Node>,
     /// The request.
-    pub request: CallerRequest,
+    pub request: Arc<CallerRequest>,
     /// The number of attempts that were sent to a server, including refused ones.
-    pub attempts: u32,
+    pub sent: Arc<AtomicU32>,
     /// The number of attempts that a server refused without running them.
     pub refused_attempts: u32,
     /// The servers that may have run it.
@@ -58,9 +59,9 @@
         let is_logged = logs::is_sampled(request.id_text(), node.settings.log.request_share);
         Self {
             node,
-            request,
+            request: Arc::new(request),
             is_logged,
-            attempts: 0,
+            sent: Arc::default(),
             refused_attempts: 0,
             may_have_run_on: SmallVec::new(),
             excluded: SmallVec::new(),
@@ -97,7 +98,12 @@
 
     /// Returns the time until the deadline, in milliseconds.
     pub fn remaining_ms(&self) -> u64 {
-        self.request.spec.deadline_at_ms.saturating_sub(self.node.now_ms())
+        self.request.remaining_ms(self.node.now_ms())
+    }
+
+    /// Returns the number of attempts that were sent to a server, including refused ones.
+    pub fn attempts(&self) -> u32 {
+        self.sent.load(Ordering::Relaxed)
     }
 
     /// Returns whether a server may have run the request.
@@ -107,8 +113,15 @@
 
     /// Returns whether the request may be sent to another server although it may have run.
     pub fn may_retry(&self) -> bool {
+        self.may_retry_beside(0)
+    }
+
+    /// Returns whether the request may be sent to another server beside a number of unfinished
+    /// attempts.
+    pub fn may_retry_beside(&self, unfinished: u32) -> bool {
         let route = &self.request.route;
-        route.kind.is_retryable() && (self.may_have_run_on.len() as u32) < route.max_attempts
+        let attempts = self.may_have_run_on.len() as u32 + unfinished;
+        route.kind.is_retryable() && attempts < route.max_attempts
     }
 
     /// Returns whether the request may be sent to another server after this one has run it.
@@ -133,9 +146,16 @@
         granted
     }
 
+    /// Excludes a server from further attempts.
+    pub fn exclude(&mut self, server: &ServerId) {
+        if !self.excluded.contains(server) {
+            self.excluded.push(server.clone());
+        }
+    }
+
     /// Records an attempt that did not run.
     pub fn record_not_run(&mut self, server: &ServerId, reason: NotRun) {
-        self.excluded.push(server.clone());
+        self.exclude(server);
         if !matches!(reason, NotRun::ConnectFailed | NotRun::Unsent) {
             self.refused_attempts += 1;
         }
@@ -144,7 +164,7 @@
 
     /// Records an attempt that may have run.
     pub fn record_may_have_run(&mut self, server: &ServerId, reason: MayHaveRun) {
-        self.excluded.push(server.clone());
+        self.exclude(server);
         self.may_have_run_on.push(server.clone());
         if reason == MayHaveRun::Aborted && self.request.route.kind != RouteKind::Safe {
             let now_ms = self.node.now_ms();
@@ -163,7 +183,7 @@
             "server": server.as_str(),
             "reason": reason,
             "may_have_run": may_have_run,
-            "sends": self.attempts,
+            "sends": self.attempts(),
             "remaining_ms": self.remaining_ms(),
         });
     }
@@ -184,7 +204,7 @@
             "route": self.request.route.name,
             "server": server.as_str(),
             "status": status,
-            "sends": self.attempts,
+            "sends": self.attempts(),
             "first_byte_ms": first_byte_ms,
             "took_ms": took_ms,
             "configuration": self.request.in_force.configuration.version.value(),
@@ -204,7 +224,7 @@
         event!(info, self.node.now_ms(), "caller_left", {
             "request": self.request.id_text(),
             "route": self.request.route.name,
-            "sends": self.attempts,
+            "sends": self.attempts(),
             "waited_ms": self.node.now_ms().saturating_sub(self.request.arrived_ms),
         });
     }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -3,9 +3,10 @@
 
 use crate::answer::{AnswerBody, streamed_body, strip_hop_headers};
 use crate::event;
-use crate::forward::attempt::{self, AttemptResult, MayHaveRun, Streaming};
+use crate::forward::attempt::{AttemptResult, MayHaveRun, Streaming};
+use crate::forward::events::CompleteEvents;
+use crate::forward::hedge::{self, Obstacle, RunningAttempt};
 use crate::forward::job::Job;
-use crate::forward::place;
 use crate::forward::source::StreamSource;
 use bytes::Bytes;
 use dispatch::load::Outcome;
@@ -19,46 +20,20 @@
     job: Job,
     /// `None` once the stream has ended.
     source: Option<StreamSource>,
+    /// The attempt on another server while this one is unresponsive.
+    hedge: Option<RunningAttempt>,
     first: Option<Bytes>,
     first_ms: u64,
     status: u16,
 }
 
-/// The reason why a stream did not continue on another server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Obstacle {
-    /// The route allows no further attempt, or the deadline has passed.
-    NoAttemptLeft,
-    /// No other server can take the request.
-    NoServer,
-    /// The retry budget is exhausted.
-    RetryBudget,
-    /// The other server failed the request.
-    ServerFailed,
-}
-
-impl Obstacle {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Obstacle::NoAttemptLeft => "no_attempt_left",
-            Obstacle::NoServer => "no_server",
-            Obstacle::RetryBudget => "over_budget",
-            Obstacle::ServerFailed => "server_failed",
-        }
-    }
-}
-
 /// Builds the answer from a stream whose first events have arrived.
 pub fn answer(job: Job, streaming: Streaming) -> Response<AnswerBody> {
     let Streaming { mut head, first, source, first_ms } = streaming;
     strip_hop_headers(&mut head.headers);
-    let relay = Relay {
-        job,
-        source: Some(source),
-        first: Some(first).filter(|first| !first.is_empty()),
-        first_ms,
-        status: head.status.as_u16(),
-    };
+    let status = head.status.as_u16();
+    let mut relay = Relay { job, source: None, hedge: None, first: None, first_ms, status };
+    relay.adopt(first, source);
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
         Some((frame.map(Frame::data), relay))
@@ -66,39 +41,71 @@
     Response::from_parts(head, streamed_body(frames))
 }
 
+/// What happens next to a stream.
+enum Step {
+    /// The server sent events, ended the stream or failed.
+    Source(Result<Option<CompleteEvents>, MayHaveRun>),
+    /// The hedge has a result.
+    Hedge(AttemptResult),
+    /// A server is unresponsive.
+    Unresponsive,
+}
+
 impl Relay {
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        if let Some(first) = self.first.take() {
-            return Some(Ok(first));
-        }
         loop {
-            let mut source = self.source.take()?;
-            match source.next_events(&self.job).await {
-                Ok(Some(events)) => {
-                    if events.last_id.is_some() {
-                        self.job.last_event_id = events.last_id;
-                    }
-                    self.source = Some(source);
-                    return Some(Ok(events.bytes));
+            if let Some(first) = self.first.take() {
+                return Some(Ok(first));
+            }
+            match self.next_step().await? {
+                Step::Source(Ok(Some(events))) => {
+                    self.cancel_hedge();
+                    return Some(Ok(self.pass_on(events)));
                 }
-                Ok(None) => {
-                    self.finish(source);
+                Step::Source(Ok(None)) => {
+                    self.cancel_hedge();
+                    self.finish();
                     return None;
                 }
-                Err(reason) => {
-                    if let Err((reason, obstacle)) = self.continue_on_another(source, reason).await
-                    {
+                Step::Source(Err(reason)) => {
+                    if let Err((reason, obstacle)) = self.continue_on_another(reason).await {
                         return Some(Err(self.abort(reason, obstacle)));
                     }
-                    if let Some(first) = self.first.take() {
-                        return Some(Ok(first));
-                    }
                 }
+                Step::Hedge(result) => self.apply_hedge(result),
+                Step::Unresponsive => self.start_hedge(),
             }
         }
     }
 
-    fn finish(&mut self, source: StreamSource) {
+    /// Waits for the next step; returns `None` once the stream has ended.
+    async fn next_step(&mut self) -> Option<Step> {
+        let source = self.source.as_mut()?;
+        let unresponsive = self.job.node.server_unresponsive.notified();
+        Some(tokio::select! {
+            biased;
+            events = source.next_events(&self.job.node, &self.job.request) => Step::Source(events),
+            result = hedge::result_of(&mut self.hedge) => Step::Hedge(result),
+            () = unresponsive => Step::Unresponsive,
+        })
+    }
+
+    /// Continues with the events of a server.
+    fn adopt(&mut self, first: CompleteEvents, source: StreamSource) {
+        let bytes = self.pass_on(first);
+        self.first = Some(bytes).filter(|bytes| !bytes.is_empty());
+        self.source = Some(source);
+    }
+
+    fn pass_on(&mut self, events: CompleteEvents) -> Bytes {
+        if events.last_id.is_some() {
+            self.job.last_event_id = events.last_id;
+        }
+        events.bytes
+    }
+
+    fn finish(&mut self) {
+        let Some(source) = self.source.take() else { return };
         let node = &self.job.node;
         let server = source.in_flight.server().clone();
         node.pool.put(&server, source.connection, node.now_ms());
@@ -107,30 +114,56 @@
         self.job.log_answered(&server, self.status, self.first_ms);
     }
 
-    /// Sends the request to another server, which resumes the stream after the last complete event.
+    fn start_hedge(&mut self) {
+        let Some(source) = self.source.as_ref().filter(|_| self.hedge.is_none()) else { return };
+        self.hedge = self.job.start_hedge(source.in_flight.server());
+    }
+
+    fn cancel_hedge(&mut self) {
+        if let Some(hedge) = self.hedge.take() {
+            self.job.record_unused_hedge(&hedge.server);
+        }
+    }
+
+    /// Continues with the hedge if it delivered events, and otherwise waits on for the first
+    /// server.
+    fn apply_hedge(&mut self, result: AttemptResult) {
+        let Some(hedge) = self.hedge.take() else { return };
+        match result {
+            AttemptResult::Streaming(streaming) => {
+                self.leave_source(MayHaveRun::Unresponsive);
+                self.adopt(streaming.first, streaming.source);
+            }
+            failed => self.job.record_failure(&hedge.server, &failed),
+        }
+    }
+
+    /// Closes the connection to the server and records why it is left.
+    fn leave_source(&mut self, reason: MayHaveRun) {
+        let Some(source) = self.source.take() else { return };
+        let server = source.in_flight.server().clone();
+        drop(source.connection);
+        source.in_flight.end(reason.outcome());
+        self.job.record_may_have_run(&server, reason);
+    }
+
+    /// Resumes the stream on another server after the last complete event.
     async fn continue_on_another(
         &mut self,
-        source: StreamSource,
         reason: MayHaveRun,
     ) -> Result<(), (MayHaveRun, Obstacle)> {
-        let server = source.in_flight.server().clone();
-        // The connection closes before the request is sent to another server.
-        drop(source.connection);
-        source.in_flight.end(reason.outcome());
         let mut reason = reason;
-        self.job.record_may_have_run(&server, reason);
-        while self.job.may_retry() && self.job.remaining_ms() > 0 {
-            let Ok(placed) = place::place(&self.job) else {
-                return Err((reason, Obstacle::NoServer));
+        self.leave_source(reason);
+        let mut next = self.hedge.take();
+        loop {
+            let attempt = match next.take() {
+                Some(hedge) => hedge,
+                None => self.job.start_retry(0).map_err(|obstacle| (reason, obstacle))?,
             };
-            if !self.job.take_retry() {
-                return Err((reason, Obstacle::RetryBudget));
-            }
-            let server = placed.entry.id.clone();
-            match attempt::send(&mut self.job, placed).await {
+            let (server, result) = hedge::run(&mut self.job, attempt).await;
+            match result {
                 AttemptResult::Streaming(streaming) => {
-                    self.first = Some(streaming.first).filter(|first| !first.is_empty());
-                    self.source = Some(streaming.source);
+                    self.adopt(streaming.first, streaming.source);
                     return Ok(());
                 }
                 AttemptResult::Answered(_) => {
@@ -143,7 +176,6 @@
                 }
             }
         }
-        Err((reason, Obstacle::NoAttemptLeft))
     }
 
     fn abort(&mut self, reason: MayHaveRun, obstacle: Obstacle) -> io::Error {
@@ -157,7 +189,7 @@
             "reason": reason.as_str(),
             "obstacle": obstacle.as_str(),
             "last_event": self.job.last_event_id,
-            "sends": self.job.attempts,
+            "sends": self.job.attempts(),
             "remaining_ms": self.job.remaining_ms(),
         });
         io::Error::other(reason.as_str())
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -1,12 +1,11 @@
 //! The events of a streamed answer, as they arrive from a server.
 
+use crate::callers::CallerRequest;
 use crate::forward::attempt::MayHaveRun;
 use crate::forward::events::{CompleteEvents, EventSplitter};
 use crate::forward::in_flight::InFlightAttempt;
-use crate::forward::job::Job;
+use crate::node::Node;
 use crate::pool::ServerConnection;
-use bytes::Bytes;
-use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
@@ -25,17 +24,29 @@
 }
 
 impl StreamSource {
-    /// Returns the next complete events, or `None` at the proper end of the stream.
+    /// Returns the next complete events, or `None` at the proper end of the stream. Dropping the
+    /// future loses no bytes.
     ///
     /// # Errors
     ///
     /// Returns the reason why no more events arrive.
-    pub async fn next_events(&mut self, job: &Job) -> Result<Option<CompleteEvents>, MayHaveRun> {
+    pub async fn next_events(
+        &mut self,
+        node: &Node,
+        request: &CallerRequest,
+    ) -> Result<Option<CompleteEvents>, MayHaveRun> {
+        let remaining = Duration::from_millis(request.remaining_ms(node.now_ms()));
+        tokio::time::timeout(remaining, self.read_events())
+            .await
+            .unwrap_or(Err(MayHaveRun::DeadlineExceeded))
+    }
+
+    async fn read_events(&mut self) -> Result<Option<CompleteEvents>, MayHaveRun> {
         loop {
-            let frame = match await_frame(job, self).await? {
+            let frame = match self.body.frame().await {
                 None if self.splitter.has_partial_event() => return Err(MayHaveRun::Aborted),
                 None => return Ok(None),
-                Some(frame) => frame,
+                Some(frame) => frame.map_err(|_| MayHaveRun::Aborted)?,
             };
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_activity();
@@ -48,28 +59,3 @@
         }
     }
 }
-
-async fn await_frame(
-    job: &Job,
-    source: &mut StreamSource,
-) -> Result<Option<Frame<Bytes>>, MayHaveRun> {
-    let deadline = tokio::time::sleep(Duration::from_millis(job.remaining_ms()));
-    tokio::pin!(deadline);
-    loop {
-        let unresponsive = job.node.server_unresponsive.notified();
-        tokio::select! {
-            biased;
-            frame = source.body.frame() => return match frame {
-                None => Ok(None),
-                Some(Ok(frame)) => Ok(Some(frame)),
-                Some(Err(_)) => Err(MayHaveRun::Aborted),
-            },
-            () = &mut deadline => return Err(MayHaveRun::DeadlineExceeded),
-            () = unresponsive => {
-                if job.may_abandon_unresponsive(source.in_flight.server()) {
-                    return Err(MayHaveRun::Unresponsive);
-                }
-            }
-        }
-    }
-}
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -423,7 +423,8 @@
     wait_while_connected(stream, state, index, execution_time).await
 }
 
-/// Waits, and longer while the server is paused; returns false and records it if the caller disconnects meanwhile.
+/// Waits, and longer while the server is paused; returns false and records it if the caller
+/// disconnects meanwhile.
 async fn wait_while_connected(
     stream: &mut BufReader<TcpStream>,
     state: &Mutex<State>,
