Let received bytes outweigh a health check that was under way

Callers saw requests moved away from a server that had just sent events: a check that timed out marked the server as offline although bytes had arrived while it ran.

The check's start is compared with the last activity; a server that sent something since is not offline, and nothing is moved or closed. The new test in dispatch/tests/load.rs fails without the comparison.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -328,11 +328,16 @@
         load.avoided_until_ms = load.avoided_until_ms.min(now_ms);
     }
 
-    /// Records a failed health check of a suspected server.
-    pub fn unhealthy(&mut self, server: &ServerId, now_ms: u64) {
+    /// Records a failed health check of a suspected server; returns whether the server is offline.
+    /// Bytes that were received since the check was sent outweigh it.
+    pub fn unhealthy(&mut self, server: &ServerId, check_sent_ms: u64, now_ms: u64) -> bool {
         let load = self.server_mut(server);
+        if load.last_activity_ms >= check_sent_ms {
+            return load.is_offline;
+        }
         load.suspected_since_ms.get_or_insert(now_ms);
         load.is_offline = true;
+        true
     }
 
     /// Returns whether a server answers neither requests nor health checks.
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -48,12 +48,23 @@
     assert!(loads.find_unresponsive(2_000).is_empty());
 }
 
+#[test]
+fn bytes_received_during_a_health_check_outweigh_its_failure() {
+    let (mut loads, server) = (Loads::new(), ServerId::new("a"));
+    sent(&mut loads, &server, 0);
+    loads.find_unresponsive(600);
+    loads.record_activity(&server, 700);
+    assert!(!loads.unhealthy(&server, 650, 1_000));
+    assert!(!loads.is_offline(&server));
+    assert!(!loads.is_suspected(&server));
+}
+
 #[test]
 fn a_passed_health_check_ends_the_suspicion_for_good() {
     let (mut loads, server) = (Loads::new(), ServerId::new("a"));
     sent(&mut loads, &server, 0);
     loads.find_unresponsive(600);
-    loads.unhealthy(&server, 700);
+    assert!(loads.unhealthy(&server, 650, 700));
     assert!(loads.is_offline(&server));
     loads.healthy(&server, 900);
     assert!(!loads.is_offline(&server));
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -76,6 +76,7 @@
     let mut delay = FIRST_CHECK_DELAY;
     while node.state().loads.is_suspected(&entry.id) && is_usable(&node, &entry) {
         node.metrics.count("health_checks", "sent");
+        let sent_ms = node.now_ms();
         let passed = passes(&entry, &path).await;
         let now_ms = node.now_ms();
         event!(info, now_ms, "server_checked", { "server": entry.id.as_str(), "passed": passed });
@@ -83,9 +84,10 @@
             node.state().loads.healthy(&entry.id, now_ms);
             break;
         }
-        node.state().loads.unhealthy(&entry.id, now_ms);
-        node.pool.forget(&entry.id);
-        node.server_unresponsive.notify_waiters();
+        if node.state().loads.unhealthy(&entry.id, sent_ms, now_ms) {
+            node.pool.forget(&entry.id);
+            node.server_unresponsive.notify_waiters();
+        }
         tokio::time::sleep(delay).await;
         delay = (2 * delay).min(MAX_CHECK_DELAY);
     }
