Test connections of callers that read slowly or send as a timeout passes

Callers saw: an answer of 12 MiB cut after 4 to 5 MiB if the idle timeout is short or is shortened; a reset after a pause of 3 s in reading; no answer to a request that arrived as the idle timeout passed, or as idle connections closed at shutdown; no answer to a head in pieces at shutdown or around a shorter header timeout.

Not reproduced: cuts of streamed answers, cuts of a large answer by SIGTERM, and a request that crosses a configuration with a shorter idle timeout, which the gateway reads before it applies the configuration.

The stand-in server pads answers and events on request.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod caller_connections;
 mod fleet;
 mod membership;
 mod process;
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -68,6 +68,7 @@
     events: u64,
     event_gap: Duration,
     execution_time: Duration,
+    padding_bytes: usize,
     reset_after_events: Option<u64>,
     executed: Vec<ExecutedRequest>,
     refused: u64,
@@ -106,6 +107,7 @@
             events: 5,
             event_gap: Duration::from_millis(5),
             execution_time: Duration::ZERO,
+            padding_bytes: 0,
             reset_after_events: None,
             executed: Vec::new(),
             refused: 0,
@@ -156,6 +158,11 @@
         self.lock().execution_time = execution_time;
     }
 
+    /// Pads each plain answer and each event of a stream with this many bytes.
+    pub fn set_padding_bytes(&self, padding_bytes: usize) {
+        self.lock().padding_bytes = padding_bytes;
+    }
+
     /// Resets later streams after this many events, in the middle of the next event; `None` resets
     /// none.
     pub fn reset_streams_after(&self, events: Option<u64>) {
@@ -321,7 +328,8 @@
     }
     let index = record_executed(state, request);
     let seal = format!("seal.{}.{index}", lock(state).id);
-    let body = format!("answer to {id} with {} bytes", request.body.len());
+    let padding = "x".repeat(lock(state).padding_bytes);
+    let body = format!("answer to {id} with {} bytes{padding}", request.body.len());
     let headers = [
         ("X-Attempt-Id", id.as_str()),
         ("X-Server-Seal", seal.as_str()),
@@ -412,9 +420,10 @@
     headers: &[(&str, &str)],
     index: usize,
 ) -> io::Result<bool> {
-    let (events, gap, reset_after) = {
+    let (events, gap, reset_after, padding) = {
         let state = lock(state);
-        (state.events, state.event_gap, state.reset_after_events)
+        let padding = "x".repeat(state.padding_bytes);
+        (state.events, state.event_gap, state.reset_after_events, padding)
     };
     let last_event: u64 = request.header("last-event-id").parse().unwrap_or(0);
     let mut bytes = head(200, headers);
@@ -423,7 +432,7 @@
     );
     stream.write_all(&bytes).await?;
     for event in last_event + 1..=events {
-        let text = format!("id: {event}\ndata: token {event}\n\n");
+        let text = format!("id: {event}\ndata: token {event}{padding}\n\n");
         if reset_after.is_some_and(|reset_after| event > reset_after) {
             write_chunk(stream, &text.as_bytes()[..text.len() / 2]).await?;
             return reset(stream);
