--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -5,6 +5,7 @@
 use crate::callers::watched::{Phase, Watch, WatchedStream};
 use crate::callers::{CountGuard, Traffic};
 use crate::connect;
+use crate::event;
 use crate::forward;
 use crate::node::Node;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
@@ -63,7 +64,7 @@
         tokio::select! {
             ended = connection.as_mut() => {
                 if let Err(error) = ended {
-                    count_error(&node, &error);
+                    count_error(&node, &watch, &error);
                 }
                 return;
             }
@@ -76,6 +77,7 @@
             ) => {
                 if let Some(reason) = overdue(&node, &watch) {
                     node.metrics.count("caller_connections", reason);
+                    report_close(&node, &watch, reason);
                     return;
                 }
             }
@@ -83,14 +85,48 @@
     }
 }
 
-fn count_error(node: &Node, error: &hyper::Error) {
+/// Reports that the gateway closes a connection with a request in progress, or with bytes of an
+/// answer unsent.
+fn report_close(node: &Node, watch: &Watch, reason: &'static str) {
+    let (phase, since_ms, has_unsent_bytes) = {
+        let state = watch.lock();
+        (state.phase, state.since_ms, state.has_unsent_bytes)
+    };
+    if phase == Phase::Idle && !has_unsent_bytes {
+        return;
+    }
+    if has_unsent_bytes {
+        node.metrics.count("caller_connections", "closed_unsent");
+    }
+    if phase != Phase::Head {
+        node.metrics.count("incomplete_answers", reason);
+    }
+    let now_ms = node.now_ms();
+    event!(warn, now_ms, "caller_connection_closed", {
+        "reason": reason,
+        "phase": phase.as_str(),
+        "phase_ms": now_ms.saturating_sub(since_ms),
+        "has_unsent_bytes": has_unsent_bytes,
+    });
+}
+
+fn count_error(node: &Node, watch: &Watch, error: &hyper::Error) {
     let reason = if error.is_parse_too_large() {
         "head_too_large"
     } else if error.is_parse() {
         "no_http"
+    } else if error.is_user() {
+        "aborted"
     } else {
         "broken"
     };
+    let is_answering = {
+        let state = watch.lock();
+        state.has_unsent_bytes || matches!(state.phase, Phase::Request { .. })
+    };
+    if is_answering {
+        node.metrics.count("incomplete_answers", reason);
+    }
     node.metrics.count("caller_connections", reason);
 }
 
--- a/crates/gateway/src/callers/watched.rs
+++ b/crates/gateway/src/callers/watched.rs
@@ -25,6 +25,17 @@
     },
 }
 
+impl Phase {
+    /// Returns the phase's name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head",
+            Self::Request { .. } => "request",
+        }
+    }
+}
+
 /// The state that the watched stream and the service share.
 #[derive(Debug)]
 pub struct WatchState {
@@ -32,6 +43,8 @@
     pub phase: Phase,
     /// When the phase began.
     pub since_ms: u64,
+    /// Whether bytes of the last answer are not yet written to the socket.
+    pub has_unsent_bytes: bool,
     head: Vec<u8>,
 }
 
@@ -42,7 +55,12 @@
 impl Watch {
     /// Creates the state of an idle connection.
     pub fn new(now_ms: u64) -> Self {
-        let state = WatchState { phase: Phase::Idle, since_ms: now_ms, head: Vec::new() };
+        let state = WatchState {
+            phase: Phase::Idle,
+            since_ms: now_ms,
+            has_unsent_bytes: false,
+            head: Vec::new(),
+        };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -66,6 +84,12 @@
         let mut state = self.lock();
         state.phase = Phase::Idle;
         state.since_ms = now_ms;
+        state.has_unsent_bytes = true;
+    }
+
+    /// Records that all bytes of the answer are written.
+    fn record_flush(&self) {
+        self.lock().has_unsent_bytes = false;
     }
 
     fn record_bytes(&self, bytes: &[u8], now_ms: u64) {
@@ -150,7 +174,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        let result = Pin::new(&mut self.inner).poll_flush(cx);
+        // The HTTP library flushes the stream only once its own buffer is empty.
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.watch.record_flush();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
