End a request when its answer is written, not when it is handed over

Callers that read slowly lost the rest of a large answer: a connection counted as idle as soon as the HTTP library had taken the last bytes of the answer, and the idle timeout, short from the start or shortened by a new configuration, closed it with bytes unsent.

Ruled out: streams and shutdown, whose tests passed before.

The request now ends when the connection has flushed its last bytes; until then its own deadline and the limit for unread answers apply.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -167,7 +167,7 @@
     watch: Watch,
     request: Request<Incoming>,
 ) -> Result<Response<CountedBody>, Infallible> {
-    let guard = RequestGuard::new(traffic, watch.clone(), Arc::clone(&node));
+    let guard = RequestGuard::new(traffic, watch.clone());
     let now_ms = node.now_ms();
     let deadline_at_ms = now_ms + request::caller_timeout_ms(&request);
     let has_conflicting_framing = watch.start_request(now_ms, deadline_at_ms);
@@ -187,25 +187,24 @@
     Ok(response.map(|body| CountedBody { body, _guard: guard }))
 }
 
-/// Counts a request as in progress until its answer is written or dropped.
+/// Counts a request as in progress until its answer is handed to the HTTP library or dropped.
 #[derive(Debug)]
 struct RequestGuard {
     traffic: Arc<Traffic>,
     watch: Watch,
-    node: Arc<Node>,
 }
 
 impl RequestGuard {
-    fn new(traffic: Arc<Traffic>, watch: Watch, node: Arc<Node>) -> Self {
+    fn new(traffic: Arc<Traffic>, watch: Watch) -> Self {
         traffic.requests.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        Self { traffic, watch, node }
+        Self { traffic, watch }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.traffic.requests.fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
-        self.watch.end_request(self.node.now_ms());
+        self.watch.end_answer();
     }
 }
 
--- a/crates/gateway/src/callers/watched.rs
+++ b/crates/gateway/src/callers/watched.rs
@@ -79,17 +79,18 @@
         has_conflicting_framing(&head)
     }
 
-    /// Ends a request.
-    pub fn end_request(&self, now_ms: u64) {
-        let mut state = self.lock();
-        state.phase = Phase::Idle;
-        state.since_ms = now_ms;
-        state.has_unsent_bytes = true;
+    /// Records that the answer is complete. The request ends once its last bytes are written.
+    pub fn end_answer(&self) {
+        self.lock().has_unsent_bytes = true;
     }
 
-    /// Records that all bytes of the answer are written.
-    fn record_flush(&self) {
-        self.lock().has_unsent_bytes = false;
+    /// Records that all bytes handed to the stream are written.
+    fn record_flush(&self, now_ms: u64) {
+        let mut state = self.lock();
+        if std::mem::take(&mut state.has_unsent_bytes) {
+            state.phase = Phase::Idle;
+            state.since_ms = now_ms;
+        }
     }
 
     fn record_bytes(&self, bytes: &[u8], now_ms: u64) {
@@ -177,7 +178,7 @@
         let result = Pin::new(&mut self.inner).poll_flush(cx);
         // The HTTP library flushes the stream only once its own buffer is empty.
         if matches!(result, Poll::Ready(Ok(()))) {
-            self.watch.record_flush();
+            self.watch.record_flush(self.clock.now_ms());
         }
         result
     }
