Read what has arrived before a caller's connection is closed

A head that had begun to arrive when the drain closed idle connections was cut as well, and so was each connection accepted after that moment before its first byte was read.

Cause: the timer and the socket were polled in random order; a process that was stopped and goes on may find its timers first; and the HTTP library counts a connection with a partial head as idle.

Ruled out: a shorter idle timeout that comes into force while the process runs (its test passed before).

Reading goes before the timer, a connection whose timeout has passed stays open for another 10 ms of reading, and while idle connections are closed a partial head is left to its header timeout and a new connection gets half a second for its first request.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -34,6 +34,12 @@
 /// After that the connection is closed.
 const UNREAD_ANSWER_TIMEOUT_MS: u64 = 2_000;
 
+/// How long a connection whose timeout has passed stays open for bytes that have already arrived.
+const CLOSE_DELAY: Duration = Duration::from_millis(10);
+/// How long a connection without a request stays open while idle connections are closed, in
+/// milliseconds. Its caller was just sent here and has not been read yet.
+const FIRST_REQUEST_WAIT_MS: u64 = 500;
+
 /// Serves a connection until it closes or one of its timeouts passes.
 pub async fn serve(node: Arc<Node>, traffic: Arc<Traffic>, stream: TcpStream) {
     let _guard = CountGuard::new(&traffic.connections);
@@ -60,28 +66,39 @@
     let mut closing = traffic.closing.subscribe();
     let mut is_closing = false;
     loop {
-        let wait_ms = next_check_in_ms(&node, &watch);
+        let wait_ms = next_check_in_ms(&node, &watch, is_closing);
         tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(error) = ended {
-                    count_error(&node, &watch, &error);
-                }
-                return;
-            }
+            biased;
+            ended = connection.as_mut() => return report_end(&node, &watch, ended),
             _ = closing.wait_for(|closing| *closing), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                if matches!(watch.lock().phase, Phase::Request { .. }) {
+                    connection.as_mut().graceful_shutdown();
+                }
+                continue;
             }
             () = tokio::time::sleep(
                 Duration::from_millis(wait_ms.clamp(1, MAX_CHECK_INTERVAL_MS))
-            ) => {
-                if let Some(reason) = overdue(&node, &watch) {
-                    node.metrics.count("caller_connections", reason);
-                    report_close(&node, &watch, reason);
-                    return;
-                }
-            }
+            ) => {}
         }
+        if overdue(&node, &watch, is_closing).is_none() {
+            continue;
+        }
+        // A process that was stopped finds its timers before the bytes that have arrived.
+        if let Ok(ended) = tokio::time::timeout(CLOSE_DELAY, connection.as_mut()).await {
+            return report_end(&node, &watch, ended);
+        }
+        if let Some(reason) = overdue(&node, &watch, is_closing) {
+            node.metrics.count("caller_connections", reason);
+            report_close(&node, &watch, reason);
+            return;
+        }
+    }
+}
+
+fn report_end(node: &Node, watch: &Watch, ended: hyper::Result<()>) {
+    if let Err(error) = ended {
+        count_error(node, watch, &error);
     }
 }
 
@@ -130,11 +147,14 @@
     node.metrics.count("caller_connections", reason);
 }
 
-/// Returns when the connection's current phase times out, on the node's clock.
-fn timeout_at_ms(node: &Node, watch: &Watch) -> u64 {
+/// Returns when the connection's current phase times out, on the node's clock. `is_closing` is set
+/// while idle connections are closed.
+fn timeout_at_ms(node: &Node, watch: &Watch, is_closing: bool) -> u64 {
     let limits = node.in_force().map(|in_force| in_force.configuration.limits);
     let state = watch.lock();
     match state.phase {
+        Phase::Idle if is_closing && state.has_served => state.since_ms,
+        Phase::Idle if is_closing => state.since_ms + FIRST_REQUEST_WAIT_MS,
         Phase::Idle => {
             state.since_ms + limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms)
         }
@@ -146,12 +166,12 @@
     }
 }
 
-fn next_check_in_ms(node: &Node, watch: &Watch) -> u64 {
-    timeout_at_ms(node, watch).saturating_sub(node.now_ms())
+fn next_check_in_ms(node: &Node, watch: &Watch, is_closing: bool) -> u64 {
+    timeout_at_ms(node, watch, is_closing).saturating_sub(node.now_ms())
 }
 
-fn overdue(node: &Node, watch: &Watch) -> Option<&'static str> {
-    if timeout_at_ms(node, watch) > node.now_ms() {
+fn overdue(node: &Node, watch: &Watch, is_closing: bool) -> Option<&'static str> {
+    if timeout_at_ms(node, watch, is_closing) > node.now_ms() {
         return None;
     }
     Some(match watch.lock().phase {
--- a/crates/gateway/src/callers/watched.rs
+++ b/crates/gateway/src/callers/watched.rs
@@ -45,6 +45,8 @@
     pub since_ms: u64,
     /// Whether bytes of the last answer are not yet written to the socket.
     pub has_unsent_bytes: bool,
+    /// Whether a request was read.
+    pub has_served: bool,
     head: Vec<u8>,
 }
 
@@ -59,6 +61,7 @@
             phase: Phase::Idle,
             since_ms: now_ms,
             has_unsent_bytes: false,
+            has_served: false,
             head: Vec::new(),
         };
         Self(Arc::new(Mutex::new(state)))
@@ -75,6 +78,7 @@
         let mut state = self.lock();
         state.phase = Phase::Request { deadline_at_ms };
         state.since_ms = now_ms;
+        state.has_served = true;
         let head = std::mem::take(&mut state.head);
         has_conflicting_framing(&head)
     }
