Let a head finish under the header timeout with which it began

Callers whose head arrived in pieces were closed without an answer when a new configuration shortened the header timeout meanwhile: the limit in force was applied to heads that had begun under a longer one.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -50,7 +50,7 @@
     let max_head = node
         .in_force()
         .map_or(DEFAULT_HEADER_BYTES, |in_force| in_force.configuration.limits.max_header_bytes);
-    let io = TokioIo::new(WatchedStream::new(stream, watch.clone(), node.clock));
+    let io = TokioIo::new(WatchedStream::new(stream, watch.clone(), Arc::clone(&node)));
     let service = {
         let (node, traffic, watch) = (Arc::clone(&node), Arc::clone(&traffic), watch.clone());
         service_fn(move |request| {
@@ -147,6 +147,12 @@
     node.metrics.count("caller_connections", reason);
 }
 
+/// Returns how long a head may take under the configuration in force, in milliseconds.
+pub fn header_timeout_ms(node: &Node) -> u64 {
+    let limits = node.in_force().map(|in_force| in_force.configuration.limits);
+    limits.map_or(DEFAULT_HEADER_TIMEOUT_MS, |limits| limits.header_timeout_ms)
+}
+
 /// Returns when the connection's current phase times out, on the node's clock. `is_closing` is set
 /// while idle connections are closed.
 fn timeout_at_ms(node: &Node, watch: &Watch, is_closing: bool) -> u64 {
@@ -158,10 +164,7 @@
         Phase::Idle => {
             state.since_ms + limits.map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms)
         }
-        Phase::Head => {
-            state.since_ms
-                + limits.map_or(DEFAULT_HEADER_TIMEOUT_MS, |limits| limits.header_timeout_ms)
-        }
+        Phase::Head => state.since_ms + header_timeout_ms(node).max(state.first_header_timeout_ms),
         Phase::Request { deadline_at_ms } => deadline_at_ms + UNREAD_ANSWER_TIMEOUT_MS,
     }
 }
--- a/crates/gateway/src/callers/watched.rs
+++ b/crates/gateway/src/callers/watched.rs
@@ -1,6 +1,8 @@
 //! Monitors a caller's stream for slow heads, idle time and requests with conflicting framing
 //! headers.
 
+use crate::callers::connection::header_timeout_ms;
+use crate::node::Node;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -47,6 +49,8 @@
     pub has_unsent_bytes: bool,
     /// Whether a request was read.
     pub has_served: bool,
+    /// The header timeout when the head began, in milliseconds.
+    pub first_header_timeout_ms: u64,
     head: Vec<u8>,
 }
 
@@ -62,6 +66,7 @@
             since_ms: now_ms,
             has_unsent_bytes: false,
             has_served: false,
+            first_header_timeout_ms: 0,
             head: Vec::new(),
         };
         Self(Arc::new(Mutex::new(state)))
@@ -97,14 +102,15 @@
         }
     }
 
-    fn record_bytes(&self, bytes: &[u8], now_ms: u64) {
+    fn record_bytes(&self, bytes: &[u8], node: &Node) {
         let mut state = self.lock();
         if matches!(state.phase, Phase::Request { .. }) {
             return;
         }
         if state.phase == Phase::Idle {
             state.phase = Phase::Head;
-            state.since_ms = now_ms;
+            state.since_ms = node.now_ms();
+            state.first_header_timeout_ms = header_timeout_ms(node);
         }
         if state.head.len() < MAX_SCANNED_BYTES {
             state.head.extend_from_slice(bytes);
@@ -131,13 +137,13 @@
 pub struct WatchedStream {
     inner: TcpStream,
     watch: Watch,
-    clock: crate::clock::Clock,
+    node: Arc<Node>,
 }
 
 impl WatchedStream {
     /// Wraps a stream.
-    pub const fn new(inner: TcpStream, watch: Watch, clock: crate::clock::Clock) -> Self {
-        Self { inner, watch, clock }
+    pub const fn new(inner: TcpStream, watch: Watch, node: Arc<Node>) -> Self {
+        Self { inner, watch, node }
     }
 }
 
@@ -151,7 +157,7 @@
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
         let new = &buf.filled()[filled..];
         if result.is_ready() && !new.is_empty() {
-            self.watch.record_bytes(new, self.clock.now_ms());
+            self.watch.record_bytes(new, &self.node);
         }
         result
     }
@@ -182,7 +188,7 @@
         let result = Pin::new(&mut self.inner).poll_flush(cx);
         // The HTTP library flushes the stream only once its own buffer is empty.
         if matches!(result, Poll::Ready(Ok(()))) {
-            self.watch.record_flush(self.clock.now_ms());
+            self.watch.record_flush(self.node.now_ms());
         }
         result
     }
