Allow callers to pause while they read an answer

A caller that read nothing for three seconds was reset in the middle of a large answer. Cause: the user timeout of two seconds, meant for sent bytes that nobody acknowledges, also ends connections whose receive window is closed. Callers' connections now have ten seconds; those to servers, peers and the store keep two.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -43,7 +43,7 @@
 /// Serves a connection until it closes or one of its timeouts passes.
 pub async fn serve(node: Arc<Node>, traffic: Arc<Traffic>, stream: TcpStream) {
     let _guard = CountGuard::new(&traffic.connections);
-    if connect::prepare(&stream).is_err() {
+    if connect::prepare_caller(&stream).is_err() {
         return;
     }
     let watch = Watch::new(node.now_ms());
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -14,21 +14,37 @@
 /// How long sent bytes may stay unacknowledged before the connection is closed. Longer than a few
 /// retransmissions on a lossy link, shorter than any caller's wait timeout.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// The same for callers. It also limits how long a caller that is connected may read nothing, so it
+/// is longer than any pause in reading.
+const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a connection may be idle before it is probed.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// The interval between probes of an idle connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Sets the options of every connection: no delay of small writes, and limits on how long the peer
-/// may be unresponsive.
+/// Sets the options of a connection to a server, a peer or the store: no delay of small writes, and
+/// limits on how long the other side may be unresponsive.
 ///
 /// # Errors
 ///
 /// Returns an error if a socket option cannot be set.
 pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, USER_TIMEOUT)
+}
+
+/// Sets the options of a caller's connection, which may read its answer slowly.
+///
+/// # Errors
+///
+/// Returns an error if a socket option cannot be set.
+pub fn prepare_caller(stream: &TcpStream) -> io::Result<()> {
+    set_options(stream, CALLER_USER_TIMEOUT)
+}
+
+fn set_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(user_timeout))?;
     let probes = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes)
 }
