Read and log the software version of servers and what a caller resumes

The logs could not tell the hypotheses on streams of two software versions apart: a return looked like a new request, and no line named the version of a server. server_joined and request_sent get software, request_sent also resumes and last_event. An entry without a version names no server to use, like one without any other field of the contract.

No choice depends on the version yet.

--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -3,8 +3,10 @@
 use protocol::ids::{FailureDomain, Incarnation, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 /// How long after the store becomes readable again a missing entry may still return, in
 /// milliseconds. The platform documentation gives about two seconds; half a second covers the
@@ -33,6 +35,37 @@
     }
 }
 
+/// The version of a server's software, as opposed to that of the weights it serves. Versions have
+/// no order.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct SoftwareVersion(String);
+
+impl SoftwareVersion {
+    /// Wraps a version.
+    pub fn new(version: impl Into<String>) -> Self {
+        Self(version.into())
+    }
+
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Infallible> {
+        Ok(Self::new(text))
+    }
+}
+
 /// A server's registration.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -54,6 +87,8 @@
     pub is_draining: bool,
     /// The weight version of each model that it serves.
     pub weight_versions: BTreeMap<ModelName, u64>,
+    /// The version of its software.
+    pub software: SoftwareVersion,
 }
 
 /// The meaning of one of the store's records for a server.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -7,7 +7,7 @@
     BlockStoreTraits, CallerLimits, Configuration, EngineTraits, RouteKind, Service, ServiceKind,
 };
 use dispatch::load::{LoadReport, Loads, Reporter};
-use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use dispatch::request::{Prompt, PromptSegment, RequestSpec, SegmentId};
 use protocol::ids::{ConfigVersion, FailureDomain, Incarnation, ModelName, Region, ServiceName};
 use smallvec::SmallVec;
@@ -33,6 +33,7 @@
         slots: 64,
         is_draining: false,
         weight_versions: BTreeMap::from([(id::<ModelName>("m"), 1)]),
+        software: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -9,7 +9,7 @@
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::routes::{self, Identity};
 use http::header::{AUTHORIZATION, EXPECT, HOST};
-use http::{HeaderMap, HeaderValue, Method, Request, Response};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{
@@ -58,6 +58,11 @@
         self.id.to_str().unwrap_or("unprintable")
     }
 
+    /// Returns the text of one of its headers.
+    pub fn header_text(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
     /// Returns the time until the deadline, in milliseconds.
     pub const fn remaining_ms(&self, now_ms: u64) -> u64 {
         self.spec.deadline_at_ms.saturating_sub(now_ms)
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -86,6 +86,7 @@
                     "server": entry.id.as_str(),
                     "incarnation": entry.incarnation.value(),
                     "service": entry.service.as_str(),
+                    "software": entry.software.as_str(),
                     "address": entry.address,
                     "source": source,
                 });
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -19,7 +19,9 @@
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use platform::headers::{LOAD, NOT_EXECUTED, REQUEST_ID, SERVER_ID, WEIGHT_VERSIONS, parse_load};
+use platform::headers::{
+    LAST_EVENT_ID, LOAD, NOT_EXECUTED, REQUEST_ID, RESUMES, SERVER_ID, WEIGHT_VERSIONS, parse_load,
+};
 use platform::prompt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -215,6 +217,9 @@
     event!(info, node.now_ms(), "request_sent", {
         "request": request.id_text(),
         "server": placed.entry.id.as_str(),
+        "software": placed.entry.software.as_str(),
+        "resumes": request.header_text(&RESUMES),
+        "last_event": request.header_text(&LAST_EVENT_ID),
         "cost_ms": placed.chosen.cost_ms,
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
--- a/crates/gateway/src/forward/head.rs
+++ b/crates/gateway/src/forward/head.rs
@@ -8,13 +8,10 @@
 use http_body_util::Full;
 use platform::headers::{
     CACHE_SALT, DEADLINE_MS, ENGINE_PRIORITY, EXPECT_SERVER, EXPECT_WEIGHTS, FETCH_BLOCKS,
-    FETCH_UNTIL, SAVE_BLOCKS,
+    FETCH_UNTIL, LAST_EVENT_ID, SAVE_BLOCKS,
 };
 use platform::prompt;
 
-/// The header with the id of the event after which a stream is resumed.
-const LAST_EVENT_ID: http::HeaderName = http::HeaderName::from_static("last-event-id");
-
 /// Builds the request for the chosen server.
 pub fn build(
     caller: &CallerRequest,
