Test streams of the daemon whose server is silent for a while

Callers: a sound server sends nothing for a while and then goes on; the daemon closes its connection after the idle timeout, and the answer ends with an error if no other server takes it over. Cause: silence is treated as a failure of the attempt. With the server marked as unreachable no server is left; with another server that refuses, or with the retry budget spent, there is no further attempt. Change: the stand-in engine can pause all its connections and go on. Tests only; no logic is changed.

--- a/crates/camphorwardd/tests/process/main.rs
+++ b/crates/camphorwardd/tests/process/main.rs
@@ -13,5 +13,6 @@
 mod quarantine;
 mod returning;
 mod safety;
+mod silence;
 mod survival;
 mod thin_path;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -96,6 +96,16 @@
         self.core.with_server(Server::stop);
     }
 
+    /// Sends and reads nothing on any connection until [`Engine::unpause`]; all stay open.
+    pub fn pause(&self) {
+        self.core.with_server(Server::pause);
+    }
+
+    /// Ends a pause; each connection continues where it stopped.
+    pub fn unpause(&self) {
+        self.core.with_server(Server::unpause);
+    }
+
     /// Stops the engine at once: closes its listener and connections, and drops its attempts and
     /// memory.
     pub fn kill(&self) {
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -150,6 +150,16 @@
         self.connections.close_all();
     }
 
+    /// Sends and reads nothing on any connection until [`Server::unpause`]; all stay open.
+    pub fn pause(&self) {
+        self.connections.pause();
+    }
+
+    /// Ends a pause; each connection continues where it stopped.
+    pub fn unpause(&self) {
+        self.connections.unpause();
+    }
+
     async fn kill_and_resume(self: Arc<Self>, kill: Kill) {
         self.kill();
         let Some(delay_ms) = kill.restart_after_ms else {
--- a/crates/standins/src/server/connections.rs
+++ b/crates/standins/src/server/connections.rs
@@ -1,11 +1,11 @@
-//! The open connections of a server, which can be closed from outside their tasks.
+//! The open connections of a server, which can be closed or paused from outside their tasks.
 
 use std::collections::HashMap;
 use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -13,6 +13,14 @@
 #[derive(Default)]
 pub(crate) struct Connections {
     open: Mutex<HashMap<SocketAddr, std::net::TcpStream>>,
+    pause: Mutex<Pause>,
+}
+
+/// Whether the connections are paused, and the tasks that wait for the end of the pause.
+#[derive(Default)]
+struct Pause {
+    paused: bool,
+    waiting: Vec<Waker>,
 }
 
 impl Connections {
@@ -30,6 +38,34 @@
         }
     }
 
+    /// Stops reading from and writing to every connection; they stay open.
+    pub(crate) fn pause(&self) {
+        self.lock_pause().paused = true;
+    }
+
+    /// Ends a pause; each connection continues where it stopped.
+    pub(crate) fn unpause(&self) {
+        let waiting = {
+            let mut pause = self.lock_pause();
+            pause.paused = false;
+            std::mem::take(&mut pause.waiting)
+        };
+        waiting.into_iter().for_each(Waker::wake);
+    }
+
+    fn poll_unpaused(&self, context: &Context<'_>) -> Poll<()> {
+        let mut pause = self.lock_pause();
+        if !pause.paused {
+            return Poll::Ready(());
+        }
+        pause.waiting.push(context.waker().clone());
+        Poll::Pending
+    }
+
+    fn lock_pause(&self) -> MutexGuard<'_, Pause> {
+        self.pause.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, std::net::TcpStream>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -71,6 +107,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.connections.poll_unpaused(context));
         Pin::new(&mut self.socket).poll_read(context, buffer)
     }
 }
@@ -81,6 +118,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        ready!(self.connections.poll_unpaused(context));
         Pin::new(&mut self.socket).poll_write(context, bytes)
     }
 
