Keep waiting for a silent server while another attempt runs beside it

Callers: a sound server sends nothing for a while and then goes on, and the answer ends with server_silent, server_refused or retry_budget_spent. Cause: the idle timeout ended the attempt and closed its connection before another server had accepted the request. Without a further server, a retry budget or attempts left, nothing was left to wait for. Ruled out: a longer idle timeout, which would only move the limit and delay the move from a server that stays silent. Change: silence no longer ends an attempt. While all attempts of a request are silent, a server for a further one is searched beside them; it starts if the attempts, the deadline and the retry budget allow it. The attempt that delivers the next token continues the answer, the others are cancelled. A silent attempt ends when its connection breaks, when it fails, or at the deadline of the request. Its tracking for the quarantine is suspended while it is silent, as it ended at this point before; otherwise the request would count as a suspect because of its own silent attempt. The outcome of an attempt is recorded by its id, since several may be in progress. A request on a server that vanished without closing its connection, with no other server to take it, now waits for its deadline instead of a few seconds.

--- a/crates/camphorwardd/src/explain.rs
+++ b/crates/camphorwardd/src/explain.rs
@@ -1,7 +1,7 @@
 //! Placement decisions of recent requests, for the operators' `why`.
 
 use crate::constants::MAX_EXPLAINED_REQUESTS;
-use protocol::ids::RequestId;
+use protocol::ids::{AttemptId, RequestId};
 use protocol::message::operator::{AttemptExplanation, PlacementExplanation};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -45,11 +45,14 @@
         }
     }
 
-    /// Records the outcome of the last attempt.
-    pub fn end_attempt(&self, request_id: &RequestId, outcome: &str) {
+    /// Records the outcome of an attempt.
+    pub fn end_attempt(&self, request_id: &RequestId, attempt_id: &AttemptId, outcome: &str) {
         let mut recent = self.lock();
-        let entry = recent.by_id.get_mut(request_id);
-        if let Some(attempt) = entry.and_then(|entry| entry.attempts.last_mut()) {
+        let Some(entry) = recent.by_id.get_mut(request_id) else {
+            return;
+        };
+        let attempt = entry.attempts.iter_mut().find(|attempt| attempt.attempt_id == *attempt_id);
+        if let Some(attempt) = attempt {
             attempt.outcome = Some(outcome.to_owned());
         }
     }
--- a/crates/camphorwardd/src/quarantine/watch.rs
+++ b/crates/camphorwardd/src/quarantine/watch.rs
@@ -65,8 +65,29 @@
             return;
         }
         self.attempt.incarnation = incarnation;
+        self.started();
+    }
+
+    /// Stops tracking the attempt while its server is silent, so that the request may run on
+    /// another server meanwhile.
+    pub(crate) fn suspend(&mut self) {
+        let StartedAttempt { digest, attempt_id, .. } = self.attempt.clone();
+        self.node.quarantine.requests.finished(&digest, &attempt_id, false);
+        self.notify(SuspectMessage::Finished { digest, attempt_id, completed: false });
+    }
+
+    /// Tracks the attempt again.
+    pub(crate) fn resume(&mut self) {
+        self.started();
+    }
+
+    fn started(&mut self) {
         self.node.quarantine.requests.started(self.attempt.clone());
-        let message = SuspectMessage::Started(self.attempt.clone().into());
+        self.notify(SuspectMessage::Started(self.attempt.clone().into()));
+    }
+
+    /// Sends the follower a message after the previous one.
+    fn notify(&mut self, message: SuspectMessage) {
         let sending = send_to_follower(Arc::clone(&self.node), self.attempt.clone(), message);
         let previous = std::mem::replace(&mut self.notification, tokio::spawn(async {}));
         self.notification = tokio::spawn(async move {
--- a/crates/camphorwardd/src/run.rs
+++ b/crates/camphorwardd/src/run.rs
@@ -1,5 +1,5 @@
 //! Runs one prompt: places it, forwards its tokens, and resumes it on another server after a
-//! failure.
+//! failure. While a server is silent, a hedged attempt runs beside it.
 
 mod admit;
 mod attempt;
@@ -7,6 +7,7 @@
 mod failure;
 mod finish;
 mod place;
+mod search;
 
 pub(crate) use admit::{Progress, after_failure};
 pub(crate) use decide::decide_and_count;
@@ -15,21 +16,23 @@
 
 use crate::counters::Counter;
 use crate::node::Node;
-use crate::quarantine::{self, PlacementConstraint};
 use crate::reply::Failure;
+use admission::retry::MAX_ATTEMPTS;
 use admission::retry_budget::BudgetKey;
-use attempt::{Attempt, AttemptError};
+use attempt::{Attempt, AttemptEvent, EndedAttempt};
 use clients::wire::engine::End;
-use membership::EntryHost;
+use futures_util::future::select_all;
 use place::Placed;
 use placement::chain::PrefixChain;
 use protocol::error::{ErrorKind, Execution};
 use protocol::ids::{AttemptId, HostName, OrganisationId, RequestId, ServiceName};
 use protocol::message::operator::{AttemptExplanation, PlacementExplanation};
-use protocol::message::place::{CachedBlock, FinishedNotice};
+use protocol::message::place::FinishedNotice;
 use protocol::message::suspect::SuspectDigest;
+use search::{Found, RunningSearch, Search, SearchResult};
 use settings::services::ModelService;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// A prompt to run.
@@ -69,6 +72,7 @@
     node.counters.count(Counter::Requests);
     let mut runner = JobRunner::new(node, job, parts);
     let outcome = runner.run_attempts().await;
+    runner.stop_attempts().await;
     runner.end(outcome).await;
 }
 
@@ -80,14 +84,33 @@
     Failed(Failure),
 }
 
+/// How an attempt ended.
+enum Outcome {
+    /// With the end mark.
+    Whole,
+    /// The attempt failed.
+    Failed(Failure),
+    /// Another attempt continues the answer, the caller disconnected or the deadline passed.
+    Stopped,
+}
+
 struct JobRunner {
     node: Arc<Node>,
-    job: Job,
-    chain: PrefixChain,
+    job: Arc<Job>,
+    chain: Arc<PrefixChain>,
     parts: PartSender,
+    budget: BudgetKey,
+    deadline_at_ms: u64,
     forwarded_tokens: u64,
     excluded: Vec<HostName>,
     ran_before: bool,
+    /// The failure of the last attempt that failed.
+    last: Failure,
+    searches: u32,
+    attempts: u32,
+    search: Option<RunningSearch>,
+    /// The attempts in progress; all but the last one are silent.
+    running: Vec<Attempt>,
 }
 
 impl JobRunner {
@@ -107,133 +130,248 @@
             outcome: None,
         });
         Self {
+            budget: BudgetKey {
+                organisation: job.organisation.clone(),
+                service: job.service.clone(),
+            },
+            deadline_at_ms: node.now_ms() + admit::time_allowed_ms(&job.model, job.max_tokens),
             node,
-            job,
-            chain,
+            job: Arc::new(job),
+            chain: Arc::new(chain),
             parts,
             forwarded_tokens: 0,
             excluded: Vec::new(),
             ran_before: false,
+            last: Failure::new(ErrorKind::NoServer, "no server of the service is live"),
+            searches: 0,
+            attempts: 0,
+            search: None,
+            running: Vec::new(),
         }
     }
 
     async fn run_attempts(&mut self) -> Result<End, RunError> {
-        let allowed_ms = admit::time_allowed_ms(&self.job.model, self.job.max_tokens);
-        let deadline_at_ms = self.node.now_ms() + allowed_ms;
-        let budget = BudgetKey {
-            organisation: self.job.organisation.clone(),
-            service: self.job.service.clone(),
-        };
-        let mut last = Failure::new(ErrorKind::NoServer, "no server of the service is live");
-        for attempt in 1.. {
-            let attempt_id = self.attempt_id(attempt);
-            let found = self.find_place(&attempt_id, deadline_at_ms).await;
-            // The constraint reserves its server until the attempt has ended.
-            let Some((_constraint, placed)) = found.map_err(RunError::Failed)? else {
-                // The failure of the last attempt is more informative than "no server left".
-                break;
-            };
-            if attempt == 1 {
-                self.admit(&attempt_id, &placed).map_err(RunError::Failed)?;
-                self.node.admission.budgets.first_attempt(&budget, self.node.now_ms());
+        self.start_search(Duration::ZERO, true);
+        loop {
+            let (is_silent, remaining) = (self.is_silent(), self.remaining());
+            tokio::select! {
+                (index, event) = next_event(&mut self.running), if !self.running.is_empty() => {
+                    if let Some(end) = self.handle_event(index, event).await? {
+                        return Ok(end);
+                    }
+                }
+                (search, result) = search_result(&mut self.search), if self.search.is_some() => {
+                    self.handle_search(search, result).map_err(RunError::Failed)?;
+                }
+                () = self.parts.closed() => return Err(RunError::CallerDisconnected),
+                () = tokio::time::sleep(remaining), if is_silent => {
+                    let message = "the backend server stopped responding";
+                    let failure = Failure::new(ErrorKind::DeadlineExceeded, message);
+                    return Err(RunError::Failed(failure));
+                }
             }
-            last = match self.attempt(attempt_id, placed).await {
-                Ok(end) => return Ok(end),
-                Err(AttemptError::CallerDisconnected) => return Err(RunError::CallerDisconnected),
-                Err(AttemptError::Failed(failure)) => failure,
-            };
-            let progress = Progress { attempt, ran_before: self.ran_before, deadline_at_ms };
-            let wait = admit::after_failure(&self.node, &budget, &last, progress);
-            tokio::time::sleep(wait.map_err(RunError::Failed)?).await;
         }
-        Err(RunError::Failed(last.with_ran_before(self.ran_before)))
     }
 
-    /// Finds a server, unless the request is quarantined; returns `None` if no server is left. A
-    /// server that the request is pinned to may have crashed since, so the check is repeated.
-    async fn find_place(
+    async fn handle_event(
         &mut self,
-        attempt_id: &AttemptId,
-        deadline_at_ms: u64,
-    ) -> Result<Option<(PlacementConstraint, Placed)>, Failure> {
-        loop {
-            let (node, job) = (&self.node, &self.job);
-            let checked =
-                quarantine::check(node, job, attempt_id, &self.excluded, deadline_at_ms).await;
-            let constraint = checked.map_err(|failure| failure.with_ran_before(self.ran_before))?;
-            match self.place(attempt_id, &constraint).await {
-                Ok(placed) => return Ok(Some((constraint, placed))),
-                Err(_) if constraint.required_server.is_none() => return Ok(None),
-                Err(_) => tokio::time::sleep(quarantine::PINNED_RETRY_DELAY).await,
+        index: usize,
+        event: AttemptEvent,
+    ) -> Result<Option<End>, RunError> {
+        match event {
+            AttemptEvent::Token(token) => {
+                self.keep_only(index).await;
+                self.forwarded_tokens += 1;
+                let sent = self.parts.send(Ok(Part::Token(token.text))).await;
+                sent.map_err(|_| RunError::CallerDisconnected)?;
+            }
+            AttemptEvent::End(end) => {
+                self.finish(index, Outcome::Whole).await;
+                return Ok(Some(end));
+            }
+            AttemptEvent::Silent => self.hedge(),
+            AttemptEvent::Failed(failure) => {
+                self.finish(index, Outcome::Failed(failure.clone())).await;
+                self.last = failure;
+                self.retry().map_err(RunError::Failed)?;
             }
         }
+        Ok(None)
     }
 
-    /// Admits a placed request; a refused one no longer counts as load of its server.
-    fn admit(&self, attempt_id: &AttemptId, placed: &Placed) -> Result<(), Failure> {
-        let admitted = admit::admit(&self.node, &self.job, placed);
-        if admitted.is_err() {
-            place::withdraw(&self.node, &self.job.service, attempt_id, placed);
+    /// Starts the next attempt after a failure, unless another one is in progress.
+    fn retry(&mut self) -> Result<(), Failure> {
+        if !self.running.is_empty() {
+            self.hedge();
+            return Ok(());
+        }
+        if self.search.is_none() {
+            let wait = self.take_retry(&self.last)?;
+            self.start_search(wait, true);
         }
-        admitted
+        Ok(())
     }
 
-    /// Finds a server; once every server has failed the request, all are eligible again.
-    async fn place(
-        &mut self,
-        attempt_id: &AttemptId,
-        constraint: &PlacementConstraint,
-    ) -> Result<Placed, Failure> {
-        let excluded = constraint.excluded(&self.node, &self.job, &self.excluded);
-        let placed = place::place(&self.node, &self.job, &self.chain, attempt_id, &excluded).await;
-        if placed.is_ok() || self.excluded.is_empty() || constraint.required_server.is_some() {
-            return placed;
+    /// Searches a server for a further attempt if all attempts in progress are silent.
+    fn hedge(&mut self) {
+        if self.search.is_some() || !self.is_silent() || self.attempts >= MAX_ATTEMPTS {
+            return;
         }
-        self.excluded.clear();
-        place::place(&self.node, &self.job, &self.chain, attempt_id, &self.excluded).await
+        for attempt in &self.running {
+            let server = &attempt.server().host;
+            if !self.excluded.contains(server) {
+                self.excluded.push(server.clone());
+            }
+        }
+        self.start_search(Duration::ZERO, false);
+    }
+
+    fn is_silent(&self) -> bool {
+        !self.running.is_empty() && self.running.iter().all(Attempt::is_silent)
     }
 
-    async fn attempt(
+    fn remaining(&self) -> Duration {
+        Duration::from_millis(self.deadline_at_ms.saturating_sub(self.node.now_ms()))
+    }
+
+    fn take_retry(&self, failure: &Failure) -> Result<Duration, Failure> {
+        let progress = Progress {
+            attempt: self.attempts,
+            ran_before: self.ran_before,
+            deadline_at_ms: self.deadline_at_ms,
+        };
+        admit::after_failure(&self.node, &self.budget, failure, progress)
+    }
+
+    fn start_search(&mut self, delay: Duration, is_granted: bool) {
+        self.searches += 1;
+        let search = Search {
+            node: Arc::clone(&self.node),
+            job: Arc::clone(&self.job),
+            chain: Arc::clone(&self.chain),
+            attempt_id: self.attempt_id(self.searches),
+            excluded: self.excluded.clone(),
+            deadline_at_ms: self.deadline_at_ms,
+        };
+        self.search = Some(search.start(delay, is_granted));
+    }
+
+    /// Starts an attempt on the server that was found. Without one, the request fails unless an
+    /// attempt is still in progress.
+    fn handle_search(
         &mut self,
-        attempt_id: AttemptId,
-        placed: Placed,
-    ) -> Result<End, AttemptError> {
+        search: RunningSearch,
+        result: SearchResult,
+    ) -> Result<(), Failure> {
+        let started = match result {
+            Ok(Some(found)) => self.start_attempt(search, found),
+            // The failure of the last attempt is more informative than "no server left".
+            Ok(None) => Err(self.last.clone().with_ran_before(self.ran_before)),
+            Err(failure) => Err(failure.with_ran_before(self.ran_before)),
+        };
+        if self.running.is_empty() { started } else { Ok(()) }
+    }
+
+    fn start_attempt(&mut self, search: RunningSearch, found: Found) -> Result<(), Failure> {
+        let Found { constraint, placed, excluded } = found;
+        let attempt_id = search.attempt_id;
+        if let Err(failure) = self.admit(&placed, search.is_granted) {
+            place::withdraw(&self.node, &self.job.service, &attempt_id, &placed);
+            return Err(failure);
+        }
+        self.excluded = excluded;
+        self.attempts += 1;
         self.explain_attempt(&attempt_id, &placed);
-        let server = placed.server.host.clone();
-        let mut tracked = quarantine::track(&self.node, &self.job, &attempt_id, &placed.server);
-        let mut attempt =
-            Attempt::new(&self.node, &self.job, &self.chain, &attempt_id, &placed, &mut tracked);
-        let result = attempt.execute(&mut self.forwarded_tokens, &self.parts).await;
-        let missing = attempt.into_missing();
-        let failure = match &result {
-            Err(AttemptError::Failed(failure)) => Some(failure.kind),
-            Ok(_) | Err(AttemptError::CallerDisconnected) => None,
+        let request = attempt::request(&self.job, &self.chain, attempt_id, self.forwarded_tokens);
+        let (node, job) = (&self.node, &self.job);
+        let attempt = Attempt::start(node, job, request, constraint, placed, self.remaining());
+        self.running.push(attempt);
+        Ok(())
+    }
+
+    /// Admits a placed request, or takes the retry for a hedged attempt.
+    fn admit(&self, placed: &Placed, is_granted: bool) -> Result<(), Failure> {
+        if self.attempts == 0 {
+            admit::admit(&self.node, &self.job, placed)?;
+            self.node.admission.budgets.first_attempt(&self.budget, self.node.now_ms());
+        } else if !is_granted {
+            let silent = Failure::new(ErrorKind::ServerSilent, "the backend server is silent");
+            let failure = if self.running.is_empty() { &self.last } else { &silent };
+            // The back-off is left out, since the silence was longer.
+            self.take_retry(failure)?;
+        }
+        Ok(())
+    }
+
+    /// Stops all attempts but one, which continues the answer.
+    async fn keep_only(&mut self, index: usize) {
+        if let Some(search) = self.search.take() {
+            search.abandon();
+        }
+        self.running.swap(0, index);
+        while self.running.len() > 1 {
+            self.finish(1, Outcome::Stopped).await;
+        }
+    }
+
+    /// Stops all attempts.
+    async fn stop_attempts(&mut self) {
+        if let Some(search) = self.search.take() {
+            search.abandon();
+        }
+        while !self.running.is_empty() {
+            self.finish(0, Outcome::Stopped).await;
+        }
+    }
+
+    /// Ends an attempt and records its outcome.
+    async fn finish(&mut self, index: usize, outcome: Outcome) {
+        let attempt = self.running.remove(index);
+        let was_silent = attempt.is_silent();
+        let ended = attempt.end();
+        if !matches!(outcome, Outcome::Whole) {
+            ended.cancel(&self.node);
+        }
+        let EndedAttempt { attempt_id, placed, missing, tracked } = ended;
+        let (is_whole, failure) = match &outcome {
+            Outcome::Whole => (true, None),
+            Outcome::Stopped => (false, was_silent.then_some(ErrorKind::ServerSilent)),
+            Outcome::Failed(failure) => (false, Some(failure.kind)),
         };
-        tracked.ended(result.is_ok(), failure).await;
-        self.record_outcome(&attempt_id, &server, &result);
-        self.notify_homes(placed.home, attempt_id, server, result.is_ok(), missing);
-        result
+        tracked.ended(is_whole, failure).await;
+        self.node.placement.loads.finished(&placed.server.host, &attempt_id);
+        self.record_outcome(&attempt_id, &placed.server.host, &outcome, failure);
+        self.notify_homes(
+            FinishedNotice {
+                service: self.job.service.clone(),
+                attempt_id,
+                server: placed.server.host.clone(),
+                chain: self.chain.keys(),
+                completed: is_whole,
+                missing,
+            },
+            &placed,
+        );
     }
 
     fn record_outcome(
         &mut self,
         attempt_id: &AttemptId,
         server: &HostName,
-        result: &Result<End, AttemptError>,
+        outcome: &Outcome,
+        kind: Option<ErrorKind>,
     ) {
-        self.node.placement.loads.finished(server, attempt_id);
-        let outcome = match result {
-            Ok(_) => "whole",
-            Err(AttemptError::CallerDisconnected) => "caller_gone",
-            Err(AttemptError::Failed(failure)) => failure.kind.as_str(),
+        let name = match outcome {
+            Outcome::Whole => "whole",
+            Outcome::Stopped | Outcome::Failed(_) => kind.map_or("caller_gone", ErrorKind::as_str),
         };
-        self.node.explanations.end_attempt(&self.job.request_id, outcome);
-        let Err(AttemptError::Failed(failure)) = result else {
+        self.node.explanations.end_attempt(&self.job.request_id, attempt_id, name);
+        let Outcome::Failed(failure) = outcome else {
             return;
         };
         let request_id = &self.job.request_id;
         log::warn!(
-            "request={request_id} attempt={attempt_id} server={server} failed kind={outcome}: {}",
+            "request={request_id} attempt={attempt_id} server={server} failed kind={name}: {}",
             failure.message
         );
         self.excluded.push(server.clone());
@@ -258,23 +396,9 @@
 
     /// Notifies the homes of the finished attempt, without making the caller wait: the home in the
     /// local region, where the prompt is expected to return, and the home that decided.
-    fn notify_homes(
-        &self,
-        decider: Option<EntryHost>,
-        attempt_id: AttemptId,
-        server: HostName,
-        completed: bool,
-        missing: Vec<CachedBlock>,
-    ) {
-        let notice = FinishedNotice {
-            service: self.job.service.clone(),
-            attempt_id,
-            server,
-            chain: self.chain.keys(),
-            completed,
-            missing,
-        };
+    fn notify_homes(&self, notice: FinishedNotice, placed: &Placed) {
         let local = place::find_home(&self.node, &self.chain);
+        let decider = placed.home.clone();
         let remote =
             decider.filter(|home| local.as_ref().is_none_or(|local| local.host != home.host));
         for home in local.into_iter().chain(remote) {
@@ -306,3 +430,22 @@
         AttemptId::try_from(text).unwrap_or_else(|_| unreachable!("a request id is short"))
     }
 }
+
+/// Waits for the next event of any attempt.
+async fn next_event(running: &mut [Attempt]) -> (usize, AttemptEvent) {
+    let events = running.iter_mut().map(|attempt| Box::pin(attempt.next()));
+    let (event, index, _) = select_all(events).await;
+    (index, event)
+}
+
+/// Waits for the result of the search in progress, and takes the search.
+async fn search_result(search: &mut Option<RunningSearch>) -> (RunningSearch, SearchResult) {
+    let result = match search.as_mut() {
+        Some(running) => running.result().await,
+        None => std::future::pending().await,
+    };
+    match search.take() {
+        Some(search) => (search, result),
+        None => std::future::pending().await,
+    }
+}
--- a/crates/clients/src/stream.rs
+++ b/crates/clients/src/stream.rs
@@ -21,13 +21,14 @@
 }
 
 impl AnswerStream {
-    /// Reads events from a body; fails with [`ClientError::TimedOut`] after `idle_timeout` without
-    /// a byte.
+    /// Reads events from a body; reports [`ClientError::TimedOut`] after each `idle_timeout`
+    /// without a byte.
     pub fn new(body: Incoming, idle_timeout: Duration) -> Self {
         Self { events: Box::pin(read_bytes(body, idle_timeout).eventsource()) }
     }
 
-    /// Returns the next event; `None` after the last one.
+    /// Returns the next event; `None` after the last one. The stream can be read further after
+    /// [`ClientError::TimedOut`], and no event is lost if the future is dropped.
     ///
     /// # Errors
     ///
