Let stand-in servers have a software version

Servers of several software versions may serve in one service. The stand-in always registered as v1, and its events did not tell who wrote them, so that no test could see a stream change versions.

The version is now settable, and each event carries it. Running streams can be reset as well, so that a test can list servers between the first event of a stream and its break. Streams that are reset after a number of events behave as before.

--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -63,6 +63,7 @@
 struct State {
     id: String,
     started_unix_ms: u64,
+    software_version: String,
     weight_version: u64,
     commands: Vec<Value>,
     behaviour: Behaviour,
@@ -71,6 +72,7 @@
     execution_time: Duration,
     padding_bytes: usize,
     reset_after_events: Option<u64>,
+    resets_all_streams: bool,
     executed: Vec<ExecutedRequest>,
     refused: u64,
     is_paused: watch::Sender<bool>,
@@ -103,6 +105,7 @@
         let state = Arc::new(Mutex::new(State {
             id: id.to_owned(),
             started_unix_ms: 1_700_000_000_000,
+            software_version: "v1".to_owned(),
             weight_version: 1,
             commands: Vec::new(),
             behaviour: Behaviour::Serves,
@@ -111,6 +114,7 @@
             execution_time: Duration::ZERO,
             padding_bytes: 0,
             reset_after_events: None,
+            resets_all_streams: false,
             executed: Vec::new(),
             refused: 0,
             is_paused: watch::Sender::new(false),
@@ -138,12 +142,17 @@
         };
         json!({
             "service": service, "address": self.address.to_string(), "zone": domain,
-            "version": "v1", "slots": 64, "state": state, "coldRemainingMs": 0,
+            "version": current.software_version, "slots": 64, "state": state, "coldRemainingMs": 0,
             "phase": "prefill_decode", "models": models, "sequence": heartbeat,
             "born": current.started_unix_ms,
         })
     }
 
+    /// Sets the software version, which the entry and each event carry from now on.
+    pub fn set_software_version(&self, version: &str) {
+        self.lock().software_version = version.to_owned();
+    }
+
     /// Sets how the server handles requests from now on.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.lock().behaviour = behaviour;
@@ -172,6 +181,11 @@
         self.lock().reset_after_events = events;
     }
 
+    /// Sets whether all streams, also running ones, are reset in the middle of their next event.
+    pub fn set_resets_all_streams(&self, resets_all_streams: bool) {
+        self.lock().resets_all_streams = resets_all_streams;
+    }
+
     /// Stops sending on all connections; requests are still accepted and read.
     pub fn pause(&self) {
         self.lock().is_paused.send_replace(true);
@@ -474,8 +488,12 @@
     );
     stream.write_all(&bytes).await?;
     for event in last_event + 1..=events {
-        let text = format!("id: {event}\ndata: token {event}{padding}\n\n");
-        if reset_after.is_some_and(|reset_after| event > reset_after) {
+        let (version, resets_all) = {
+            let state = lock(state);
+            (state.software_version.clone(), state.resets_all_streams)
+        };
+        let text = format!("id: {event}\ndata: token {event} of {version}{padding}\n\n");
+        if resets_all || reset_after.is_some_and(|reset_after| event > reset_after) {
             write_chunk(stream, &text.as_bytes()[..text.len() / 2]).await?;
             return reset(stream);
         }
