Show streams that go on at another software version

Callers got streams with events of servers of two software versions, in one answer and over their returns at other gateways.

--- a/crates/camphorwardd/tests/gateway/caller.rs
+++ b/crates/camphorwardd/tests/gateway/caller.rs
@@ -102,6 +102,20 @@
     (response.is_complete || is_end).then_some(response)
 }
 
+/// Waits until a caller has received an event, and leaves the bytes unread.
+pub async fn until_event(stream: &TcpStream, event: u64) {
+    let text = format!("id: {event}\n");
+    let mut buffer = [0; 4096];
+    loop {
+        let count = stream.peek(&mut buffer).await.unwrap();
+        assert!(count > 0, "the stream ended before event {event}");
+        if String::from_utf8_lossy(&buffer[..count]).contains(&text) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Queries a gateway's readiness once.
 pub async fn is_ready(gateway: &Gateway) -> bool {
     let request = "GET /camphorward/ready HTTP/1.1\r\nHost: x\r\n\r\n";
--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -10,4 +10,5 @@
 mod settings;
 mod shutdown;
 mod silence;
+mod software_versions;
 mod weights;
--- a/crates/camphorwardd/tests/gateway/silence.rs
+++ b/crates/camphorwardd/tests/gateway/silence.rs
@@ -1,6 +1,6 @@
 //! A server that sends nothing for a while and then goes on: no answer that would have come ends.
 
-use crate::caller::{self, Response, new_id, read, request};
+use crate::caller::{self, Response, new_id, read, request, until_event};
 use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS, configuration};
 use crate::process::{Gateway, until};
 use serde_json::{Value, json};
@@ -118,20 +118,6 @@
     }
 }
 
-/// Waits until a caller has received an event, and leaves the bytes unread.
-async fn until_event(stream: &TcpStream, event: u64) {
-    let text = format!("id: {event}\n");
-    let mut buffer = [0; 4096];
-    loop {
-        let count = stream.peek(&mut buffer).await.unwrap();
-        assert!(count > 0, "the stream ended before event {event}");
-        if String::from_utf8_lossy(&buffer[..count]).contains(&text) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
-}
-
 /// Waits until a server has seen the close of all requests that may move.
 async fn until_left(server: &Server) {
     until("the server sees the close", || {
