Continue a stream only at the software version that began it

Callers got streams with events of two software versions of one service, which do not fit together: in one answer, when the stream's server broke off or fell silent and another one continued it, and over two tries, when their gateway was killed and another one took the return.

Cause: the registry did not read the version, and placement took every server of the service for the rest of a stream. A gateway that never saw the stream had no way to know what began it; with weighted services it even picked another service by the id of the new attempt.

The server that delivers the first events fixes the version; retries, hedges and returns have only servers of that version as candidates. The gateway sends a record of the stream to three others before it passes on the first event, a return is looked up there, and a gateway that leaves hands its records over. Without a record the version counts as known only if no other has served; else the return is refused at once as not run.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod retry_share;
 pub mod rollout;
 pub mod routes;
+pub mod streams;
 pub mod waiting;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -1,8 +1,9 @@
 //! The servers listed in the platform's store, with their statuses.
 
+use crate::streams::RECORD_TTL_MS;
 use protocol::ids::{FailureDomain, Incarnation, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
@@ -144,6 +145,8 @@
     is_unreachable: bool,
     /// Counts the changes that are relevant to placement.
     generation: u64,
+    /// When each software version of a service last had a server that takes new requests.
+    software_used_ms: BTreeMap<(ServiceName, SoftwareVersion), u64>,
 }
 
 impl Registry {
@@ -200,6 +203,7 @@
 
     /// Removes servers that stayed missing after an outage of the store.
     pub fn expire_missing(&mut self, now_ms: u64) -> Vec<RegistryChange> {
+        self.record_software(now_ms);
         let mut changes = Vec::new();
         for (id, registered) in &mut self.servers {
             let RegistryStatus::Missing { until_ms } = registered.status else { continue };
@@ -212,6 +216,30 @@
         changes
     }
 
+    /// Records the software versions that serve at this moment.
+    fn record_software(&mut self, now_ms: u64) {
+        let all = self.servers.values();
+        let usable = all.filter(|registered| registered.status != RegistryStatus::Leaving);
+        for RegisteredServer { entry, .. } in usable {
+            let key = (entry.service.clone(), entry.software.clone());
+            self.software_used_ms.insert(key, now_ms);
+        }
+        self.software_used_ms.retain(|_, used_ms| *used_ms + RECORD_TTL_MS > now_ms);
+    }
+
+    /// Returns the software versions of a service that may have begun a stream which callers still
+    /// take up again.
+    pub fn software_versions(&self, service: &ServiceName, now_ms: u64) -> Vec<SoftwareVersion> {
+        let current = self.usable(service).map(|entry| &entry.software);
+        let recent = self
+            .software_used_ms
+            .iter()
+            .filter(|((of, _), used_ms)| of == service && **used_ms + RECORD_TTL_MS > now_ms);
+        let versions: BTreeSet<&SoftwareVersion> =
+            current.chain(recent.map(|((_, software), _)| software)).collect();
+        versions.into_iter().cloned().collect()
+    }
+
     /// Returns the servers that take new requests of a service.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a ServerEntry> {
         let all = self.servers.values();
@@ -257,6 +285,7 @@
         servers: Vec<(ServerEntry, RegistryStatus)>,
         now_ms: u64,
     ) -> Vec<RegistryChange> {
+        self.record_software(now_ms);
         let mut changes = Vec::new();
         let mut listed = std::collections::HashSet::new();
         for (entry, status) in servers {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -70,6 +70,9 @@
     NoServer => "no_server", SERVICE_UNAVAILABLE;
     /// The request is larger than the memory of any server; it has not run.
     TooLarge => "too_large_for_servers", SERVICE_UNAVAILABLE;
+    /// It is unknown which software version began the stream that is taken up again; the request
+    /// has not run.
+    UnknownStream => "unknown_stream", SERVICE_UNAVAILABLE;
     /// The gateway shuts down before the request's deadline; it has not run.
     ShuttingDown => "shutting_down", SERVICE_UNAVAILABLE;
     /// No server has free capacity to answer in time; the request has not run.
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -3,19 +3,23 @@
 use crate::answer::{AnswerBody, Refusal, strip_hop_headers};
 use crate::event;
 use crate::node::{InForce, Node};
+use crate::peers;
 use bytes::Bytes;
-use dispatch::configuration::Route;
+use dispatch::configuration::{Route, RouteKind};
 use dispatch::crashes::ContentKey;
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::routes::{self, Identity};
+use dispatch::streams::{self, StreamKey, StreamOrigin, Unknown};
 use http::header::{AUTHORIZATION, EXPECT, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{
-    DEADLINE_MS, MODEL, ORGANISATION, PROMPT_SEGMENTS, REQUEST_ID, RESERVED, TOKEN_COUNT,
+    DEADLINE_MS, LAST_EVENT_ID, MODEL, ORGANISATION, PROMPT_SEGMENTS, REQUEST_ID, RESERVED,
+    RESUMES, TOKEN_COUNT,
 };
 use platform::prompt;
+use protocol::ids::ServiceName;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +50,10 @@
     pub spec: RequestSpec,
     /// The key that identifies its content if it is sent again.
     pub content: ContentKey,
+    /// The stream that its answer begins or takes up again.
+    pub stream: StreamKey,
+    /// What began the stream that it takes up again; `None` for a new one.
+    pub origin: Option<StreamOrigin>,
     /// When it arrived, on the node's clock.
     pub arrived_ms: u64,
     /// When the route's timeout passes, on the node's clock.
@@ -97,10 +105,25 @@
         let prompt = parse_prompt(request.headers()).map_err(|()| refuse(Refusal::Malformed))?;
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let target = target.to_owned();
-        let spread = spread(&id);
-        let service = routes::pick_service(&route.services, spread).cloned();
-        let service = service.ok_or_else(|| refuse(Refusal::NoServer))?;
         let route = route.clone();
+        let service = routes::pick_service(&route.services, spread(&id)).cloned();
+        let service = service.ok_or_else(|| refuse(Refusal::NoServer))?;
+        let resumed = Resumed::new(&route, request.headers());
+        let origin = match &resumed {
+            Some(resumed) => {
+                let origin = find_origin(node, resumed.stream, &service).await;
+                Some(origin.ok_or_else(|| refuse(Refusal::UnknownStream))?)
+            }
+            None => None,
+        };
+        let stream = resumed.and_then(|resumed| resumed.stream);
+        let stream = stream.unwrap_or_else(|| StreamKey::new(id.as_bytes()));
+        let service = origin
+            .as_ref()
+            .map(|origin| &origin.service)
+            .filter(|service| route.services.iter().any(|entry| entry.service == **service))
+            .cloned()
+            .unwrap_or(service);
         let route_deadline_at_ms = arrived_ms + route.timeout_ms;
         let (head, body) = request.into_parts();
         let has_organisations = in_force.configuration.organisations_by_key.is_some();
@@ -139,12 +162,52 @@
             route,
             spec,
             content,
+            stream,
+            origin,
             arrived_ms,
             route_deadline_at_ms,
         })
     }
 }
 
+/// A stream that a caller takes up again after a broken connection.
+#[derive(Clone, Copy, Debug)]
+struct Resumed {
+    /// The stream; `None` if the caller does not name it.
+    stream: Option<StreamKey>,
+}
+
+impl Resumed {
+    /// Returns `None` for a request of a new stream.
+    fn new(route: &Route, headers: &HeaderMap) -> Option<Self> {
+        let is_resumed =
+            route.kind == RouteKind::ResumableStream && headers.contains_key(LAST_EVENT_ID);
+        let stream = headers.get(RESUMES).map(|attempt| StreamKey::new(attempt.as_bytes()));
+        is_resumed.then_some(Self { stream })
+    }
+}
+
+/// Returns what began a stream that a caller takes up again; `None` if that cannot be told.
+async fn find_origin(
+    node: &Node,
+    stream: Option<StreamKey>,
+    service: &ServiceName,
+) -> Option<StreamOrigin> {
+    /// The age of the store's cached state up to which the registry lists all versions in use, in
+    /// milliseconds.
+    const MAX_REGISTRY_AGE_MS: u64 = 2_600;
+    let unknown = match stream {
+        Some(stream) => match peers::find_stream_origin(node, stream).await {
+            Ok(origin) => return Some(origin),
+            Err(unknown) => unknown,
+        },
+        None => Unknown::ToSome,
+    };
+    let is_fresh = node.store_age_ms().is_some_and(|age_ms| age_ms < MAX_REGISTRY_AGE_MS);
+    let versions = node.state().registry.software_versions(service, node.now_ms());
+    streams::origin_without_record(service, &versions, unknown, is_fresh)
+}
+
 /// Refuses a request, with a log line and a count.
 pub fn refuse(node: &Node, id: Option<&HeaderValue>, refusal: Refusal) -> Response<AnswerBody> {
     /// The delay after which a caller should retry while the gateway has no configuration, in
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -123,6 +123,8 @@
         "metrics_port": listen.metrics_port,
     });
     if let Some((listener, socket)) = listeners.peers {
+        let socket = Arc::new(socket);
+        node.stream_exchange.set_socket(Arc::clone(&socket));
         tokio::spawn(peers::accept(Arc::clone(node), listener));
         tokio::spawn(discovery::run(Arc::clone(node)));
         tokio::spawn(peers::pull(Arc::clone(node)));
@@ -165,6 +167,7 @@
     let started_ms = node.now_ms();
     let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
     node.start_draining(started_ms + bound_ms);
+    peers::hand_over_streams(node);
     event!(info, started_ms, "draining", {
         "connections": traffic.connections.load(Ordering::Relaxed),
         "requests": traffic.requests.load(Ordering::Relaxed),
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -15,7 +15,7 @@
 use crate::pool::ServerConnection;
 use bytes::Bytes;
 use dispatch::load::Outcome;
-use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -115,6 +115,8 @@
     pub source: StreamSource,
     /// The time from the arrival of the request to the first event, in milliseconds.
     pub first_ms: u64,
+    /// The software version of the server.
+    pub software: SoftwareVersion,
 }
 
 /// An attempt that is about to be sent.
@@ -159,7 +161,7 @@
         }
         let sending = connection.connection.sender.try_send_request(server_request);
         let answer = await_head(&node, &request, &placed, sending).await;
-        let Placed { in_flight, .. } = placed;
+        let Placed { in_flight, entry, .. } = placed;
         let (head, body) = match answer {
             Ok(answer) => answer.into_parts(),
             Err(Unanswered::Unsent) => {
@@ -179,7 +181,8 @@
         let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok());
         in_flight.start(load.and_then(parse_load));
         record_weights(&node, &request, &server, &head);
-        let exchange = Exchange { node, request, head, body, connection, in_flight };
+        let software = entry.software;
+        let exchange = Exchange { node, request, head, body, connection, in_flight, software };
         if let Some(reason) = refusal_reason(&exchange.head, &server) {
             return exchange.end_refused(reason).await;
         }
@@ -297,6 +300,7 @@
     body: Incoming,
     connection: ServerConnection,
     in_flight: InFlightAttempt,
+    software: SoftwareVersion,
 }
 
 impl Exchange {
@@ -325,7 +329,7 @@
     /// Reads a plain answer completely before any of it is passed on to the caller.
     async fn read_complete(self) -> AttemptResult {
         let remaining = self.remaining();
-        let Self { node, request, mut head, body, connection, in_flight } = self;
+        let Self { node, request, mut head, body, connection, in_flight, .. } = self;
         let first_byte_ms = node.now_ms().saturating_sub(request.arrived_ms);
         let body = match tokio::time::timeout(remaining, body.collect()).await {
             Ok(Ok(collected)) => collected.to_bytes(),
@@ -348,7 +352,7 @@
 
     /// Reads a stream up to its first complete events.
     async fn start_stream(self) -> AttemptResult {
-        let Self { node, request, head, body, connection, in_flight } = self;
+        let Self { node, request, head, body, connection, in_flight, software } = self;
         let mut source =
             StreamSource { body, splitter: EventSplitter::new(), connection, in_flight };
         let first = match source.next_events(&node, &request).await {
@@ -361,7 +365,7 @@
             }
         };
         let first_ms = node.now_ms().saturating_sub(request.arrived_ms);
-        AttemptResult::Streaming(Box::new(Streaming { head, first, source, first_ms }))
+        AttemptResult::Streaming(Box::new(Streaming { head, first, source, first_ms, software }))
     }
 }
 
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -5,8 +5,10 @@
 use crate::forward::attempt::{MayHaveRun, NotRun};
 use crate::logs;
 use crate::node::Node;
+use crate::peers;
 use dispatch::configuration::RouteKind;
-use dispatch::registry::ServerId;
+use dispatch::registry::{ServerId, SoftwareVersion};
+use dispatch::streams::StreamOrigin;
 use dispatch::waiting::Ticket;
 use smallvec::SmallVec;
 use std::sync::Arc;
@@ -30,6 +32,8 @@
     pub excluded: SmallVec<[ServerId; 4]>,
     /// The id of the last event passed on, from which another server resumes the stream.
     pub last_event_id: Option<String>,
+    /// The only software version that may run the request, because it began the stream.
+    pub software: Option<SoftwareVersion>,
     /// The place in the queue of prompts that wait for free capacity.
     queued: Option<QueuePlace>,
     /// Whether the routine log lines of this request are written.
@@ -57,8 +61,10 @@
     /// Creates the state of a request without attempts.
     pub fn new(node: Arc<Node>, request: CallerRequest) -> Self {
         let is_logged = logs::is_sampled(request.id_text(), node.settings.log.request_share);
+        let software = request.origin.as_ref().map(|origin| origin.software.clone());
         Self {
             node,
+            software,
             request: Arc::new(request),
             is_logged,
             sent: Arc::default(),
@@ -91,6 +97,18 @@
         drop(tokio::time::timeout(RECHECK_INTERVAL, node.capacity_freed.notified()).await);
     }
 
+    /// Records that a server delivered the first events of the stream. From then on only its
+    /// software version may go on.
+    pub fn record_begun(&mut self, software: &SoftwareVersion) {
+        if self.software.is_some() || self.request.route.kind != RouteKind::ResumableStream {
+            return;
+        }
+        self.software = Some(software.clone());
+        let service = self.request.spec.service.clone();
+        let origin = StreamOrigin { service, software: software.clone() };
+        peers::announce_stream(&self.node, self.request.stream, origin);
+    }
+
     /// Leaves the queue, whether the request was placed or not.
     pub fn leave_queue(&mut self) {
         self.queued = None;
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -210,7 +210,9 @@
     let mut candidates = Vec::new();
     let gateway_ratio = state.gateway_ratio();
     let oldest_usable = oldest_usable_version(state, job, now_ms);
-    for entry in untried {
+    let is_allowed =
+        |entry: &&ServerEntry| job.software.as_ref().is_none_or(|only| entry.software == *only);
+    for entry in untried.filter(is_allowed) {
         let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
         if version.is_some_and(|version| version < oldest_usable) {
             continue;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use dispatch::load::Outcome;
 use futures_util::stream;
-use http::Response;
+use http::{Response, response};
 use http_body::Frame;
 use std::io;
 
@@ -29,11 +29,10 @@
 
 /// Builds the answer from a stream whose first events have arrived.
 pub fn answer(job: Job, streaming: Streaming) -> Response<AnswerBody> {
-    let Streaming { mut head, first, source, first_ms } = streaming;
-    strip_hop_headers(&mut head.headers);
-    let status = head.status.as_u16();
+    let (first_ms, status) = (streaming.first_ms, streaming.head.status.as_u16());
     let mut relay = Relay { job, source: None, hedge: None, first: None, first_ms, status };
-    relay.adopt(first, source);
+    let mut head = relay.adopt(streaming);
+    strip_hop_headers(&mut head.headers);
     let frames = stream::unfold(relay, |mut relay| async move {
         let frame = relay.next().await?;
         Some((frame.map(Frame::data), relay))
@@ -90,11 +89,15 @@
         })
     }
 
-    /// Continues with the events of a server.
-    fn adopt(&mut self, first: CompleteEvents, source: StreamSource) {
-        let bytes = self.pass_on(first);
+    /// Continues with the events of a server; returns the head of its answer.
+    fn adopt(&mut self, streaming: Streaming) -> response::Parts {
+        if !streaming.first.bytes.is_empty() {
+            self.job.record_begun(&streaming.software);
+        }
+        let bytes = self.pass_on(streaming.first);
         self.first = Some(bytes).filter(|bytes| !bytes.is_empty());
-        self.source = Some(source);
+        self.source = Some(streaming.source);
+        streaming.head
     }
 
     fn pass_on(&mut self, events: CompleteEvents) -> Bytes {
@@ -132,7 +135,7 @@
         match result {
             AttemptResult::Streaming(streaming) => {
                 self.leave_source(MayHaveRun::Unresponsive);
-                self.adopt(streaming.first, streaming.source);
+                self.adopt(*streaming);
             }
             failed => self.job.record_failure(&hedge.server, &failed),
         }
@@ -163,7 +166,7 @@
             let (server, result) = hedge::run(&mut self.job, attempt).await;
             match result {
                 AttemptResult::Streaming(streaming) => {
-                    self.adopt(streaming.first, streaming.source);
+                    self.adopt(*streaming);
                     return Ok(());
                 }
                 AttemptResult::Answered(_) => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -4,7 +4,7 @@
 use crate::clock::{self, Clock};
 use crate::gateways::{Gateways, Source};
 use crate::metrics::Metrics;
-use crate::peers::PeerUpdate;
+use crate::peers::{PeerUpdate, StreamExchange};
 use crate::pool::Pool;
 use crate::settings::GatewaySettings;
 use dispatch::blocks::BlockIndex;
@@ -16,6 +16,7 @@
 use dispatch::retry_share::{BudgetBounds, RetryShare};
 use dispatch::rollout::TargetVersions;
 use dispatch::routes::RouteTable;
+use dispatch::streams::StreamTable;
 use dispatch::waiting::WaitQueue;
 use protocol::ids::ModelName;
 use std::collections::BTreeMap;
@@ -75,6 +76,8 @@
     pub gateways: Gateways,
     /// The prompts that wait for free capacity.
     pub wait_queue: WaitQueue,
+    /// What began the streams that callers may take up again.
+    pub streams: StreamTable,
 }
 
 impl RoutingState {
@@ -148,6 +151,8 @@
     pub capacity_freed: Notify,
     /// Woken when a server fails its health check.
     pub server_unresponsive: Notify,
+    /// The exchange of stream records with other gateways.
+    pub stream_exchange: StreamExchange,
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<RoutingState>,
     outbox: Mutex<PeerUpdate>,
@@ -183,6 +188,7 @@
             weights: BTreeMap::new(),
             gateways: Gateways::new(settings.host.clone()),
             wait_queue: WaitQueue::new(),
+            streams: StreamTable::new(),
         };
         Self {
             context,
@@ -195,6 +201,7 @@
             update_queued: Notify::new(),
             capacity_freed: Notify::new(),
             server_unresponsive: Notify::new(),
+            stream_exchange: StreamExchange::default(),
             outbox: Mutex::new(PeerUpdate::default()),
             in_force: Mutex::new(None),
             state: Mutex::new(state),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 mod pull;
 mod push;
 mod serve;
+mod streams;
 
 pub use crate::peers::follow::Follower;
 pub use crate::peers::loads::run as share_loads;
@@ -14,3 +15,7 @@
 pub use crate::peers::pull::run as pull;
 pub use crate::peers::push::run as push;
 pub use crate::peers::serve::accept;
+pub use crate::peers::streams::{
+    StreamExchange, announce as announce_stream, find as find_stream_origin,
+    hand_over as hand_over_streams,
+};
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -1,4 +1,4 @@
-//! Exchanges load reports with other gateways by datagrams.
+//! Exchanges load reports with other gateways by datagrams, and receives those on streams.
 //!
 //! Each report holds the sender's complete load, so the next one makes up for a lost datagram. In a
 //! large installation the gateways of a failure domain report to each other. One of them, the
@@ -7,7 +7,8 @@
 
 use crate::event;
 use crate::node::Node;
-use crate::peers::message;
+use crate::peers::message::{self, StreamMessage};
+use crate::peers::streams;
 use dispatch::load::{LoadReport, Reporter, Sender};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,14 +30,14 @@
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Sends and receives load reports until the process exits.
-pub async fn run(node: Arc<Node>, socket: UdpSocket) {
+pub async fn run(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
     let mut publisher = LoadPublisher { socket, sent_ms: 0, reporting: 0 };
     let mut next_publish = Instant::now();
     loop {
         tokio::select! {
             received = publisher.socket.recv_from(&mut datagram) => match received {
-                Ok((length, _)) => receive(&node, &datagram[..length]),
+                Ok((length, from)) => receive(&node, &datagram[..length], from),
                 Err(_) => {
                     // Datagrams to a peer's closed port may cause such errors repeatedly.
                     node.metrics.count("peer_failures", "load_report");
@@ -50,8 +51,11 @@
     }
 }
 
-fn receive(node: &Node, datagram: &[u8]) {
+fn receive(node: &Node, datagram: &[u8], from: SocketAddr) {
     let Some(report) = message::decode::<LoadReport>(datagram) else {
+        if let Some(message) = message::decode::<StreamMessage>(datagram) {
+            return streams::receive(node, message, from);
+        }
         node.metrics.count("peer_failures", "load_report");
         return;
     };
@@ -69,7 +73,7 @@
 
 /// Sends this gateway's load reports.
 struct LoadPublisher {
-    socket: UdpSocket,
+    socket: Arc<UdpSocket>,
     sent_ms: u64,
     /// The number of gateways that were reporting at the last check.
     reporting: usize,
@@ -93,6 +97,7 @@
             (recipients, relays)
         };
         self.log_reporting(node);
+        streams::repeat(node);
         let reporter = Reporter {
             host: &settings.host,
             domain: &settings.failure_domain,
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -3,6 +3,7 @@
 use crate::block_log::BlockEvent;
 use crate::gateways::GatewayRecord;
 use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
+use dispatch::streams::{StreamKey, StreamRecord};
 use protocol::ids::ModelName;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -94,6 +95,17 @@
     }
 }
 
+/// A datagram on streams.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StreamMessage {
+    /// Records of streams.
+    Records(Vec<StreamRecord>),
+    /// Asks for a stream's record.
+    Query(StreamKey),
+    /// Answers a query without a record.
+    Unknown(StreamKey),
+}
+
 /// Encodes a message.
 ///
 /// # Panics
