Follow a restarted gateway to its new address

Load reports name their gateway and its incarnation and come from the socket that takes calls and datagrams, so their source address is taken over; a listing no longer replaces it by an older record.

--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -72,6 +72,16 @@
         }
     }
 
+    /// Records the address from which a listed gateway sends, which a restart may have changed since
+    /// the listing.
+    pub fn record_address(&mut self, host: &HostName, incarnation: u64, address: SocketAddr) {
+        let Some(listed) = self.by_host.get_mut(host) else { return };
+        if listed.record.incarnation <= incarnation {
+            listed.record.incarnation = incarnation;
+            listed.record.peer_address = address;
+        }
+    }
+
     /// Replaces the table by a listing of the store. Gateways whose record did not change for
     /// `expire_after` listings are removed.
     pub fn replace_listed(&mut self, records: Vec<(GatewayRecord, u64)>, expire_after: u32) {
@@ -80,6 +90,9 @@
         for (record, offset) in records {
             let held = self.by_host.get(&record.host).filter(|held| held.offset == offset);
             let unchanged = held.map_or(0, |held| held.unchanged + 1);
+            let newer = self.by_host.get(&record.host).map(|held| &held.record);
+            let newer = newer.filter(|held| held.incarnation > record.incarnation).cloned();
+            let record = newer.unwrap_or(record);
             next.insert(record.host.clone(), ListedGateway { record, offset, unchanged });
         }
         next.retain(|_, listed| listed.unchanged < expire_after);
--- a/crates/gateway/src/peers/loads.rs
+++ b/crates/gateway/src/peers/loads.rs
@@ -66,7 +66,12 @@
         Sender::RemoteDomains => false,
     };
     if !is_local {
-        node.state().loads.apply_report(report, node.now_ms());
+        let mut state = node.state();
+        if let Sender::Gateway(host) = &report.sender {
+            state.gateways.record_address(host, report.incarnation, from);
+        }
+        state.loads.apply_report(report, node.now_ms());
+        drop(state);
         node.capacity_freed.notify_waiters();
     }
 }
