Try the next server when one answers a resumed stream with a failure

Callers lost a stream that broke although attempts were left: when the server that was to go on answered 500, the stream was aborted at once, while a refusal or a broken connection there led to the next server.

The answer is recorded like any other failed attempt, and the next server is tried if the route and the budget allow it. Ruled out: passing the failure on, which the events before it forbid. The new test failed before: a stream ended incomplete after event 2.

--- a/crates/camphorwardd/tests/gateway/answers.rs
+++ b/crates/camphorwardd/tests/gateway/answers.rs
@@ -1,9 +1,9 @@
 //! Complete answers, correctly reported failures, and headers.
 
 use crate::caller::{self, new_id, post, request, send};
-use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS};
+use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS, configuration};
 use crate::process::until;
-use standins::fleet::Behaviour;
+use standins::fleet::{Behaviour, Server};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -136,6 +136,27 @@
     assert!(resumed.iter().any(|executed| executed.request.header("last-event-id") == "2"));
 }
 
+#[tokio::test]
+async fn a_failed_retry_does_not_end_a_stream_with_attempts_left() {
+    let fleet = Fleet::start(0, 3).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    let mut changed = configuration(2, &["alpha-key"]);
+    changed["routes"][2]["maxAttempts"] = 3.into();
+    fleet.store.put_configuration(&changed);
+    until("the change is in force", || gateway.lines("configuration_in_force").len() == 2).await;
+    fleet.engines[0].reset_streams_after(Some(2));
+    fleet.engines[1].set_behaviour(Behaviour::Fails);
+    let was_resumed_on = |engine: &Server| {
+        let executed = engine.executed();
+        executed.iter().any(|executed| executed.request.header("last-event-id") == "2")
+    };
+    while !was_resumed_on(&fleet.engines[1]) {
+        let response = post(&gateway, NOTES).await;
+        let is_whole = response.is_complete && response.body.contains("id: 5");
+        assert!(response.status == 500 || is_whole, "{response:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_is_not_resumable_never_looks_complete() {
     let fleet = Fleet::start(0, 2).await;
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -21,8 +21,6 @@
     NoServer,
     /// The retry budget is exhausted.
     RetryBudget,
-    /// The other server failed the request.
-    ServerFailed,
 }
 
 impl Obstacle {
@@ -32,7 +30,6 @@
             Obstacle::NoAttemptLeft => "no_attempt_left",
             Obstacle::NoServer => "no_server",
             Obstacle::RetryBudget => "over_budget",
-            Obstacle::ServerFailed => "server_failed",
         }
     }
 }
@@ -141,12 +138,10 @@
 
     /// Records an attempt that failed while another one goes on.
     pub fn record_failure(&mut self, server: &ServerId, result: &AttemptResult) {
-        match result {
-            AttemptResult::NotRun(reason) => self.record_not_run(server, *reason),
-            AttemptResult::MayHaveRun(reason) => self.record_may_have_run(server, *reason),
-            AttemptResult::Answered(_) | AttemptResult::Streaming(_) => {
-                self.record_may_have_run(server, MayHaveRun::ServerFailed);
-            }
+        match (result, result.reason()) {
+            (AttemptResult::NotRun(reason), _) => self.record_not_run(server, *reason),
+            (_, Some(reason)) => self.record_may_have_run(server, reason),
+            (_, None) => {}
         }
     }
 
@@ -159,6 +154,16 @@
 }
 
 impl AttemptResult {
+    /// Returns why a request that may have run does not continue its stream; `None` if it does, or
+    /// did not run.
+    pub const fn reason(&self) -> Option<MayHaveRun> {
+        match self {
+            AttemptResult::MayHaveRun(reason) => Some(*reason),
+            AttemptResult::Answered(_) => Some(MayHaveRun::ServerFailed),
+            AttemptResult::NotRun(_) | AttemptResult::Streaming(_) => None,
+        }
+    }
+
     /// Returns whether the result holds bytes for the caller.
     const fn has_delivered(&self) -> bool {
         matches!(self, AttemptResult::Answered(_) | AttemptResult::Streaming(_))
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -169,13 +169,9 @@
                     self.adopt(*streaming);
                     return Ok(());
                 }
-                AttemptResult::Answered(_) => {
-                    return Err((MayHaveRun::ServerFailed, Obstacle::ServerFailed));
-                }
-                AttemptResult::NotRun(refused) => self.job.record_not_run(&server, refused),
-                AttemptResult::MayHaveRun(failed) => {
-                    reason = failed;
-                    self.job.record_may_have_run(&server, failed);
+                failed => {
+                    reason = failed.reason().unwrap_or(reason);
+                    self.job.record_failure(&server, &failed);
                 }
             }
         }
