Let a broken stream wait for free capacity on another server

Callers with long prompts lost a stream whose server broke off while the other servers were full: placement answered that the request has to wait, and the relay took any answer of placement but a server as the end. A request without events waits in that case.

The relay now waits in the same queue, for as long as placement lets a request wait. Ruled out: sending at once, which would preempt the others' runs.

--- a/crates/camphorwardd/tests/gateway/answers.rs
+++ b/crates/camphorwardd/tests/gateway/answers.rs
@@ -1,6 +1,6 @@
 //! Complete answers, correctly reported failures, and headers.
 
-use crate::caller::{self, new_id, post, request, send};
+use crate::caller::{self, new_id, post, read, request, send};
 use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS, configuration};
 use crate::process::until;
 use standins::fleet::{Behaviour, Server};
@@ -157,6 +157,27 @@
     }
 }
 
+#[tokio::test]
+async fn a_broken_stream_waits_for_free_capacity_on_another_server() {
+    let fleet = Fleet::start(0, 2).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    fleet.engines.iter().for_each(|engine| engine.set_events(20, Duration::from_millis(25)));
+    let mut streams = Vec::new();
+    while fleet.engines.iter().any(|engine| engine.executed().is_empty()) {
+        let mut stream = TcpStream::connect(gateway.callers).await.unwrap();
+        let text = request(NOTES, &new_id(), "", "body").replace("900", "40000");
+        stream.write_all(text.as_bytes()).await.unwrap();
+        caller::until_event(&stream, 1).await;
+        streams.push(stream);
+    }
+    fleet.engines[0].set_resets_all_streams(true);
+    for mut stream in streams {
+        let response = read(&mut stream).await;
+        let ids = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        assert!(response.is_complete && ids.count() == 20, "{response:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_stream_that_is_not_resumable_never_looks_complete() {
     let fleet = Fleet::start(0, 2).await;
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -8,6 +8,7 @@
 use crate::forward::attempt::{Attempt, AttemptResult, MayHaveRun};
 use crate::forward::job::Job;
 use crate::forward::place::{self, Placed};
+use dispatch::choice::NoServer;
 use dispatch::registry::ServerId;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -19,6 +20,8 @@
     NoAttemptLeft,
     /// No other server can take the request.
     NoServer,
+    /// The request is a long prompt for which no other server has room now.
+    NoFreeCapacity,
     /// The retry budget is exhausted.
     RetryBudget,
 }
@@ -29,6 +32,7 @@
         match self {
             Obstacle::NoAttemptLeft => "no_attempt_left",
             Obstacle::NoServer => "no_server",
+            Obstacle::NoFreeCapacity => "no_room",
             Obstacle::RetryBudget => "over_budget",
         }
     }
@@ -108,13 +112,33 @@
         if !self.may_retry_beside(unfinished) || self.remaining_ms() == 0 {
             return Err(Obstacle::NoAttemptLeft);
         }
-        let placed = place::place(self).map_err(|_| Obstacle::NoServer)?;
+        let placed = place::place(self).map_err(|reason| match reason {
+            NoServer::NoFreeCapacity => Obstacle::NoFreeCapacity,
+            NoServer::NoneUsable | NoServer::TooLarge => Obstacle::NoServer,
+        })?;
         if !self.take_retry() {
             return Err(Obstacle::RetryBudget);
         }
         Ok(RunningAttempt::start(self, placed))
     }
 
+    /// Starts another attempt, once a server has free capacity for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why no further attempt can be made.
+    pub async fn start_retry_when_free(&mut self) -> Result<RunningAttempt, Obstacle> {
+        loop {
+            match self.start_retry(0) {
+                Err(Obstacle::NoFreeCapacity) => self.wait_in_queue().await,
+                result => {
+                    self.leave_queue();
+                    return result;
+                }
+            }
+        }
+    }
+
     /// Starts an attempt on another server if this one is unresponsive.
     pub fn start_hedge(&mut self, server: &ServerId) -> Option<RunningAttempt> {
         if !self.node.state().loads.is_offline(server) {
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -161,7 +161,10 @@
         loop {
             let attempt = match next.take() {
                 Some(hedge) => hedge,
-                None => self.job.start_retry(0).map_err(|obstacle| (reason, obstacle))?,
+                None => {
+                    let started = self.job.start_retry_when_free().await;
+                    started.map_err(|obstacle| (reason, obstacle))?
+                }
             };
             let (server, result) = hedge::run(&mut self.job, attempt).await;
             match result {
