Answer the requests that are still in progress when a drain ends

Callers whose server did not answer before the end of a drain saw their connection close without an answer: the process exited with the request in progress. Also requests that still waited for a server got no refusal.

200 ms before the end of the drain each request in progress gets its last answer: 504 if it may have run, else 503; no retry starts after that. Ruled out: refusing them when SIGTERM comes, as most are answered in time.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -27,6 +27,8 @@
 const LOG_FLUSH_DELAY: Duration = Duration::from_millis(250);
 /// How often the settings file is checked for changes that no signal announced.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(3);
+/// How long before the end of the drain requests in progress are answered, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 200;
 /// How often the drain checks whether connections are left.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -176,6 +178,9 @@
     while took_ms < bound_ms {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
         took_ms = node.now_ms() - started_ms;
+        if took_ms + LAST_ANSWERS_MS >= bound_ms {
+            node.end_requests();
+        }
         if took_ms < BALANCER_REMOVAL_MS {
             continue;
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,7 +53,7 @@
         state.retry_share.count_request(&job.request.spec.service, now_ms);
     }
     loop {
-        if job.remaining_ms() < MIN_REMAINING_MS {
+        if job.remaining_ms() < MIN_REMAINING_MS || node.is_ending() {
             return job.time_out();
         }
         let placed = match place::place(&job) {
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -93,6 +93,10 @@
                 }
                 job.record_failure(&other.server, &result);
             }
+            () = node.ending() => {
+                let result = AttemptResult::MayHaveRun(MayHaveRun::DeadlineExceeded);
+                return (first.server, result);
+            }
             () = unresponsive => {
                 if hedge.is_none() {
                     hedge = job.start_hedge(&first.server);
@@ -109,7 +113,8 @@
     ///
     /// Returns the reason why no further attempt can be made now.
     pub fn start_retry(&self, unfinished: u32) -> Result<RunningAttempt, Obstacle> {
-        if !self.may_retry_beside(unfinished) || self.remaining_ms() == 0 {
+        let is_over = self.remaining_ms() == 0 || self.node.is_ending();
+        if is_over || !self.may_retry_beside(unfinished) {
             return Err(Obstacle::NoAttemptLeft);
         }
         let placed = place::place(self).map_err(|reason| match reason {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,7 +23,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// The age of the store's cached state up to which cached blocks are fetched, in milliseconds.
 /// Longer than most outages of the store, and short compared with the time for which outdated
@@ -158,6 +158,8 @@
     outbox: Mutex<PeerUpdate>,
     seeds: Mutex<Vec<SocketAddr>>,
     is_draining: AtomicBool,
+    /// Whether requests end now because the process is about to exit.
+    is_ending: watch::Sender<bool>,
     /// The latest time at which the process exits; zero while it does not drain.
     ends_ms: AtomicU64,
     store_read_ms: AtomicU64,
@@ -207,6 +209,7 @@
             state: Mutex::new(state),
             seeds: Mutex::new(settings.seeds.clone().unwrap_or_default()),
             is_draining: AtomicBool::new(false),
+            is_ending: watch::Sender::new(false),
             ends_ms: AtomicU64::new(0),
             store_read_ms: AtomicU64::new(0),
             server_clock_lead_ms: AtomicU64::new(0),
@@ -246,6 +249,23 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Ends all requests in progress.
+    pub fn end_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Returns whether requests in progress end.
+    pub fn is_ending(&self) -> bool {
+        *self.is_ending.borrow()
+    }
+
+    /// Waits until requests in progress end.
+    pub async fn ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender lives as long as the node.
+        drop(is_ending.wait_for(|is_ending| *is_ending).await);
+    }
+
     /// Returns whether the process drains and may exit before a time.
     pub fn ends_before(&self, at_ms: u64) -> bool {
         self.is_draining() && self.ends_ms.load(Ordering::Relaxed) < at_ms
