Judge a server's health by its present incarnation

Callers of a server that had just started again under its id were moved away from it: a health check kept the address and incarnation with which it began, and each failed check of the old address marked the new server as offline; what had been observed of the old incarnation stayed while one attempt was in flight. On the other side a server that announced its leaving and then fell silent was no longer checked, so that requests in flight there stayed on it until their deadline.

A check counts only for the incarnation it was sent to, a new incarnation starts without a record, and servers that leave are checked while requests are in flight there. The new test in dispatch/tests/load.rs fails without the reset.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -345,6 +345,11 @@
         self.servers.get(server).is_some_and(|load| load.is_offline)
     }
 
+    /// Returns whether attempts are in flight on a server.
+    pub fn has_attempts(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|load| !load.attempts.is_empty())
+    }
+
     /// Marks unresponsive servers as suspected, and returns those that became suspected since the
     /// last call.
     pub fn find_unresponsive(&mut self, now_ms: u64) -> Vec<ServerId> {
@@ -385,6 +390,18 @@
         )
     }
 
+    /// Records that a server started again: nothing that was observed before counts for or against
+    /// it.
+    pub fn restarted(&mut self, server: &ServerId) {
+        let Some(load) = self.servers.get_mut(server) else { return };
+        let mut attempts = std::mem::take(&mut load.attempts);
+        for attempt in &mut attempts {
+            attempt.cost.response_timeout_ms = u64::MAX;
+        }
+        *load = ServerLoad { attempts, ..ServerLoad::new(server) };
+        self.forget(server);
+    }
+
     /// Removes a server that has departed, once no attempts are in flight there.
     pub fn forget(&mut self, server: &ServerId) {
         if self.servers.get(server).is_some_and(|load| load.attempts.is_empty()) {
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -59,6 +59,21 @@
     assert!(!loads.is_suspected(&server));
 }
 
+#[test]
+fn a_restarted_server_is_not_judged_by_its_former_incarnation() {
+    let (mut loads, server) = (Loads::new(), ServerId::new("a"));
+    let attempt = sent(&mut loads, &server, 0);
+    loads.find_unresponsive(600);
+    loads.unhealthy(&server, 650, 700);
+    loads.restarted(&server);
+    assert!(!loads.is_offline(&server));
+    assert_eq!(loads.view(&server, 800).health, Health::Good);
+    assert!(loads.find_unresponsive(2_000).is_empty(), "old attempts say nothing of it");
+    assert_eq!(loads.view(&server, 2_000).in_flight, 1);
+    loads.finished(&server, attempt, Outcome::Cancelled, 2_100);
+    assert_eq!(loads.view(&server, 2_100).in_flight, 0);
+}
+
 #[test]
 fn a_passed_health_check_ends_the_suspicion_for_good() {
     let (mut loads, server) = (Loads::new(), ServerId::new("a"));
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -90,9 +90,7 @@
                     "address": entry.address,
                     "source": source,
                 });
-                let mut state = node.state();
-                state.loads.forget(&entry.id);
-                drop(state);
+                node.state().loads.restarted(&entry.id);
                 node.pool.forget(&entry.id);
                 node.weights_changed.notify_one();
             }
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -3,7 +3,7 @@
 use crate::event;
 use crate::link::{Call, Link};
 use crate::node::Node;
-use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
 use http::StatusCode;
 use platform::engine::REPORT_PATH;
 use std::collections::HashSet;
@@ -74,12 +74,15 @@
 ) {
     let path = check_path(&node, &entry);
     let mut delay = FIRST_CHECK_DELAY;
-    while node.state().loads.is_suspected(&entry.id) && is_usable(&node, &entry) {
+    while node.state().loads.is_suspected(&entry.id) && is_of_interest(&node, &entry) {
         node.metrics.count("health_checks", "sent");
         let sent_ms = node.now_ms();
         let passed = passes(&entry, &path).await;
         let now_ms = node.now_ms();
         event!(info, now_ms, "server_checked", { "server": entry.id.as_str(), "passed": passed });
+        if !is_of_interest(&node, &entry) {
+            break;
+        }
         if passed {
             node.state().loads.healthy(&entry.id, now_ms);
             break;
@@ -94,9 +97,14 @@
     being_checked.lock().unwrap_or_else(PoisonError::into_inner).remove(&entry.id);
 }
 
-fn is_usable(node: &Node, entry: &ServerEntry) -> bool {
+/// Returns whether a server is still the incarnation of an entry, and takes requests or has some in
+/// flight.
+fn is_of_interest(node: &Node, entry: &ServerEntry) -> bool {
     let state = node.state();
-    state.registry.usable(&entry.service).any(|other| other.id == entry.id)
+    let is_same = |(other, _): &(&ServerEntry, _)| other.incarnation == entry.incarnation;
+    state.registry.get(&entry.id).filter(is_same).is_some_and(|(_, status)| {
+        status != RegistryStatus::Leaving || state.loads.has_attempts(&entry.id)
+    })
 }
 
 /// Returns the path of a server's health check. Engines send a report even without a free slot;
