Tell a silent order service from one that has no such order

Callers whose order's owner had crashed got "outcome unknown" for good when the order service sent nothing for two status queries: a query that timed out after a second counted like the service's answer that it has no such order.

The three results now have names, and an unanswered query is repeated until the caller's deadline. Ruled out: a longer timeout of the query, which would only move the limit.

The new test in crates/orders/tests/coordinator.rs fails when an unanswered query counts as before. The generated histories distinguish them too.

--- a/crates/camphorwardd/src/orders/send.rs
+++ b/crates/camphorwardd/src/orders/send.rs
@@ -12,7 +12,7 @@
 use clients::wire::order::{IDEMPOTENCY_HEADER, ORGANISATION_HEADER};
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::Full;
-use orders::executor::{DispatchResult, Target};
+use orders::executor::{DispatchResult, StatusResult, Target};
 use orders::record::OrderAnswer;
 use protocol::error::ErrorKind;
 use std::net::SocketAddr;
@@ -79,27 +79,34 @@
 /// Queries the service's servers for the outcome until one of them answers.
 pub(crate) async fn query_outcome(node: Arc<Node>, target: Target) {
     node.counters.count(Counter::OrderStatusChecks);
-    let answer = find_outcome(&node, &target).await;
-    let actions = node.orders.coordinator.status_received(&target, answer, node.now_ms());
+    let result = find_outcome(&node, &target).await;
+    let actions = node.orders.coordinator.status_received(&target, result, node.now_ms());
     run_actions(&node, actions);
 }
 
-async fn find_outcome(node: &Node, target: &Target) -> Option<OrderAnswer> {
+async fn find_outcome(node: &Node, target: &Target) -> StatusResult {
     let directory = node.directory();
-    let path = directory.order_service(&target.service)?.outcome_path.clone()?;
+    let service = directory.order_service(&target.service);
+    let Some(path) = service.and_then(|service| service.outcome_path.clone()) else {
+        // Without a status call the service can never tell.
+        return StatusResult::NoSuchOrder;
+    };
     let path = path.replace(KEY_PLACEHOLDER, &target.key.key.to_string());
     for server in servers(node, target) {
         let request = build_request(Method::GET, server.address, &path, "", Bytes::new());
-        let mut request = request.ok()?;
+        let Ok(mut request) = request else { continue };
         set_order_headers(&mut request, target);
         match exchange(node, server.address, request, ORDER_STATUS_TIMEOUT).await {
             Ok(answer) if answer.status < FIRST_SERVER_ERROR => {
-                return (answer.status / 100 == 2).then_some(answer);
+                return match answer.status / 100 {
+                    2 => StatusResult::Answered(answer),
+                    _ => StatusResult::NoSuchOrder,
+                };
             }
             _ => continue,
         }
     }
-    None
+    StatusResult::Unanswered
 }
 
 /// Returns the servers that accept requests, starting with the next one on each call.
--- a/crates/orders/src/coordinator.rs
+++ b/crates/orders/src/coordinator.rs
@@ -1,11 +1,11 @@
 //! Shards the ledger and executor by key, with one lock per shard.
 
-use crate::executor::{Action, DispatchResult, Executor, LogView, Order, Target};
+use crate::executor::{Action, DispatchResult, Executor, LogView, Order, StatusResult, Target};
 use crate::follower::{Entry, Follower, StreamPage};
 use crate::key::OrderKey;
 use crate::ledger::Ledger;
 use crate::limits::OrderLimits;
-use crate::record::{OrderAnswer, Owner, Record};
+use crate::record::{Owner, Record};
 use protocol::ids::{HostName, Incarnation, LogOffset};
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -96,16 +96,16 @@
         self.shard(&target.key).executor.dispatched(target, result, now_ms)
     }
 
-    /// Handles the answer to an [`Action::QueryOutcome`]; `None` if the service has no such order.
+    /// Handles the result of an [`Action::QueryOutcome`].
     pub fn status_received(
         &self,
         target: &Target,
-        answer: Option<OrderAnswer>,
+        result: StatusResult,
         now_ms: u64,
     ) -> Vec<Action> {
         let mut shard = self.shard(&target.key);
         let Shard { ledger, executor } = &mut *shard;
-        executor.status_received(target, answer, ledger, now_ms)
+        executor.status_received(target, result, ledger, now_ms)
     }
 
     /// Handles expired timeouts; the caller runs it a few times a second.
--- a/crates/orders/src/executor.rs
+++ b/crates/orders/src/executor.rs
@@ -54,6 +54,17 @@
     pub covered_from_ms: Option<u64>,
 }
 
+/// The result of querying a service for an order's outcome.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StatusResult {
+    /// The service has executed the order.
+    Answered(OrderAnswer),
+    /// The service has no such order.
+    NoSuchOrder,
+    /// The service did not answer, which says nothing about the order.
+    Unanswered,
+}
+
 /// The result of a dispatched attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub enum DispatchResult {
@@ -199,32 +210,34 @@
         }
     }
 
-    /// Handles the answer to an [`Action::QueryOutcome`]; `None` if the service has no such order.
+    /// Handles the result of an [`Action::QueryOutcome`].
     ///
     /// A service may still be executing an order that a crashed owner sent, so the outcome is
     /// reported as unknown only after two such answers.
     pub fn status_received(
         &mut self,
         target: &Target,
-        answer: Option<OrderAnswer>,
+        result: StatusResult,
         ledger: &Ledger,
         now_ms: u64,
     ) -> Vec<Action> {
         let orphaned = self.owner_cannot_report(&target.key, ledger);
         let Some(state) = self.orders.get_mut(&target.key) else { return Vec::new() };
-        match answer {
-            Some(answer) if state.received.is_none() => {
+        match result {
+            StatusResult::Answered(answer) if state.received.is_none() => {
                 state.set_answer(answer.clone(), now_ms);
                 vec![append_outcome(target, answer)]
             }
-            None if orphaned && state.unknown_to_service && state.received.is_none() => {
+            StatusResult::NoSuchOrder
+                if orphaned && state.unknown_to_service && state.received.is_none() =>
+            {
                 self.report_unknown(&target.key)
             }
-            None => {
+            StatusResult::NoSuchOrder => {
                 state.unknown_to_service = true;
                 Vec::new()
             }
-            _ => Vec::new(),
+            StatusResult::Answered(_) | StatusResult::Unanswered => Vec::new(),
         }
     }
 
--- a/crates/orders/tests/coordinator.rs
+++ b/crates/orders/tests/coordinator.rs
@@ -1,7 +1,7 @@
 //! An order whose key is held by another host.
 
 use orders::coordinator::Coordinator;
-use orders::executor::{Action, Order, Target, WaiterId};
+use orders::executor::{Action, Order, StatusResult, Target, WaiterId};
 use orders::follower::{StreamPage, StreamRecord};
 use orders::key::{OrderDigest, OrderKey};
 use orders::limits::OrderLimits;
@@ -70,7 +70,7 @@
     assert_eq!(submit(&coordinator, digest()), [Action::QueryOutcome(target())]);
     // The service returns the outcome of another attempt whose records this host has not read yet.
     let answer = OrderAnswer { status: 201, content_type: None, body: "other".to_owned() };
-    let actions = coordinator.status_received(&target(), Some(answer), NOW_MS);
+    let actions = coordinator.status_received(&target(), StatusResult::Answered(answer), NOW_MS);
     assert!(matches!(actions.as_slice(), [Action::Append(Record::Outcome(_))]));
     assert!(coordinator.tick(NOW_MS + 30_000).is_empty());
     let release = Release { key: key(), attempt: "theirs".parse().unwrap() };
@@ -82,13 +82,28 @@
 fn an_outcome_is_unknown_only_after_two_status_queries() {
     let coordinator = coordinator_with_intent_of_peer();
     assert_eq!(submit(&coordinator, digest()), [Action::QueryOutcome(target())]);
-    assert!(coordinator.status_received(&target(), None, NOW_MS).is_empty());
+    assert!(coordinator.status_received(&target(), StatusResult::NoSuchOrder, NOW_MS).is_empty());
     let again = coordinator.tick(NOW_MS + OrderLimits::default().status_after_ms);
     assert_eq!(again, [Action::QueryOutcome(target())]);
-    let replies = coordinator.status_received(&target(), None, NOW_MS);
+    let replies = coordinator.status_received(&target(), StatusResult::NoSuchOrder, NOW_MS);
     assert_eq!(replies, [Action::Reply(WAITER, Err(ErrorKind::OutcomeUnknown))]);
 }
 
+#[test]
+fn a_silent_service_does_not_make_an_outcome_unknown() {
+    let coordinator = coordinator_with_intent_of_peer();
+    assert_eq!(submit(&coordinator, digest()), [Action::QueryOutcome(target())]);
+    for query in 1..=3 {
+        let received = coordinator.status_received(&target(), StatusResult::Unanswered, NOW_MS);
+        assert!(received.is_empty());
+        let again = coordinator.tick(NOW_MS + query * OrderLimits::default().status_after_ms);
+        assert_eq!(again, [Action::QueryOutcome(target())]);
+    }
+    let answer = OrderAnswer { status: 201, content_type: None, body: "done".to_owned() };
+    let actions = coordinator.status_received(&target(), StatusResult::Answered(answer), NOW_MS);
+    assert!(matches!(actions.as_slice(), [Action::Append(Record::Outcome(_))]));
+}
+
 #[test]
 fn a_different_order_under_the_same_key_is_refused() {
     let coordinator = coordinator_with_intent_of_peer();
--- a/crates/orders/tests/histories/world.rs
+++ b/crates/orders/tests/histories/world.rs
@@ -7,7 +7,7 @@
 use oracle::Oracle;
 use orders::committer::{AppendResult, CommitLimits, Committer};
 use orders::coordinator::Coordinator;
-use orders::executor::{Action, DispatchResult, Order, Target, WaiterId};
+use orders::executor::{Action, DispatchResult, Order, StatusResult, Target, WaiterId};
 use orders::key::{IdempotencyKey, OrderDigest, OrderKey};
 use orders::limits::OrderLimits;
 use orders::record::{OrderAnswer, Owner, encode};
@@ -235,8 +235,13 @@
             return;
         }
         let queried = target.queries.remove(0);
-        let answer = self.oracle.outcome(&queried.key).filter(|_| reachable);
-        let actions = target.coordinator.status_received(&queried, answer, self.now_ms);
+        let outcome = self.oracle.outcome(&queried.key);
+        let result = match outcome {
+            _ if !reachable => StatusResult::Unanswered,
+            Some(answer) => StatusResult::Answered(answer),
+            None => StatusResult::NoSuchOrder,
+        };
+        let actions = target.coordinator.status_received(&queried, result, self.now_ms);
         self.act(host, actions);
     }
 
