Wait for a silent server when the other one fails the request

Callers got the 500 of the server that was tried beside a silent one, although the silent one was sound and went on: any answer of a hedge counted as delivered. A failure now counts only once no other attempt is unfinished.

--- a/crates/camphorwardd/tests/gateway/silence.rs
+++ b/crates/camphorwardd/tests/gateway/silence.rs
@@ -19,6 +19,8 @@
     Missing,
     /// The other server refuses requests.
     Sheds,
+    /// The other server fails requests.
+    Fails,
     /// The other server is healthy, but the gateway may not retry.
     RetryShareSpent,
     /// The other server is healthy, and the gateway may retry.
@@ -61,8 +63,10 @@
 
     /// Lets the other servers serve, unless they are to refuse.
     fn open_alternative(&self) {
-        if self.alternative != Alternative::Sheds {
-            self.set_others(Behaviour::Serves);
+        match self.alternative {
+            Alternative::Sheds => {}
+            Alternative::Fails => self.set_others(Behaviour::Fails),
+            _ => self.set_others(Behaviour::Serves),
         }
     }
 
@@ -169,7 +173,8 @@
     assert!(is_whole, "{alternative:?}: {response:?} {lines:?}");
     let runs = site.fleet.desks.iter().flat_map(Server::executed);
     let same = runs.filter(|run| response.body.contains(run.request.header("x-attempt-id")));
-    assert_eq!(same.count(), 1);
+    let expected = if alternative == Alternative::Fails { 2 } else { 1 };
+    assert_eq!(same.count(), expected);
 }
 
 #[tokio::test]
@@ -187,6 +192,21 @@
     assert_started_stream_goes_on(Alternative::RetryShareSpent, NOTES).await;
 }
 
+#[tokio::test]
+async fn a_silent_server_does_not_end_a_stream_that_another_fails() {
+    assert_started_stream_goes_on(Alternative::Fails, NOTES).await;
+}
+
+#[tokio::test]
+async fn a_silent_server_does_not_fail_a_stream_without_events_that_another_fails() {
+    assert_unstarted_stream_goes_on(Alternative::Fails, NOTES).await;
+}
+
+#[tokio::test]
+async fn a_silent_server_does_not_fail_a_safe_request_that_another_fails() {
+    assert_plain_request_is_answered(Alternative::Fails, STATUS).await;
+}
+
 #[tokio::test]
 async fn a_silent_server_does_not_end_a_stream_that_is_not_resumable() {
     assert_started_stream_goes_on(Alternative::Healthy, QUICK).await;
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -10,6 +10,7 @@
 use crate::forward::place::{self, Placed};
 use dispatch::choice::NoServer;
 use dispatch::registry::ServerId;
+use http::StatusCode;
 use std::pin::Pin;
 use std::sync::Arc;
 
@@ -193,8 +194,15 @@
         }
     }
 
-    /// Returns whether the result holds bytes for the caller.
-    const fn has_delivered(&self) -> bool {
-        matches!(self, AttemptResult::Answered(_) | AttemptResult::Streaming(_))
+    /// Returns whether the result is better than that of another attempt may be.
+    fn has_delivered(&self) -> bool {
+        match self {
+            AttemptResult::Answered(answered) => {
+                let status = answered.response.status();
+                !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS
+            }
+            AttemptResult::Streaming(_) => true,
+            AttemptResult::NotRun(_) | AttemptResult::MayHaveRun(_) => false,
+        }
     }
 }
