--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod request;
+mod resumed;
 mod watched;
 
 use crate::node::Node;
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,25 +1,23 @@
 //! Reads a caller's request: route, identity, body and prompt.
 
 use crate::answer::{AnswerBody, Refusal, strip_hop_headers};
+use crate::callers::resumed::{self, StreamTarget};
 use crate::event;
 use crate::node::{InForce, Node};
-use crate::peers;
 use bytes::Bytes;
-use dispatch::configuration::{Route, RouteKind};
+use dispatch::configuration::Route;
 use dispatch::crashes::ContentKey;
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::routes::{self, Identity};
-use dispatch::streams::{self, StreamKey, StreamOrigin, Unknown};
+use dispatch::streams::{StreamKey, StreamOrigin};
 use http::header::{AUTHORIZATION, EXPECT, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use platform::headers::{
-    DEADLINE_MS, LAST_EVENT_ID, MODEL, ORGANISATION, PROMPT_SEGMENTS, REQUEST_ID, RESERVED,
-    RESUMES, TOKEN_COUNT,
+    DEADLINE_MS, MODEL, ORGANISATION, PROMPT_SEGMENTS, REQUEST_ID, RESERVED, TOKEN_COUNT,
 };
 use platform::prompt;
-use protocol::ids::ServiceName;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,24 +104,8 @@
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let target = target.to_owned();
         let route = route.clone();
-        let service = routes::pick_service(&route.services, spread(&id)).cloned();
-        let service = service.ok_or_else(|| refuse(Refusal::NoServer))?;
-        let resumed = Resumed::new(&route, request.headers());
-        let origin = match &resumed {
-            Some(resumed) => {
-                let origin = find_origin(node, resumed.stream, &service).await;
-                Some(origin.ok_or_else(|| refuse(Refusal::UnknownStream))?)
-            }
-            None => None,
-        };
-        let stream = resumed.and_then(|resumed| resumed.stream);
-        let stream = stream.unwrap_or_else(|| StreamKey::new(id.as_bytes()));
-        let service = origin
-            .as_ref()
-            .map(|origin| &origin.service)
-            .filter(|service| route.services.iter().any(|entry| entry.service == **service))
-            .cloned()
-            .unwrap_or(service);
+        let target_stream = resumed::resolve(node, &route, &id, request.headers()).await;
+        let StreamTarget { stream, origin, service } = target_stream.map_err(refuse)?;
         let route_deadline_at_ms = arrived_ms + route.timeout_ms;
         let (head, body) = request.into_parts();
         let has_organisations = in_force.configuration.organisations_by_key.is_some();
@@ -170,44 +152,6 @@
     }
 }
 
-/// A stream that a caller takes up again after a broken connection.
-#[derive(Clone, Copy, Debug)]
-struct Resumed {
-    /// The stream; `None` if the caller does not name it.
-    stream: Option<StreamKey>,
-}
-
-impl Resumed {
-    /// Returns `None` for a request of a new stream.
-    fn new(route: &Route, headers: &HeaderMap) -> Option<Self> {
-        let is_resumed =
-            route.kind == RouteKind::ResumableStream && headers.contains_key(LAST_EVENT_ID);
-        let stream = headers.get(RESUMES).map(|attempt| StreamKey::new(attempt.as_bytes()));
-        is_resumed.then_some(Self { stream })
-    }
-}
-
-/// Returns what began a stream that a caller takes up again; `None` if that cannot be told.
-async fn find_origin(
-    node: &Node,
-    stream: Option<StreamKey>,
-    service: &ServiceName,
-) -> Option<StreamOrigin> {
-    /// The age of the store's cached state up to which the registry lists all versions in use, in
-    /// milliseconds.
-    const MAX_REGISTRY_AGE_MS: u64 = 2_600;
-    let unknown = match stream {
-        Some(stream) => match peers::find_stream_origin(node, stream).await {
-            Ok(origin) => return Some(origin),
-            Err(unknown) => unknown,
-        },
-        None => Unknown::ToSome,
-    };
-    let is_fresh = node.store_age_ms().is_some_and(|age_ms| age_ms < MAX_REGISTRY_AGE_MS);
-    let versions = node.state().registry.software_versions(service, node.now_ms());
-    streams::origin_without_record(service, &versions, unknown, is_fresh)
-}
-
 /// Refuses a request, with a log line and a count.
 pub fn refuse(node: &Node, id: Option<&HeaderValue>, refusal: Refusal) -> Response<AnswerBody> {
     /// The delay after which a caller should retry while the gateway has no configuration, in
@@ -291,11 +235,3 @@
         Ok(Err(_)) => Err(Refusal::Malformed),
     }
 }
-
-/// Returns a hash of the request id, which distributes requests evenly.
-fn spread(id: &HeaderValue) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    id.as_bytes().hash(&mut hasher);
-    hasher.finish()
-}
--- /dev/null
+++ b/crates/gateway/src/callers/resumed.rs
@@ -0,0 +1,79 @@
+//! Streams that callers take up again after a broken connection.
+
+use crate::answer::Refusal;
+use crate::node::Node;
+use crate::peers;
+use dispatch::configuration::{Route, RouteKind};
+use dispatch::routes;
+use dispatch::streams::{self, StreamKey, StreamOrigin, Unknown};
+use http::{HeaderMap, HeaderValue};
+use platform::headers::{LAST_EVENT_ID, RESUMES};
+use protocol::ids::ServiceName;
+
+/// The age of the store's cached state up to which the registry lists all software versions in use,
+/// in milliseconds.
+const MAX_REGISTRY_AGE_MS: u64 = 2_600;
+
+/// Where a request goes, and the stream that its answer belongs to.
+#[derive(Debug)]
+pub struct StreamTarget {
+    /// The stream that the answer begins or continues.
+    pub stream: StreamKey,
+    /// What began the stream; `None` for a new one.
+    pub origin: Option<StreamOrigin>,
+    /// The service.
+    pub service: ServiceName,
+}
+
+/// Picks the service of a request: for a stream that is taken up again the one that began it, if
+/// the route still leads there.
+///
+/// # Errors
+///
+/// Returns a refusal if the route has no service, or if nobody can tell what began the stream.
+pub async fn resolve(
+    node: &Node,
+    route: &Route,
+    id: &HeaderValue,
+    headers: &HeaderMap,
+) -> Result<StreamTarget, Refusal> {
+    let service = routes::pick_service(&route.services, spread(id)).cloned();
+    let service = service.ok_or(Refusal::NoServer)?;
+    if route.kind != RouteKind::ResumableStream || !headers.contains_key(LAST_EVENT_ID) {
+        return Ok(StreamTarget { stream: StreamKey::new(id.as_bytes()), origin: None, service });
+    }
+    let resumed = headers.get(RESUMES).map(|attempt| StreamKey::new(attempt.as_bytes()));
+    let origin = find_origin(node, resumed, &service).await.ok_or(Refusal::UnknownStream)?;
+    let is_on_route = route.services.iter().any(|entry| entry.service == origin.service);
+    Ok(StreamTarget {
+        stream: resumed.unwrap_or_else(|| StreamKey::new(id.as_bytes())),
+        service: if is_on_route { origin.service.clone() } else { service },
+        origin: Some(origin),
+    })
+}
+
+/// Returns what began a stream; `None` if that cannot be told.
+async fn find_origin(
+    node: &Node,
+    stream: Option<StreamKey>,
+    service: &ServiceName,
+) -> Option<StreamOrigin> {
+    let unknown = match stream {
+        Some(stream) => match peers::find_stream_origin(node, stream).await {
+            Ok(origin) => return Some(origin),
+            Err(unknown) => unknown,
+        },
+        None => Unknown::ToSome,
+    };
+    let is_fresh = node.store_age_ms().is_some_and(|age_ms| age_ms < MAX_REGISTRY_AGE_MS);
+    let versions = node.state().registry.software_versions(service, node.now_ms());
+    streams::origin_without_record(service, &versions, unknown, is_fresh)
+}
+
+/// Returns a hash of a request's id, which distributes requests evenly.
+fn spread(id: &HeaderValue) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
