Test hedges that are slow, fail, or are no longer needed

Callers would see events twice, a request on more servers than its route allows, or an answer lost with a hedge that was already under way.

Found by mutating the hedges: silence.rs passed without the record of an unused hedge; no test of it has a hedge that is slow, breaks, or takes over from a server that breaks. Each of these mutants fails one of the new tests: the record of an unused hedge is left out; a hedge goes on after the first server did; a hedge is dropped when the first server breaks, for streams under way and for plain requests; a hedge that breaks ends the stream.

Change: tests only.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod caller_connections;
 mod fleet;
+mod hedges;
 mod membership;
 mod process;
 mod refusals;
