Bound the wait for an event in the gateway tests

A stream that ends with bytes unread made until_event loop without end, as peek returns the same bytes again.

--- a/crates/camphorwardd/tests/gateway/caller.rs
+++ b/crates/camphorwardd/tests/gateway/caller.rs
@@ -104,16 +104,20 @@
 
 /// Waits until a caller has received an event, and leaves the bytes unread.
 pub async fn until_event(stream: &TcpStream, event: u64) {
+    const MAX_WAIT: Duration = Duration::from_secs(60);
     let text = format!("id: {event}\n");
-    let mut buffer = [0; 4096];
-    loop {
-        let count = stream.peek(&mut buffer).await.unwrap();
-        assert!(count > 0, "the stream ended before event {event}");
-        if String::from_utf8_lossy(&buffer[..count]).contains(&text) {
-            return;
+    let mut buffer = [0; 8192];
+    let received = async {
+        loop {
+            let count = stream.peek(&mut buffer).await.unwrap();
+            assert!(count > 0, "the stream ended before event {event}");
+            if String::from_utf8_lossy(&buffer[..count]).contains(&text) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    };
+    tokio::time::timeout(MAX_WAIT, received).await.expect("the event arrives");
 }
 
 /// Queries a gateway's readiness once.
--- a/crates/camphorwardd/tests/gateway/hedges.rs
+++ b/crates/camphorwardd/tests/gateway/hedges.rs
@@ -1,7 +1,7 @@
 //! Another server is tried beside a silent one: no event is lost or repeated, and no attempt too
 //! many is made.
 
-use crate::caller::{Response, new_id, read, request};
+use crate::caller::{Response, new_id, read, request, until_event};
 use crate::fleet::{Fleet, NOTES, STATUS};
 use crate::process::{Gateway, until};
 use standins::fleet::{Behaviour, Server, ServerKind};
@@ -64,24 +64,6 @@
     }
 }
 
-/// Waits until a caller has received an event, and leaves the bytes unread.
-async fn until_event(stream: &TcpStream, event: u64) {
-    const MAX_WAIT: Duration = Duration::from_secs(60);
-    let text = format!("id: {event}\n");
-    let mut buffer = [0; 8192];
-    let received = async {
-        loop {
-            let count = stream.peek(&mut buffer).await.unwrap();
-            assert!(count > 0, "the stream ended before event {event}");
-            if String::from_utf8_lossy(&buffer[..count]).contains(&text) {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(1)).await;
-        }
-    };
-    tokio::time::timeout(MAX_WAIT, received).await.expect("the event arrives");
-}
-
 /// Waits until a server runs a stream that resumes after an event.
 async fn until_resumed_at(server: &Server) {
     until("the hedge resumes the stream", || {
