Bound the memory of answers that never end

Callers of a gateway whose server wrote a body without end waited until their deadline, and the process grew meanwhile: eight such answers at once took over 1 GB of resident memory, on hosts that give it 110 MB. Calls to the store, to peers and engines were bounded each, but not together, and the store's pages of newest records were not bounded at all.

Cause: plain and refused answers of servers were collected without a limit. Ruled out: heads without end, which hyper ends at 400 KB or 100 lines, and events, which ended at 1 MiB; both were judged as broken connections, without a reason of their own.

Change: AnswerMemory. An answer that is held until it is complete may take as much as the others leave free of 32 MiB (24 MiB for all calls by Link), so that one alone may take half and any number less than the whole; up to 16 KiB are always allowed. The share is given back as the answer is passed on. The body goes on in the frames that it was read in (small ones joined), where it was copied into one piece before. Incomplete events count too, and comments between events are limited to 1 MiB. A refusal's body is read up to 64 KiB; beyond that the request may have run. Heads and read buffers are limited to 64 KiB. The reason is too_large in logs and counters: the attempt may have run, the server counts as having failed, the connection is closed. An event is searched for its end in the new bytes only.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod caller;
 mod caller_connections;
+mod endless;
 mod fleet;
 mod membership;
 mod process;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,5 +1,6 @@
 //! Answers to callers: answers of servers that are passed on, and refusals by the gateway itself.
 
+use crate::answer_memory::HeldBody;
 use bytes::Bytes;
 use futures_util::Stream;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
@@ -16,6 +17,11 @@
     Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Builds a body from an answer that was read completely.
+pub fn held_body(body: HeldBody) -> AnswerBody {
+    body.map_err(|never| match never {}).boxed_unsync()
+}
+
 /// Builds a body from frames as they arrive.
 pub fn streamed_body(
     frames: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -22,6 +22,9 @@
 /// The interval between probes of an idle connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The maximum size of a head, and of the buffer from which heads and bodies are read, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Sets the options of a connection to a server, a peer or the store: no delay of small writes, and
 /// limits on how long the other side may be unresponsive.
 ///
@@ -72,7 +75,8 @@
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     prepare(&stream)?;
-    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     // A lost connection shows at the next request, so the error is ignored here.
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -178,9 +178,10 @@
 impl MayHaveRun {
     const fn refusal(self) -> Refusal {
         match self {
-            MayHaveRun::Aborted | MayHaveRun::ServerFailed | MayHaveRun::OldWeights => {
-                Refusal::ServerFailed
-            }
+            MayHaveRun::Aborted
+            | MayHaveRun::TooLarge
+            | MayHaveRun::ServerFailed
+            | MayHaveRun::OldWeights => Refusal::ServerFailed,
             MayHaveRun::Mismatched => Refusal::MismatchedAnswer,
             MayHaveRun::DeadlineExceeded | MayHaveRun::Unresponsive => Refusal::DeadlineExceeded,
         }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt on one server, up to the head of the answer and, for streams, the first complete
 //! events.
 
-use crate::answer::{AnswerBody, full_body, strip_hop_headers};
+use crate::answer::{AnswerBody, held_body, strip_hop_headers};
+use crate::answer_memory::{self, HeldBody, ReadError};
 use crate::callers::CallerRequest;
 use crate::event;
 use crate::follow;
@@ -17,7 +18,7 @@
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use http::{Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::headers::{
     LAST_EVENT_ID, LOAD, NOT_EXECUTED, REQUEST_ID, RESUMES, SERVER_ID, WEIGHT_VERSIONS, parse_load,
@@ -27,6 +28,9 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+/// The maximum size of a refusal's body, in bytes. It is read only to keep the connection.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub enum AttemptResult {
@@ -60,6 +64,8 @@
 pub enum MayHaveRun {
     /// The connection was lost, or the server sent no complete and valid answer.
     Aborted,
+    /// The answer is larger than the gateway holds.
+    TooLarge,
     /// The answer belongs to another request.
     Mismatched,
     /// The server failed the request, which may be retried.
@@ -77,6 +83,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             MayHaveRun::Aborted => "broke",
+            MayHaveRun::TooLarge => "too_large",
             MayHaveRun::Mismatched => "foreign_answer",
             MayHaveRun::ServerFailed => "server_failed",
             MayHaveRun::DeadlineExceeded => "late",
@@ -89,7 +96,9 @@
     pub const fn outcome(self) -> Outcome {
         match self {
             MayHaveRun::Aborted | MayHaveRun::Unresponsive => Outcome::ConnectionFailed,
-            MayHaveRun::Mismatched | MayHaveRun::ServerFailed => Outcome::Failed,
+            MayHaveRun::TooLarge | MayHaveRun::Mismatched | MayHaveRun::ServerFailed => {
+                Outcome::Failed
+            }
             MayHaveRun::DeadlineExceeded | MayHaveRun::OldWeights => Outcome::Cancelled,
         }
     }
@@ -274,6 +283,9 @@
     match tokio::time::timeout(Duration::from_millis(wait_ms), sending).await {
         Ok(answer) => answer.map_err(|mut error| match error.take_message() {
             Some(_) => Unanswered::Unsent,
+            None if error.error().is_parse_too_large() => {
+                Unanswered::MayHaveRun(MayHaveRun::TooLarge)
+            }
             None => Unanswered::MayHaveRun(MayHaveRun::Aborted),
         }),
         Err(_) if wait_ms < remaining_ms => Err(Unanswered::MayHaveRun(MayHaveRun::OldWeights)),
@@ -319,8 +331,15 @@
         if reason == NotRun::WrongServer {
             remove_replaced(&node, in_flight.server());
         }
-        if let Ok(Ok(_)) = tokio::time::timeout(remaining, body.collect()).await {
-            node.pool.put(in_flight.server(), connection, node.now_ms());
+        let discarding = answer_memory::discard(body, MAX_REFUSAL_BYTES);
+        match tokio::time::timeout(remaining, discarding).await {
+            Ok(Ok(())) => node.pool.put(in_flight.server(), connection, node.now_ms()),
+            Ok(Err(ReadError::TooLarge)) => {
+                let reason = MayHaveRun::TooLarge;
+                in_flight.end(reason.outcome());
+                return AttemptResult::MayHaveRun(reason);
+            }
+            Ok(Err(ReadError::Aborted(_))) | Err(_) => {}
         }
         in_flight.end(outcome);
         AttemptResult::NotRun(reason)
@@ -331,11 +350,15 @@
         let remaining = self.remaining();
         let Self { node, request, mut head, body, connection, in_flight, .. } = self;
         let first_byte_ms = node.now_ms().saturating_sub(request.arrived_ms);
-        let body = match tokio::time::timeout(remaining, body.collect()).await {
-            Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(_)) => {
+        let reading = HeldBody::read(body, Arc::clone(&node.answer_memory));
+        let body = match tokio::time::timeout(remaining, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(error)) => {
                 in_flight.end(Outcome::Failed);
-                return AttemptResult::MayHaveRun(MayHaveRun::Aborted);
+                return AttemptResult::MayHaveRun(match error {
+                    ReadError::Aborted(_) => MayHaveRun::Aborted,
+                    ReadError::TooLarge => MayHaveRun::TooLarge,
+                });
             }
             Err(_) => {
                 in_flight.end(Outcome::Cancelled);
@@ -346,15 +369,15 @@
         let failed = head.status.is_server_error();
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Answered });
         strip_hop_headers(&mut head.headers);
-        let response = Response::from_parts(head, full_body(body));
+        let response = Response::from_parts(head, held_body(body));
         AttemptResult::Answered(Box::new(Answered { response, first_byte_ms }))
     }
 
     /// Reads a stream up to its first complete events.
     async fn start_stream(self) -> AttemptResult {
         let Self { node, request, head, body, connection, in_flight, software } = self;
-        let mut source =
-            StreamSource { body, splitter: EventSplitter::new(), connection, in_flight };
+        let splitter = EventSplitter::new(Arc::clone(&node.answer_memory));
+        let mut source = StreamSource { body, splitter, connection, in_flight };
         let first = match source.next_events(&node, &request).await {
             Ok(Some(events)) => events,
             // A stream that ends properly without an event is passed on as it is.
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -1,14 +1,24 @@
 //! Splits a stream of server-sent events into complete events.
 
+use crate::answer_memory::{AnswerMemory, MemoryShare};
 use bytes::{Bytes, BytesMut};
+use std::sync::Arc;
 
 /// The maximum size of an event, in bytes. An engine never sends a larger one.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// The maximum number of bytes between two events, which are comments.
+const MAX_COMMENT_BYTES: usize = 1024 * 1024;
+
 /// Buffers bytes and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
     pending: BytesMut,
+    share: MemoryShare,
+    /// Whether the memory allows the incomplete event.
+    is_allowed: bool,
+    /// The bytes of comments since the last event.
+    comment_bytes: usize,
 }
 
 /// Complete events, with the id of the last one.
@@ -22,15 +32,24 @@
 
 impl EventSplitter {
     /// Creates a splitter with an empty buffer.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(memory: Arc<AnswerMemory>) -> Self {
+        let share = MemoryShare::new(memory);
+        Self { pending: BytesMut::new(), share, is_allowed: true, comment_bytes: 0 }
     }
 
     /// Adds bytes and returns the events that are now complete.
     pub fn push(&mut self, bytes: &[u8]) -> Option<CompleteEvents> {
+        // An event ends in the new bytes, and begins its last line end up to two bytes before them.
+        let searched = self.pending.len().saturating_sub(2);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending)?;
-        let complete = self.pending.split_to(end).freeze();
+        let Some(end) = last_event_end(&self.pending[searched..]) else {
+            self.is_allowed = self.share.resize(self.pending.len());
+            return None;
+        };
+        let complete = self.pending.split_to(searched + end).freeze();
+        self.is_allowed = self.share.resize(self.pending.len());
+        let has_event = has_event(&complete);
+        self.comment_bytes = if has_event { 0 } else { self.comment_bytes + complete.len() };
         let last_id = last_id(&complete);
         Some(CompleteEvents { bytes: complete, last_id })
     }
@@ -40,9 +59,11 @@
         !self.pending.is_empty()
     }
 
-    /// Returns whether the incomplete event exceeds the maximum size.
+    /// Returns whether the incomplete event or the comments since the last one are too large.
     pub fn exceeds_limit(&self) -> bool {
-        self.pending.len() > MAX_EVENT_BYTES
+        !self.is_allowed
+            || self.pending.len() > MAX_EVENT_BYTES
+            || self.comment_bytes > MAX_COMMENT_BYTES
     }
 }
 
@@ -60,6 +81,12 @@
     None
 }
 
+/// Returns whether any line is a field of an event.
+fn has_event(events: &[u8]) -> bool {
+    let mut lines = events.split(|byte| *byte == b'\n');
+    lines.any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.rsplit(|byte| *byte == b'\n');
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -50,11 +50,12 @@
             };
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_activity();
-            if let Some(events) = self.splitter.push(&data) {
-                return Ok(Some(events));
-            }
+            let events = self.splitter.push(&data);
             if self.splitter.exceeds_limit() {
-                return Err(MayHaveRun::Aborted);
+                return Err(MayHaveRun::TooLarge);
+            }
+            if events.is_some() {
+                return Ok(events);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! connections of [`pool`]. [`follow`] follows the platform's store.
 
 pub mod answer;
+pub mod answer_memory;
 pub mod block_log;
 pub mod callers;
 pub mod clock;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,18 +1,24 @@
 //! Sequential calls over one persistent connection: to the store, peers, engines and block stores.
 
+use crate::answer_memory::{AnswerMemory, HeldBody, ReadError};
 use crate::connect::{self, ClientConnection};
 use bytes::Bytes;
 use dispatch::registry::ServerId;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use platform::codec::CONTENT_TYPE;
 use platform::headers::EXPECT_SERVER;
 use std::net::SocketAddr;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 use thiserror::Error;
 
-/// The maximum size of an answer, in bytes. A page of the store has at most a few megabytes.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The memory for the answers to all calls of the process, in bytes. An answer has at most a few
+/// megabytes.
+const ANSWER_MEMORY_BYTES: usize = 24 * 1024 * 1024;
+
+static ANSWER_MEMORY: LazyLock<Arc<AnswerMemory>> =
+    LazyLock::new(|| Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)));
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -25,6 +31,9 @@
     /// The connection was lost; the call may have been executed.
     #[error("connection lost: {0}")]
     ConnectionLost(String),
+    /// The answer is larger than what is held of one; the call may have been executed.
+    #[error("the answer is too large")]
+    TooLarge,
     /// No answer arrived in time; the call may have been executed.
     #[error("no answer within {0:?}")]
     TimedOut(Duration),
@@ -124,11 +133,16 @@
         .body(Full::new(call.body))
         .map_err(|error| lost(&error))?;
     connection.sender.ready().await.map_err(|error| lost(&error))?;
-    let answer = connection.sender.send_request(request).await.map_err(|error| lost(&error))?;
+    let answer = connection.sender.send_request(request).await.map_err(|error| {
+        if error.is_parse_too_large() { CallError::TooLarge } else { lost(&error) }
+    })?;
     let (head, body) = answer.into_parts();
-    let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| CallError::ConnectionLost(error.to_string()))?.to_bytes();
-    Ok(Response::from_parts(head, body))
+    let body =
+        HeldBody::read(body, Arc::clone(&ANSWER_MEMORY)).await.map_err(|error| match error {
+            ReadError::Aborted(error) => lost(&error),
+            ReadError::TooLarge => CallError::TooLarge,
+        })?;
+    Ok(Response::from_parts(head, body.into_bytes()))
 }
 
 /// Returns whether an answer has the status 200.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,5 +1,6 @@
 //! The state shared by all tasks of a gateway.
 
+use crate::answer_memory::AnswerMemory;
 use crate::block_log::{BlockEvent, BlockLog};
 use crate::clock::{self, Clock};
 use crate::gateways::{Gateways, Source};
@@ -36,6 +37,9 @@
 /// lease's record gives the actual time.
 const ASSUMED_TARGET_AGE_MS: u64 = 5_000;
 
+/// The memory for answers of servers, in bytes. A process has 110 MB on small hosts.
+const ANSWER_MEMORY_BYTES: usize = 32 * 1024 * 1024;
+
 /// The configuration in force with its derived route table.
 #[derive(Debug)]
 pub struct InForce {
@@ -139,6 +143,8 @@
     pub metrics: Arc<Metrics>,
     /// The connections to servers.
     pub pool: Pool,
+    /// The memory for answers of servers.
+    pub answer_memory: Arc<AnswerMemory>,
     /// The start of this process as Unix milliseconds, which identifies its incarnation.
     pub incarnation: u64,
     /// Woken when a target weight version changes, or a server joins or reports other weights.
@@ -195,6 +201,7 @@
             clock: Clock::new(),
             metrics: Arc::new(Metrics::new()),
             pool: Pool::new(),
+            answer_memory: Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
             incarnation: crate::clock::unix_ms(),
             weights_changed: Notify::new(),
             state_changed: Notify::new(),
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -4,6 +4,7 @@
 use crate::follow::{apply_operator_record, handle_registry_changes};
 use crate::link::{Call, Link, is_ok};
 use crate::node::Node;
+use crate::peers::failures;
 use crate::peers::message::{self, FOLLOW_PATH, FollowAnswer, FollowRequest};
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
@@ -45,7 +46,10 @@
         let body = message::encode(&self.position);
         let response =
             self.link.call(Call::post(FOLLOW_PATH, body, POLL_WAIT + ANSWER_TIMEOUT)).await;
-        let response = response.ok().filter(is_ok);
+        let response = response
+            .inspect_err(|error| failures::record(node, self.address(), error))
+            .ok()
+            .filter(is_ok);
         let answer = response.and_then(|response| message::decode::<FollowAnswer>(response.body()));
         let Some(answer) = answer else {
             node.metrics.count("peer_failures", "follow");
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -4,6 +4,7 @@
 use crate::follow::{apply_operator_record, handle_registry_changes};
 use crate::link::{Call, Link, is_ok};
 use crate::node::Node;
+use crate::peers::failures;
 use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
@@ -31,9 +32,13 @@
         let Some(peer) = pick_peer(&node) else { continue };
         node.metrics.count("peer_calls", "snapshot");
         let call = Call::get(SNAPSHOT_PATH, ANSWER_TIMEOUT);
-        let Ok(answer) = Link::new(peer).call(call).await else {
-            node.metrics.count("peer_failures", "snapshot");
-            continue;
+        let answer = match Link::new(peer).call(call).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                node.metrics.count("peer_failures", "snapshot");
+                failures::record(&node, peer, &error);
+                continue;
+            }
         };
         let snapshot = is_ok(&answer).then(|| message::decode::<Snapshot>(answer.body())).flatten();
         if let Some(snapshot) = snapshot
--- a/crates/gateway/src/peers/push.rs
+++ b/crates/gateway/src/peers/push.rs
@@ -2,6 +2,7 @@
 
 use crate::link::{Call, Link};
 use crate::node::Node;
+use crate::peers::failures;
 use crate::peers::message::{self, UPDATE_PATH};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,10 +33,11 @@
         let mut calls = JoinSet::new();
         for peer in peers {
             let link = links.entry(peer).or_insert_with(|| Arc::new(Mutex::new(Link::new(peer))));
-            let (link, body) = (Arc::clone(link), body.clone());
+            let (link, body, node) = (Arc::clone(link), body.clone(), Arc::clone(&node));
             calls.spawn(async move {
                 let call = Call::post(UPDATE_PATH, body, ANSWER_TIMEOUT);
-                link.lock().await.call(call).await.is_ok()
+                let answer = link.lock().await.call(call).await;
+                answer.inspect_err(|error| failures::record(&node, peer, error)).is_ok()
             });
         }
         while let Some(result) = calls.join_next().await {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,6 +15,9 @@
 /// milliseconds; when it is slow, an answer that takes sixty times as long must still be accepted.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The maximum size of all pages of the newest records, in bytes.
+const MAX_NEWEST_BYTES: usize = 8 * 1024 * 1024;
+
 /// Why a call failed.
 #[derive(Debug, Error)]
 pub enum StoreError {
@@ -39,6 +42,7 @@
     /// Returns the error's name in counters.
     pub const fn as_str(&self) -> &'static str {
         match self {
+            StoreError::Unanswered(CallError::TooLarge) => "too_large",
             StoreError::Unanswered(_) => "unanswered",
             StoreError::Refused(_) => "refused",
             StoreError::Deleted => "deleted",
@@ -57,6 +61,11 @@
     pub end: u64,
 }
 
+/// Returns the memory that a record takes.
+fn size_bytes(record: &KeyedRecord) -> usize {
+    size_of::<KeyedRecord>() + record.key.len() + record.value.as_ref().map_or(0, Vec::len)
+}
+
 /// A client of the platform's store.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -99,6 +108,7 @@
     pub async fn newest(&mut self, topic: &str) -> Result<NewestRecords, StoreError> {
         let mut records: Vec<(KeyedRecord, u64)> = Vec::new();
         let mut first_end = None;
+        let mut bytes = 0;
         loop {
             let after = records.last().map(|(record, _)| record.key.clone());
             let call = Call::get(wire::newest_path(topic, after.as_deref()), ANSWER_TIMEOUT);
@@ -111,6 +121,10 @@
             // record.
             let end = *first_end.get_or_insert(page.end);
             let is_empty = page.records.is_empty();
+            bytes += page.records.iter().map(|(record, _)| size_bytes(record)).sum::<usize>();
+            if bytes > MAX_NEWEST_BYTES {
+                return Err(CallError::TooLarge.into());
+            }
             records.extend(page.records);
             if !page.has_more || is_empty {
                 return Ok(NewestRecords { records, end });
--- a/crates/gateway/src/watch_blocks/engines.rs
+++ b/crates/gateway/src/watch_blocks/engines.rs
@@ -3,7 +3,7 @@
 //! Late or missing changes cost a fetch or a prefill, and never cause a wrong answer.
 
 use crate::block_log::BlockEvent;
-use crate::link::Link;
+use crate::link::{CallError, Link};
 use crate::node::Node;
 use crate::watch_blocks::{RETRY_DELAY, WatchError, fetch_changes, record_event};
 use protocol::ids::FailureDomain;
@@ -26,15 +26,17 @@
     let mut link = Link::new(address);
     let mut next = 0;
     loop {
-        if poll(&node, &mut link, &mut next).await.is_ok() {
+        let Err(error) = poll(&node, &mut link, &mut next).await else {
             tokio::time::sleep(BATCH_DELAY).await;
-        } else {
-            // Requests detect whether the server is up; here only its cached blocks are unknown.
-            record_event(&node, BlockEvent::EngineForgotten(address));
-            next = 0;
-            node.metrics.count("engine_watch_failures", "call");
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
+            continue;
+        };
+        // Requests detect whether the server is up; here only its cached blocks are unknown.
+        record_event(&node, BlockEvent::EngineForgotten(address));
+        next = 0;
+        let is_too_large = matches!(error, WatchError::Call(CallError::TooLarge));
+        let kind = if is_too_large { "too_large" } else { "call" };
+        node.metrics.count("engine_watch_failures", kind);
+        tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,9 +2,11 @@
 //!
 //! They implement HTTP/1.1 on plain sockets, because most faults violate the protocol.
 
+pub mod endless;
 pub mod http;
 pub mod server;
 pub mod store;
 
+pub use crate::fleet::endless::Endless;
 pub use crate::fleet::server::{Behaviour, ExecutedRequest, Server, ServerKind};
 pub use crate::fleet::store::{Availability, Store};
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's servers, with injectable faults.
 
+use crate::fleet::endless::{Endless, write_endless};
 use crate::fleet::http::{ReceivedRequest, head, read_request, write_answer, write_chunk};
 use crate::fleet::store::encode;
 use serde_json::{Value, json};
@@ -46,6 +47,8 @@
     Unframed,
     /// Executes them and sends one answer too many.
     Extra,
+    /// Executes them and sends an answer that never ends.
+    Endless(Endless),
 }
 
 /// A request that was executed.
@@ -421,6 +424,11 @@
             }
             return Ok(false);
         }
+        Behaviour::Endless(endless) => {
+            let closed = write_endless(stream, endless, &headers).await;
+            lock(state).executed[index].caller_disconnected = true;
+            return closed.map(|never| match never {});
+        }
         Behaviour::Extra => {
             write_answer(stream, 200, &headers, body.as_bytes()).await?;
             write_answer(stream, 200, &headers, b"extra").await?;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's metadata store: a log with keyed topics.
 
+use crate::fleet::endless::{Endless, write_endless};
 use crate::fleet::http::{ReceivedRequest, read_request, write_answer};
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -22,6 +23,10 @@
     Refuses,
     /// It answers no call.
     Unresponsive,
+    /// Its answers never end.
+    Endless(Endless),
+    /// Its lists of newest records have no last page.
+    EndlessPages,
 }
 
 /// One record of a keyed topic: key and value.
@@ -151,7 +156,14 @@
     while let Some(request) = read_request(&mut stream).await? {
         let availability = lock(shared).availability;
         let (status, body) = match availability {
-            Availability::Up => answer(shared, &request).await,
+            Availability::Endless(endless) => {
+                let closed = write_endless(&mut stream, endless, &[]).await;
+                return closed.map(|never| match never {});
+            }
+            Availability::EndlessPages if request.path() == "/camphorward/log-newest" => {
+                (200, endless_page(&request))
+            }
+            Availability::Up | Availability::EndlessPages => answer(shared, &request).await,
             Availability::Refuses => (503, Vec::new()),
             Availability::Unresponsive => return std::future::pending().await,
         };
@@ -173,6 +185,17 @@
     }
 }
 
+/// Returns a page of records whose keys follow the one in the query.
+fn endless_page(request: &ReceivedRequest) -> Vec<u8> {
+    const RECORDS: usize = 100;
+    const VALUE_BYTES: usize = 4 * 1024;
+    let after: usize = request.query("after").parse().unwrap_or(0);
+    let value = "eHh4".repeat(VALUE_BYTES / 3);
+    let item = |index| json!({ "key": format!("{index:012}"), "value": value, "offset": index });
+    let items: Vec<Value> = (after + 1..=after + RECORDS).map(item).collect();
+    encode(&json!({ "items": items, "more": true, "end": usize::MAX >> 1 }))
+}
+
 fn newest(shared: &Shared, topic: &str) -> Vec<u8> {
     use base64::Engine as _;
     let state = lock(shared);
