--- a/crates/camphorwardd/tests/process/daemon.rs
+++ b/crates/camphorwardd/tests/process/daemon.rs
@@ -108,6 +108,15 @@
         *counters.values.get(name).expect("the counter exists")
     }
 
+    /// Returns the peak of the process's resident memory, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.expect("the kernel reports the peak").trim().trim_end_matches(" kB");
+        peak.parse().expect("a number")
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/crates/camphorwardd/tests/process/faults.rs
+++ b/crates/camphorwardd/tests/process/faults.rs
@@ -24,6 +24,7 @@
     }
     let text = prompt("faulty", 1);
     let answer = complete(daemon.addresses.callers, KEY_A, MODEL, &text, TOKENS).await;
+    println!("peak {} kB", daemon.peak_memory_kb());
     (expected_answer_to(&text, TOKENS), answer.streamed_text())
 }
 
@@ -55,6 +56,13 @@
     assert_eq!(received, Some(expected));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_moves_away_from_an_event_without_end() {
+    let faults = EngineFaults { endless_after_tokens: Some(5), ..EngineFaults::default() };
+    let (expected, received) = answer_under(faults).await;
+    assert_eq!(received, Some(expected));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_server_is_replaced_in_mid_answer() {
     let site = site::start(slow_engine()).await;
--- a/crates/standins/src/engine/attempts.rs
+++ b/crates/standins/src/engine/attempts.rs
@@ -189,12 +189,26 @@
         if self.faults.truncated_after_tokens == Some(self.sent) {
             return Err(Stopped);
         }
+        if self.faults.endless_after_tokens == Some(self.sent) {
+            return self.send_endless_event().await;
+        }
         if self.faults.silent_after_tokens == Some(self.sent) {
             std::future::pending::<()>().await;
         }
         Ok(())
     }
 
+    async fn send_endless_event(&self) -> Result<(), Stopped> {
+        const PIECE_BYTES: usize = 64 * 1024;
+        const PIECE_DELAY: Duration = Duration::from_millis(2);
+        let piece = "x".repeat(PIECE_BYTES);
+        self.send("data: ").await?;
+        loop {
+            self.send(&piece).await?;
+            tokio::time::sleep(PIECE_DELAY).await;
+        }
+    }
+
     fn is_crossed(&self) -> bool {
         self.faults.crossed_after_tokens.is_some_and(|after| self.sent >= after)
     }
--- a/crates/standins/src/engine/config.rs
+++ b/crates/standins/src/engine/config.rs
@@ -115,6 +115,8 @@
     pub duplicate_after_tokens: Option<u64>,
     /// After this many tokens, the rest carries the ID and text of another attempt.
     pub crossed_after_tokens: Option<u64>,
+    /// After this many tokens, an event follows that never ends.
+    pub endless_after_tokens: Option<u64>,
     /// After this many tokens, the answer ends without an end mark.
     pub truncated_after_tokens: Option<u64>,
     /// Whether cancellations are accepted and ignored.
