Send nothing new to a server that announces its leaving in an answer

Callers saw requests sent to a server that had already said in its answers that it leaves: the gateway read this only from the store's entry, which is read late, cannot be read in an outage, or never says draining.

Change: the head of every answer of the expected server (request, stream, refusal, health check, report, command, block changes) is read for `Server-Leaving`. The gateway reports it with its other updates. The field is omitted while it is empty, so that gateways of the version before keep accepting updates. An attempt whose connection took time to open is not sent to a server that left meanwhile. If no server is left, a prompt is refused at once instead of waiting in the queue.

Found on the way: pooled connections were kept by id alone, so that one whose run ended after a restart was used for the later incarnation. They now belong to an incarnation. Polls for block changes name the expected server, so that another server at the address says nothing of it.

Ruled out: a head with the id of another request and one with another server's id (421) change nothing.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod caller_connections;
 mod fleet;
+mod leaving;
 mod membership;
 mod process;
 mod refusals;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -145,6 +145,8 @@
     is_unreachable: bool,
     /// Counts the changes that are relevant to placement.
     generation: u64,
+    /// The newest incarnation of each server that announced in its answers that it leaves.
+    announced: HashMap<ServerId, Incarnation>,
     /// When each software version of a service last had a server that takes new requests.
     software_used_ms: BTreeMap<(ServiceName, SoftwareVersion), u64>,
 }
@@ -279,6 +281,36 @@
         Some(RegistryChange::Left(id.clone()))
     }
 
+    /// Records that an incarnation announced in an answer that it leaves, which is final as an entry
+    /// that is draining. Other incarnations of the server are not affected.
+    pub fn announce_leaving(
+        &mut self,
+        id: &ServerId,
+        incarnation: Incarnation,
+    ) -> Option<RegistryChange> {
+        let newest = self.announced.entry(id.clone()).or_insert(incarnation);
+        *newest = (*newest).max(incarnation);
+        let registered = self.servers.get_mut(id)?;
+        if registered.entry.incarnation != incarnation {
+            return None;
+        }
+        registered.entry.is_draining = true;
+        self.mark_removed(id)
+    }
+
+    /// Returns whether this incarnation of a server takes new requests.
+    pub fn is_usable(&self, id: &ServerId, incarnation: Incarnation) -> bool {
+        self.servers.get(id).is_some_and(|registered| {
+            registered.entry.incarnation == incarnation
+                && registered.status != RegistryStatus::Leaving
+        })
+    }
+
+    /// Returns whether an incarnation announced in an answer that it leaves.
+    pub fn has_announced_leaving(&self, id: &ServerId, incarnation: Incarnation) -> bool {
+        self.announced.get(id) == Some(&incarnation)
+    }
+
     /// Merges a peer's snapshot, taken from a later read of the store.
     pub fn merge(
         &mut self,
@@ -317,7 +349,8 @@
             .collect()
     }
 
-    fn apply_present(&mut self, entry: ServerEntry) -> Option<RegistryChange> {
+    fn apply_present(&mut self, mut entry: ServerEntry) -> Option<RegistryChange> {
+        entry.is_draining |= self.has_announced_leaving(&entry.id, entry.incarnation);
         let status =
             if entry.is_draining { RegistryStatus::Leaving } else { RegistryStatus::Ready };
         let Some(registered) = self.servers.get_mut(&entry.id) else {
@@ -337,7 +370,9 @@
             return Some(RegistryChange::Joined(entry));
         }
         if entry.heartbeat < registered.entry.heartbeat {
-            return None;
+            // A late entry is outdated but for what is final.
+            registered.entry.is_draining |= entry.is_draining;
+            return if entry.is_draining { self.mark_removed(&entry.id) } else { None };
         }
         let was = registered.status;
         // An incarnation that announced draining never returns; a removed entry may.
--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -129,3 +129,59 @@
     assert!(!is_usable(&registry, &entry));
     assert!(is_usable(&registry, &other));
 }
+
+#[test]
+fn an_announced_leaving_is_final_for_an_incarnation() {
+    let (mut registry, entry) = with_server();
+    let change = registry.announce_leaving(&entry.id, entry.incarnation);
+    assert_eq!(change, Some(RegistryChange::Left(entry.id.clone())));
+    assert_eq!(registry.announce_leaving(&entry.id, entry.incarnation), None);
+    for number in 11..14 {
+        registry.apply(heartbeat(&entry, number), 3_000);
+        assert!(!is_usable(&registry, &entry));
+    }
+    let restarted = ServerEntry { incarnation: Incarnation::new(2), heartbeat: 1, ..entry.clone() };
+    registry.apply(ServerRecord::Present(restarted), 5_000);
+    assert!(is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_removed_server_that_announced_leaving_does_not_return() {
+    let (mut registry, entry) = with_server();
+    registry.apply(ServerRecord::Absent(entry.id.clone()), 2_000);
+    registry.announce_leaving(&entry.id, entry.incarnation);
+    registry.apply(heartbeat(&entry, 11), 2_100);
+    registry.apply(heartbeat(&entry, 12), 3_300);
+    assert!(!is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_leaving_announced_by_an_older_incarnation_changes_nothing() {
+    let (mut registry, entry) = with_server();
+    let restarted = ServerEntry { incarnation: Incarnation::new(2), heartbeat: 1, ..entry.clone() };
+    registry.apply(ServerRecord::Present(restarted.clone()), 2_000);
+    assert_eq!(registry.announce_leaving(&entry.id, entry.incarnation), None);
+    registry.apply(ServerRecord::Present(ServerEntry { heartbeat: 2, ..restarted.clone() }), 3_000);
+    assert!(is_usable(&registry, &restarted));
+}
+
+#[test]
+fn a_leaving_announced_before_the_entry_is_read_counts_when_it_is() {
+    let mut registry = Registry::new();
+    let entry = server("a", "east-1", 10);
+    assert_eq!(registry.announce_leaving(&entry.id, entry.incarnation), None);
+    registry.apply(ServerRecord::Present(entry.clone()), 1_000);
+    assert!(!is_usable(&registry, &entry));
+}
+
+#[test]
+fn a_leaving_in_a_peers_snapshot_is_final_although_its_heartbeat_is_older() {
+    let (mut registry, entry) = with_server();
+    let mut peer = registry.clone();
+    peer.announce_leaving(&entry.id, entry.incarnation);
+    registry.apply(heartbeat(&entry, 20), 2_000);
+    registry.merge(peer.snapshot(), 2_100);
+    registry.apply(heartbeat(&entry, 21), 3_000);
+    registry.apply(heartbeat(&entry, 22), 4_000);
+    assert!(!is_usable(&registry, &entry));
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use crate::forward::source::StreamSource;
 use crate::node::Node;
 use crate::pool::ServerConnection;
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use bytes::Bytes;
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
@@ -154,6 +155,10 @@
             placed.in_flight.end(Outcome::ConnectionFailed);
             return AttemptResult::NotRun(NotRun::ConnectFailed);
         };
+        if !node.state().registry.is_usable(&server, placed.entry.incarnation) {
+            placed.in_flight.end(Outcome::Cancelled);
+            return AttemptResult::NotRun(NotRun::Unsent);
+        }
         let server_request = head::build(&request, &placed, last_event_id.as_deref(), &node);
         sent.fetch_add(1, Ordering::Relaxed);
         if is_logged {
@@ -178,6 +183,8 @@
             return AttemptResult::MayHaveRun(MayHaveRun::Mismatched);
         }
         connection.read_keep_alive(&head.headers);
+        let identity = ServerIdentity::new(&entry);
+        server_answers::record(&node, &identity, head.status, &head.headers, AnswerSource::Request);
         let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok());
         in_flight.start(load.and_then(parse_load));
         record_weights(&node, &request, &server, &head);
@@ -194,7 +201,7 @@
 }
 
 async fn acquire_connection(node: &Node, entry: &ServerEntry) -> Option<ServerConnection> {
-    if let Some(pooled) = node.pool.take(&entry.id, node.now_ms()) {
+    if let Some(pooled) = node.pool.take(entry, node.now_ms()) {
         return Some(pooled);
     }
     match node.pool.open(entry).await {
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -84,6 +84,9 @@
     let engines = configuration.services.get(&spec.service).and_then(|found| found.engines());
     let mut state = node.state();
     let may_wait = choice::may_wait(request.arrived_ms, spec.deadline_at_ms, now_ms);
+    if state.registry.usable(&spec.service).next().is_none() {
+        return Err(NoServer::NoneUsable);
+    }
     if may_wait
         && choice::needs_free_capacity(spec)
         && !state.wait_queue.is_first(job.ticket(), spec, now_ms)
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -4,7 +4,7 @@
 use crate::gateways::GatewayRecord;
 use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
 use dispatch::streams::{StreamKey, StreamRecord};
-use protocol::ids::ModelName;
+use protocol::ids::{Incarnation, ModelName};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -83,6 +83,10 @@
     pub oldest_used: Vec<(ModelName, u64)>,
     /// Servers that have loaded weights.
     pub loaded: Vec<(ServerId, ModelName, u64)>,
+    /// Incarnations of servers that announced that they leave. The field is omitted while it is
+    /// empty, because earlier versions of the program do not accept it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<(ServerId, Incarnation)>,
 }
 
 impl PeerUpdate {
@@ -92,6 +96,7 @@
             && self.occupied.is_empty()
             && self.oldest_used.is_empty()
             && self.loaded.is_empty()
+            && self.leaving.is_empty()
     }
 }
 
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -6,6 +6,7 @@
 use crate::peers::message::{
     self, FOLLOW_PATH, FollowRequest, PeerUpdate, SNAPSHOT_PATH, Snapshot, UPDATE_PATH,
 };
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use dispatch::crashes::ContentKey;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -79,4 +80,12 @@
         state.registry.record_version(&server, &model, version);
         state.loads.release(&server);
     }
+    drop(state);
+    for (id, incarnation) in update.leaving {
+        server_answers::record_leaving(
+            node,
+            &ServerIdentity { id, incarnation },
+            AnswerSource::Peer,
+        );
+    }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::connect::{self, ClientConnection};
 use dispatch::registry::{ServerEntry, ServerId};
 use http::HeaderMap;
+use protocol::ids::Incarnation;
 use std::collections::HashMap;
 use std::io;
 use std::sync::{Mutex, PoisonError};
@@ -27,6 +28,8 @@
 pub struct ServerConnection {
     /// The connection.
     pub connection: ClientConnection,
+    /// The incarnation of the server at the other end.
+    incarnation: Incarnation,
     keep_alive_ms: u64,
     /// Whether a request was sent on it before.
     pub is_reused: bool,
@@ -57,11 +60,13 @@
         Self::default()
     }
 
-    /// Removes and returns an idle connection that can be used now.
-    pub fn take(&self, server: &ServerId, now_ms: u64) -> Option<ServerConnection> {
+    /// Removes and returns an idle connection to a server's incarnation that can be used now.
+    pub fn take(&self, server: &ServerEntry, now_ms: u64) -> Option<ServerConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(server)?;
-        connections.retain(|entry| is_usable(entry, now_ms));
+        let connections = idle.get_mut(&server.id)?;
+        connections.retain(|entry| {
+            entry.connection.incarnation == server.incarnation && is_usable(entry, now_ms)
+        });
         let index =
             connections.iter().rposition(|entry| entry.connection.connection.sender.is_ready())?;
         Some(connections.swap_remove(index).connection)
@@ -74,7 +79,8 @@
     /// Returns an error if the server refuses or does not answer in time.
     pub async fn open(&self, entry: &ServerEntry) -> io::Result<ServerConnection> {
         let connection = connect::open(entry.address, CONNECT_TIMEOUT).await?;
-        Ok(ServerConnection { connection, keep_alive_ms: 0, is_reused: false })
+        let incarnation = entry.incarnation;
+        Ok(ServerConnection { connection, incarnation, keep_alive_ms: 0, is_reused: false })
     }
 
     /// Adds a connection whose answer was read completely.
--- a/crates/gateway/src/rollout_leader/commands.rs
+++ b/crates/gateway/src/rollout_leader/commands.rs
@@ -5,6 +5,7 @@
 use crate::node::Node;
 use crate::rollout_leader::lease::RolloutLease;
 use crate::rollout_leader::states::ServerStates;
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use dispatch::registry::{ServerEntry, ServerId};
 use dispatch::rollout::Step;
 use futures_util::future::join_all;
@@ -62,7 +63,7 @@
             fence,
             commands_accepted: *commands_accepted,
         };
-        send_command(entry, command)
+        send_command(node, entry, command)
     }));
     for (entry, _) in &commands {
         states.record_command(entry, node.now_ms());
@@ -76,6 +77,9 @@
     node.metrics.count("health_checks", "report");
     let call = Call::get(REPORT_PATH, ANSWER_TIMEOUT).expecting(&entry.id);
     let answer = Link::new(entry.address).call(call).await.ok()?;
+    let server = ServerIdentity::new(entry);
+    let (status, headers) = (answer.status(), answer.headers());
+    server_answers::record(node, &server, status, headers, AnswerSource::Report);
     let report = is_ok(&answer).then(|| engine::decode_report(answer.body()).ok()).flatten()?;
     let is_same_incarnation =
         report.started_unix_ms.is_none_or(|started| started == entry.incarnation.value());
@@ -83,11 +87,15 @@
 }
 
 async fn send_command(
+    node: &Node,
     entry: &ServerEntry,
     command: LoadCommand<'_>,
 ) -> Result<StatusCode, CallError> {
     let call = Call::post(COMMAND_PATH, engine::encode_load_command(&command), ANSWER_TIMEOUT);
     let answer = Link::new(entry.address).call(call.expecting(&entry.id)).await?;
+    let server = ServerIdentity::new(entry);
+    let (status, headers) = (answer.status(), answer.headers());
+    server_answers::record(node, &server, status, headers, AnswerSource::Command);
     Ok(answer.status())
 }
 
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -7,9 +7,10 @@
 use crate::gateways::{MAX_READERS, Source};
 use crate::link::{Call, CallError, Link, is_ok};
 use crate::node::Node;
+use crate::server_answers::ServerIdentity;
+use bytes::Bytes;
 use dispatch::configuration::{Configuration, EngineTraits};
-use dispatch::registry::ServerId;
-use http::HeaderValue;
+use http::{HeaderValue, Response};
 use platform::codec::FormatError;
 use platform::engine::{self, Changes};
 use platform::headers::WAIT_MS;
@@ -67,7 +68,9 @@
                     let node = Arc::clone(node);
                     match wanted {
                         Watched::Store(address, name) => tokio::spawn(follow(node, address, name)),
-                        Watched::Engine(address, _) => tokio::spawn(engines::follow(node, address)),
+                        Watched::Engine(address, server) => {
+                            tokio::spawn(engines::follow(node, address, server))
+                        }
                     }
                     .abort_handle()
                 });
@@ -81,7 +84,7 @@
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 enum Watched {
     Store(SocketAddr, ServiceName),
-    Engine(SocketAddr, ServerId),
+    Engine(SocketAddr, ServerIdentity),
 }
 
 impl Watched {
@@ -108,7 +111,8 @@
         }
         let usable = state.registry.usable(&service.name);
         let local = usable.filter(|entry| engines::is_local(node, &entry.domain));
-        wanted.extend(local.map(|entry| Watched::Engine(entry.address, entry.id.clone())));
+        wanted
+            .extend(local.map(|entry| Watched::Engine(entry.address, ServerIdentity::new(entry))));
     }
     wanted
 }
@@ -144,12 +148,14 @@
     }
 }
 
-/// Fetches the changes of a store or an engine from a position on.
-async fn fetch_changes(link: &mut Link, from: u64) -> Result<Changes, WatchError> {
+/// Builds the call for the changes of a store or an engine from a position on.
+fn changes_call(from: u64) -> Call {
     let call = Call::get(engine::changes_path(from), POLL_WAIT + ANSWER_TIMEOUT);
-    let call = call.with_header(WAIT_MS, HeaderValue::from(POLL_WAIT.as_millis() as u64));
-    let answer = link.call(call).await?;
-    if !is_ok(&answer) {
+    call.with_header(WAIT_MS, HeaderValue::from(POLL_WAIT.as_millis() as u64))
+}
+
+fn decode_changes(answer: &Response<Bytes>) -> Result<Changes, WatchError> {
+    if !is_ok(answer) {
         return Err(WatchError::Refused(answer.status()));
     }
     Ok(engine::decode_changes(answer.body())?)
@@ -157,7 +163,8 @@
 
 /// Polls a store for changes once; lists all its blocks if changes are missing.
 async fn poll(node: &Node, link: &mut Link, next: &mut u64) -> Result<(), WatchError> {
-    let changes = fetch_changes(link, *next).await?;
+    let answer = link.call(changes_call(*next)).await?;
+    let changes = decode_changes(&answer)?;
     let address = link.address();
     let must_list = apply(node, address, &changes, next);
     if must_list {
--- a/crates/gateway/src/watch_blocks/engines.rs
+++ b/crates/gateway/src/watch_blocks/engines.rs
@@ -5,7 +5,8 @@
 use crate::block_log::BlockEvent;
 use crate::link::Link;
 use crate::node::Node;
-use crate::watch_blocks::{RETRY_DELAY, WatchError, fetch_changes, record_event};
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
+use crate::watch_blocks::{RETRY_DELAY, WatchError, changes_call, decode_changes, record_event};
 use protocol::ids::FailureDomain;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,11 +23,11 @@
 }
 
 /// Follows one engine until it is aborted.
-pub(super) async fn follow(node: Arc<Node>, address: SocketAddr) {
+pub(super) async fn follow(node: Arc<Node>, address: SocketAddr, server: ServerIdentity) {
     let mut link = Link::new(address);
     let mut next = 0;
     loop {
-        if poll(&node, &mut link, &mut next).await.is_ok() {
+        if poll(&node, &server, &mut link, &mut next).await.is_ok() {
             tokio::time::sleep(BATCH_DELAY).await;
         } else {
             // Requests detect whether the server is up; here only its cached blocks are unknown.
@@ -38,8 +39,16 @@
     }
 }
 
-async fn poll(node: &Node, link: &mut Link, next: &mut u64) -> Result<(), WatchError> {
-    let changes = fetch_changes(link, *next).await?;
+async fn poll(
+    node: &Node,
+    server: &ServerIdentity,
+    link: &mut Link,
+    next: &mut u64,
+) -> Result<(), WatchError> {
+    let answer = link.call(changes_call(*next).expecting(&server.id)).await?;
+    let (status, headers) = (answer.status(), answer.headers());
+    server_answers::record(node, server, status, headers, AnswerSource::BlockChanges);
+    let changes = decode_changes(&answer)?;
     *next = changes.next;
     record_event(node, BlockEvent::EngineReported(link.address(), changes.report));
     Ok(())
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -3,6 +3,7 @@
 use crate::event;
 use crate::link::{Call, Link};
 use crate::node::Node;
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use dispatch::registry::{ServerEntry, ServerId};
 use http::StatusCode;
 use platform::engine::REPORT_PATH;
@@ -77,7 +78,7 @@
     while node.state().loads.is_suspected(&entry.id) && is_usable(&node, &entry) {
         node.metrics.count("health_checks", "sent");
         let sent_ms = node.now_ms();
-        let passed = passes(&entry, &path).await;
+        let passed = passes(&node, &entry, &path).await;
         let now_ms = node.now_ms();
         event!(info, now_ms, "server_checked", { "server": entry.id.as_str(), "passed": passed });
         if passed {
@@ -111,9 +112,11 @@
     }
 }
 
-async fn passes(entry: &ServerEntry, path: &str) -> bool {
+async fn passes(node: &Node, entry: &ServerEntry, path: &str) -> bool {
     let call = Call::get(path, CHECK_TIMEOUT).expecting(&entry.id);
-    let answer = Link::new(entry.address).call(call).await;
+    let Ok(answer) = Link::new(entry.address).call(call).await else { return false };
+    let (status, server) = (answer.status(), ServerIdentity::new(entry));
+    server_answers::record(node, &server, status, answer.headers(), AnswerSource::HealthCheck);
     // A refusal by a full server also shows that the server is up.
-    answer.is_ok_and(|answer| answer.status() != StatusCode::MISDIRECTED_REQUEST)
+    status != StatusCode::MISDIRECTED_REQUEST
 }
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform's servers, with injectable faults.
 
-use crate::fleet::http::{ReceivedRequest, head, read_request, write_answer, write_chunk};
+use crate::fleet::http::{ReceivedRequest, head, read_request, write_chunk};
 use crate::fleet::store::encode;
 use serde_json::{Value, json};
 use socket2::SockRef;
@@ -75,6 +75,10 @@
     resets_all_streams: bool,
     executed: Vec<ExecutedRequest>,
     refused: u64,
+    /// Headers that every answer carries besides its own.
+    extra_headers: Vec<(String, String)>,
+    /// The paths of all received requests.
+    received: Vec<String>,
     is_paused: watch::Sender<bool>,
 }
 
@@ -117,6 +121,8 @@
             resets_all_streams: false,
             executed: Vec::new(),
             refused: 0,
+            extra_headers: Vec::new(),
+            received: Vec::new(),
             is_paused: watch::Sender::new(false),
         }));
         let task = tokio::spawn(accept(listener, kind, Arc::clone(&state))).abort_handle();
@@ -201,6 +207,22 @@
         self.lock().id = id.to_owned();
     }
 
+    /// Sets the headers that every answer carries besides its own from now on.
+    pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
+        let owned = headers.iter().map(|(name, value)| ((*name).to_owned(), (*value).to_owned()));
+        self.lock().extra_headers = owned.collect();
+    }
+
+    /// Starts a new incarnation, which the entry names from now on.
+    pub fn start_incarnation(&self) {
+        self.lock().started_unix_ms += 1;
+    }
+
+    /// Returns the paths of all received requests, refused ones and health checks included.
+    pub fn received(&self) -> Vec<String> {
+        self.lock().received.clone()
+    }
+
     /// Returns the requests that the server executed.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.lock().executed.clone()
@@ -254,7 +276,8 @@
 ) -> io::Result<()> {
     while let Some(request) = read_request(&mut stream).await? {
         let (id, behaviour) = {
-            let state = lock(state);
+            let mut state = lock(state);
+            state.received.push(request.path().to_owned());
             (state.id.clone(), state.behaviour)
         };
         let expected = request.header("x-expect-instance");
@@ -262,7 +285,7 @@
             until_resumed(state).await;
             let headers =
                 [("X-Instance-Id", id.as_str()), ("X-Attempt-Id", request.header("x-attempt-id"))];
-            write_answer(&mut stream, 421, &headers, b"").await?;
+            answer(&mut stream, state, 421, &headers, b"").await?;
             continue;
         }
         if behaviour == Behaviour::Unresponsive {
@@ -274,7 +297,7 @@
         match request.path() {
             "/health" => {
                 until_resumed(state).await;
-                write_answer(&mut stream, 200, &[("X-Instance-Id", &id)], b"").await?;
+                answer(&mut stream, state, 200, &[("X-Instance-Id", &id)], b"").await?;
             }
             "/camphorward/report" => report(&mut stream, state).await?,
             "/camphorward/order" => execute_command(&mut stream, state, &request).await?,
@@ -285,7 +308,7 @@
                     ("X-Instance-Id", id.as_str()),
                     ("X-Attempt-Id", request.header("x-attempt-id")),
                 ];
-                write_answer(&mut stream, 421, &headers, b"").await?;
+                answer(&mut stream, state, 421, &headers, b"").await?;
             }
             _ => {
                 if !execute(&mut stream, kind, state, &request, behaviour).await? {
@@ -297,6 +320,29 @@
     Ok(())
 }
 
+/// Builds a head with the extra headers.
+fn answer_head(state: &Mutex<State>, status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
+    let state = lock(state);
+    let extra = state.extra_headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+    let all: Vec<(&str, &str)> = headers.iter().copied().chain(extra).collect();
+    head(status, &all)
+}
+
+/// Writes an answer with the extra headers.
+async fn answer(
+    stream: &mut BufReader<TcpStream>,
+    state: &Mutex<State>,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = answer_head(state, status, headers);
+    bytes.extend(format!("Content-Length: {}\r\n\r\n", body.len()).into_bytes());
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).await?;
+    stream.flush().await
+}
+
 fn has_other_version(kind: ServerKind, state: &Mutex<State>, request: &ReceivedRequest) -> bool {
     let expected: Option<u64> = request.header("x-expect-version").parse().ok();
     kind == ServerKind::Engine
@@ -312,7 +358,7 @@
             "sequence": state.commands.len(), "born": state.started_unix_ms, "waiting": 0,
         })
     };
-    write_answer(stream, 200, &[], &encode(&body)).await
+    answer(stream, state, 200, &[], &encode(&body)).await
 }
 
 async fn execute_command(
@@ -332,7 +378,7 @@
         }
     };
     until_resumed(state).await;
-    write_answer(stream, status, &[], b"").await
+    answer(stream, state, status, &[], b"").await
 }
 
 async fn kv_events(
@@ -344,7 +390,7 @@
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     until_resumed(state).await;
     let body = json!({ "bootEpoch": 1, "nextPageToken": 0, "lost": false, "events": [] });
-    write_answer(stream, 200, &[], &encode(&body)).await
+    answer(stream, state, 200, &[], &encode(&body)).await
 }
 
 fn record_executed(state: &Mutex<State>, request: &ReceivedRequest) -> usize {
@@ -370,7 +416,7 @@
         lock(state).refused += 1;
         until_resumed(state).await;
         let headers = [("X-Attempt-Id", id.as_str()), ("X-Not-Executed", "1")];
-        write_answer(stream, 503, &headers, b"").await?;
+        answer(stream, state, 503, &headers, b"").await?;
         return Ok(true);
     }
     let index = record_executed(state, request);
@@ -394,23 +440,23 @@
                 if !wait_for_execution(stream, state, index).await {
                     return Ok(false);
                 }
-                write_answer(stream, 200, &headers, body.as_bytes()).await?;
+                answer(stream, state, 200, &headers, body.as_bytes()).await?;
             }
         },
-        Behaviour::Fails => write_answer(stream, 500, &headers, b"failed").await?,
+        Behaviour::Fails => answer(stream, state, 500, &headers, b"failed").await?,
         Behaviour::Resets => return reset(stream),
         Behaviour::Mismatched => {
             let headers = [("X-Attempt-Id", "another"), ("X-Server-Seal", seal.as_str())];
-            write_answer(stream, 200, &headers, b"for somebody else").await?;
+            answer(stream, state, 200, &headers, b"for somebody else").await?;
         }
         Behaviour::Truncates => {
-            let mut bytes = head(200, &headers);
+            let mut bytes = answer_head(state, 200, &headers);
             bytes.extend_from_slice(b"Content-Length: 1000\r\n\r\nhalf");
             stream.write_all(&bytes).await?;
             return Ok(false);
         }
         Behaviour::Unframed | Behaviour::UnframedReset => {
-            let mut bytes = head(200, &headers);
+            let mut bytes = answer_head(state, 200, &headers);
             bytes.extend_from_slice(b"Connection: close\r\n\r\n");
             bytes.extend_from_slice(body.as_bytes());
             stream.write_all(&bytes).await?;
@@ -422,8 +468,8 @@
             return Ok(false);
         }
         Behaviour::Extra => {
-            write_answer(stream, 200, &headers, body.as_bytes()).await?;
-            write_answer(stream, 200, &headers, b"extra").await?;
+            answer(stream, state, 200, &headers, body.as_bytes()).await?;
+            answer(stream, state, 200, &headers, b"extra").await?;
         }
     }
     lock(state).executed[index].is_answered = true;
@@ -482,7 +528,7 @@
         (state.events, state.event_gap, state.reset_after_events, padding)
     };
     let last_event: u64 = request.header("last-event-id").parse().unwrap_or(0);
-    let mut bytes = head(200, headers);
+    let mut bytes = answer_head(state, 200, headers);
     bytes.extend_from_slice(
         b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
     );
