--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -120,7 +120,9 @@
         }
         let placed = place::place(self).map_err(|reason| match reason {
             NoServer::NoFreeCapacity => Obstacle::NoFreeCapacity,
-            NoServer::NoneUsable | NoServer::TooLarge => Obstacle::NoServer,
+            NoServer::NoneUsable | NoServer::TooLarge | NoServer::Paused { .. } => {
+                Obstacle::NoServer
+            }
         })?;
         if !self.take_retry() {
             return Err(Obstacle::RetryBudget);
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -3,6 +3,7 @@
 use crate::event;
 use crate::link::{Call, Link};
 use crate::node::Node;
+use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
 use http::StatusCode;
 use platform::engine::REPORT_PATH;
@@ -75,9 +76,13 @@
     let path = check_path(&node, &entry);
     let mut delay = FIRST_CHECK_DELAY;
     while node.state().loads.is_suspected(&entry.id) && is_of_interest(&node, &entry) {
+        if node.state().is_paused(&entry, node.now_ms()) {
+            server_answers::until_unpaused(&node, &ServerIdentity::new(&entry)).await;
+            continue;
+        }
         node.metrics.count("health_checks", "sent");
         let sent_ms = node.now_ms();
-        let passed = passes(&entry, &path).await;
+        let passed = passes(&node, &entry, &path).await;
         let now_ms = node.now_ms();
         event!(info, now_ms, "server_checked", { "server": entry.id.as_str(), "passed": passed });
         if !is_of_interest(&node, &entry) {
@@ -119,9 +124,11 @@
     }
 }
 
-async fn passes(entry: &ServerEntry, path: &str) -> bool {
+async fn passes(node: &Node, entry: &ServerEntry, path: &str) -> bool {
     let call = Call::get(path, CHECK_TIMEOUT).expecting(&entry.id);
-    let answer = Link::new(entry.address).call(call).await;
+    let Ok(answer) = Link::new(entry.address).call(call).await else { return false };
+    let (status, server) = (answer.status(), ServerIdentity::new(entry));
+    server_answers::record(node, &server, status, answer.headers(), AnswerSource::HealthCheck);
     // A refusal by a full server also shows that the server is up.
-    answer.is_ok_and(|answer| answer.status() != StatusCode::MISDIRECTED_REQUEST)
+    status != StatusCode::MISDIRECTED_REQUEST
 }
