Let the stand-in store return from an older copy

The stand-in names its era in the header of every answer, taken under the same lock as the content, answers 410 to a read beyond its end, and can be replaced by a copy with the era raised by one. A copy takes records before it is restored, so that a reader finds other content at an offset that it knows. No gateway reads the header yet.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -7,4 +7,4 @@
 pub mod store;
 
 pub use crate::fleet::server::{Behaviour, ExecutedRequest, Server, ServerKind};
-pub use crate::fleet::store::{Availability, Store};
+pub use crate::fleet::store::{Availability, FIRST_ERA, Store, StoreCopy};
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -24,14 +24,52 @@
     Unresponsive,
 }
 
+/// The era of a store that was never restored.
+pub const FIRST_ERA: u64 = 1;
+
 /// One record of a keyed topic: key and value.
 type Record = (String, Vec<u8>);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     topics: HashMap<String, Vec<Record>>,
     availability: Availability,
     appends: Vec<(String, Option<u64>)>,
+    /// The value of the header `Store-Era`; `None` leaves it out.
+    era: Option<String>,
+}
+
+impl Default for State {
+    fn default() -> Self {
+        Self {
+            topics: HashMap::new(),
+            availability: Availability::default(),
+            appends: Vec::new(),
+            era: Some(FIRST_ERA.to_string()),
+        }
+    }
+}
+
+/// The content of a store at one time.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: HashMap<String, Vec<Record>>,
+}
+
+impl StoreCopy {
+    /// Appends a configuration, so that it is there as soon as the copy is restored.
+    pub fn put_configuration(&mut self, configuration: &Value) {
+        self.append("keyed.op", "config", &encode(configuration));
+    }
+
+    /// Appends a server's entry.
+    pub fn register(&mut self, id: &str, entry: &Value) {
+        self.append("keyed.servers", id, &encode(entry));
+    }
+
+    fn append(&mut self, topic: &str, key: &str, value: &[u8]) {
+        self.topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value.to_vec()));
+    }
 }
 
 #[derive(Debug, Default)]
@@ -107,6 +145,34 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { topics: self.lock().topics.clone() }
+    }
+
+    /// Replaces the content by a copy and raises the era by one; calls in progress are answered in
+    /// the new era.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        state.topics = copy.topics;
+        let era = state.era.as_deref().and_then(|era| era.parse().ok()).unwrap_or(FIRST_ERA);
+        state.era = Some((era + 1).to_string());
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Sets the header that names the era; `None` leaves it out.
+    pub fn set_era(&self, era: Option<&str>) {
+        self.lock().era = era.map(str::to_owned);
+    }
+
+    /// Returns the keys of a topic's records.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let state = self.lock();
+        let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+        records.iter().map(|(key, _)| key.clone()).collect()
+    }
+
     /// Returns the number of records in a topic.
     pub fn len(&self, topic: &str) -> usize {
         self.lock().topics.get(topic).map_or(0, Vec::len)
@@ -150,30 +216,44 @@
     let mut stream = BufReader::new(stream);
     while let Some(request) = read_request(&mut stream).await? {
         let availability = lock(shared).availability;
-        let (status, body) = match availability {
+        let answer = match availability {
             Availability::Up => answer(shared, &request).await,
-            Availability::Refuses => (503, Vec::new()),
+            Availability::Refuses => Answer::new(&lock(shared), 503, Vec::new()),
             Availability::Unresponsive => return std::future::pending().await,
         };
         if lock(shared).availability == Availability::Unresponsive {
             return std::future::pending().await;
         }
-        write_answer(&mut stream, status, &[], &body).await?;
+        let era = answer.era.as_deref().map(|era| ("Store-Era", era));
+        write_answer(&mut stream, answer.status, era.as_slice(), &answer.body).await?;
     }
     Ok(())
 }
 
-async fn answer(shared: &Shared, request: &ReceivedRequest) -> (u16, Vec<u8>) {
+/// An answer, with the era of the content that it was taken from.
+struct Answer {
+    status: u16,
+    body: Vec<u8>,
+    era: Option<String>,
+}
+
+impl Answer {
+    fn new(state: &State, status: u16, body: Vec<u8>) -> Self {
+        Self { status, body, era: state.era.clone() }
+    }
+}
+
+async fn answer(shared: &Shared, request: &ReceivedRequest) -> Answer {
     let topic = request.query("topic");
     match request.path() {
-        "/camphorward/log-newest" => (200, newest(shared, topic)),
+        "/camphorward/log-newest" => newest(shared, topic),
         "/camphorward/log-read" => read(shared, topic, request).await,
         "/camphorward/log-append" => append(shared, topic, request),
-        _ => (404, Vec::new()),
+        _ => Answer::new(&lock(shared), 404, Vec::new()),
     }
 }
 
-fn newest(shared: &Shared, topic: &str) -> Vec<u8> {
+fn newest(shared: &Shared, topic: &str) -> Answer {
     use base64::Engine as _;
     let state = lock(shared);
     let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
@@ -189,10 +269,11 @@
             json!({ "key": key, "value": base64.encode(value), "offset": offset })
         })
         .collect();
-    encode(&json!({ "items": items, "more": false, "end": records.len() }))
+    let body = encode(&json!({ "items": items, "more": false, "end": records.len() }));
+    Answer::new(&state, 200, body)
 }
 
-async fn read(shared: &Shared, topic: &str, request: &ReceivedRequest) -> (u16, Vec<u8>) {
+async fn read(shared: &Shared, topic: &str, request: &ReceivedRequest) -> Answer {
     let from: usize = request.query("from").parse().unwrap_or(0);
     let wait = Duration::from_millis(request.query("waitMs").parse().unwrap_or(0));
     let deadline = tokio::time::Instant::now() + wait;
@@ -201,8 +282,11 @@
         {
             let state = lock(shared);
             let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+            if records.len() < from {
+                return Answer::new(&state, 410, encode(&json!({ "first": 0 })));
+            }
             if records.len() > from || tokio::time::Instant::now() >= deadline {
-                return (200, frames(records, from));
+                return Answer::new(&state, 200, frames(records, from));
             }
         }
         // The loop checks both for new records and for the end of the wait.
@@ -222,20 +306,22 @@
     bytes
 }
 
-fn append(shared: &Shared, topic: &str, request: &ReceivedRequest) -> (u16, Vec<u8>) {
+fn append(shared: &Shared, topic: &str, request: &ReceivedRequest) -> Answer {
     let mut state = lock(shared);
     let at: Option<u64> = request.query("at").parse().ok();
     let records = state.topics.entry(topic.to_owned()).or_default();
     let offset = records.len() as u64;
     if at.is_some_and(|at| at != offset) {
-        return (412, encode(&json!({ "end": offset })));
+        return Answer::new(&state, 412, encode(&json!({ "end": offset })));
     }
     let record = &request.body[4..];
     let key_length = usize::from(record[0]);
     let key = String::from_utf8_lossy(&record[1..=key_length]).into_owned();
     records.push((key, record[1 + key_length..].to_vec()));
     state.appends.push((topic.to_owned(), at));
+    let body = encode(&json!({ "offset": offset, "end": offset + 1 }));
+    let answer = Answer::new(&state, 200, body);
     drop(state);
     shared.changed.notify_waiters();
-    (200, encode(&json!({ "offset": offset, "end": offset + 1 })))
+    answer
 }
