--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -129,3 +129,13 @@
     assert!(!is_usable(&registry, &entry));
     assert!(is_usable(&registry, &other));
 }
+
+#[test]
+fn a_server_that_a_peer_lacks_right_after_a_step_back_stays_usable_until_the_grace_ends() {
+    let (mut registry, entry) = with_server();
+    registry.store_restored(OUTAGE_END_MS);
+    assert!(registry.merge(Vec::new(), OUTAGE_END_MS + 100).is_empty());
+    assert!(is_usable(&registry, &entry));
+    registry.expire_missing(OUTAGE_END_MS + 2_500);
+    assert!(!is_usable(&registry, &entry));
+}
