Register a gateway once for each rise of the store's era

The periodic write of a gateway's record may itself be the first call to see a rise, or be made between two rises. The era of the record, not that of the listing after it, now tells whether the gateway must register again: a write after the rise saves the second one, a write before it doesn't count.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -42,17 +42,19 @@
     loop {
         let must_write = listings.is_multiple_of(WRITE_EVERY_LISTINGS);
         let result = match must_write {
-            true => write_and_list(&node, &mut store, &record).await,
-            false => list(&node, &mut store).await,
+            true => write_and_list(&node, &mut store, &record).await.map(Some),
+            false => list(&node, &mut store).await.map(|()| None),
         };
-        if let Ok(era) = result
-            && must_write
-        {
+        if let Ok(Some(era)) = result {
             let before = registered_era.replace(era);
             if before.is_some_and(|before| before < era) {
                 node.metrics.count("store_eras", "written_again");
                 event!(info, node.now_ms(), "gateway_registered_again", { "era": era.value() });
             }
+            // A rise is done with if this record was written after it.
+            if eras.borrow_and_update().current() != era {
+                eras.mark_changed();
+            }
         }
         if let Err(error) = result {
             event!(debug, node.now_ms(), "gateways_not_listed", { "error": error.to_string() });
@@ -69,17 +71,19 @@
     }
 }
 
+/// Writes the record and lists the gateways; returns the era in which the record was written.
 async fn write_and_list(
     node: &Node,
     store: &mut StoreClient,
     record: &GatewayRecord,
 ) -> Result<StoreEra, StoreError> {
     let value = peers::encode(record);
-    store.append(GATEWAY_TOPIC, record.host.as_str(), &value, None).await?;
-    list(node, store).await
+    let (_, era) = store.append(GATEWAY_TOPIC, record.host.as_str(), &value, None).await?;
+    list(node, store).await?;
+    Ok(era)
 }
 
-async fn list(node: &Node, store: &mut StoreClient) -> Result<StoreEra, StoreError> {
+async fn list(node: &Node, store: &mut StoreClient) -> Result<(), StoreError> {
     let newest = store.newest(GATEWAY_TOPIC).await?;
     let records = newest.records.into_iter().filter_map(|(record, offset)| {
         let gateway = peers::decode::<GatewayRecord>(record.value.as_deref()?)?;
@@ -94,5 +98,5 @@
     if count != before {
         event!(info, node.now_ms(), "gateways_listed", { "count": count, "before": before });
     }
-    Ok(newest.end.era)
+    Ok(())
 }
--- a/crates/gateway/src/rollout_leader/lease.rs
+++ b/crates/gateway/src/rollout_leader/lease.rs
@@ -227,7 +227,7 @@
             era: end.era,
         };
         let value = peers::encode(&record);
-        let appended = store.append(ROLLOUT_LEASE_TOPIC, LEASE_KEY, &value, Some(end)).await?;
+        let (appended, _) = store.append(ROLLOUT_LEASE_TOPIC, LEASE_KEY, &value, Some(end)).await?;
         Ok((appended.offset, appended.end))
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -141,7 +141,7 @@
     }
 
     /// Appends a record to a keyed topic; with `at`, only if the partition ends at that
-    /// position.
+    /// position. Returns the era of the record beside its offsets.
     ///
     /// # Errors
     ///
@@ -154,7 +154,7 @@
         key: &str,
         value: &[u8],
         at: Option<LogPosition>,
-    ) -> Result<Appended, StoreError> {
+    ) -> Result<(Appended, StoreEra), StoreError> {
         let body = frames::encode_keyed(key, value)?;
         let call =
             Call::post(wire::append_path(topic, at.map(|at| at.offset)), body, ANSWER_TIMEOUT);
@@ -163,7 +163,7 @@
             return Err(StoreError::EraChanged);
         }
         match answer.status() {
-            StatusCode::OK => Ok(wire::decode_appended(answer.body())?),
+            StatusCode::OK => Ok((wire::decode_appended(answer.body())?, era)),
             StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict),
             status => Err(StoreError::Refused(status)),
         }
