Grant missing servers the grace before a listing of the new era applies

The era rose, and readers saw it, before the registry knew that entries may be missing. A listing of the new era that another task had asked for could be applied in between and remove a sound server that the copy lacks. No run showed it; it was found by reading. The grace now begins under the lock of the era. A rise is pushed to peers only by gateways that learned it from the store: pushed on by all, one rise would cost as many calls as pairs of gateways.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -157,7 +157,7 @@
     pub stream_exchange: StreamExchange,
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<RoutingState>,
-    /// The era of the platform's store.
+    /// The era of the platform's store; not locked while `state` is.
     eras: watch::Sender<EraTracker>,
     /// The reasons for ignoring an era that have been logged.
     logged_eras: Mutex<BTreeSet<IgnoredEra>>,
@@ -308,11 +308,22 @@
         let now_ms = self.now_ms();
         self.eras.send_if_modified(|eras| {
             judged = eras.observe_answer(asked, named, now_ms);
-            matches!(judged, AnswerEra::Raised { .. })
+            let is_raised = matches!(judged, AnswerEra::Raised { .. });
+            if is_raised {
+                // No listing of the new era may be applied before.
+                self.state().registry.store_restored(now_ms);
+            }
+            is_raised
         });
         match judged {
             AnswerEra::Current => {}
-            AnswerEra::Raised { before } => self.handle_raised_era(before, "store"),
+            AnswerEra::Raised { before } => {
+                self.handle_raised_era(before, "store");
+                // Gateways that learn it from a peer do not pass it on at once, so that a rise does
+                // not flood an installation.
+                let era = self.eras().known();
+                self.queue_update(|update| update.store_era = era);
+            }
             AnswerEra::Outdated => {
                 self.metrics.count("store_eras", "outdated");
                 return None;
@@ -332,6 +343,9 @@
         let now_ms = self.now_ms();
         self.eras.send_if_modified(|eras| {
             before = eras.observe_era(era, now_ms);
+            if before.is_some() {
+                self.state().registry.store_restored(now_ms);
+            }
             before.is_some()
         });
         if let Some(before) = before {
@@ -342,7 +356,6 @@
     fn handle_raised_era(&self, before: StoreEra, source: &str) {
         let now_ms = self.now_ms();
         let era = self.eras().current();
-        self.state().registry.store_restored(now_ms);
         self.metrics.count("store_eras", "raised");
         event!(warn, now_ms, "store_era_raised", {
             "before": before.value(),
@@ -350,7 +363,6 @@
             "source": source,
         });
         self.weights_changed.notify_one();
-        self.queue_update(|update| update.store_era = Some(era));
     }
 
     fn log_ignored_era(&self, reason: IgnoredEra, named: NamedEra) {
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -130,6 +130,7 @@
     let next = current(node);
     let in_force = node.in_force();
     let is_same_incarnation = position.incarnation == node.incarnation;
+    let store_era = node.eras().known();
     let state = node.state();
     let recent = is_same_incarnation.then(|| state.block_log.since(position.blocks)).flatten();
     let all_blocks = || {
@@ -149,6 +150,6 @@
         blocks: recent.unwrap_or_else(all_blocks),
         oldest_used: state.blocks.oldest_used(),
         servers_clock_ms: node.to_servers_clock_ms(node.now_ms()),
-        store_era: node.eras().known(),
+        store_era,
     })
 }
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -53,6 +53,7 @@
 fn snapshot(node: &Node) -> Option<Snapshot> {
     let age_ms = node.store_age_ms()?;
     let configuration = node.in_force().map(|held| held.record.clone());
+    let store_era = node.eras().known();
     let state = node.state();
     Some(Snapshot {
         age_ms,
@@ -60,7 +61,7 @@
         weights: state.target_versions(),
         servers: state.registry.snapshot(),
         gateways: state.gateways.records(),
-        store_era: node.eras().known(),
+        store_era,
     })
 }
 
