Let gateways of earlier versions read a lease record with an era

A record is an array. A gateway of an earlier version rejects one with a field more (a trial: LengthMismatch), took the lease for free, and would have claimed it while another gateway held it, as long as an upgrade runs. The era now follows the record, where earlier versions ignore it (the same trial).

--- a/crates/camphorwardd/tests/gateway/store_era.rs
+++ b/crates/camphorwardd/tests/gateway/store_era.rs
@@ -133,6 +133,17 @@
     assert!(later.all(|line| line["fence"].as_u64() > Some(fences[0])));
 }
 
+#[tokio::test]
+async fn gateways_of_earlier_versions_read_a_lease_record_with_an_era() {
+    const FIELDS: usize = 4;
+    let fleet = Fleet::start(0, 1).await;
+    let _gateway = fleet.gateway("gateway-1").await;
+    fleet.store.set_target_version("m", 2);
+    until("the lease is claimed", || !fleet.store.is_empty("keyed.steward")).await;
+    let record = &fleet.store.values("keyed.steward")[0];
+    assert_eq!(record.as_array().map(Vec::len), Some(FIELDS), "{record}");
+}
+
 #[tokio::test]
 async fn gateways_register_again_when_the_copy_lacks_them() {
     let fleet = Fleet::start(1, 0).await;
--- a/crates/dispatch/src/lease.rs
+++ b/crates/dispatch/src/lease.rs
@@ -56,8 +56,9 @@
     /// gateways that start later.
     #[serde(rename = "named")]
     pub target_versions: Vec<TargetVersionRecord>,
-    /// The era of the store in which the condition of the append was read.
-    #[serde(default)]
+    /// The era of the store in which the condition of the append was read. It follows the encoded
+    /// record, where gateways of earlier versions ignore it.
+    #[serde(skip)]
     pub era: StoreEra,
 }
 
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -126,6 +126,25 @@
     rmp_serde::to_vec(message).expect("messages have a MessagePack form")
 }
 
+/// Encodes a message and a value that follows it; [`decode`] reads such a message without the value.
+///
+/// # Panics
+///
+/// Panics as [`encode`] does.
+pub fn encode_with<T: Serialize, V: Serialize>(message: &T, value: &V) -> Vec<u8> {
+    let mut bytes = encode(message);
+    bytes.extend(encode(value));
+    bytes
+}
+
+/// Decodes a message and the value that follows it, or the default if none does.
+pub fn decode_with<T: DeserializeOwned, V: DeserializeOwned + Default>(
+    mut bytes: &[u8],
+) -> Option<(T, V)> {
+    let message = rmp_serde::from_read(&mut bytes).ok()?;
+    Some((message, rmp_serde::from_read(&mut bytes).unwrap_or_default()))
+}
+
 /// Decodes a message; `None` if another version of the program encoded it in another form.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     rmp_serde::from_slice(bytes).ok()
--- a/crates/gateway/src/rollout_leader/lease.rs
+++ b/crates/gateway/src/rollout_leader/lease.rs
@@ -226,7 +226,7 @@
             target_versions: target_version_records(node),
             era: end.era,
         };
-        let value = peers::encode(&record);
+        let value = peers::encode_with(&record, &record.era);
         let (appended, _) = store.append(ROLLOUT_LEASE_TOPIC, LEASE_KEY, &value, Some(end)).await?;
         Ok((appended.offset, appended.end))
     }
@@ -244,7 +244,9 @@
         }
         let now_ms = node.now_ms();
         for (record, offset) in newest.records {
-            let lease = record.value.as_deref().and_then(peers::decode::<LeaseRecord>);
+            let lease =
+                record.value.as_deref().and_then(peers::decode_with::<LeaseRecord, StoreEra>);
+            let lease = lease.map(|(record, era)| LeaseRecord { era, ..record });
             let offset = LogOffset::new(offset);
             let is_seen = self.seen.as_ref().is_some_and(|seen| seen.offset == offset);
             if let Some(record) = lease.filter(|_| !is_seen) {
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -173,6 +173,13 @@
         records.iter().map(|(key, _)| key.clone()).collect()
     }
 
+    /// Returns the MessagePack values with which a topic's records begin.
+    pub fn values(&self, topic: &str) -> Vec<Value> {
+        let state = self.lock();
+        let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+        records.iter().filter_map(|(_, value)| rmp_serde::from_slice(value).ok()).collect()
+    }
+
     /// Returns the number of records in a topic.
     pub fn len(&self, topic: &str) -> usize {
         self.lock().topics.get(topic).map_or(0, Vec::len)
