--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -46,7 +46,8 @@
         let response =
             self.link.call(Call::post(FOLLOW_PATH, body, POLL_WAIT + ANSWER_TIMEOUT)).await;
         let response = response.ok().filter(is_ok);
-        let answer = response.and_then(|response| message::decode::<FollowAnswer>(response.body()));
+        let answer = response.and_then(|response| message::decode_with(response.body()));
+        let answer = answer.map(|(answer, store_era)| FollowAnswer { store_era, ..answer });
         let Some(answer) = answer else {
             node.metrics.count("peer_failures", "follow");
             self.position = FollowRequest::default();
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -28,8 +28,8 @@
     pub servers: Vec<(ServerEntry, RegistryStatus)>,
     /// The gateways.
     pub gateways: Vec<GatewayRecord>,
-    /// The era of the store, if known.
-    #[serde(default)]
+    /// The era of the store, if known; it follows the encoded message.
+    #[serde(skip)]
     pub store_era: Option<StoreEra>,
 }
 
@@ -72,8 +72,8 @@
     pub oldest_used: Vec<(ModelName, u64)>,
     /// The time on the servers' clock, in milliseconds, if known.
     pub servers_clock_ms: Option<u64>,
-    /// The era of the store, if known.
-    #[serde(default)]
+    /// The era of the store, if known; it follows the encoded message.
+    #[serde(skip)]
     pub store_era: Option<StoreEra>,
 }
 
@@ -90,8 +90,8 @@
     pub oldest_used: Vec<(ModelName, u64)>,
     /// Servers that have loaded weights.
     pub loaded: Vec<(ServerId, ModelName, u64)>,
-    /// The era of the store, if it has risen.
-    #[serde(default)]
+    /// The era of the store, if it has risen; it follows the encoded message.
+    #[serde(skip)]
     pub store_era: Option<StoreEra>,
 }
 
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -35,7 +35,8 @@
             node.metrics.count("peer_failures", "snapshot");
             continue;
         };
-        let snapshot = is_ok(&answer).then(|| message::decode::<Snapshot>(answer.body())).flatten();
+        let snapshot = is_ok(&answer).then(|| message::decode_with(answer.body())).flatten();
+        let snapshot = snapshot.map(|(snapshot, store_era)| Snapshot { store_era, ..snapshot });
         if let Some(snapshot) = snapshot
             && age_ms.is_none_or(|age_ms| snapshot.age_ms < age_ms)
         {
--- a/crates/gateway/src/peers/push.rs
+++ b/crates/gateway/src/peers/push.rs
@@ -25,7 +25,7 @@
         if update.is_empty() {
             continue;
         }
-        let body = message::encode(&update);
+        let body = message::encode_with(&update, &update.store_era);
         let peers: Vec<SocketAddr> =
             node.state().gateways.peers().map(|record| record.peer_address).collect();
         links.retain(|address, _| peers.contains(address));
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -6,6 +6,7 @@
 use crate::peers::message::{
     self, FOLLOW_PATH, FollowRequest, PeerUpdate, SNAPSHOT_PATH, Snapshot, UPDATE_PATH,
 };
+use bytes::Bytes;
 use dispatch::crashes::ContentKey;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -26,15 +27,16 @@
     let path = request.uri().path().to_owned();
     let unavailable = (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     match path.as_str() {
-        SNAPSHOT_PATH => snapshot(&node)
-            .map_or(unavailable, |snapshot| (StatusCode::OK, message::encode(&snapshot))),
+        SNAPSHOT_PATH => snapshot(&node).map_or(unavailable, |snapshot| {
+            (StatusCode::OK, message::encode_with(&snapshot, &snapshot.store_era))
+        }),
         FOLLOW_PATH => match decode_body::<FollowRequest>(request).await {
-            Some(position) => follow::answer(&node, position)
-                .await
-                .map_or(unavailable, |answer| (StatusCode::OK, message::encode(&answer))),
+            Some(position) => follow::answer(&node, position).await.map_or(unavailable, |answer| {
+                (StatusCode::OK, message::encode_with(&answer, &answer.store_era))
+            }),
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
-        UPDATE_PATH => match decode_body::<PeerUpdate>(request).await {
+        UPDATE_PATH => match decode_update(request).await {
             Some(update) => {
                 apply_update(&node, update);
                 (StatusCode::OK, Vec::new())
@@ -46,8 +48,17 @@
 }
 
 async fn decode_body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
+    message::decode(&read_body(request).await?)
+}
+
+async fn decode_update(request: Request<Incoming>) -> Option<PeerUpdate> {
+    let (update, store_era) = message::decode_with(&read_body(request).await?)?;
+    Some(PeerUpdate { store_era, ..update })
+}
+
+async fn read_body(request: Request<Incoming>) -> Option<Bytes> {
     let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await.ok()?;
-    message::decode(&body.to_bytes())
+    Some(body.to_bytes())
 }
 
 fn snapshot(node: &Node) -> Option<Snapshot> {
