--- a/crates/dispatch/tests/registry.rs
+++ b/crates/dispatch/tests/registry.rs
@@ -185,3 +185,13 @@
     registry.apply(heartbeat(&entry, 22), 4_000);
     assert!(!is_usable(&registry, &entry));
 }
+
+#[test]
+fn a_server_that_a_peer_lacks_right_after_a_step_back_stays_usable_until_the_grace_ends() {
+    let (mut registry, entry) = with_server();
+    registry.store_restored(OUTAGE_END_MS);
+    assert!(registry.merge(Vec::new(), OUTAGE_END_MS + 100).is_empty());
+    assert!(is_usable(&registry, &entry));
+    registry.expire_missing(OUTAGE_END_MS + 2_500);
+    assert!(!is_usable(&registry, &entry));
+}
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -50,7 +50,8 @@
             .inspect_err(|error| failures::record(node, self.address(), error))
             .ok()
             .filter(is_ok);
-        let answer = response.and_then(|response| message::decode::<FollowAnswer>(response.body()));
+        let answer = response.and_then(|response| message::decode_with(response.body()));
+        let answer = answer.map(|(answer, store_era)| FollowAnswer { store_era, ..answer });
         let Some(answer) = answer else {
             node.metrics.count("peer_failures", "follow");
             self.position = FollowRequest::default();
@@ -65,6 +66,7 @@
 }
 
 fn apply(node: &Node, answer: FollowAnswer) {
+    node.observe_peer_era(answer.store_era);
     if let Some(record) = answer.configuration {
         let record = KeyedRecord { key: CONFIGURATION_KEY.to_owned(), value: Some(record) };
         apply_operator_record(node, &record, "followed");
@@ -133,6 +135,7 @@
     let next = current(node);
     let in_force = node.in_force();
     let is_same_incarnation = position.incarnation == node.incarnation;
+    let store_era = node.eras().known();
     let state = node.state();
     let recent = is_same_incarnation.then(|| state.block_log.since(position.blocks)).flatten();
     let all_blocks = || {
@@ -152,5 +155,6 @@
         blocks: recent.unwrap_or_else(all_blocks),
         oldest_used: state.blocks.oldest_used(),
         servers_clock_ms: node.to_servers_clock_ms(node.now_ms()),
+        store_era,
     })
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::block_log::BlockEvent;
 use crate::gateways::GatewayRecord;
+use dispatch::era::StoreEra;
 use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
 use dispatch::streams::{StreamKey, StreamRecord};
 use protocol::ids::{Incarnation, ModelName};
@@ -27,6 +28,9 @@
     pub servers: Vec<(ServerEntry, RegistryStatus)>,
     /// The gateways.
     pub gateways: Vec<GatewayRecord>,
+    /// The era of the store, if known; it follows the encoded message.
+    #[serde(skip)]
+    pub store_era: Option<StoreEra>,
 }
 
 /// The path on which a follower polls for changes.
@@ -68,6 +72,9 @@
     pub oldest_used: Vec<(ModelName, u64)>,
     /// The time on the servers' clock, in milliseconds, if known.
     pub servers_clock_ms: Option<u64>,
+    /// The era of the store, if known; it follows the encoded message.
+    #[serde(skip)]
+    pub store_era: Option<StoreEra>,
 }
 
 /// An update that a gateway sends to all others as events occur.
@@ -87,6 +94,9 @@
     /// empty, because earlier versions of the program do not accept it.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<(ServerId, Incarnation)>,
+    /// The era of the store, if it has risen; it follows the encoded message.
+    #[serde(skip)]
+    pub store_era: Option<StoreEra>,
 }
 
 impl PeerUpdate {
@@ -97,6 +107,7 @@
             && self.oldest_used.is_empty()
             && self.loaded.is_empty()
             && self.leaving.is_empty()
+            && self.store_era.is_none()
     }
 }
 
@@ -120,6 +131,25 @@
     rmp_serde::to_vec(message).expect("messages have a MessagePack form")
 }
 
+/// Encodes a message and a value that follows it; [`decode`] reads such a message without the value.
+///
+/// # Panics
+///
+/// Panics as [`encode`] does.
+pub fn encode_with<T: Serialize, V: Serialize>(message: &T, value: &V) -> Vec<u8> {
+    let mut bytes = encode(message);
+    bytes.extend(encode(value));
+    bytes
+}
+
+/// Decodes a message and the value that follows it, or the default if none does.
+pub fn decode_with<T: DeserializeOwned, V: DeserializeOwned + Default>(
+    mut bytes: &[u8],
+) -> Option<(T, V)> {
+    let message = rmp_serde::from_read(&mut bytes).ok()?;
+    Some((message, rmp_serde::from_read(&mut bytes).unwrap_or_default()))
+}
+
 /// Decodes a message; `None` if another version of the program encoded it in another form.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
     rmp_serde::from_slice(bytes).ok()
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -40,7 +40,8 @@
                 continue;
             }
         };
-        let snapshot = is_ok(&answer).then(|| message::decode::<Snapshot>(answer.body())).flatten();
+        let snapshot = is_ok(&answer).then(|| message::decode_with(answer.body())).flatten();
+        let snapshot = snapshot.map(|(snapshot, store_era)| Snapshot { store_era, ..snapshot });
         if let Some(snapshot) = snapshot
             && age_ms.is_none_or(|age_ms| snapshot.age_ms < age_ms)
         {
@@ -63,6 +64,7 @@
 }
 
 fn apply(node: &Node, snapshot: Snapshot, peer: SocketAddr) {
+    node.observe_peer_era(snapshot.store_era);
     let now_ms = node.now_ms();
     event!(debug, now_ms, "snapshot_taken", { "peer": peer, "age_ms": snapshot.age_ms });
     if let Some(record) = snapshot.configuration {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -9,4 +9,4 @@
 
 pub use crate::fleet::endless::Endless;
 pub use crate::fleet::server::{Behaviour, ExecutedRequest, Server, ServerKind};
-pub use crate::fleet::store::{Availability, Store};
+pub use crate::fleet::store::{Availability, FIRST_ERA, Store, StoreCopy};
