Play releases, silent servers and returning callers in the soak

Now servers of new versions start beside the old ones, of which some leave; one or two servers fall silent for one to two seconds; the configuration changes timeouts and moves routes; settings are reloaded; two gateways are killed or restart one after the other; callers' connections are cut. New checks: a stream has one version and each event once (ORDER), a request that was read ends with an answer (LOST), and returns go on at least half as often as new streams. Half of the plays draw a part of the faults, so that gateways run longer.

--- a/crates/camphorwardd/tests/soak/checks.rs
+++ b/crates/camphorwardd/tests/soak/checks.rs
@@ -1,10 +1,12 @@
 //! The invariants, checked from what callers and servers received.
 
-use crate::fleet::{ORDERS, QUICK};
+use crate::fleet::{NOTES, ORDERS, QUICK};
 use crate::traffic::Answer;
-use crate::world::World;
+use crate::world::{EVENTS, MIN_TIMEOUT_MS, Member, SlotEvent, World};
 use standins::fleet::ExecutedRequest;
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Returns the violations of the invariants.
 pub fn violations(world: &World, answers: &[Answer]) -> Vec<String> {
@@ -14,9 +16,13 @@
     violations.extend(
         executed.iter().filter_map(|(id, executions)| executions_violation(id, executions)),
     );
-    violations.extend(
-        world.members.iter().filter_map(|member| commands_violation(&member.server.commands())),
-    );
+    let members = world.members();
+    violations.extend(streams(answers).values().filter_map(|tries| order_violation(tries)));
+    let runners = runners(&members);
+    violations.extend(answers.iter().filter_map(|answer| loss_violation(world, answer, &runners)));
+    violations.extend(returns_violation(world, answers));
+    violations
+        .extend(members.iter().filter_map(|member| commands_violation(&member.server.commands())));
     for slot in &world.slots {
         let previous_logs = slot.previous_logs.lock().unwrap();
         violations
@@ -27,7 +33,7 @@
 
 fn executed_by_id(world: &World) -> HashMap<String, Vec<ExecutedRequest>> {
     let mut by_id: HashMap<String, Vec<ExecutedRequest>> = HashMap::new();
-    for executed in world.members.iter().flat_map(|member| member.server.executed()) {
+    for executed in world.members().iter().flat_map(|member| member.server.executed()) {
         by_id.entry(executed.request.header("x-attempt-id").to_owned()).or_default().push(executed);
     }
     by_id
@@ -42,7 +48,7 @@
     answer: &Answer,
     executed: &HashMap<String, Vec<ExecutedRequest>>,
 ) -> Option<String> {
-    let Answer { id, path, response } = answer;
+    let Answer { id, path, response, .. } = answer;
     let executions = executed.get(id).map_or(0, Vec::len);
     let reports_not_run = [408, 421, 429, 503].contains(&response.status);
     if reports_not_run && executions > 0 && !is_retryable(path) {
@@ -51,9 +57,9 @@
     if response.status != 200 || !response.is_complete {
         return None;
     }
-    let is_own_answer = if path.starts_with(QUICK) || path.starts_with(crate::fleet::NOTES) {
+    let is_own_answer = if path.starts_with(QUICK) || path.starts_with(NOTES) {
         let ids = response.body.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.eq(["1", "2", "3", "4", "5"])
+        ids.eq((answer.last_event + 1..=EVENTS).map(|event| event.to_string()))
     } else {
         response.body.starts_with(&format!("answer to {id} with "))
     };
@@ -92,3 +98,98 @@
     let versions: Vec<u64> = in_force.filter_map(|line| line["version"].as_u64()).collect();
     (!versions.is_sorted()).then(|| format!("{host} put the configurations {versions:?} in force"))
 }
+
+/// Returns the tries at each resumable stream, in their order.
+fn streams(answers: &[Answer]) -> HashMap<&str, Vec<&Answer>> {
+    let mut streams: HashMap<&str, Vec<&Answer>> = HashMap::new();
+    for answer in answers.iter().filter(|answer| answer.path == NOTES) {
+        streams.entry(&answer.first_attempt).or_default().push(answer);
+    }
+    streams
+}
+
+/// A stream has events of one software version, each once and in order over all its tries.
+fn order_violation(tries: &[&Answer]) -> Option<String> {
+    let events: Vec<_> = tries.iter().flat_map(|answer| answer.events()).collect();
+    let versions: HashSet<_> = events.iter().map(|(_, version)| version).collect();
+    let is_in_order = events.iter().map(|(event, _)| *event).eq(1..=events.len() as u64);
+    (versions.len() > 1 || !is_in_order)
+        .then(|| format!("ORDER: {} has the events {events:?}", tries[0].first_attempt))
+}
+
+/// Returns the servers that executed each attempt.
+fn runners(members: &[Arc<Member>]) -> HashMap<String, Vec<&Arc<Member>>> {
+    let mut runners: HashMap<String, Vec<_>> = HashMap::new();
+    for member in members {
+        for executed in member.server.executed() {
+            let id = executed.request.header("x-attempt-id").to_owned();
+            runners.entry(id).or_default().push(member);
+        }
+    }
+    runners
+}
+
+/// A request that was read ends with a complete answer, unless its gateway was killed, a server of
+/// it broke, or its time had passed. It was read if a server executed it, and if it arrived at a
+/// running gateway on a connection that was not idle.
+fn loss_violation(
+    world: &World,
+    answer: &Answer,
+    runners: &HashMap<String, Vec<&Arc<Member>>>,
+) -> Option<String> {
+    /// How much earlier than its timeout a request may end.
+    const MARGIN_MS: u64 = 100;
+    /// How long a connection is surely not idle; less than the shortest idle timeout.
+    const MAX_IDLE: Duration = Duration::from_millis(100);
+    let Answer { id, path, response, sent, ended, .. } = answer;
+    let took = *ended - *sent;
+    if response.is_complete || took >= Duration::from_millis(MIN_TIMEOUT_MS - MARGIN_MS) {
+        return None;
+    }
+    let slot = &world.slots[answer.slot];
+    let servers = runners.get(id).map_or(&[] as &[_], Vec::as_slice);
+    let outer = [SlotEvent::Killed, SlotEvent::Cut];
+    if slot.had_within(&outer, *sent, *ended)
+        || servers.iter().any(|member| member.broke_within(*sent, *ended))
+    {
+        return None;
+    }
+    let is_idle = answer.previous_sent.is_some_and(|previous| *sent - previous > MAX_IDLE);
+    let is_leaving =
+        slot.ran_for(*sent).is_none() || slot.had_within(&[SlotEvent::Terminated], *sent, *ended);
+    if servers.is_empty() && (is_idle || is_leaving) {
+        return None;
+    }
+    let servers: Vec<_> = servers.iter().map(|member| member.server.id()).collect();
+    Some(format!(
+        "LOST: {id} on {path} at {} ended after {took:?} with {} and {} events; ran on {servers:?}",
+        slot.host,
+        response.status,
+        answer.events().len()
+    ))
+}
+
+/// Of the returns at gateways that have run for a while, at least half as large a share goes on as
+/// of new streams, while two servers of the version serve.
+fn returns_violation(world: &World, answers: &[Answer]) -> Option<String> {
+    const MIN_UPTIME: Duration = Duration::from_secs(4);
+    const MIN_RETURNS: usize = 12;
+    let count = |is_return: bool| {
+        let counted = answers.iter().filter(|answer| {
+            let slot = &world.slots[answer.slot];
+            let stops = [SlotEvent::Terminated, SlotEvent::Killed, SlotEvent::Cut];
+            answer.path == NOTES
+                && answer.is_return() == is_return
+                && answer.is_servable
+                && slot.ran_for(answer.sent).is_some_and(|ran| ran >= MIN_UPTIME)
+                && !slot.had_within(&stops, answer.sent, answer.ended)
+        });
+        let served = counted.clone().filter(|answer| answer.response.status == 200).count();
+        (served, counted.count())
+    };
+    let ((served, returns), (new_served, new)) = (count(true), count(false));
+    println!("  returns {served}/{returns}, new streams {new_served}/{new}");
+    (returns >= MIN_RETURNS && 2 * served * new < new_served * returns).then(|| {
+        format!("{served} of {returns} returns went on, {new_served} of {new} new streams")
+    })
+}
--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -1,14 +1,13 @@
 //! Sequential and overlapping faults, drawn from a seed.
 
-use crate::fleet::configuration;
-use crate::world::World;
+use crate::world::{Member, SlotEvent, World, site_configuration};
 use rand::Rng;
 use rand::rngs::SmallRng;
 use standins::fleet::{Availability, Behaviour};
 use standins::relay::Partition;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::task::JoinSet;
 
 const BEHAVIOURS: [Behaviour; 10] = [
@@ -24,32 +23,66 @@
     Behaviour::Extra,
 ];
 
-/// Injects faults for a period; several may overlap.
+/// The number of kinds of faults.
+const KINDS: u32 = 25;
+
+/// What was drawn for one fault.
+struct Draw {
+    kind: u32,
+    slot: usize,
+    member: usize,
+    duration: Duration,
+    behaviour: Behaviour,
+    number: u32,
+}
+
+/// Injects faults for a period; several may overlap. Every other play draws a part of the kinds and
+/// an interval, so that gateways run longer and kinds meet that would be hidden by others.
 pub async fn inject(world: &Arc<World>, random: &mut SmallRng, period: Duration) {
     let mut active = JoinSet::new();
+    let (mut kinds, mut max_gap_ms) = ((0..KINDS).collect::<Vec<_>>(), 400);
+    if random.random() {
+        kinds.retain(|_| random.random_range(0..3) == 0);
+        kinds.push(random.random_range(14..KINDS));
+        max_gap_ms = random.random_range(400..1_500);
+    }
     let until = Instant::now() + period;
     while Instant::now() < until {
-        tokio::time::sleep(Duration::from_millis(random.random_range(20..400))).await;
-        let slot = random.random_range(0..world.slots.len());
-        let member = random.random_range(0..world.members.len());
-        let duration = Duration::from_millis(random.random_range(100..2_500));
-        let behaviour = BEHAVIOURS[random.random_range(0..BEHAVIOURS.len())];
-        let kind = random.random_range(0..14);
-        active.spawn(inject_one(Arc::clone(world), kind, slot, member, duration, behaviour));
+        tokio::time::sleep(Duration::from_millis(random.random_range(20..max_gap_ms))).await;
+        let draw = Draw {
+            slot: random.random_range(0..world.slots.len()),
+            member: random.random_range(0..1_000),
+            duration: Duration::from_millis(random.random_range(100..2_500)),
+            behaviour: BEHAVIOURS[random.random_range(0..BEHAVIOURS.len())],
+            kind: kinds[random.random_range(0..kinds.len())],
+            number: random.random(),
+        };
+        active.spawn(inject_one(Arc::clone(world), draw));
     }
     while active.join_next().await.is_some() {}
 }
 
-async fn inject_one(
-    world: Arc<World>,
-    kind: u32,
-    slot: usize,
-    member: usize,
-    duration: Duration,
-    behaviour: Behaviour,
-) {
+/// Makes a sound server silent for one to two seconds.
+async fn silence(member: &Member, duration: Duration) {
+    let server = &member.server;
+    let duration = Duration::from_secs(1).max(duration.min(Duration::from_secs(2)));
+    member.fault(false, duration, || server.pause(), || server.resume()).await;
+}
+
+async fn inject_one(world: Arc<World>, draw: Draw) {
+    let Draw { kind, slot, member, duration, behaviour, number } = draw;
+    let next = &world.slots[(slot + 1) % world.slots.len()];
     let slot = &world.slots[slot];
-    let member = &world.members[member];
+    let mut members = world.members();
+    members.retain(|member| member.state.lock().unwrap().is_some());
+    let member = Arc::clone(&members[member % members.len()]);
+    let Member { server, link, .. } = &*member;
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.as_millis());
+    world.faults.lock().unwrap().push(format!(
+        "{now_ms} kind {kind} on {} or {} for {duration:?}, {behaviour:?}, {number}",
+        slot.host,
+        server.id()
+    ));
     match kind {
         0 => {
             slot.kill().await;
@@ -78,37 +111,65 @@
             tokio::time::sleep(duration).await;
             world.store.set_availability(Availability::Up);
         }
-        6 => {
-            member.link.set_partition(Partition::Blackhole);
-            tokio::time::sleep(duration).await;
-            member.link.set_partition(Partition::None);
-        }
-        7 => {
-            member.link.set_partition(Partition::Refuse);
-            tokio::time::sleep(duration).await;
-            member.link.set_partition(Partition::None);
+        6 | 7 => {
+            let partition = if kind == 6 { Partition::Blackhole } else { Partition::Refuse };
+            let begin = || link.set_partition(partition);
+            member.fault(kind == 7, duration, begin, || link.set_partition(Partition::None)).await;
         }
         8 => {
-            member.link.stall_open_connections();
+            link.stall_open_connections();
             slot.store_link.stall_open_connections();
         }
-        9 => {
+        9 | 14 | 15 => {
             let version = world.version.fetch_add(1, Ordering::Relaxed) + 1;
-            world.store.put_configuration(&configuration(version, &["alpha-key"]));
+            let draw = if kind == 9 { 0 } else { number };
+            world.store.put_configuration(&site_configuration(version, draw));
         }
         10 => {
             let version = world.weights.fetch_add(1, Ordering::Relaxed) + 1;
             world.store.set_target_version("m", version);
         }
         11 => {
-            member.server.reset_streams_after(Some(2));
+            let begin = || server.reset_streams_after(Some(2));
+            member.fault(true, duration, begin, || server.reset_streams_after(None)).await;
+        }
+        16 | 17 => silence(&member, duration).await,
+        18 => {
+            members.retain(|other| other.service == member.service);
+            let first = number as usize % members.len();
+            let second = &members[(first + 1) % members.len()];
+            tokio::join!(silence(&members[first], duration), silence(second, duration));
+        }
+        19 => {
+            let service = if number.is_multiple_of(3) { "archive" } else { "notes" };
+            world.release(service, (number % 5 % 3) as usize, duration).await;
+        }
+        20 => slot.reload().await,
+        21 => {
+            tokio::join!(slot.kill(), next.kill());
             tokio::time::sleep(duration).await;
-            member.server.reset_streams_after(None);
+            tokio::join!(slot.restart(), next.restart());
+        }
+        22 => {
+            slot.replace().await;
+            next.replace().await;
+        }
+        23 => {
+            slot.record(SlotEvent::Cut);
+            slot.callers_link.set_partition(Partition::Refuse);
+            tokio::time::sleep(duration / 20).await;
+            slot.record(SlotEvent::Cut);
+            slot.callers_link.set_partition(Partition::None);
+        }
+        24 => {
+            let begin = || server.set_padding_bytes(8_000);
+            member.fault(false, duration, begin, || server.set_padding_bytes(0)).await;
         }
         _ => {
-            member.server.set_behaviour(behaviour);
-            tokio::time::sleep(duration).await;
-            member.server.set_behaviour(Behaviour::Serves);
+            let begin = || server.set_behaviour(behaviour);
+            let is_break = behaviour != Behaviour::Serves;
+            let end = || server.set_behaviour(Behaviour::Serves);
+            member.fault(is_break, duration, begin, end).await;
         }
     }
 }
--- a/crates/camphorwardd/tests/soak/main.rs
+++ b/crates/camphorwardd/tests/soak/main.rs
@@ -3,6 +3,8 @@
 //!
 //! CI runs the seeds of [`REGRESSIONS`] and a few more. To run it by hand:
 //! `CAMPHORWARD_SOAK_SEEDS=1..50 cargo test -p camphorwardd --test soak -- --nocapture`
+//!
+//! `CAMPHORWARD_SOAK_LOGS` names a directory for the logs of plays that fail.
 
 #[path = "../gateway/caller.rs"]
 #[allow(dead_code)]
@@ -22,6 +24,7 @@
 use crate::world::World;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use std::path::Path;
 use std::time::Duration;
 
 /// Seeds that have failed before, each with its cause.
@@ -73,5 +76,8 @@
     let answers = traffic.stop().await;
     let mut violations = checks::violations(&world, &answers);
     violations.extend(recovered.err());
+    if let (false, Ok(logs)) = (violations.is_empty(), std::env::var("CAMPHORWARD_SOAK_LOGS")) {
+        world.write_logs(&Path::new(&logs).join(seed.to_string())).await.unwrap();
+    }
     violations
 }
--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -3,14 +3,28 @@
 use crate::caller;
 use crate::fleet::{configuration, settings};
 use crate::process::Gateway;
+use serde_json::{Value, json};
 use standins::fleet::{Availability, Behaviour, Server, ServerKind, Store};
 use standins::relay::{Link, LinkConfig, Partition, Relay};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
 use tokio::sync::Mutex;
 
-pub const SERVERS: usize = 3;
+/// The services with their servers at the start, and their first software version.
+const SERVICES: [(&str, usize, ServerKind, &str); 4] = [
+    ("desk", 3, ServerKind::Plain, "v1"),
+    ("annex", 2, ServerKind::Plain, "v1"),
+    ("notes", 4, ServerKind::Engine, "v1"),
+    ("archive", 2, ServerKind::Engine, "a1"),
+];
 const LINK: LinkConfig = LinkConfig { delay_ms: 1.0, bytes_per_s: None };
+/// The events of each stream.
+pub const EVENTS: u64 = 30;
+/// The shortest timeout of a route, in milliseconds.
+pub const MIN_TIMEOUT_MS: u64 = 5_000;
+const EVENT_GAP: Duration = Duration::from_millis(30);
 
 /// A server behind its link.
 pub struct Member {
@@ -18,24 +32,93 @@
     pub link: Arc<Link>,
     pub relay: Relay,
     pub service: &'static str,
-    pub heartbeat: AtomicU64,
+    pub kind: ServerKind,
+    pub version: String,
+    heartbeat: AtomicU64,
+    /// The state in its entry; `None` once it has left.
+    pub state: std::sync::Mutex<Option<&'static str>>,
+    /// The faults at present.
+    pub faults: AtomicUsize,
+    /// When it broke and was sound again; silence is no break.
+    breaks: std::sync::Mutex<Vec<(Instant, Option<Instant>)>>,
 }
 
 impl Member {
-    async fn start(id: &str, kind: ServerKind, service: &'static str) -> Self {
+    async fn start(id: &str, kind: ServerKind, service: &'static str, version: &str) -> Self {
         let server = Server::start(id, kind).await.unwrap();
+        server.set_software_version(version);
+        server.set_events(EVENTS, EVENT_GAP);
         let link = Link::new(LINK);
         let relay = Relay::start(Arc::clone(&link), server.address()).await.unwrap();
-        Self { server, link, relay, service, heartbeat: AtomicU64::new(0) }
+        let state = std::sync::Mutex::new(Some("ready"));
+        let (heartbeat, version) = (AtomicU64::new(0), version.to_owned());
+        let (faults, breaks) = (AtomicUsize::new(0), std::sync::Mutex::default());
+        Self { server, link, relay, service, kind, version, heartbeat, state, faults, breaks }
     }
 
-    /// Registers the server with its next heartbeat.
+    /// Registers the server with its next heartbeat, unless it has left.
     pub fn beat(&self, store: &Store) {
+        let state = self.state.lock().unwrap();
+        let Some(state) = *state else { return };
         let heartbeat = self.heartbeat.fetch_add(1, Ordering::Relaxed) + 1;
-        let mut entry = self.server.entry(self.service, "east-1", heartbeat, "ready");
+        let mut entry = self.server.entry(self.service, "east-1", heartbeat, state);
         entry["address"] = self.relay.address().to_string().into();
         store.register(&self.server.id(), &entry);
     }
+
+    pub fn is_ready(&self) -> bool {
+        *self.state.lock().unwrap() == Some("ready")
+    }
+
+    /// Changes the state in the entry; `None` removes it. The server goes on with what it runs.
+    pub fn set_state(&self, store: &Store, state: Option<&'static str>) {
+        *self.state.lock().unwrap() = state;
+        match state {
+            Some(_) => self.beat(store),
+            None => store.remove(&self.server.id()),
+        }
+    }
+
+    /// Keeps up a fault for a duration.
+    pub async fn fault(
+        &self,
+        is_break: bool,
+        duration: Duration,
+        begin: impl FnOnce(),
+        end: impl FnOnce(),
+    ) {
+        self.faults.fetch_add(1, Ordering::Relaxed);
+        let index = is_break.then(|| {
+            let mut breaks = self.breaks.lock().unwrap();
+            breaks.push((Instant::now(), None));
+            breaks.len() - 1
+        });
+        begin();
+        tokio::time::sleep(duration).await;
+        end();
+        if let Some(index) = index {
+            self.breaks.lock().unwrap()[index].1 = Some(Instant::now());
+        }
+        self.faults.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether it was broken in a period.
+    pub fn broke_within(&self, from: Instant, to: Instant) -> bool {
+        /// How long the effects of a break take to reach the caller.
+        const DELAY: Duration = Duration::from_millis(100);
+        let breaks = self.breaks.lock().unwrap();
+        breaks.iter().any(|(begin, end)| *begin <= to && end.is_none_or(|end| end + DELAY >= from))
+    }
+}
+
+/// What happened to a gateway's process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SlotEvent {
+    Started,
+    Terminated,
+    Killed,
+    /// Its callers' connections were cut.
+    Cut,
 }
 
 /// A slot for a gateway, whose process changes with kills and restarts.
@@ -46,46 +129,105 @@
     pub gateway: Mutex<Option<Gateway>>,
     /// The address for callers, independent of the process that listens.
     pub callers: Relay,
+    pub callers_link: Arc<Link>,
+    pub events: std::sync::Mutex<Vec<(Instant, SlotEvent)>>,
     /// The log lines of previous processes.
     pub previous_logs: std::sync::Mutex<Vec<Vec<serde_json::Value>>>,
 }
 
 pub struct World {
     pub store: Store,
-    pub members: Vec<Member>,
+    members: RwLock<Vec<Arc<Member>>>,
     pub slots: Vec<GatewaySlot>,
     pub version: AtomicU64,
     pub weights: AtomicU64,
+    releases: AtomicU64,
+    /// The faults, for whoever traces a failure.
+    pub faults: std::sync::Mutex<Vec<String>>,
 }
 
 impl World {
     pub async fn start(gateways: usize) -> Arc<Self> {
         let store = Store::start().await.unwrap();
         let mut members = Vec::new();
-        for index in 0..SERVERS {
-            let desk = Member::start(&format!("desk-{index}"), ServerKind::Plain, "desk").await;
-            let id = format!("engine-{index}");
-            let engine = Member::start(&id, ServerKind::Engine, "notes").await;
-            members.extend([desk, engine]);
+        for (service, count, kind, version) in SERVICES {
+            for index in 0..count {
+                let id = format!("{service}-{index}");
+                members.push(Arc::new(Member::start(&id, kind, service, version).await));
+            }
         }
         members.iter().for_each(|member| member.beat(&store));
-        store.put_configuration(&configuration(1, &["alpha-key"]));
+        store.put_configuration(&site_configuration(1, 0));
         let mut slots = Vec::new();
         for index in 0..gateways {
             slots.push(GatewaySlot::start(&store, format!("gateway-{index}")).await);
         }
         let (version, weights) = (AtomicU64::new(1), AtomicU64::new(1));
-        let world = Arc::new(Self { store, members, slots, version, weights });
+        let (members, releases) = (RwLock::new(members), AtomicU64::new(0));
+        let faults = std::sync::Mutex::default();
+        let world = Arc::new(Self { store, members, slots, version, weights, releases, faults });
         for slot in &world.slots {
             slot.restart().await;
         }
         world
     }
 
+    /// Returns all servers that were started.
+    pub fn members(&self) -> Vec<Arc<Member>> {
+        self.members.read().unwrap().clone()
+    }
+
+    /// Returns the number of sound servers of a software version, or of the version that has most.
+    pub fn serving(&self, version: Option<&str>) -> usize {
+        let members = self.members();
+        let is_sound = |member: &&Arc<Member>| {
+            member.kind == ServerKind::Engine
+                && member.is_ready()
+                && member.faults.load(Ordering::Relaxed) == 0
+        };
+        let versions = members.iter().filter(is_sound).map(|member| member.version.as_str());
+        let count = |version| versions.clone().filter(|found| *found == version).count();
+        version.map_or_else(|| versions.clone().map(count).max().unwrap_or(0), count)
+    }
+
+    /// Starts two servers of a new software version, and makes the oldest ones leave.
+    pub async fn release(&self, service: &'static str, leaving: usize, duration: Duration) {
+        let release = self.releases.fetch_add(1, Ordering::Relaxed) + 1;
+        for index in 0..2 {
+            let id = format!("{service}-r{release}-{index}");
+            let version = format!("{service}-{release}");
+            let member = Member::start(&id, ServerKind::Engine, service, &version).await;
+            member.beat(&self.store);
+            self.members.write().unwrap().push(Arc::new(member));
+        }
+        tokio::time::sleep(duration).await;
+        let mut ready = self.members();
+        ready.retain(|member| member.service == service && member.is_ready());
+        ready.truncate(leaving.min(ready.len().saturating_sub(3)));
+        ready.iter().for_each(|member| member.set_state(&self.store, Some("draining")));
+        tokio::time::sleep(duration).await;
+        ready.iter().for_each(|member| member.set_state(&self.store, None));
+    }
+
+    /// Writes the faults and the log lines of all processes into a directory.
+    pub async fn write_logs(&self, directory: &Path) -> std::io::Result<()> {
+        std::fs::create_dir_all(directory)?;
+        std::fs::write(directory.join("faults"), self.faults.lock().unwrap().join("\n"))?;
+        for slot in &self.slots {
+            slot.kill().await;
+            let processes = slot.previous_logs.lock().unwrap();
+            let lines: Vec<_> = processes.iter().flatten().map(Value::to_string).collect();
+            std::fs::write(directory.join(&slot.host), lines.join("\n"))?;
+        }
+        Ok(())
+    }
+
     /// Ends all faults and starts the gateways that are down.
     pub async fn heal(&self) {
         self.store.set_availability(Availability::Up);
-        for member in &self.members {
+        for member in &self.members() {
+            member.server.resume();
+            member.server.set_padding_bytes(0);
             member.link.set_partition(Partition::None);
             member.server.set_behaviour(Behaviour::Serves);
             member.server.reset_streams_after(None);
@@ -94,6 +236,7 @@
         }
         for slot in &self.slots {
             slot.store_link.set_partition(Partition::None);
+            slot.callers_link.set_partition(Partition::None);
             slot.resume().await;
             if slot.gateway.lock().await.is_none() {
                 slot.restart().await;
@@ -106,9 +249,20 @@
     async fn start(store: &Store, host: String) -> Self {
         let store_link = Link::new(LINK);
         let store_relay = Relay::start(Arc::clone(&store_link), store.address()).await.unwrap();
-        let callers = Relay::start(Link::new(LINK), store.address()).await.unwrap();
-        let previous_logs = std::sync::Mutex::new(Vec::new());
-        Self { host, store_link, store_relay, gateway: Mutex::new(None), callers, previous_logs }
+        let callers_link = Link::new(LINK);
+        let callers = Relay::start(Arc::clone(&callers_link), store.address()).await.unwrap();
+        let (previous_logs, events) = Default::default();
+        let gateway = Mutex::new(None);
+        Self {
+            host,
+            store_link,
+            store_relay,
+            gateway,
+            callers,
+            callers_link,
+            events,
+            previous_logs,
+        }
     }
 
     /// Kills the current process, if there is one, and starts a new one.
@@ -118,11 +272,36 @@
         let gateway = Gateway::start(&settings(&self.host, &store, &[])).await;
         self.callers.set_target(gateway.callers);
         *self.gateway.lock().await = Some(gateway);
+        self.record(SlotEvent::Started);
+    }
+
+    pub fn record(&self, event: SlotEvent) {
+        self.events.lock().unwrap().push((Instant::now(), event));
+    }
+
+    /// Returns how long the process had run at a time, if it did.
+    pub fn ran_for(&self, at: Instant) -> Option<Duration> {
+        let events = self.events.lock().unwrap();
+        let mut before = events.iter().rev().filter(|(time, _)| *time <= at);
+        let (time, event) = before.find(|(_, event)| *event != SlotEvent::Cut)?;
+        (*event == SlotEvent::Started).then(|| at - *time)
+    }
+
+    /// Returns whether one of some events happened in a period, or shortly after it.
+    pub fn had_within(&self, wanted: &[SlotEvent], from: Instant, to: Instant) -> bool {
+        /// How long before its record an event may have its effect.
+        const DELAY: Duration = Duration::from_millis(100);
+        let events = self.events.lock().unwrap();
+        let mut within = events.iter().filter(|(time, _)| from <= *time && *time <= to + DELAY);
+        within.any(|(_, event)| wanted.contains(event))
     }
 
     pub async fn kill(&self) {
         if let Some(mut gateway) = self.gateway.lock().await.take() {
-            gateway.kill();
+            if gateway.exit_status().is_none() {
+                self.record(SlotEvent::Killed);
+                gateway.kill();
+            }
             self.previous_logs.lock().unwrap().push(gateway.all_lines());
         }
     }
@@ -131,6 +310,7 @@
     /// if it was replaced meanwhile.
     pub async fn replace(&self) {
         let Some(terminating) = self.gateway.lock().await.as_ref().map(|gateway| {
+            self.record(SlotEvent::Terminated);
             gateway.terminate();
             gateway.id()
         }) else {
@@ -162,6 +342,13 @@
         }
     }
 
+    /// Makes the process reload its settings.
+    pub async fn reload(&self) {
+        if let Some(gateway) = self.gateway.lock().await.as_ref() {
+            gateway.signal("HUP");
+        }
+    }
+
     /// Returns whether this gateway serves a request on a path.
     pub async fn serves(&self, path: &str) -> bool {
         let request = caller::request(path, &caller::new_id(), "", "body");
@@ -170,3 +357,25 @@
         answer.is_ok_and(|response| response.status == 200)
     }
 }
+
+/// Returns a configuration with timeouts and routes that are drawn; 0 gives the first one.
+pub fn site_configuration(version: u64, draw: u32) -> Value {
+    let mut value = configuration(version, &["alpha-key"]);
+    let services = value["services"].as_array_mut().unwrap();
+    for (existing, name) in [(0, "annex"), (1, "archive")] {
+        let mut service = services[existing].clone();
+        service["name"] = json!(name);
+        services.push(service);
+    }
+    value["limits"]["idleTimeoutMs"] = json!([15_000, 300, 2_000][(draw % 3) as usize]);
+    let timeout_ms = [8_000, MIN_TIMEOUT_MS][(draw / 3 % 2) as usize];
+    for route in value["routes"].as_array_mut().unwrap() {
+        route["timeoutMs"] = json!(timeout_ms);
+    }
+    let status = ["desk", "annex"][(draw / 6 % 2) as usize];
+    let streams = ["notes", "archive"][(draw / 12 % 2) as usize];
+    for (route, service) in [(1, status), (2, streams), (3, streams)] {
+        value["routes"][route]["service"] = json!(service);
+    }
+    value
+}
