--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -24,7 +24,7 @@
 ];
 
 /// The number of kinds of faults.
-const KINDS: u32 = 25;
+const KINDS: u32 = 26;
 
 /// What was drawn for one fault.
 struct Draw {
@@ -165,6 +165,13 @@
             let begin = || server.set_padding_bytes(8_000);
             member.fault(false, duration, begin, || server.set_padding_bytes(0)).await;
         }
+        25 => {
+            members.retain(|other| other.service == member.service && other.is_ready());
+            let Some(silent) = members.pop() else { return };
+            members.iter().for_each(|other| other.server.set_behaviour(Behaviour::Sheds));
+            silence(&silent, duration).await;
+            members.iter().for_each(|other| other.server.set_behaviour(Behaviour::Serves));
+        }
         _ => {
             let begin = || server.set_behaviour(behaviour);
             let is_break = behaviour != Behaviour::Serves;
