--- a/crates/camphorwardd/tests/soak/checks.rs
+++ b/crates/camphorwardd/tests/soak/checks.rs
@@ -185,6 +185,10 @@
                 && !slot.had_within(&stops, answer.sent, answer.ended)
         });
         let served = counted.clone().filter(|answer| answer.response.status == 200).count();
+        let refused = counted.clone().filter(|answer| is_return && answer.response.status != 200);
+        for Answer { id, response, slot, .. } in refused {
+            println!("  return {id} at {} got {}", world.slots[*slot].host, response.status);
+        }
         (served, counted.count())
     };
     let ((served, returns), (new_served, new)) = (count(true), count(false));
