Send a stream's record to peers that have not reported yet

Cause: a gateway takes a peer for live only once it has its load report. A new gateway is listed by its peers up to two seconds after its start and gets no reports from them before. Gateway 2 listed gateways 0 and 1 and had a report of gateway 3 only, which it did not list yet: it sent the records of its first streams to nobody. It was killed 0.4 s later, and the return was placed without one.

Ruled out: the query, as gateways 0 and 1 ran and were listed by each other. Not measured: datagrams.

Change: peers of the own failure domain that have not reported follow the live ones in the choice of holders, as they do in other failure domains. The test failed with one holder in place of three. That a return without a record can be placed at another service is a separate fault and remains.

--- a/crates/dispatch/src/streams.rs
+++ b/crates/dispatch/src/streams.rs
@@ -135,10 +135,12 @@
     for (domain, ranked) in rank_by_domain(key, peers) {
         let (live, down): (Vec<usize>, Vec<usize>) =
             ranked.into_iter().partition(|index| peers[*index].is_live);
+        // A peer that is not known to run may just not have reported yet.
+        let mut ranked = live.into_iter().chain(down);
         if domain == local_domain {
-            local = live;
+            local = ranked.collect();
         } else if holders.len() < REMOTE_HOLDERS {
-            holders.extend(live.into_iter().chain(down).next());
+            holders.extend(ranked.next());
         }
     }
     holders.extend(local.into_iter().take(HOLDERS - holders.len()));
--- a/crates/dispatch/tests/streams.rs
+++ b/crates/dispatch/tests/streams.rs
@@ -88,6 +88,22 @@
     assert!(registry.software_versions(&id("desk"), 2_000).is_empty());
 }
 
+/// Guards against a record with too few holders, because other gateways do not report yet.
+#[test]
+fn a_record_has_three_holders_although_peers_have_not_reported() {
+    let domain: FailureDomain = id("east-1");
+    let hosts: [HostName; 4] = std::array::from_fn(|index| id(&format!("gateway-{index}")));
+    let peers: Vec<Holder<'_>> = hosts
+        .iter()
+        .enumerate()
+        .map(|(index, host)| Holder { host, domain: &domain, is_live: index == 3 })
+        .collect();
+    for attempt in 0..20_u8 {
+        let found = holders(&StreamKey::new(&[attempt]), &domain, &peers);
+        assert_eq!((found.len(), found[0]), (3, 3));
+    }
+}
+
 struct Gateway {
     host: HostName,
     domain: FailureDomain,
