Refuse a return without a record if another service may have begun it

Cause: without a record the gateway took the only version of the service that the route names now. The service that it named when the stream began was not considered, nor the others of a weighted route. A gateway that started after the change cannot know what the route named before.

Change: the version is certain only if no other service that may run streams has served within the time that callers return. Services that the configuration lists without engines do not count.

--- a/crates/camphorwardd/tests/gateway/software_versions.rs
+++ b/crates/camphorwardd/tests/gateway/software_versions.rs
@@ -430,3 +430,33 @@
     let whole = Outcome { whole: streams.len(), ..Outcome::default() };
     assert_eq!((moved, outcome(&streams)), (0, whole));
 }
+
+/// Returns a configuration whose streams have moved to another service.
+fn moved_configuration() -> Value {
+    let mut value = configuration(2, &["alpha-key"]);
+    let mut service = value["services"][1].clone();
+    service["name"] = json!("archive");
+    value["services"].as_array_mut().unwrap().push(service);
+    value["routes"][2]["service"] = json!("archive");
+    value
+}
+
+/// Guards against a return without a record that goes to the only version of a moved route.
+#[tokio::test]
+async fn a_stream_of_unknown_origin_does_not_go_on_at_the_service_its_route_moved_to() {
+    let fleet = start(4).await;
+    for engine in &fleet.engines[2..] {
+        engine.set_software_version(NEW);
+        fleet.store.register(&engine.id(), &engine.entry("archive", "east-1", 2, "ready"));
+    }
+    let [mut first, second] = start_gateways(&fleet).await;
+    let mut streams = start_streams(&first).await;
+    first.kill();
+    drop(second);
+    read_cut(&mut streams).await;
+    fleet.store.put_configuration(&moved_configuration());
+    let [_, again] = start_gateways(&fleet).await;
+    return_to(&again, &mut streams).await;
+    read_all(&mut streams).await;
+    assert_eq!(outcome(&streams).mixed, 0);
+}
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -240,6 +240,14 @@
         versions.into_iter().cloned().collect()
     }
 
+    /// Returns the services that may have begun a stream which callers still take up again.
+    pub fn recent_services(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
+        let recent = self.software_used_ms.iter();
+        let recent = recent.filter(|(_, used_ms)| **used_ms + RECORD_TTL_MS > now_ms);
+        let current = self.all_usable().map(|entry| &entry.service);
+        current.chain(recent.map(|((service, _), _)| service)).collect()
+    }
+
     /// Returns the servers that take new requests of a service.
     pub fn usable<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a ServerEntry> {
         let all = self.servers.values();
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -5,7 +5,7 @@
 use crate::node::{InForce, Node};
 use crate::peers;
 use bytes::Bytes;
-use dispatch::configuration::{Route, RouteKind};
+use dispatch::configuration::{Configuration, Route, RouteKind};
 use dispatch::crashes::ContentKey;
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::routes::{self, Identity};
@@ -111,7 +111,8 @@
         let resumed = Resumed::new(&route, request.headers());
         let origin = match &resumed {
             Some(resumed) => {
-                let origin = find_origin(node, resumed.stream, &service).await;
+                let origin =
+                    find_origin(node, resumed.stream, &in_force.configuration, &service).await;
                 Some(origin.ok_or_else(|| refuse(Refusal::UnknownStream))?)
             }
             None => None,
@@ -191,6 +192,7 @@
 async fn find_origin(
     node: &Node,
     stream: Option<StreamKey>,
+    configuration: &Configuration,
     service: &ServiceName,
 ) -> Option<StreamOrigin> {
     /// The age of the store's cached state up to which the registry lists all versions in use, in
@@ -204,7 +206,16 @@
         None => Unknown::ToSome,
     };
     let is_fresh = node.store_age_ms().is_some_and(|age_ms| age_ms < MAX_REGISTRY_AGE_MS);
-    let versions = node.state().registry.software_versions(service, node.now_ms());
+    let now_ms = node.now_ms();
+    let state = node.state();
+    if state.registry.recent_services(now_ms).into_iter().any(|other| {
+        let configured = configuration.services.get(other);
+        other != service && configured.is_none_or(|configured| configured.engines().is_some())
+    }) {
+        // The route may have named the other service when the stream began.
+        return None;
+    }
+    let versions = state.registry.software_versions(service, now_ms);
     streams::origin_without_record(service, &versions, unknown, is_fresh)
 }
 
