--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -104,7 +104,8 @@
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let target = target.to_owned();
         let route = route.clone();
-        let target_stream = resumed::resolve(node, &route, &id, request.headers()).await;
+        let target_stream =
+            resumed::resolve(node, &in_force.configuration, &route, &id, request.headers()).await;
         let StreamTarget { stream, origin, service } = target_stream.map_err(refuse)?;
         let route_deadline_at_ms = arrived_ms + route.timeout_ms;
         let (head, body) = request.into_parts();
