Keep the soak's cuts of callers' connections shorter than its check expects

Trace: callers' connections to gateway-2 were cut at ...120056 ms for 2.42 s / 20 = 121 ms; the attempts before and after were sent at ...120040 and ...120059, so this one came at the start of the cut, and the record of its end lay more than 100 ms after the request. The check allows for 100 ms around a record, and stays as it is.

Cuts last 80 ms. No gateway was at fault.

--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -23,6 +23,9 @@
     Behaviour::Extra,
 ];
 
+/// How long callers' connections are cut; less than the time around its record in which the checks
+/// expect the effect of an event.
+const CUT_DURATION: Duration = Duration::from_millis(80);
 /// The number of kinds of faults.
 const KINDS: u32 = 26;
 
@@ -155,7 +158,7 @@
         23 => {
             slot.record(SlotEvent::Cut);
             slot.callers_link.set_partition(Partition::Refuse);
-            tokio::time::sleep(duration / 20).await;
+            tokio::time::sleep(CUT_DURATION).await;
             slot.record(SlotEvent::Cut);
             slot.callers_link.set_partition(Partition::None);
         }
