Log the content of requests and how many of its attempts were aborted

The logs could not tell whether repeats of a request that crashes servers were not counted, counted at one gateway only, or counted under another content. request_sent, send_failed and request_refused name the content; send_failed also has the count that this gateway knows, request_sent the incarnation of the server.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -4,6 +4,7 @@
 //! time it starts to run.
 
 use std::collections::HashMap;
+use std::fmt;
 
 /// Identifies a request by its content and its caller.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -34,6 +35,12 @@
     }
 }
 
+impl fmt::Display for ContentKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0[..8].iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// The number of aborted attempts from which on a request is refused. The platform allows three
 /// crashes. An attempt that was aborted without a crash counts too, which errs towards refusing.
 pub const MAX_ABORTED_ATTEMPTS: u32 = 3;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -167,6 +167,7 @@
         node.metrics.count("refusals", refusal.as_str());
         event!(warn, node.now_ms(), "request_refused", {
             "request": self.request.id_text(),
+            "content": self.request.content.to_string(),
             "route": self.request.route.name,
             "service": self.request.spec.service.as_str(),
             "reason": refusal.as_str(),
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -242,7 +242,9 @@
     let engine = placed.engine.as_ref();
     event!(info, node.now_ms(), "request_sent", {
         "request": request.id_text(),
+        "content": request.content.to_string(),
         "server": placed.entry.id.as_str(),
+        "incarnation": placed.entry.incarnation.value(),
         "software": placed.entry.software.as_str(),
         "resumes": request.header_text(&RESUMES),
         "last_event": request.header_text(&LAST_EVENT_ID),
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -204,8 +204,12 @@
 
     fn log_failed_attempt(&self, server: &ServerId, reason: &str, may_have_run: bool) {
         self.node.metrics.count("failed_sends", reason);
-        event!(warn, self.node.now_ms(), "send_failed", {
+        let now_ms = self.node.now_ms();
+        let content = &self.request.content;
+        event!(warn, now_ms, "send_failed", {
             "request": self.request.id_text(),
+            "content": content.to_string(),
+            "aborted_attempts": self.node.state().crashes.aborted_attempts(content, now_ms),
             "route": self.request.route.name,
             "server": server.as_str(),
             "reason": reason,
