Let the stand-in server crash under a request

A crash closes the listener and resets every connection; the server is back after a delay with another ID and incarnation, or stays away. Resets alone left the server alive, so no test could tell a crash from a reset connection.

Its test fails without the reset (the connection would end in order).

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,11 +2,13 @@
 //!
 //! They implement HTTP/1.1 on plain sockets, because most faults violate the protocol.
 
+pub mod crash;
 pub mod endless;
 pub mod http;
 pub mod server;
 pub mod store;
 
+pub use crate::fleet::crash::{CrashPlan, CrashTrigger};
 pub use crate::fleet::endless::Endless;
 pub use crate::fleet::server::{Behaviour, ExecutedRequest, Server, ServerKind};
 pub use crate::fleet::store::{Availability, FIRST_ERA, Store, StoreCopy};
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -1,10 +1,12 @@
 //! A stand-in for the platform's servers, with injectable faults.
 
+use crate::fleet::crash::{CrashPlan, Resettable};
 use crate::fleet::endless::{Endless, write_endless};
 use crate::fleet::http::{ReceivedRequest, head, read_request, write_chunk};
 use crate::fleet::store::encode;
 use serde_json::{Value, json};
 use socket2::SockRef;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -83,6 +85,10 @@
     /// The paths of all received requests.
     received: Vec<String>,
     is_paused: watch::Sender<bool>,
+    crash_plan: CrashPlan,
+    /// The number of crashes.
+    crashes: watch::Sender<u64>,
+    is_up: bool,
 }
 
 /// A running server; dropping it stops the server.
@@ -127,8 +133,11 @@
             extra_headers: Vec::new(),
             received: Vec::new(),
             is_paused: watch::Sender::new(false),
+            crash_plan: CrashPlan::default(),
+            crashes: watch::Sender::new(0),
+            is_up: true,
         }));
-        let task = tokio::spawn(accept(listener, kind, Arc::clone(&state))).abort_handle();
+        let task = tokio::spawn(run(listener, kind, Arc::clone(&state))).abort_handle();
         Ok(Self { address, kind, state, task })
     }
 
@@ -221,6 +230,26 @@
         self.lock().started_unix_ms += 1;
     }
 
+    /// Sets what makes the server crash from now on, and how.
+    pub fn set_crash_plan(&self, crash_plan: CrashPlan) {
+        self.lock().crash_plan = crash_plan;
+    }
+
+    /// Ends the server as if its process had crashed.
+    pub fn crash(&self) {
+        crash(&self.state);
+    }
+
+    /// Returns how often the server has crashed.
+    pub fn crashes(&self) -> u64 {
+        *self.lock().crashes.borrow()
+    }
+
+    /// Returns whether the server runs.
+    pub fn is_up(&self) -> bool {
+        self.lock().is_up
+    }
+
     /// Returns the paths of all received requests, refused ones and health checks included.
     pub fn received(&self) -> Vec<String> {
         self.lock().received.clone()
@@ -262,16 +291,60 @@
     drop(is_paused.wait_for(|is_paused| !is_paused).await);
 }
 
-async fn accept(listener: TcpListener, kind: ServerKind, state: Arc<Mutex<State>>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let state = Arc::clone(&state);
+/// Serves until the server crashes, and again after each restart.
+async fn run(listener: TcpListener, kind: ServerKind, state: Arc<Mutex<State>>) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut listener = listener;
+    loop {
+        accept_until_crash(listener, kind, &state).await;
+        let Some(delay) = lock(&state).crash_plan.restart_after else { return Ok(()) };
+        tokio::time::sleep(delay).await;
+        listener = TcpListener::bind(address).await?;
+        let mut state = lock(&state);
+        let crashes = *state.crashes.borrow();
+        let base = state.id.split('+').next().unwrap_or_default();
+        state.id = format!("{base}+{crashes}");
+        state.started_unix_ms += 1;
+        state.is_up = true;
+    }
+}
+
+async fn accept_until_crash(listener: TcpListener, kind: ServerKind, state: &Arc<Mutex<State>>) {
+    let mut crashes = lock(state).crashes.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = crashes.changed() => return,
+        };
+        let Ok((stream, _)) = accepted else { return };
+        let state = Arc::clone(state);
+        let mut crashes = crashes.clone();
         tokio::spawn(async move {
-            // A disconnected caller is recorded in the executed request.
-            drop(serve(BufReader::new(stream), kind, &state).await);
+            let Ok((stream, handle)) = Resettable::new(stream) else { return };
+            tokio::select! {
+                // A disconnected caller is recorded in the executed request.
+                _ = serve(BufReader::new(stream), kind, &state) => {}
+                _ = crashes.changed() => handle.reset(),
+            }
         });
     }
 }
 
+fn crash(state: &Mutex<State>) {
+    let mut state = lock(state);
+    if std::mem::replace(&mut state.is_up, false) {
+        state.crashes.send_modify(|crashes| *crashes += 1);
+    }
+}
+
+/// Crashes after the delay of the plan; the caller's task ends with it.
+async fn crash_later(state: &Mutex<State>) -> Infallible {
+    let delay = lock(state).crash_plan.delay;
+    tokio::time::sleep(delay).await;
+    crash(state);
+    std::future::pending().await
+}
+
 async fn serve(
     mut stream: BufReader<TcpStream>,
     kind: ServerKind,
@@ -423,6 +496,7 @@
         return Ok(true);
     }
     let index = record_executed(state, request);
+    let crash_plan = lock(state).crash_plan.clone();
     let seal = format!("seal.{}.{index}", lock(state).id);
     let padding = "x".repeat(lock(state).padding_bytes);
     let body = format!("answer to {id} with {} bytes{padding}", request.body.len());
@@ -434,6 +508,9 @@
     if !wait_while_connected(stream, state, index, Duration::ZERO).await {
         return Ok(false);
     }
+    if crash_plan.trigger.is_request(request) {
+        match crash_later(state).await {}
+    }
     match behaviour {
         Behaviour::Serves | Behaviour::Unresponsive | Behaviour::Sheds => match kind {
             ServerKind::Engine => {
--- a/crates/standins/tests/faults/main.rs
+++ b/crates/standins/tests/faults/main.rs
@@ -6,5 +6,6 @@
 mod log_service;
 mod order_service;
 mod relay;
+mod server;
 mod store;
 mod support;
