Test that requests which crash servers are refused everywhere

Restarted gateways and gateways without peers count alone (2), a full table is emptied whole (3). Besides, resets of live servers count as crashes, and each copy on one server counts apart.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod caller;
 mod caller_connections;
+mod crashing;
 mod endless;
 mod fleet;
 mod hedges;
--- a/crates/camphorwardd/tests/gateway/process.rs
+++ b/crates/camphorwardd/tests/gateway/process.rs
@@ -8,6 +8,9 @@
 use std::time::Duration;
 use tempfile::NamedTempFile;
 
+const UNUSED: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
 pub struct Gateway {
     child: Child,
     pub callers: SocketAddr,
@@ -56,7 +59,8 @@
             child,
             callers: address("callers"),
             ready: address("ready"),
-            peers: address("peers"),
+            // A gateway without peers has no such listener.
+            peers: started["peers"].as_str().map_or(UNUSED, |address| address.parse().unwrap()),
             metrics: SocketAddr::from(([127, 0, 0, 1], port)),
             lines,
             settings_file: file,
--- a/crates/dispatch/tests/requests.rs
+++ b/crates/dispatch/tests/requests.rs
@@ -80,6 +80,19 @@
     assert!(!crashes.is_refused(&key, 1));
 }
 
+#[test]
+fn a_full_table_keeps_the_requests_that_crash_servers() {
+    let mut crashes = Crashes::new();
+    let crashing = ContentKey::new("/a/", "alpha", b"crashes");
+    (0..3).for_each(|_| {
+        crashes.count(crashing, 0);
+    });
+    for other in 0_u32..10_000 {
+        crashes.count(ContentKey::new("/a/", "alpha", &other.to_le_bytes()), 0);
+    }
+    assert!(crashes.is_refused(&crashing, 1));
+}
+
 #[test]
 fn urgent_routes_go_first_within_a_priority() {
     let priority = |priority, route_priority| {
