Count the crashes under safe requests

Cause: aborted attempts were counted only on routes that are not safe. A request on a safe route crashes a server like any other; what may be sent twice has nothing to do with it.

--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -193,7 +193,7 @@
     pub fn record_may_have_run(&mut self, server: &ServerId, reason: MayHaveRun) {
         self.exclude(server);
         self.may_have_run_on.push(server.clone());
-        if reason == MayHaveRun::Aborted && self.request.route.kind != RouteKind::Safe {
+        if reason == MayHaveRun::Aborted {
             let now_ms = self.node.now_ms();
             let content = self.request.content;
             self.node.state().crashes.count(content, now_ms);
