Count crashes of servers by incarnation, and keep them in the platform's store

Cause: what is known of crashes was a counter in each process. It travelled once, in a call whose failure nobody noticed; a gateway that starts knew nothing; a full table was emptied whole; each aborted attempt counted, also those of one crash and those whose server lives. The class: a fact of the whole system was kept as a local count.

Change: an aborted attempt makes the gateway check the server. A refused connection, another server at the address or a later incarnation is a crash, identified by server and incarnation, with the requests that were in flight as suspects; a server that answers lives. Evidence of crashes merges in any order and any number of times. It goes to peers until they have answered, and into keyed.crashes, one record a gateway, which is read after a start, a pause or a new era and while a peer does not report. A whole answer clears its request of crashes that were known when it began. Full tables drop crashes without a refused suspect first. Retries and hedges ask too.

The two dispatch tests on the old counter are replaced by six on crashes, among them the full table. The two tests whose gateways learn through the store wait for the stable window of 4 s, the platform's own bound, before they judge.

--- a/crates/camphorwardd/tests/gateway/crashing.rs
+++ b/crates/camphorwardd/tests/gateway/crashing.rs
@@ -10,6 +10,8 @@
 const POISON: &str = "poison";
 /// The crashes after which a request counts as one that crashes servers.
 const CRASHES: u64 = 3;
+/// The time within which the platform expects all gateways to know it.
+const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// How many more servers the platform allows such a request to reach.
 const MAX_LATER: u64 = 3;
 
@@ -87,6 +89,7 @@
     crash_on_poison(&fleet.desks, Duration::ZERO);
     crash_servers(&first, ORDERS, &fleet.desks).await;
     until_refused(&[&first, &second], ORDERS, &fleet.desks).await;
+    tokio::time::sleep(STABLE_WINDOW).await;
     drop((first, second));
     let before = crashes(&fleet.desks);
     for host in ["gateway-1", "gateway-2", "gateway-3"] {
@@ -111,6 +114,7 @@
     }
     crash_on_poison(&fleet.desks, Duration::ZERO);
     crash_servers(&first, ORDERS, &fleet.desks).await;
+    tokio::time::sleep(STABLE_WINDOW).await;
     until_refused(&[&first, &alone[0], &alone[1]], ORDERS, &fleet.desks).await;
 }
 
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -1,64 +1,45 @@
-//! Requests that crash the servers that run them, identified by content and caller.
+//! Requests that crash the servers that run them.
 //!
 //! Load pattern: one request is sent again and again, to any gateway, and crashes a server each
-//! time it starts to run.
+//! time it starts to run. Requests that were in flight on a crashed server are its suspects until
+//! a later answer clears them.
 
-use std::collections::HashMap;
-use std::fmt;
-
-/// Identifies a request by its content and its caller.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct ContentKey([u8; 16]);
-
-impl ContentKey {
-    /// Hashes a path, an organisation and a body.
-    pub fn new(path: &str, organisation: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for field in [path.as_bytes(), organisation.as_bytes()] {
-            hasher.update(&(field.len() as u64).to_le_bytes());
-            hasher.update(field);
-        }
-        hasher.update(body);
-        let mut bytes = [0; 16];
-        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-        Self(bytes)
-    }
+mod evidence;
+mod feature;
 
-    /// Wraps the bytes of a key that another gateway computed.
-    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
-        Self(bytes)
-    }
+pub use crate::crashes::evidence::{
+    Crash, CrashId, CrashReport, EVIDENCE_TTL_MS, Evidence, EvidenceReport, MAX_CRASHES,
+};
+pub use crate::crashes::feature::{ContentKey, Feature, Features};
 
-    /// Returns the key's bytes.
-    pub const fn as_bytes(&self) -> &[u8; 16] {
-        &self.0
-    }
-}
+use std::collections::HashMap;
 
-impl fmt::Display for ContentKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0[..8].iter().try_for_each(|byte| write!(f, "{byte:02x}"))
-    }
-}
+/// The number of crashes from which on a request is refused. The platform allows three.
+pub const MIN_CRASHES: usize = 3;
+/// The maximum number of crashes that wait for confirmation.
+const MAX_UNCONFIRMED: usize = 64;
 
-/// The number of aborted attempts from which on a request is refused. The platform allows three
-/// crashes. An attempt that was aborted without a crash counts too, which errs towards refusing.
-pub const MAX_ABORTED_ATTEMPTS: u32 = 3;
-/// How long aborted attempts count, in milliseconds; callers retry within seconds.
-const ABORT_TTL_MS: u64 = 120_000;
-/// The maximum number of requests in the table; each takes some 40 bytes.
-const MAX_CONTENTS: usize = 4_096;
-
-#[derive(Clone, Copy, Debug)]
-struct Aborts {
-    count: u32,
-    last_ms: u64,
+/// What follows from an aborted attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Aborted {
+    /// It must be found out whether the server has crashed.
+    Confirm,
+    /// That is being found out.
+    Unconfirmed,
+    /// The server has crashed; the evidence is new.
+    Crashed(Evidence),
 }
 
-/// Counts aborted attempts by request content.
+/// The crashes that this gateway knows of.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    by_content: HashMap<ContentKey, Aborts>,
+    known: Evidence,
+    /// What this gateway noticed itself, which it keeps in the platform's store.
+    local: Evidence,
+    /// The suspects of crashes that are not confirmed yet.
+    unconfirmed: HashMap<CrashId, Crash>,
+    /// In how many crashes each feature is suspected.
+    counts: HashMap<Feature, usize>,
 }
 
 impl Crashes {
@@ -67,35 +48,121 @@
         Self::default()
     }
 
-    /// Records an attempt that was aborted when its server failed, and returns the count.
-    pub fn count(&mut self, key: ContentKey, now_ms: u64) -> u32 {
-        if self.by_content.len() >= MAX_CONTENTS {
-            self.by_content.retain(|_, aborts| aborts.last_ms + ABORT_TTL_MS > now_ms);
+    /// Records an attempt that was aborted, perhaps because its server crashed.
+    pub fn record_aborted(&mut self, id: &CrashId, features: Features, now_ms: u64) -> Aborted {
+        let suspects = [features].into();
+        let crash = Crash { at_ms: now_ms, learnt_ms: now_ms, suspects, ..Crash::default() };
+        if self.known.crashes.contains_key(id) {
+            return Aborted::Crashed(self.record_local(id, crash, now_ms));
+        }
+        if let Some(unconfirmed) = self.unconfirmed.get_mut(id) {
+            unconfirmed.suspects.extend(crash.suspects);
+            return Aborted::Unconfirmed;
+        }
+        if self.unconfirmed.len() < MAX_UNCONFIRMED {
+            self.unconfirmed.insert(id.clone(), crash);
+        }
+        Aborted::Confirm
+    }
+
+    /// Records that a server has crashed under the attempts that were aborted; returns what is new.
+    pub fn confirm(&mut self, id: &CrashId, now_ms: u64) -> Evidence {
+        match self.unconfirmed.remove(id) {
+            Some(crash) => self.record_local(id, crash, now_ms),
+            None => Evidence::default(),
+        }
+    }
+
+    /// Records that a server lives; its connections were aborted for another reason.
+    pub fn refute(&mut self, id: &CrashId) {
+        self.unconfirmed.remove(id);
+    }
+
+    /// Clears features by an answer that began at a time, of all crashes that were known by then;
+    /// returns what is new.
+    pub fn clear(&mut self, features: &[Feature], began_ms: u64, now_ms: u64) -> Evidence {
+        let mut news = Evidence::default();
+        for (id, crash) in &self.known.crashes {
+            let is_cleared = |feature: &&Feature| crash.suspects(feature);
+            if crash.learnt_ms < began_ms && features.iter().any(|feature| is_cleared(&feature)) {
+                let cleared = features.iter().filter(is_cleared).copied().collect();
+                let (at_ms, learnt_ms) = (crash.at_ms, crash.learnt_ms);
+                let update = Crash { at_ms, learnt_ms, cleared, ..Crash::default() };
+                news.crashes.insert(id.clone(), update);
+            }
         }
-        if self.by_content.len() >= MAX_CONTENTS {
-            self.by_content.clear();
+        if !news.is_empty() {
+            self.local.merge(&news);
+            self.learn(&news, now_ms);
         }
-        let aborts = self.by_content.entry(key).or_insert(Aborts { count: 0, last_ms: now_ms });
-        *aborts = Aborts { count: aborts.count + 1, last_ms: now_ms };
-        aborts.count
+        news
     }
 
-    /// Removes a request that received a complete answer.
-    pub fn clear(&mut self, key: &ContentKey) {
-        if !self.by_content.is_empty() {
-            self.by_content.remove(key);
+    /// Records evidence of other gateways; returns whether it held anything new.
+    pub fn learn(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
+        let is_new = self.known.merge(evidence);
+        if is_new {
+            self.expire(now_ms);
         }
+        is_new
+    }
+
+    /// Records what this gateway kept in the store before it restarted.
+    pub fn learn_local(&mut self, evidence: &Evidence, now_ms: u64) {
+        self.local.merge(evidence);
+        self.learn(evidence, now_ms);
+    }
+
+    /// Returns what this gateway noticed itself.
+    pub const fn local(&self) -> &Evidence {
+        &self.local
+    }
+
+    /// Returns all that is known.
+    pub const fn known(&self) -> &Evidence {
+        &self.known
+    }
+
+    /// Removes what no longer counts.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.known.expire(now_ms);
+        self.local.expire(now_ms);
+        self.count();
+        let counts = &self.counts;
+        let is_needed = |crash: &Crash| {
+            let mut suspected = crash.suspects.iter().flatten();
+            suspected.any(|feature| counts.get(feature).is_some_and(|count| *count >= MIN_CRASHES))
+        };
+        self.known.limit(is_needed);
+        self.local.limit(is_needed);
+        self.count();
     }
 
-    /// Returns how many attempts of a request were aborted by a server failure.
-    pub fn aborted_attempts(&self, key: &ContentKey, now_ms: u64) -> u32 {
-        let aborts =
-            self.by_content.get(key).filter(|aborts| aborts.last_ms + ABORT_TTL_MS > now_ms);
-        aborts.map_or(0, |aborts| aborts.count)
+    /// Returns in how many crashes a feature is suspected.
+    pub fn crashes_under(&self, feature: &Feature) -> usize {
+        self.counts.get(feature).copied().unwrap_or(0)
     }
 
     /// Returns whether a request is refused.
-    pub fn is_refused(&self, key: &ContentKey, now_ms: u64) -> bool {
-        self.aborted_attempts(key, now_ms) >= MAX_ABORTED_ATTEMPTS
+    pub fn is_refused(&self, features: &[Feature]) -> bool {
+        features.iter().any(|feature| self.crashes_under(feature) >= MIN_CRASHES)
+    }
+
+    fn record_local(&mut self, id: &CrashId, crash: Crash, now_ms: u64) -> Evidence {
+        let news = Evidence { crashes: [(id.clone(), crash)].into() };
+        self.local.merge(&news);
+        self.learn(&news, now_ms);
+        news
+    }
+
+    fn count(&mut self) {
+        self.counts.clear();
+        for crash in self.known.crashes.values() {
+            let suspected: std::collections::BTreeSet<_> =
+                crash.suspects.iter().flatten().collect();
+            for feature in suspected.into_iter().filter(|feature| crash.suspects(feature)) {
+                *self.counts.entry(*feature).or_default() += 1;
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/dispatch/tests/crashes.rs
@@ -0,0 +1,123 @@
+//! Which requests crash servers.
+
+use dispatch::crashes::{
+    Aborted, ContentKey, CrashId, Crashes, EVIDENCE_TTL_MS, Evidence, Feature, Features,
+};
+use dispatch::registry::ServerId;
+use protocol::ids::Incarnation;
+
+fn id(server: &str, incarnation: u64) -> CrashId {
+    CrashId { server: ServerId::new(server), incarnation: Incarnation::new(incarnation) }
+}
+
+fn content(body: &[u8]) -> Features {
+    [Feature::content(&ContentKey::new("/a/", "alpha", body))].into_iter().collect()
+}
+
+/// Records that a server crashed under a request.
+fn crash(crashes: &mut Crashes, id: &CrashId, features: &Features, now_ms: u64) -> Evidence {
+    assert_eq!(crashes.record_aborted(id, features.clone(), now_ms), Aborted::Confirm);
+    crashes.confirm(id, now_ms)
+}
+
+#[test]
+fn a_request_is_refused_after_three_crashes() {
+    let mut crashes = Crashes::new();
+    let key = ContentKey::new("/a/", "alpha", b"body");
+    assert_ne!(key, ContentKey::new("/a/", "beta", b"body"));
+    let features = content(b"body");
+    for incarnation in 0..2 {
+        crash(&mut crashes, &id("s", incarnation), &features, 1_000);
+        assert!(!crashes.is_refused(&features));
+    }
+    crash(&mut crashes, &id("s", 2), &features, 1_000);
+    assert!(crashes.is_refused(&features));
+    let mut later = crashes;
+    later.expire(1_000 + EVIDENCE_TTL_MS);
+    assert!(!later.is_refused(&features), "crashes expire");
+}
+
+#[test]
+fn an_aborted_attempt_counts_only_once_its_server_is_known_to_have_crashed() {
+    let mut crashes = Crashes::new();
+    let features = content(b"body");
+    for incarnation in 0..5 {
+        let id = id("s", incarnation);
+        assert_eq!(crashes.record_aborted(&id, features.clone(), 0), Aborted::Confirm);
+        assert_eq!(crashes.record_aborted(&id, features.clone(), 0), Aborted::Unconfirmed);
+        crashes.refute(&id);
+    }
+    assert!(!crashes.is_refused(&features));
+}
+
+#[test]
+fn a_crash_counts_once_for_all_gateways() {
+    let (mut first, mut second) = (Crashes::new(), Crashes::new());
+    let features = content(b"body");
+    for incarnation in 0..2 {
+        let id = id("s", incarnation);
+        let news = crash(&mut first, &id, &features, 0);
+        second.learn(&crash(&mut Crashes::new(), &id, &features, 5), 5);
+        second.learn(&news, 5);
+        second.learn(&news, 7);
+    }
+    assert!(!second.is_refused(&features));
+    second.learn(&crash(&mut first, &id("t", 0), &features, 9), 9);
+    assert!(first.is_refused(&features) && second.is_refused(&features));
+}
+
+#[test]
+fn an_answer_clears_the_crashes_that_were_known_when_it_began() {
+    let mut crashes = Crashes::new();
+    let features = content(b"body");
+    for incarnation in 0..3 {
+        crash(&mut crashes, &id("s", incarnation), &features, 100);
+    }
+    assert!(crashes.clear(&features, 100, 200).is_empty(), "it began before");
+    assert!(crashes.is_refused(&features));
+    let news = crashes.clear(&features, 150, 200);
+    assert!(!crashes.is_refused(&features));
+    let mut other = Crashes::new();
+    other.learn(&news, 300);
+    for incarnation in 0..3 {
+        crash(&mut other, &id("s", 10 + incarnation), &features, 400);
+    }
+    assert!(other.is_refused(&features), "later crashes count");
+}
+
+#[test]
+fn a_full_table_keeps_the_requests_that_crash_servers() {
+    let mut crashes = Crashes::new();
+    let crashing = content(b"crashes");
+    for incarnation in 0..3 {
+        crash(&mut crashes, &id("s", incarnation), &crashing, 0);
+    }
+    for other in 0_u32..1_000 {
+        let features = content(&other.to_le_bytes());
+        crash(&mut crashes, &id(&format!("t{other}"), 0), &features, u64::from(other));
+    }
+    assert!(crashes.is_refused(&crashing));
+}
+
+#[test]
+fn evidence_merges_in_any_order_to_the_same() {
+    let mut parts = Vec::new();
+    for index in 0..6_u8 {
+        let mut gateway = Crashes::new();
+        let features = content(&[index % 3]);
+        let mut part = crash(&mut gateway, &id("s", u64::from(index % 2)), &features, 10);
+        part.merge(&gateway.clear(&features, 11 + u64::from(index), 20));
+        parts.push(part);
+    }
+    let merged = |order: &[usize]| {
+        let mut all = Evidence::default();
+        for index in order {
+            all.merge(&parts[*index]);
+        }
+        all
+    };
+    let expected = merged(&[0, 1, 2, 3, 4, 5]);
+    assert_eq!(merged(&[5, 3, 1, 0, 4, 2, 2, 0]), expected);
+    let report = expected.to_report(50);
+    assert_eq!(Evidence::from_report(report, 0, 50).to_report(50), expected.to_report(50));
+}
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -6,7 +6,7 @@
 use crate::node::{InForce, Node};
 use bytes::Bytes;
 use dispatch::configuration::Route;
-use dispatch::crashes::ContentKey;
+use dispatch::crashes::{ContentKey, Feature, Features};
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::routes::{self, Identity};
 use dispatch::streams::{StreamKey, StreamOrigin};
@@ -64,6 +64,11 @@
         self.id.to_str().unwrap_or("unprintable")
     }
 
+    /// Returns what it may have in common with others under which servers crash.
+    pub fn features(&self) -> Features {
+        [Feature::content(&self.content)].into_iter().collect()
+    }
+
     /// Returns the text of one of its headers.
     pub fn header_text(&self, name: &HeaderName) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,102 @@
+//! Requests that crash servers: finds out whether a server has crashed when an attempt is aborted,
+//! and exchanges the evidence with other gateways.
+//!
+//! Evidence goes to peers by calls that are repeated until they are answered, and into the
+//! platform's store for gateways that start later or that no peer reaches.
+
+mod confirm;
+mod push;
+mod store;
+
+pub use crate::crashes::push::{EVIDENCE_PATH, EvidenceMessage, receive, run as push};
+pub use crate::crashes::store::{read, write};
+
+use crate::callers::CallerRequest;
+use crate::event;
+use crate::node::Node;
+use dispatch::crashes::{Aborted, CrashId, Evidence};
+use dispatch::registry::ServerEntry;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
+
+/// The evidence that waits to be sent to peers.
+#[derive(Debug, Default)]
+pub struct CrashExchange {
+    outbox: Mutex<Outbox>,
+    /// Woken when the outbox holds evidence.
+    queued: Notify,
+    /// Woken when this gateway has noticed something itself.
+    noticed: Notify,
+    /// Woken when the store has been read for the first time.
+    listed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Outbox {
+    /// What this gateway noticed, for all recipients.
+    noticed: Evidence,
+    /// What it received from other failure domains, for its own.
+    forwarded: Evidence,
+}
+
+impl CrashExchange {
+    fn lock(&self) -> MutexGuard<'_, Outbox> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Records an attempt that was aborted, and finds out whether its server has crashed.
+pub fn record_aborted(node: &Arc<Node>, server: &Arc<ServerEntry>, request: &CallerRequest) {
+    let now_ms = node.now_ms();
+    let id = CrashId { server: server.id.clone(), incarnation: server.incarnation };
+    let aborted = node.state().crashes.record_aborted(&id, request.features(), now_ms);
+    match aborted {
+        Aborted::Confirm => {
+            tokio::spawn(confirm::run(Arc::clone(node), Arc::clone(server), id));
+        }
+        Aborted::Unconfirmed => {}
+        Aborted::Crashed(news) => publish(node, &news),
+    }
+}
+
+/// Records a whole answer that began at a time, which clears its request.
+pub fn record_answered(node: &Node, request: &CallerRequest, began_ms: u64) {
+    let news = node.state().crashes.clear(&request.features(), began_ms, node.now_ms());
+    if news.is_empty() {
+        return;
+    }
+    node.metrics.count("crashes", "cleared");
+    event!(info, node.now_ms(), "request_cleared", {
+        "request": request.id_text(),
+        "content": request.content.to_string(),
+        "crashes": news.crashes.len(),
+    });
+    publish(node, &news);
+}
+
+/// Sends evidence that this gateway noticed to its peers and into the store.
+fn publish(node: &Node, news: &Evidence) {
+    let exchange = &node.crash_exchange;
+    exchange.lock().noticed.merge(news);
+    exchange.queued.notify_one();
+    exchange.noticed.notify_one();
+}
+
+/// Applies evidence of other gateways; returns whether it held anything new.
+fn learn(node: &Node, evidence: &Evidence, source: &str) -> bool {
+    let now_ms = node.now_ms();
+    let is_new = node.state().crashes.learn(evidence, now_ms);
+    if is_new {
+        event!(info, now_ms, "crashes_learnt", {
+            "crashes": evidence.crashes.len(),
+            "source": source,
+        });
+    }
+    is_new
+}
+
+/// Sends evidence on to the peers of this failure domain.
+fn forward(node: &Node, evidence: &Evidence) {
+    node.crash_exchange.lock().forwarded.merge(evidence);
+    node.crash_exchange.queued.notify_one();
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The gateway process: start, reload, drain and exit.
 
 use crate::callers::{self, Traffic};
+use crate::crashes;
 use crate::event;
 use crate::follow;
 use crate::node::Node;
@@ -131,9 +132,12 @@
         tokio::spawn(discovery::run(Arc::clone(node)));
         tokio::spawn(peers::pull(Arc::clone(node)));
         tokio::spawn(peers::push(Arc::clone(node)));
+        tokio::spawn(crashes::push(Arc::clone(node)));
         tokio::spawn(peers::share_loads(Arc::clone(node), socket));
     }
     tokio::spawn(follow::run(Arc::clone(node)));
+    tokio::spawn(crashes::read(Arc::clone(node)));
+    tokio::spawn(crashes::write(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
     tokio::spawn(rollout_leader::run(Arc::clone(node)));
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::peers::Follower;
 use crate::store::{StoreClient, StoreError};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The interval between reads of the servers' entries, as a share of the installation's drain
@@ -31,7 +32,9 @@
     let mut is_unreachable = false;
     let mut follower: Option<Follower> = None;
     loop {
-        if follow_gateway(&node, &mut follower).await {
+        let follows = follow_gateway(&node, &mut follower).await;
+        node.reads_store.store(!follows, Ordering::Relaxed);
+        if follows {
             // The positions are outdated after a time without reads: list everything again.
             operator = OperatorRecords::default();
             servers = ServerRecords::default();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 
 use crate::answer::{AnswerBody, Refusal};
 use crate::callers::CallerRequest;
+use crate::crashes;
 use crate::event;
 use crate::forward::attempt::{Answered, AttemptResult, MayHaveRun, NotRun};
 use crate::forward::hedge::RunningAttempt;
@@ -46,17 +47,15 @@
     }
     {
         let now_ms = node.now_ms();
-        let mut state = node.state();
-        if state.crashes.is_refused(&job.request.content, now_ms) {
-            drop(state);
-            return job.refuse(Refusal::CrashesServers, None);
-        }
-        state.retry_share.count_request(&job.request.spec.service, now_ms);
+        node.state().retry_share.count_request(&job.request.spec.service, now_ms);
     }
     loop {
         if job.remaining_ms() < MIN_REMAINING_MS || node.is_ending() {
             return job.time_out();
         }
+        if job.crashes_servers() {
+            return job.refuse_crashing();
+        }
         let placed = match place::place(&job) {
             Ok(placed) => placed,
             Err(NoServer::NoFreeCapacity) => {
@@ -109,7 +108,7 @@
     fn finish_answered(&mut self, server: &ServerId, answered: Answered) -> Response<AnswerBody> {
         let status = answered.response.status();
         if !status.is_server_error() {
-            self.node.state().crashes.clear(&self.request.content);
+            crashes::record_answered(&self.node, &self.request, answered.sent_ms);
         }
         self.log_answered(server, status.as_u16(), answered.first_byte_ms);
         answered.response
@@ -125,6 +124,14 @@
         self.abandon(refusal)
     }
 
+    /// Refuses a request that crashes servers.
+    fn refuse_crashing(&mut self) -> Response<AnswerBody> {
+        if self.may_have_run() {
+            return self.refuse(Refusal::ServerFailed, None);
+        }
+        self.refuse(Refusal::CrashesServers, None)
+    }
+
     /// Refuses a request whose deadline has passed.
     fn time_out(&mut self) -> Response<AnswerBody> {
         self.abandon(if self.may_have_run() {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -112,6 +112,8 @@
     pub response: Response<AnswerBody>,
     /// The time from the arrival of the request to the head of the answer, in milliseconds.
     pub first_byte_ms: u64,
+    /// When the attempt was sent, on the node's clock.
+    pub sent_ms: u64,
 }
 
 /// A stream whose first events have arrived.
@@ -173,6 +175,7 @@
         if is_logged {
             log_attempt(&request, &placed, connection.is_reused, &node);
         }
+        let sent_ms = node.now_ms();
         let sending = connection.connection.sender.try_send_request(server_request);
         let answer = await_head(&node, &request, &placed, sending).await;
         let Placed { in_flight, entry, .. } = placed;
@@ -183,7 +186,7 @@
                 return AttemptResult::NotRun(NotRun::Unsent);
             }
             Err(Unanswered::MayHaveRun(reason)) => {
-                in_flight.end(reason.outcome());
+                in_flight.fail(reason, &request);
                 return AttemptResult::MayHaveRun(reason);
             }
         };
@@ -197,8 +200,9 @@
         let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok());
         in_flight.start(load.and_then(parse_load));
         record_weights(&node, &request, &server, &head);
-        let software = entry.software;
-        let exchange = Exchange { node, request, head, body, connection, in_flight, software };
+        let software = entry.software.clone();
+        let exchange =
+            Exchange { node, request, head, body, connection, in_flight, software, sent_ms };
         if let Some(reason) = refusal_reason(&exchange.head, &server) {
             return exchange.end_refused(reason).await;
         }
@@ -329,6 +333,7 @@
     connection: ServerConnection,
     in_flight: InFlightAttempt,
     software: SoftwareVersion,
+    sent_ms: u64,
 }
 
 impl Exchange {
@@ -364,17 +369,18 @@
     /// Reads a plain answer completely before any of it is passed on to the caller.
     async fn read_complete(self) -> AttemptResult {
         let remaining = self.remaining();
-        let Self { node, request, mut head, body, connection, in_flight, .. } = self;
+        let Self { node, request, mut head, body, connection, in_flight, sent_ms, .. } = self;
         let first_byte_ms = node.now_ms().saturating_sub(request.arrived_ms);
         let reading = HeldBody::read(body, Arc::clone(&node.answer_memory));
         let body = match tokio::time::timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
-                in_flight.end(Outcome::Failed);
-                return AttemptResult::MayHaveRun(match error {
+                let reason = match error {
                     ReadError::Aborted(_) => MayHaveRun::Aborted,
                     ReadError::TooLarge => MayHaveRun::TooLarge,
-                });
+                };
+                in_flight.fail(reason, &request);
+                return AttemptResult::MayHaveRun(reason);
             }
             Err(_) => {
                 in_flight.end(Outcome::Cancelled);
@@ -386,24 +392,25 @@
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Answered });
         strip_hop_headers(&mut head.headers);
         let response = Response::from_parts(head, held_body(body));
-        AttemptResult::Answered(Box::new(Answered { response, first_byte_ms }))
+        AttemptResult::Answered(Box::new(Answered { response, first_byte_ms, sent_ms }))
     }
 
     /// Reads a stream up to its first complete events.
     async fn start_stream(self) -> AttemptResult {
-        let Self { node, request, head, body, connection, in_flight, software } = self;
+        let Self { node, request, head, body, connection, in_flight, software, .. } = self;
         let splitter = EventSplitter::new(Arc::clone(&node.answer_memory));
-        let mut source = StreamSource { body, splitter, connection, in_flight };
+        let mut source = StreamSource { body, splitter, connection, in_flight, began_ms: 0 };
         let first = match source.next_events(&node, &request).await {
             Ok(Some(events)) => events,
             // A stream that ends properly without an event is passed on as it is.
             Ok(None) => CompleteEvents::default(),
             Err(reason) => {
-                source.in_flight.end(reason.outcome());
+                source.in_flight.fail(reason, &request);
                 return AttemptResult::MayHaveRun(reason);
             }
         };
-        let first_ms = node.now_ms().saturating_sub(request.arrived_ms);
+        source.began_ms = node.now_ms();
+        let first_ms = source.began_ms.saturating_sub(request.arrived_ms);
         AttemptResult::Streaming(Box::new(Streaming { head, first, source, first_ms, software }))
     }
 }
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -25,6 +25,8 @@
     NoFreeCapacity,
     /// The retry budget is exhausted.
     RetryBudget,
+    /// The request crashes servers.
+    CrashesServers,
 }
 
 impl Obstacle {
@@ -35,6 +37,7 @@
             Obstacle::NoServer => "no_server",
             Obstacle::NoFreeCapacity => "no_room",
             Obstacle::RetryBudget => "over_budget",
+            Obstacle::CrashesServers => "crashes_servers",
         }
     }
 }
@@ -118,6 +121,9 @@
         if is_over || !self.may_retry_beside(unfinished) {
             return Err(Obstacle::NoAttemptLeft);
         }
+        if self.crashes_servers() {
+            return Err(Obstacle::CrashesServers);
+        }
         let placed = place::place(self).map_err(|reason| match reason {
             NoServer::NoFreeCapacity => Obstacle::NoFreeCapacity,
             NoServer::NoneUsable | NoServer::TooLarge | NoServer::Paused { .. } => {
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -1,38 +1,41 @@
 //! Attempts in the load of their servers.
 
+use crate::callers::CallerRequest;
+use crate::crashes;
+use crate::forward::attempt::MayHaveRun;
 use crate::node::Node;
 use dispatch::load::{InFlightId, LoadHeader, Outcome};
-use dispatch::registry::ServerId;
+use dispatch::registry::{ServerEntry, ServerId};
 use std::sync::Arc;
 
 /// An attempt that counts as in flight on its server until it ends or is dropped.
 #[derive(Debug)]
 pub struct InFlightAttempt {
     node: Arc<Node>,
-    server: ServerId,
+    server: Arc<ServerEntry>,
     id: InFlightId,
     is_open: bool,
 }
 
 impl InFlightAttempt {
     /// Wraps an attempt that was recorded in the load of its server.
-    pub const fn new(node: Arc<Node>, server: ServerId, id: InFlightId) -> Self {
+    pub const fn new(node: Arc<Node>, server: Arc<ServerEntry>, id: InFlightId) -> Self {
         Self { node, server, id, is_open: true }
     }
 
     /// Returns the server.
-    pub const fn server(&self) -> &ServerId {
-        &self.server
+    pub fn server(&self) -> &ServerId {
+        &self.server.id
     }
 
     /// Records that the head of the answer was received.
     pub fn start(&self, load: Option<LoadHeader>) {
-        self.node.state().loads.started(&self.server, self.id, load, self.node.now_ms());
+        self.node.state().loads.started(&self.server.id, self.id, load, self.node.now_ms());
     }
 
     /// Records that bytes were received from the server.
     pub fn record_activity(&self) {
-        self.node.state().loads.record_activity(&self.server, self.node.now_ms());
+        self.node.state().loads.record_activity(&self.server.id, self.node.now_ms());
     }
 
     /// Records the outcome of the attempt.
@@ -40,10 +43,18 @@
         self.close(outcome);
     }
 
+    /// Records that the attempt failed although it may have run.
+    pub fn fail(self, reason: MayHaveRun, request: &CallerRequest) {
+        if reason == MayHaveRun::Aborted {
+            crashes::record_aborted(&self.node, &self.server, request);
+        }
+        self.end(reason.outcome());
+    }
+
     fn close(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.is_open, false) {
             let now_ms = self.node.now_ms();
-            self.node.state().loads.finished(&self.server, self.id, outcome, now_ms);
+            self.node.state().loads.finished(&self.server.id, self.id, outcome, now_ms);
             self.node.capacity_freed.notify_waiters();
         }
     }
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::peers;
 use dispatch::configuration::RouteKind;
+use dispatch::crashes::Feature;
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use dispatch::streams::StreamOrigin;
 use dispatch::waiting::Ticket;
@@ -168,6 +169,11 @@
         granted
     }
 
+    /// Returns whether the request is one that crashes servers.
+    pub fn crashes_servers(&self) -> bool {
+        self.node.state().crashes.is_refused(&self.request.features())
+    }
+
     /// Returns whether a server has the software version that the request needs.
     pub fn allows_software(&self, entry: &ServerEntry) -> bool {
         self.software.as_ref().is_none_or(|only| entry.software == *only)
@@ -193,12 +199,6 @@
     pub fn record_may_have_run(&mut self, server: &ServerId, reason: MayHaveRun) {
         self.exclude(server);
         self.may_have_run_on.push(server.clone());
-        if reason == MayHaveRun::Aborted {
-            let now_ms = self.node.now_ms();
-            let content = self.request.content;
-            self.node.state().crashes.count(content, now_ms);
-            self.node.queue_update(|update| update.aborted.push(*content.as_bytes()));
-        }
         self.log_failed_attempt(server, reason.as_str(), true);
     }
 
@@ -209,7 +209,7 @@
         event!(warn, now_ms, "send_failed", {
             "request": self.request.id_text(),
             "content": content.to_string(),
-            "aborted_attempts": self.node.state().crashes.aborted_attempts(content, now_ms),
+            "crashes": self.node.state().crashes.crashes_under(&Feature::content(content)),
             "route": self.request.route.name,
             "server": server.as_str(),
             "reason": reason,
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct Placed {
     /// The server.
-    pub entry: ServerEntry,
+    pub entry: Arc<ServerEntry>,
     /// The choice and its inputs.
     pub chosen: Chosen,
     /// The number of gateways whose load was reported, including this one.
@@ -117,7 +117,7 @@
     let entry = candidates
         .iter()
         .find(|candidate| candidate.entry.id == chosen.server)
-        .map(|candidate| candidate.entry.clone())
+        .map(|candidate| Arc::new(candidate.entry.clone()))
         .ok_or(NoServer::NoneUsable)?;
     let engine = match (&spec.prompt, engines) {
         (Some(prompt), Some(engines)) => {
@@ -154,7 +154,7 @@
     };
     let attempt_cost = attempt_cost(job, spec.prompt.as_ref(), engines, engine.as_ref());
     let in_flight_id = state.loads.sent(&entry.id, attempt_cost, now_ms);
-    let in_flight = InFlightAttempt::new(Arc::clone(node), entry.id.clone(), in_flight_id);
+    let in_flight = InFlightAttempt::new(Arc::clone(node), Arc::clone(&entry), in_flight_id);
     Ok(Placed { entry, chosen, reporting_gateways, in_flight, engine })
 }
 
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -2,6 +2,7 @@
 //! server aborts it.
 
 use crate::answer::{AnswerBody, streamed_body, strip_hop_headers};
+use crate::crashes;
 use crate::event;
 use crate::forward::attempt::{AttemptResult, MayHaveRun, Streaming};
 use crate::forward::events::CompleteEvents;
@@ -113,7 +114,7 @@
         let server = source.in_flight.server().clone();
         node.pool.put(&server, source.connection, node.now_ms());
         source.in_flight.end(Outcome::Answered);
-        node.state().crashes.clear(&self.job.request.content);
+        crashes::record_answered(node, &self.job.request, source.began_ms);
         self.job.log_answered(&server, self.status, self.first_ms);
     }
 
@@ -146,7 +147,7 @@
         let Some(source) = self.source.take() else { return };
         let server = source.in_flight.server().clone();
         drop(source.connection);
-        source.in_flight.end(reason.outcome());
+        source.in_flight.fail(reason, &self.job.request);
         self.job.record_may_have_run(&server, reason);
     }
 
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -21,6 +21,8 @@
     pub connection: ServerConnection,
     /// The attempt.
     pub in_flight: InFlightAttempt,
+    /// When the first events arrived, on the node's clock.
+    pub began_ms: u64,
 }
 
 impl StreamSource {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod clock;
 pub mod connect;
+pub mod crashes;
 pub mod daemon;
 pub mod discovery;
 pub mod follow;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,6 +3,7 @@
 use crate::answer_memory::AnswerMemory;
 use crate::block_log::{BlockEvent, BlockLog};
 use crate::clock::{self, Clock};
+use crate::crashes::CrashExchange;
 use crate::event;
 use crate::gateways::{Gateways, Source};
 use crate::metrics::Metrics;
@@ -179,6 +180,10 @@
     pub server_unresponsive: Notify,
     /// The exchange of stream records with other gateways.
     pub stream_exchange: StreamExchange,
+    /// The exchange of evidence on crashes with other gateways.
+    pub crash_exchange: CrashExchange,
+    /// Whether this gateway reads the store itself.
+    pub reads_store: AtomicBool,
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<RoutingState>,
     /// The era of the platform's store; not locked while `state` is.
@@ -236,6 +241,8 @@
             capacity_freed: Notify::new(),
             server_unresponsive: Notify::new(),
             stream_exchange: StreamExchange::default(),
+            crash_exchange: CrashExchange::default(),
+            reads_store: AtomicBool::new(true),
             outbox: Mutex::new(PeerUpdate::default()),
             in_force: Mutex::new(None),
             state: Mutex::new(state),
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -80,8 +80,8 @@
 /// An update that a gateway sends to all others as events occur.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PeerUpdate {
-    /// Content keys of requests whose attempt was aborted by a failure that may be a crash of its
-    /// server.
+    /// Earlier versions of the program send the contents of aborted requests here. The field stays
+    /// empty, as fields are told apart by their position.
     #[serde(rename = "broken")]
     pub aborted: Vec<[u8; 16]>,
     /// Servers that load weights, with the time for which they get no requests, in milliseconds.
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,5 +1,6 @@
 //! Answers the calls of other gateways.
 
+use crate::crashes::{self, EVIDENCE_PATH, EvidenceMessage};
 use crate::listener::{self, Reply};
 use crate::node::Node;
 use crate::peers::follow;
@@ -8,7 +9,6 @@
 };
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use bytes::Bytes;
-use dispatch::crashes::ContentKey;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -44,6 +44,13 @@
             }
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
+        EVIDENCE_PATH => match decode_body::<EvidenceMessage>(request).await {
+            Some(message) => {
+                crashes::receive(&node, message);
+                (StatusCode::OK, Vec::new())
+            }
+            None => (StatusCode::BAD_REQUEST, Vec::new()),
+        },
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     }
 }
@@ -81,9 +88,6 @@
     node.observe_peer_era(update.store_era);
     let now_ms = node.now_ms();
     let mut state = node.state();
-    for key in update.aborted {
-        state.crashes.count(ContentKey::from_bytes(key), now_ms);
-    }
     for (server, for_ms) in update.occupied {
         state.loads.occupy(&server, now_ms + for_ms);
     }
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -114,7 +114,7 @@
 
 /// Returns the path of a server's health check. Engines send a report even without a free slot;
 /// other services have a health check of their own.
-fn check_path(node: &Node, entry: &ServerEntry) -> String {
+pub(crate) fn check_path(node: &Node, entry: &ServerEntry) -> String {
     let in_force = node.in_force();
     let service =
         in_force.as_ref().and_then(|held| held.configuration.services.get(&entry.service));
