Log the parts of prompts whose attempts failed

request_sent names parts, but is sampled; the requests that were in flight when a server ended could not be compared from the lines on their failure alone.

--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -11,6 +11,7 @@
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use dispatch::streams::StreamOrigin;
 use dispatch::waiting::Ticket;
+use platform::prompt;
 use smallvec::SmallVec;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -209,6 +210,7 @@
         event!(warn, now_ms, "send_failed", {
             "request": self.request.id_text(),
             "content": content.to_string(),
+            "parts": self.request.spec.prompt.as_ref().map(prompt::format_segments),
             "crashes": self.node.state().crashes.crashes_under(&Feature::content(content)),
             "route": self.request.route.name,
             "server": server.as_str(),
