Let the stand-in server crash on a segment, and answer without length or chunks

A segment of the prompt, any but the last, crashes it after the head of the answer. Answers may end with their connection: plain, streams, and either of them cut, a stream inside an event.

--- a/crates/standins/src/fleet/crash.rs
+++ b/crates/standins/src/fleet/crash.rs
@@ -14,13 +14,15 @@
     None,
     /// A request with the text in its target or body, as it begins to run.
     Request(String),
+    /// A request whose prompt has the segment, though not as its last, as its answer begins.
+    Segment(String),
 }
 
 impl CrashTrigger {
     /// Returns whether a request makes the server crash before its answer begins.
     pub fn is_request(&self, request: &ReceivedRequest) -> bool {
         match self {
-            CrashTrigger::None => false,
+            CrashTrigger::None | CrashTrigger::Segment(_) => false,
             CrashTrigger::Request(text) => {
                 request.target.contains(text) || contains(&request.body, text.as_bytes())
             }
@@ -28,6 +30,16 @@
     }
 }
 
+impl CrashTrigger {
+    /// Returns whether a request makes the server crash as its answer begins.
+    pub fn is_answer(&self, request: &ReceivedRequest) -> bool {
+        let CrashTrigger::Segment(wanted) = self else { return false };
+        let segments: Vec<&str> = request.header("x-prompt-prefix").split(',').collect();
+        let shared = segments.split_last().map_or(&[] as &[&str], |(_, shared)| shared);
+        shared.iter().any(|segment| segment.split(':').next() == Some(wanted))
+    }
+}
+
 fn contains(bytes: &[u8], text: &[u8]) -> bool {
     bytes.windows(text.len()).any(|window| window == text)
 }
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -53,6 +53,19 @@
     Endless(Endless),
 }
 
+/// How answers show their end.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Framing {
+    /// Plain ones have a length, streams come in chunks.
+    #[default]
+    Framed,
+    /// They end with their connection.
+    Unframed,
+    /// They end with their connection, plain ones in the middle of the body and streams in the
+    /// middle of the third event.
+    UnframedCut,
+}
+
 /// A request that was executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -78,6 +91,7 @@
     padding_bytes: usize,
     reset_after_events: Option<u64>,
     resets_all_streams: bool,
+    framing: Framing,
     executed: Vec<ExecutedRequest>,
     refused: u64,
     /// Headers that every answer carries besides its own.
@@ -128,6 +142,7 @@
             padding_bytes: 0,
             reset_after_events: None,
             resets_all_streams: false,
+            framing: Framing::default(),
             executed: Vec::new(),
             refused: 0,
             extra_headers: Vec::new(),
@@ -204,6 +219,11 @@
         self.lock().resets_all_streams = resets_all_streams;
     }
 
+    /// Sets how later answers show their end.
+    pub fn set_framing(&self, framing: Framing) {
+        self.lock().framing = framing;
+    }
+
     /// Stops sending on all connections; requests are still accepted and read.
     pub fn pause(&self) {
         self.lock().is_paused.send_replace(true);
@@ -511,6 +531,12 @@
     if crash_plan.trigger.is_request(request) {
         match crash_later(state).await {}
     }
+    if crash_plan.trigger.is_answer(request) {
+        stream.write_all(&answer_head(state, 200, &headers)).await?;
+        stream.write_all(b"Transfer-Encoding: chunked\r\n\r\n").await?;
+        stream.flush().await?;
+        match crash_later(state).await {}
+    }
     match behaviour {
         Behaviour::Serves | Behaviour::Unresponsive | Behaviour::Sheds => match kind {
             ServerKind::Engine => {
@@ -520,6 +546,15 @@
                 if !wait_for_execution(stream, state, index).await {
                     return Ok(false);
                 }
+                let framing = lock(state).framing;
+                if framing != Framing::Framed {
+                    let bytes = body.as_bytes();
+                    let is_cut = framing == Framing::UnframedCut;
+                    let written = if is_cut { &bytes[..bytes.len() / 2] } else { bytes };
+                    write_unframed(stream, state, &headers, written).await?;
+                    lock(state).executed[index].is_answered = !is_cut;
+                    return Ok(false);
+                }
                 answer(stream, state, 200, &headers, body.as_bytes()).await?;
             }
         },
@@ -536,11 +571,7 @@
             return Ok(false);
         }
         Behaviour::Unframed | Behaviour::UnframedReset => {
-            let mut bytes = answer_head(state, 200, &headers);
-            bytes.extend_from_slice(b"Connection: close\r\n\r\n");
-            bytes.extend_from_slice(body.as_bytes());
-            stream.write_all(&bytes).await?;
-            stream.flush().await?;
+            write_unframed(stream, state, &headers, body.as_bytes()).await?;
             if behaviour == Behaviour::UnframedReset {
                 tokio::time::sleep(Duration::from_millis(30)).await;
                 return reset(stream);
@@ -561,6 +592,20 @@
     Ok(true)
 }
 
+/// Writes an answer that ends with its connection.
+async fn write_unframed(
+    stream: &mut BufReader<TcpStream>,
+    state: &Mutex<State>,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = answer_head(state, 200, headers);
+    bytes.extend_from_slice(b"Connection: close\r\n\r\n");
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).await?;
+    stream.flush().await
+}
+
 fn reset(stream: &BufReader<TcpStream>) -> io::Result<bool> {
     SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO))?;
     Ok(false)
@@ -607,16 +652,18 @@
     headers: &[(&str, &str)],
     index: usize,
 ) -> io::Result<bool> {
-    let (events, gap, reset_after, padding) = {
+    /// The event in whose middle a cut stream ends.
+    const CUT_EVENT: u64 = 3;
+    let (events, gap, reset_after, padding, framing) = {
         let state = lock(state);
         let padding = "x".repeat(state.padding_bytes);
-        (state.events, state.event_gap, state.reset_after_events, padding)
+        (state.events, state.event_gap, state.reset_after_events, padding, state.framing)
     };
+    let is_framed = framing == Framing::Framed;
     let last_event: u64 = request.header("last-event-id").parse().unwrap_or(0);
     let mut bytes = answer_head(state, 200, headers);
-    bytes.extend_from_slice(
-        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-    );
+    let end = if is_framed { "Transfer-Encoding: chunked" } else { "Connection: close" };
+    bytes.extend(format!("Content-Type: text/event-stream\r\n{end}\r\n\r\n").into_bytes());
     stream.write_all(&bytes).await?;
     for event in last_event + 1..=events {
         let (version, resets_all) = {
@@ -625,15 +672,34 @@
         };
         let text = format!("id: {event}\ndata: token {event} of {version}{padding}\n\n");
         if resets_all || reset_after.is_some_and(|reset_after| event > reset_after) {
-            write_chunk(stream, &text.as_bytes()[..text.len() / 2]).await?;
+            write_piece(stream, is_framed, &text.as_bytes()[..text.len() / 2]).await?;
             return reset(stream);
         }
-        write_chunk(stream, text.as_bytes()).await?;
+        if framing == Framing::UnframedCut && event >= CUT_EVENT {
+            write_piece(stream, is_framed, &text.as_bytes()[..text.len() / 2]).await?;
+            return Ok(false);
+        }
+        write_piece(stream, is_framed, text.as_bytes()).await?;
         if !wait_while_connected(stream, state, index, gap).await {
             return Ok(false);
         }
     }
-    write_chunk(stream, b"").await?;
+    if is_framed {
+        write_chunk(stream, b"").await?;
+    }
     lock(state).executed[index].is_answered = true;
-    Ok(true)
+    Ok(is_framed)
+}
+
+/// Writes part of a body, as a chunk if it is framed.
+async fn write_piece(
+    stream: &mut BufReader<TcpStream>,
+    is_framed: bool,
+    bytes: &[u8],
+) -> io::Result<()> {
+    if is_framed {
+        return write_chunk(stream, bytes).await;
+    }
+    stream.write_all(bytes).await?;
+    stream.flush().await
 }
