--- a/crates/camphorwardd/tests/gateway/crashing.rs
+++ b/crates/camphorwardd/tests/gateway/crashing.rs
@@ -11,9 +11,9 @@
 /// The crashes after which a request counts as one that crashes servers.
 const CRASHES: u64 = 3;
 /// The time within which the platform expects all gateways to know it.
-const STABLE_WINDOW: Duration = Duration::from_secs(4);
+pub const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// How many more servers the platform allows such a request to reach.
-const MAX_LATER: u64 = 3;
+pub const MAX_LATER: u64 = 3;
 
 /// Makes servers crash under the request, without ever starting again.
 fn crash_on_poison(servers: &[Server], delay: Duration) {
@@ -23,7 +23,7 @@
     }
 }
 
-fn crashes(servers: &[Server]) -> u64 {
+pub fn crashes(servers: &[Server]) -> u64 {
     servers.iter().map(Server::crashes).sum()
 }
 
@@ -56,7 +56,7 @@
 }
 
 /// Starts two gateways that know each other.
-async fn two_gateways(fleet: &Fleet) -> (Gateway, Gateway) {
+pub async fn two_gateways(fleet: &Fleet) -> (Gateway, Gateway) {
     let first = fleet.gateway("gateway-1").await;
     let second = fleet.gateway("gateway-2").await;
     caller::until_listed(&first, 2).await;
--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod caller_connections;
 mod crashing;
+mod crashing_segments;
 mod endless;
 mod fleet;
 mod hedges;
