Refuse what the requests under which servers crashed have in common

Cause: crashes were counted by content alone, so requests that differ in anything were strangers to each other.

Change: a suspect of a crash is a set of features, its content and the shared segments of its prompt. What suspects of three crashes have in common is refused as a whole: a request that lacks any of these features runs, and its answer clears what it has, until only the guilty segment is left. Whole answers clear, and for segments also a stream that goes on after its first events, as they crash servers when an answer begins. Where segments are all that is common the three crashes must not be simultaneous.

The way back is a trial: claimed by an append that succeeds only if nobody appended since the records were read, 2 s after the refusal began and then 8, 45, 180 and 600 s after the one before. A request that matches several signatures is a trial of the one that includes the others, or none. The refusal is prompt_crashes_servers, with the time of the next trial as Retry-After; request_refused and trial_claimed name the segments.

--- a/crates/camphorwardd/tests/gateway/crashing_segments.rs
+++ b/crates/camphorwardd/tests/gateway/crashing_segments.rs
@@ -134,6 +134,8 @@
     let fleet = Fleet::start(0, ENGINES).await;
     let (first, second) = two_gateways(&fleet).await;
     crash_servers(&fleet, &[&first, &second], PROMPTS[1]).await;
+    // The first one may be a trial.
+    post(&second, PROMPTS[1]).await;
     let response = post(&second, PROMPTS[1]).await;
     assert_eq!(response.status, 503);
     assert!(response.body.contains("prompt_crashes_servers"), "{}", response.body);
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -1,21 +1,31 @@
 //! Requests that crash the servers that run them.
 //!
-//! Load pattern: one request is sent again and again, to any gateway, and crashes a server each
-//! time it starts to run. Requests that were in flight on a crashed server are its suspects until
-//! a later answer clears them.
+//! Load patterns: one request is sent again and again, to any gateway, and crashes a server each
+//! time it starts to run; or all requests with one segment in their prompts do, no two of them
+//! alike. Requests that were in flight on a crashed server are its suspects. What suspects of
+//! several crashes have in common is refused, until later answers clear it.
 
 mod evidence;
 mod feature;
+mod signature;
+mod trials;
 
 pub use crate::crashes::evidence::{
     Crash, CrashId, CrashReport, EVIDENCE_TTL_MS, Evidence, EvidenceReport, MAX_CRASHES,
 };
-pub use crate::crashes::feature::{ContentKey, Feature, Features};
+pub use crate::crashes::feature::{ContentKey, Feature, Features, MAX_SEGMENTS};
+pub use crate::crashes::signature::Signature;
+pub use crate::crashes::trials::{TrialReport, TrialTable, Trials};
 
+use crate::crashes::signature::is_subset;
 use std::collections::HashMap;
 
-/// The number of crashes from which on a request is refused. The platform allows three.
+/// The number of crashes from which on a request is refused. The platform allows three under one
+/// content and five under one segment.
 pub const MIN_CRASHES: usize = 3;
+/// The time between the first and the last of these crashes at least if segments are all that the
+/// requests have in common, in milliseconds.
+pub const MIN_SPREAD_MS: u64 = 250;
 /// The maximum number of crashes that wait for confirmation.
 const MAX_UNCONFIRMED: usize = 64;
 
@@ -30,6 +40,22 @@
     Crashed(Evidence),
 }
 
+/// How a request may run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// As any other.
+    Allowed,
+    /// It has the features under which servers crashed.
+    Refused {
+        /// These features.
+        features: Features,
+        /// When the next trial is due, on the gateway's clock.
+        trial_ms: u64,
+    },
+    /// It may run as a trial of these features, once no other gateway claims it.
+    TrialDue(Features),
+}
+
 /// The crashes that this gateway knows of.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -38,8 +64,7 @@
     local: Evidence,
     /// The suspects of crashes that are not confirmed yet.
     unconfirmed: HashMap<CrashId, Crash>,
-    /// In how many crashes each feature is suspected.
-    counts: HashMap<Feature, usize>,
+    signatures: Vec<Signature>,
 }
 
 impl Crashes {
@@ -92,12 +117,25 @@
             }
         }
         if !news.is_empty() {
-            self.local.merge(&news);
-            self.learn(&news, now_ms);
+            self.record(&news, now_ms);
         }
         news
     }
 
+    /// Returns the next trial of some features, as evidence to record once it is claimed.
+    pub fn next_trial(&self, features: &Features, for_ms: u64, now_ms: u64) -> Evidence {
+        let before = trials::related(&self.known.trials, features);
+        let count = before.map_or(0, |trials| trials.count) + 1;
+        let trials = Trials { count, last_ms: now_ms, for_ms };
+        Evidence { trials: [(features.clone(), trials)].into(), ..Evidence::default() }
+    }
+
+    /// Records evidence that this gateway noticed.
+    pub fn record(&mut self, evidence: &Evidence, now_ms: u64) {
+        self.local.merge(evidence);
+        self.learn(evidence, now_ms);
+    }
+
     /// Records evidence of other gateways; returns whether it held anything new.
     pub fn learn(&mut self, evidence: &Evidence, now_ms: u64) -> bool {
         let is_new = self.known.merge(evidence);
@@ -107,12 +145,6 @@
         is_new
     }
 
-    /// Records what this gateway kept in the store before it restarted.
-    pub fn learn_local(&mut self, evidence: &Evidence, now_ms: u64) {
-        self.local.merge(evidence);
-        self.learn(evidence, now_ms);
-    }
-
     /// Returns what this gateway noticed itself.
     pub const fn local(&self) -> &Evidence {
         &self.local
@@ -127,42 +159,60 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.known.expire(now_ms);
         self.local.expire(now_ms);
-        self.count();
-        let counts = &self.counts;
-        let is_needed = |crash: &Crash| {
-            let mut suspected = crash.suspects.iter().flatten();
-            suspected.any(|feature| counts.get(feature).is_some_and(|count| *count >= MIN_CRASHES))
-        };
-        self.known.limit(is_needed);
-        self.local.limit(is_needed);
-        self.count();
+        self.signatures = signature::find(self.known.crashes.values());
+        if self.known.crashes.len() > MAX_CRASHES {
+            let signatures = &self.signatures;
+            let is_needed = |crash: &Crash| {
+                crash
+                    .suspects
+                    .iter()
+                    .any(|features| signatures.iter().any(|signature| signature.matches(features)))
+            };
+            self.known.limit(is_needed);
+            self.local.limit(is_needed);
+            self.signatures = signature::find(self.known.crashes.values());
+        }
     }
 
     /// Returns in how many crashes a feature is suspected.
     pub fn crashes_under(&self, feature: &Feature) -> usize {
-        self.counts.get(feature).copied().unwrap_or(0)
+        self.known.crashes.values().filter(|crash| crash.suspects(feature)).count()
     }
 
-    /// Returns whether a request is refused.
-    pub fn is_refused(&self, features: &[Feature]) -> bool {
-        features.iter().any(|feature| self.crashes_under(feature) >= MIN_CRASHES)
+    /// Returns how a request may run.
+    ///
+    /// A request that matches several signatures tells nothing of the lesser one, so it is a trial
+    /// of the one that includes all others, or none.
+    pub fn check(&self, features: &[Feature], now_ms: u64) -> Verdict {
+        let matching = || self.signatures.iter().filter(|signature| signature.matches(features));
+        let is_largest = |signature: &&Signature| {
+            !matching().any(|other| {
+                other.features.len() > signature.features.len()
+                    && is_subset(&signature.features, &other.features)
+            })
+        };
+        let mut largest = matching().filter(is_largest);
+        let Some(first) = largest.next() else { return Verdict::Allowed };
+        let due_ms = |signature: &Signature| {
+            trials::due_ms(&self.known.trials, &signature.features, signature.since_ms)
+        };
+        let features = first.features.clone();
+        let mut trial_ms = due_ms(first);
+        let mut is_single = true;
+        for other in largest {
+            trial_ms = trial_ms.max(due_ms(other));
+            is_single = false;
+        }
+        if is_single && trial_ms <= now_ms {
+            return Verdict::TrialDue(features);
+        }
+        Verdict::Refused { features, trial_ms }
     }
 
     fn record_local(&mut self, id: &CrashId, crash: Crash, now_ms: u64) -> Evidence {
-        let news = Evidence { crashes: [(id.clone(), crash)].into() };
-        self.local.merge(&news);
-        self.learn(&news, now_ms);
+        let crashes = [(id.clone(), crash)].into();
+        let news = Evidence { crashes, ..Evidence::default() };
+        self.record(&news, now_ms);
         news
     }
-
-    fn count(&mut self) {
-        self.counts.clear();
-        for crash in self.known.crashes.values() {
-            let suspected: std::collections::BTreeSet<_> =
-                crash.suspects.iter().flatten().collect();
-            for feature in suspected.into_iter().filter(|feature| crash.suspects(feature)) {
-                *self.counts.entry(*feature).or_default() += 1;
-            }
-        }
-    }
 }
--- a/crates/dispatch/src/crashes/evidence.rs
+++ b/crates/dispatch/src/crashes/evidence.rs
@@ -4,6 +4,7 @@
 //! that it can travel by several paths and be sent again.
 
 use crate::crashes::feature::{Feature, Features};
+use crate::crashes::trials::{TrialReport, TrialTable, Trials};
 use crate::registry::ServerId;
 use protocol::ids::Incarnation;
 use serde::{Deserialize, Serialize};
@@ -15,6 +16,8 @@
 pub const MAX_CRASHES: usize = 128;
 /// The maximum number of suspects of one crash.
 const MAX_SUSPECTS: usize = 64;
+/// The maximum number of signatures whose trials are held.
+const MAX_TRIALS: usize = 64;
 /// The maximum number of cleared features of one crash.
 const MAX_CLEARED: usize = 64;
 
@@ -70,12 +73,14 @@
 pub struct Evidence {
     /// The crashes.
     pub crashes: BTreeMap<CrashId, Crash>,
+    /// The trials of what is refused.
+    pub trials: TrialTable,
 }
 
 impl Evidence {
     /// Returns whether nothing is known.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
+        self.crashes.is_empty() && self.trials.is_empty()
     }
 
     /// Merges other evidence; returns whether it held anything new.
@@ -90,12 +95,30 @@
                 }
             }
         }
+        for (features, trials) in &other.trials {
+            is_new |= self.merge_trials(features, trials);
+        }
+        is_new
+    }
+
+    fn merge_trials(&mut self, features: &Features, trials: &Trials) -> bool {
+        let held = self.trials.get(features).copied();
+        let is_new = held.is_none_or(|held| held.count < trials.count);
+        if is_new {
+            self.trials.insert(features.clone(), *trials);
+        }
+        while self.trials.len() > MAX_TRIALS {
+            let oldest = self.trials.iter().min_by_key(|(_, trials)| trials.last_ms);
+            let Some(features) = oldest.map(|(features, _)| features.clone()) else { break };
+            self.trials.remove(&features);
+        }
         is_new
     }
 
-    /// Removes crashes that no longer count.
+    /// Removes crashes and trials that no longer count.
     pub fn expire(&mut self, now_ms: u64) {
         self.crashes.retain(|_, crash| crash.at_ms + EVIDENCE_TTL_MS > now_ms);
+        self.trials.retain(|_, trials| trials.last_ms + EVIDENCE_TTL_MS > now_ms);
     }
 
     /// Removes crashes beyond the maximum number, those that are not needed first, then the oldest.
@@ -116,7 +139,13 @@
             suspects: crash.suspects.iter().cloned().collect(),
             cleared: crash.cleared.iter().copied().collect(),
         });
-        EvidenceReport { crashes: crashes.collect() }
+        let trials = self.trials.iter().map(|(features, trials)| TrialReport {
+            features: features.clone(),
+            count: trials.count,
+            age_ms: now_ms.saturating_sub(trials.last_ms),
+            for_ms: trials.for_ms,
+        });
+        EvidenceReport { crashes: crashes.collect(), trials: trials.collect() }
     }
 
     /// Decodes a report that is received now and was made `transit_ms` ago.
@@ -127,7 +156,11 @@
             let cleared = crash.cleared.into_iter().collect();
             (crash.id, Crash { at_ms, learnt_ms: now_ms, suspects, cleared })
         });
-        Self { crashes: crashes.collect() }
+        let trials = report.trials.into_iter().map(|trial| {
+            let last_ms = now_ms.saturating_sub(trial.age_ms.saturating_add(transit_ms));
+            (trial.features, Trials { count: trial.count, last_ms, for_ms: trial.for_ms })
+        });
+        Self { crashes: crashes.collect(), trials: trials.collect() }
     }
 }
 
@@ -136,6 +169,8 @@
 pub struct EvidenceReport {
     /// The crashes.
     pub crashes: Vec<CrashReport>,
+    /// The trials.
+    pub trials: Vec<TrialReport>,
 }
 
 /// A crash as gateways exchange it.
--- a/crates/dispatch/src/crashes/feature.rs
+++ b/crates/dispatch/src/crashes/feature.rs
@@ -1,5 +1,7 @@
 //! What requests under which servers crashed may have in common.
 
+use crate::request::{Prompt, SegmentId};
+use protocol::ids::ModelName;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::fmt;
@@ -29,10 +31,34 @@
 impl Feature {
     /// Returns the feature of requests with the same content and caller.
     pub const fn content(content: &ContentKey) -> Self {
-        Self(u64::from_le_bytes(content.0))
+        Self(u64::from_le_bytes(content.0) & !SEGMENT_BIT)
+    }
+
+    /// Returns the feature of requests whose prompt for a model has the segment.
+    pub fn segment(model: &ModelName, segment: &SegmentId) -> Self {
+        let fields: [&[u8]; 2] = [SEGMENT_DOMAIN, model.as_str().as_bytes()];
+        Self(u64::from_le_bytes(hash(fields, &segment.to_bytes())) | SEGMENT_BIT)
+    }
+
+    /// Returns whether this is the feature of a segment.
+    pub const fn is_segment(self) -> bool {
+        self.0 & SEGMENT_BIT != 0
+    }
+
+    /// Returns the features of the shared segments of a prompt, the first [`MAX_SEGMENTS`].
+    pub fn segments(prompt: &Prompt) -> impl Iterator<Item = (Self, SegmentId)> {
+        let shared = prompt.shared_segments().iter().take(MAX_SEGMENTS);
+        shared.map(|segment| (Self::segment(&prompt.model, &segment.id), segment.id))
     }
 }
 
+/// The maximum number of segments of a prompt that are considered.
+pub const MAX_SEGMENTS: usize = 16;
+/// Tells the features of segments from those of contents.
+const SEGMENT_BIT: u64 = 1;
+/// Keeps the hashes of segments apart from those of contents, whose paths begin with a slash.
+const SEGMENT_DOMAIN: &[u8] = b"segment";
+
 /// The features of one request, sorted.
 pub type Features = SmallVec<[Feature; 4]>;
 
--- /dev/null
+++ b/crates/dispatch/src/crashes/trials.rs
@@ -0,0 +1,62 @@
+//! The way back for refused requests: one trial at a time, with growing intervals.
+
+use crate::crashes::feature::Features;
+use crate::crashes::signature::is_subset;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The time from a refusal to the first trial, and the time after each further one, in
+/// milliseconds. The platform allows three requests later than its stable window after the fifth
+/// crash; the first two trials are within it, or take the place of a crash before.
+const INTERVALS_MS: [u64; 5] = [2_000, 8_000, 45_000, 180_000, 600_000];
+
+/// The trials of the requests that have some features.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Trials {
+    /// The number of trials.
+    pub count: u32,
+    /// When the last one was claimed, on the gateway's clock.
+    pub last_ms: u64,
+    /// How long the last one may take, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// The trials by the features that they are of.
+pub type TrialTable = BTreeMap<Features, Trials>;
+
+/// A claimed trial as gateways exchange it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TrialReport {
+    /// The features that it is of.
+    pub features: Features,
+    /// The number of trials, with this one.
+    pub count: u32,
+    /// How long ago it was claimed, in milliseconds.
+    pub age_ms: u64,
+    /// How long it may take, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// Returns the trials that count for a signature: those of its features, of more, or of fewer.
+pub fn related(table: &TrialTable, features: &Features) -> Option<Trials> {
+    let related =
+        table.iter().filter(|(other, _)| is_subset(other, features) || is_subset(features, other));
+    let mut merged: Option<Trials> = None;
+    for (_, trials) in related {
+        let held = merged.get_or_insert(*trials);
+        held.count = held.count.max(trials.count);
+        if trials.last_ms > held.last_ms {
+            (held.last_ms, held.for_ms) = (trials.last_ms, trials.for_ms);
+        }
+    }
+    merged
+}
+
+/// Returns when the next trial is due for features that are refused since a time.
+pub fn due_ms(table: &TrialTable, features: &Features, since_ms: u64) -> u64 {
+    let first_ms = since_ms + INTERVALS_MS[0];
+    related(table, features).map_or(first_ms, |trials| {
+        let index = (trials.count as usize).min(INTERVALS_MS.len() - 1);
+        first_ms.max(trials.last_ms + INTERVALS_MS[index].max(trials.for_ms))
+    })
+}
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -72,6 +72,8 @@
     UnknownKey => "unknown_key", UNAUTHORIZED;
     /// The request crashed the servers that ran it before; it does not run again.
     CrashesServers => "crashes_servers", SERVICE_UNAVAILABLE;
+    /// Servers crashed under requests with the same segments in their prompts; it does not run.
+    PromptCrashesServers => "prompt_crashes_servers", SERVICE_UNAVAILABLE;
     /// The registry lists no usable server of the service; the request has not run.
     NoServer => "no_server", SERVICE_UNAVAILABLE;
     /// Every server of the service asked for a pause; the request has not run.
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -66,7 +66,20 @@
 
     /// Returns what it may have in common with others under which servers crash.
     pub fn features(&self) -> Features {
-        [Feature::content(&self.content)].into_iter().collect()
+        let segments = self.spec.prompt.iter().flat_map(Feature::segments);
+        let segments = segments.map(|(feature, _)| feature);
+        let mut features: Features =
+            [Feature::content(&self.content)].into_iter().chain(segments).collect();
+        features.sort_unstable();
+        features.dedup();
+        features
+    }
+
+    /// Returns the segments of its prompt that are among some features, for logs.
+    pub fn segments_of(&self, features: &Features) -> Vec<String> {
+        let segments = self.spec.prompt.iter().flat_map(Feature::segments);
+        let found = segments.filter(|(feature, _)| features.contains(feature));
+        found.map(|(_, segment)| segment.to_string()).collect()
     }
 
     /// Returns the text of one of its headers.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -7,15 +7,19 @@
 mod confirm;
 mod push;
 mod store;
+mod trial;
 
 pub use crate::crashes::push::{EVIDENCE_PATH, EvidenceMessage, receive, run as push};
 pub use crate::crashes::store::{read, write};
+pub use crate::crashes::trial::claim as claim_trial;
 
 use crate::callers::CallerRequest;
+use crate::crashes::trial::TrialClaims;
 use crate::event;
 use crate::node::Node;
-use dispatch::crashes::{Aborted, CrashId, Evidence};
+use dispatch::crashes::{Aborted, CrashId, Evidence, Feature, Features};
 use dispatch::registry::ServerEntry;
+use platform::prompt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
 
@@ -29,6 +33,9 @@
     noticed: Notify,
     /// Woken when the store has been read for the first time.
     listed: Notify,
+    /// Held while this gateway's record is written.
+    writing: tokio::sync::Mutex<()>,
+    trials: TrialClaims,
 }
 
 #[derive(Debug, Default)]
@@ -45,11 +52,22 @@
     }
 }
 
-/// Records an attempt that was aborted, and finds out whether its server has crashed.
-pub fn record_aborted(node: &Arc<Node>, server: &Arc<ServerEntry>, request: &CallerRequest) {
+/// Records an attempt that was aborted, and finds out whether its server has crashed. A segment
+/// crashes servers as an answer begins, so it is no suspect once the answer `has_begun`.
+pub fn record_aborted(
+    node: &Arc<Node>,
+    server: &Arc<ServerEntry>,
+    request: &CallerRequest,
+    has_begun: bool,
+) {
     let now_ms = node.now_ms();
     let id = CrashId { server: server.id.clone(), incarnation: server.incarnation };
-    let aborted = node.state().crashes.record_aborted(&id, request.features(), now_ms);
+    let features = if has_begun {
+        [Feature::content(&request.content)].into_iter().collect()
+    } else {
+        request.features()
+    };
+    let aborted = node.state().crashes.record_aborted(&id, features, now_ms);
     match aborted {
         Aborted::Confirm => {
             tokio::spawn(confirm::run(Arc::clone(node), Arc::clone(server), id));
@@ -59,9 +77,21 @@
     }
 }
 
-/// Records a whole answer that began at a time, which clears its request.
+/// Records a whole answer that began at a time, which clears its request and its segments.
 pub fn record_answered(node: &Node, request: &CallerRequest, began_ms: u64) {
-    let news = node.state().crashes.clear(&request.features(), began_ms, node.now_ms());
+    clear(node, request, &request.features(), began_ms);
+}
+
+/// Records that a stream went on after its first events, which clears the segments: they crash
+/// servers as an answer begins.
+pub fn record_progress(node: &Node, request: &CallerRequest, began_ms: u64) {
+    let Some(prompt) = &request.spec.prompt else { return };
+    let segments: Features = Feature::segments(prompt).map(|(feature, _)| feature).collect();
+    clear(node, request, &segments, began_ms);
+}
+
+fn clear(node: &Node, request: &CallerRequest, features: &Features, began_ms: u64) {
+    let news = node.state().crashes.clear(features, began_ms, node.now_ms());
     if news.is_empty() {
         return;
     }
@@ -69,6 +99,7 @@
     event!(info, node.now_ms(), "request_cleared", {
         "request": request.id_text(),
         "content": request.content.to_string(),
+        "parts": request.spec.prompt.as_ref().map(prompt::format_segments),
         "crashes": news.crashes.len(),
     });
     publish(node, &news);
--- a/crates/gateway/src/crashes/store.rs
+++ b/crates/gateway/src/crashes/store.rs
@@ -56,6 +56,7 @@
             Ok(()) = eras.changed() => {}
             () = tokio::time::sleep(EXPIRY_INTERVAL) => node.state().crashes.expire(node.now_ms()),
         }
+        let writing = node.crash_exchange.writing.lock().await;
         let (local, gateways) = {
             let state = node.state();
             (state.crashes.local().clone(), state.gateways.count())
@@ -63,19 +64,28 @@
         if local.is_empty() && !has_record {
             continue;
         }
-        match append(&node, &mut store, &local).await {
+        let result = append(&node, &mut store, &local, None).await;
+        drop(writing);
+        let mut delay = WRITE_INTERVAL + WRITE_INTERVAL_PER_GATEWAY * gateways as u32;
+        match result {
             Ok(()) => has_record = !local.is_empty(),
             Err(error) => {
                 node.metrics.count("store_failures", error.as_str());
                 node.crash_exchange.noticed.notify_one();
-                tokio::time::sleep(RETRY_DELAY).await;
+                delay = delay.max(RETRY_DELAY);
             }
         }
-        tokio::time::sleep(WRITE_INTERVAL + WRITE_INTERVAL_PER_GATEWAY * gateways as u32).await;
+        tokio::time::sleep(delay).await;
     }
 }
 
-async fn append(node: &Node, store: &mut StoreClient, local: &Evidence) -> Result<(), StoreError> {
+/// Appends this gateway's record; with `at`, only if the topic ends at that position.
+pub async fn append(
+    node: &Node,
+    store: &mut StoreClient,
+    local: &Evidence,
+    at: Option<LogPosition>,
+) -> Result<(), StoreError> {
     // An empty value deletes the record.
     let value = if local.is_empty() {
         Vec::new()
@@ -83,7 +93,7 @@
         let report = local.to_report(node.now_ms());
         peers::encode(&StoredEvidence { written_unix_ms: unix_ms(), report })
     };
-    store.append(CRASH_TOPIC, node.settings.host.as_str(), &value, None).await?;
+    store.append(CRASH_TOPIC, node.settings.host.as_str(), &value, at).await?;
     Ok(())
 }
 
@@ -135,11 +145,7 @@
 ) -> Result<(), StoreError> {
     let era = node.eras().current();
     let Some(from) = next.filter(|next| next.era == era) else {
-        let newest = store.newest(CRASH_TOPIC).await?;
-        for (record, _) in &newest.records {
-            apply(node, record);
-        }
-        *next = Some(newest.end);
+        *next = Some(read_all(node, store).await?);
         return Ok(());
     };
     let wait_ms = if misses_peers(node) { READ_WAIT_MS } else { 0 };
@@ -151,6 +157,19 @@
     Ok(())
 }
 
+/// Reads the newest record of each gateway; returns the position after them.
+///
+/// # Errors
+///
+/// Returns an error if a call fails.
+pub async fn read_all(node: &Node, store: &mut StoreClient) -> Result<LogPosition, StoreError> {
+    let newest = store.newest(CRASH_TOPIC).await?;
+    for (record, _) in &newest.records {
+        apply(node, record);
+    }
+    Ok(newest.end)
+}
+
 fn apply(node: &Node, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
     let Some(stored) = peers::decode::<StoredEvidence>(value) else {
@@ -161,7 +180,7 @@
     let transit_ms = unix_ms().saturating_sub(stored.written_unix_ms);
     let evidence = Evidence::from_report(stored.report, transit_ms, node.now_ms());
     if record.key == node.settings.host.as_str() {
-        node.state().crashes.learn_local(&evidence, node.now_ms());
+        node.state().crashes.record(&evidence, node.now_ms());
         return;
     }
     let is_new = learn(node, &evidence, "store");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,6 +22,7 @@
 use crate::node::Node;
 use dispatch::choice::NoServer;
 use dispatch::configuration::RouteKind;
+use dispatch::crashes::{Feature, Features, Verdict};
 use dispatch::pauses;
 use dispatch::registry::ServerId;
 use http::{Response, StatusCode};
@@ -53,8 +54,16 @@
         if job.remaining_ms() < MIN_REMAINING_MS || node.is_ending() {
             return job.time_out();
         }
-        if job.crashes_servers() {
-            return job.refuse_crashing();
+        match job.check_crashes() {
+            Verdict::Allowed => {}
+            Verdict::Refused { features, trial_ms } => {
+                return job.refuse_crashing(&features, trial_ms);
+            }
+            Verdict::TrialDue(features) => {
+                if job.has_usable_server() && !job.claim_trial(&features).await {
+                    return job.refuse_crashing(&features, node.now_ms());
+                }
+            }
         }
         let placed = match place::place(&job) {
             Ok(placed) => placed,
@@ -125,11 +134,22 @@
     }
 
     /// Refuses a request that crashes servers.
-    fn refuse_crashing(&mut self) -> Response<AnswerBody> {
-        if self.may_have_run() {
-            return self.refuse(Refusal::ServerFailed, None);
-        }
-        self.refuse(Refusal::CrashesServers, None)
+    fn refuse_crashing(&mut self, features: &Features, trial_ms: u64) -> Response<AnswerBody> {
+        /// The bounds of the delay after which the caller may retry, in milliseconds. What is
+        /// refused may be cleared before the next trial is due.
+        const MIN_MS: u64 = 1_000;
+        const MAX_MS: u64 = 30_000;
+        let has_same_content = features.contains(&Feature::content(&self.request.content));
+        let refusal = match has_same_content {
+            _ if self.may_have_run() => Refusal::ServerFailed,
+            true => Refusal::CrashesServers,
+            false => Refusal::PromptCrashesServers,
+        };
+        let now_ms = self.node.now_ms();
+        self.crashing_parts = Some(self.request.segments_of(features));
+        let retry_after_ms = trial_ms.saturating_sub(now_ms).clamp(MIN_MS, MAX_MS);
+        let retry_after_ms = (refusal != Refusal::ServerFailed).then_some(retry_after_ms);
+        self.refuse(refusal, retry_after_ms)
     }
 
     /// Refuses a request whose deadline has passed.
@@ -184,6 +204,7 @@
             "waited_ms": node.now_ms().saturating_sub(self.request.arrived_ms),
             "remaining_ms": self.remaining_ms(),
             "retry_after_ms": retry_after_ms,
+            "crashing_parts": self.crashing_parts,
             "configuration": self.request.in_force.configuration.version.value(),
             "store_age_ms": node.store_age_ms(),
         });
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -9,6 +9,7 @@
 use crate::forward::job::Job;
 use crate::forward::place::{self, Placed};
 use dispatch::choice::NoServer;
+use dispatch::crashes::Verdict;
 use dispatch::registry::ServerId;
 use http::StatusCode;
 use std::pin::Pin;
@@ -121,7 +122,7 @@
         if is_over || !self.may_retry_beside(unfinished) {
             return Err(Obstacle::NoAttemptLeft);
         }
-        if self.crashes_servers() {
+        if self.check_crashes() != Verdict::Allowed {
             return Err(Obstacle::CrashesServers);
         }
         let placed = place::place(self).map_err(|reason| match reason {
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -1,13 +1,14 @@
 //! The state of a request that is being forwarded, with the attempts made so far.
 
 use crate::callers::CallerRequest;
+use crate::crashes;
 use crate::event;
 use crate::forward::attempt::{MayHaveRun, NotRun};
 use crate::logs;
 use crate::node::Node;
 use crate::peers;
 use dispatch::configuration::RouteKind;
-use dispatch::crashes::Feature;
+use dispatch::crashes::{Feature, Features, Verdict};
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
 use dispatch::streams::StreamOrigin;
 use dispatch::waiting::Ticket;
@@ -42,6 +43,10 @@
     pub is_logged: bool,
     /// Whether the end of the request was logged.
     pub is_ended: bool,
+    /// The segments of its prompt for which it is refused.
+    pub crashing_parts: Option<Vec<String>>,
+    /// Whether it runs once although requests like it crash servers.
+    is_trial: bool,
 }
 
 /// A place in the wait queue, which is released when dropped.
@@ -76,6 +81,8 @@
             last_event_id: None,
             queued: None,
             is_ended: false,
+            crashing_parts: None,
+            is_trial: false,
         }
     }
 
@@ -157,6 +164,12 @@
         has_other && (self.may_have_run_on.len() as u32) + 1 < self.request.route.max_attempts
     }
 
+    /// Returns whether a server of the service takes requests.
+    pub fn has_usable_server(&self) -> bool {
+        let state = self.node.state();
+        state.registry.usable(&self.request.spec.service).next().is_some()
+    }
+
     /// Takes a retry from the gateway's share of the budget, and returns whether the budget allows
     /// it.
     pub fn take_retry(&self) -> bool {
@@ -170,9 +183,29 @@
         granted
     }
 
-    /// Returns whether the request is one that crashes servers.
-    pub fn crashes_servers(&self) -> bool {
-        self.node.state().crashes.is_refused(&self.request.features())
+    /// Returns how the request may run, as it may crash servers.
+    pub fn check_crashes(&self) -> Verdict {
+        if self.is_trial && !self.may_have_run() {
+            return Verdict::Allowed;
+        }
+        let now_ms = self.node.now_ms();
+        self.node.state().crashes.check(&self.request.features(), now_ms)
+    }
+
+    /// Claims the trial that the request is to be; returns whether it may run.
+    pub async fn claim_trial(&mut self, features: &Features) -> bool {
+        // A request that ran before is no single trial.
+        let is_first = self.attempts() == 0;
+        let remaining_ms = self.remaining_ms();
+        self.is_trial = is_first && crashes::claim_trial(&self.node, features, remaining_ms).await;
+        if self.is_trial {
+            event!(warn, self.node.now_ms(), "trial_claimed", {
+                "request": self.request.id_text(),
+                "content": self.request.content.to_string(),
+                "crashing_parts": self.request.segments_of(features),
+            });
+        }
+        self.is_trial
     }
 
     /// Returns whether a server has the software version that the request needs.
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -23,6 +23,8 @@
     pub in_flight: InFlightAttempt,
     /// When the first events arrived, on the node's clock.
     pub began_ms: u64,
+    /// Whether more events arrived after the first.
+    pub has_gone_on: bool,
 }
 
 impl StreamSource {
