Give each signature its own trials while others like it are there

A first segment that was suspected beside the guilty one shared the trials of the larger signature, whose trials crash servers, so its own next one was put off each time.

Trials of another signature count only if that one is gone, as answers or further crashes have changed it into this one.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -124,7 +124,7 @@
 
     /// Returns the next trial of some features, as evidence to record once it is claimed.
     pub fn next_trial(&self, features: &Features, for_ms: u64, now_ms: u64) -> Evidence {
-        let before = trials::related(&self.known.trials, features);
+        let before = trials::related(&self.known.trials, &self.signatures, features);
         let count = before.map_or(0, |trials| trials.count) + 1;
         let trials = Trials { count, last_ms: now_ms, for_ms };
         Evidence { trials: [(features.clone(), trials)].into(), ..Evidence::default() }
@@ -193,9 +193,8 @@
         };
         let mut largest = matching().filter(is_largest);
         let Some(first) = largest.next() else { return Verdict::Allowed };
-        let due_ms = |signature: &Signature| {
-            trials::due_ms(&self.known.trials, &signature.features, signature.since_ms)
-        };
+        let due_ms =
+            |signature: &Signature| trials::due_ms(&self.known.trials, &self.signatures, signature);
         let features = first.features.clone();
         let mut trial_ms = due_ms(first);
         let mut is_single = true;
--- a/crates/dispatch/src/crashes/signature.rs
+++ b/crates/dispatch/src/crashes/signature.rs
@@ -55,6 +55,7 @@
         }
     }
     let mut found: BTreeMap<Features, u64> = BTreeMap::new();
+    by_feature.retain(|_, crashes| crashes.len() >= MIN_CRASHES);
     for (feature, crashes) in by_feature {
         let latest = &crashes[crashes.len().saturating_sub(MAX_COMPARED_CRASHES)..];
         add_common(feature, latest, &mut found);
--- a/crates/dispatch/src/crashes/trials.rs
+++ b/crates/dispatch/src/crashes/trials.rs
@@ -1,7 +1,7 @@
 //! The way back for refused requests: one trial at a time, with growing intervals.
 
 use crate::crashes::feature::Features;
-use crate::crashes::signature::is_subset;
+use crate::crashes::signature::{Signature, is_subset};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -37,10 +37,19 @@
     pub for_ms: u64,
 }
 
-/// Returns the trials that count for a signature: those of its features, of more, or of fewer.
-pub fn related(table: &TrialTable, features: &Features) -> Option<Trials> {
-    let related =
-        table.iter().filter(|(other, _)| is_subset(other, features) || is_subset(features, other));
+/// Returns the trials that count for the features of a signature: those of the same features, and
+/// those of more or fewer whose signature it has replaced as answers cleared features, or as crashes
+/// showed that fewer are enough.
+pub fn related(
+    table: &TrialTable,
+    signatures: &[Signature],
+    features: &Features,
+) -> Option<Trials> {
+    let is_replaced = |other: &Features| {
+        (is_subset(other, features) || is_subset(features, other))
+            && !signatures.iter().any(|signature| signature.features == *other)
+    };
+    let related = table.iter().filter(|(other, _)| *other == features || is_replaced(other));
     let mut merged: Option<Trials> = None;
     for (_, trials) in related {
         let held = merged.get_or_insert(*trials);
@@ -52,10 +61,10 @@
     merged
 }
 
-/// Returns when the next trial is due for features that are refused since a time.
-pub fn due_ms(table: &TrialTable, features: &Features, since_ms: u64) -> u64 {
-    let first_ms = since_ms + INTERVALS_MS[0];
-    related(table, features).map_or(first_ms, |trials| {
+/// Returns when the next trial of a signature is due.
+pub fn due_ms(table: &TrialTable, signatures: &[Signature], signature: &Signature) -> u64 {
+    let first_ms = signature.since_ms + INTERVALS_MS[0];
+    related(table, signatures, &signature.features).map_or(first_ms, |trials| {
         let index = (trials.count as usize).min(INTERVALS_MS.len() - 1);
         first_ms.max(trials.last_ms + INTERVALS_MS[index].max(trials.for_ms))
     })
