Take the end of a connection before the first event for a broken answer

A stream without length or chunks ends with its connection. A server that ended after the head, with nothing sent, looked like one that had answered with an empty stream: its caller got 200 and a complete empty body, and the request counted as answered whole, which clears its segments of crashes.

Such an end is an aborted attempt now. A chunked empty stream is passed on as before. Streams that end inside an event were already resumed or cut, and plain answers passed on; two tests guard both.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -18,4 +18,5 @@
 mod silence;
 mod software_versions;
 mod store_era;
+mod unframed;
 mod weights;
--- /dev/null
+++ b/crates/camphorwardd/tests/gateway/unframed.rs
@@ -0,0 +1,56 @@
+//! Answers without a length or chunks, which end with their connection.
+
+use crate::caller::post;
+use crate::fleet::{Fleet, NOTES, QUICK, STATUS};
+use standins::fleet::Framing;
+use std::time::Duration;
+
+const EVENTS: u64 = 5;
+const NO_GAP: Duration = Duration::from_millis(1);
+
+fn has_all_events(body: &str) -> bool {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.eq((1..=EVENTS).map(|event| event.to_string()))
+}
+
+#[tokio::test]
+async fn unframed_answers_are_passed_on_whole() {
+    let fleet = Fleet::start(1, 1).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    for server in fleet.desks.iter().chain(&fleet.engines) {
+        server.set_framing(Framing::Unframed);
+    }
+    let plain = post(&gateway, STATUS).await;
+    assert_eq!((plain.status, plain.is_complete), (200, true));
+    for path in [NOTES, QUICK] {
+        let stream = post(&gateway, path).await;
+        assert_eq!((stream.status, stream.is_complete), (200, true));
+        assert!(has_all_events(&stream.body), "{}", stream.body);
+    }
+}
+
+#[tokio::test]
+async fn an_unframed_stream_that_ends_inside_an_event_is_resumed_or_aborted() {
+    let fleet = Fleet::start(0, 2).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    fleet.engines.iter().for_each(|engine| engine.set_framing(Framing::UnframedCut));
+    let aborted = post(&gateway, QUICK).await;
+    assert!(!aborted.is_complete && !aborted.body.contains("id: 3"), "{}", aborted.body);
+    fleet.engines[0].set_framing(Framing::Framed);
+    for _ in 0..4 {
+        let resumed = post(&gateway, NOTES).await;
+        assert!(resumed.is_complete && has_all_events(&resumed.body), "{}", resumed.body);
+    }
+}
+
+#[tokio::test]
+async fn an_unframed_stream_that_ends_before_its_first_event_is_no_whole_answer() {
+    let fleet = Fleet::start(0, 1).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    fleet.engines[0].set_events(0, NO_GAP);
+    fleet.engines[0].set_framing(Framing::Unframed);
+    assert_eq!(post(&gateway, QUICK).await.status, 502);
+    fleet.engines[0].set_framing(Framing::Framed);
+    let empty = post(&gateway, QUICK).await;
+    assert_eq!((empty.status, empty.is_complete), (200, true));
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -404,6 +405,12 @@
             StreamSource { body, splitter, connection, in_flight, began_ms, has_gone_on };
         let first = match source.next_events(&node, &request).await {
             Ok(Some(events)) => events,
+            // The end of a connection says nothing before the first event.
+            Ok(None) if is_unframed(&head) => {
+                let reason = MayHaveRun::Aborted;
+                source.in_flight.fail(reason, &request, false);
+                return AttemptResult::MayHaveRun(reason);
+            }
             // A stream that ends properly without an event is passed on as it is.
             Ok(None) => CompleteEvents::default(),
             Err(reason) => {
@@ -417,6 +424,11 @@
     }
 }
 
+/// Returns whether the body ends with its connection.
+fn is_unframed(head: &response::Parts) -> bool {
+    !head.headers.contains_key(CONTENT_LENGTH) && !head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Removes a server whose address another server has taken over. The registry lists it again only
 /// after new heartbeats.
 fn remove_replaced(node: &Node, server: &ServerId) {
