--- a/crates/camphorwardd/tests/soak/checks.rs
+++ b/crates/camphorwardd/tests/soak/checks.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{NOTES, ORDERS, QUICK};
 use crate::traffic::Answer;
 use crate::world::{EVENTS, MIN_TIMEOUT_MS, Member, SlotEvent, World};
-use standins::fleet::ExecutedRequest;
+use standins::fleet::{ExecutedRequest, ServerKind};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +21,8 @@
     let runners = runners(&members);
     violations.extend(answers.iter().filter_map(|answer| loss_violation(world, answer, &runners)));
     violations.extend(returns_violation(world, answers));
+    violations.extend(crashing_violation(world, ServerKind::Plain, 3, &executed));
+    violations.extend(crashing_violation(world, ServerKind::Engine, 5, &executed));
     violations
         .extend(members.iter().filter_map(|member| commands_violation(&member.server.commands())));
     for slot in &world.slots {
@@ -39,6 +41,39 @@
     by_id
 }
 
+/// Requests that crash servers reach no more than three servers later than the stable window after
+/// they have crashed some, from gateways that ran all the while. Plays with faults of the store or
+/// pauses of gateways are left out, as these gateways may not know of the crashes.
+fn crashing_violation(
+    world: &World,
+    kind: ServerKind,
+    crashes: usize,
+    executed: &HashMap<String, Vec<ExecutedRequest>>,
+) -> Option<String> {
+    const STABLE_WINDOW: Duration = Duration::from_secs(4);
+    const MAX_LATER: usize = 3;
+    /// The kinds of faults that excuse a gateway.
+    const EXCUSED: [&str; 5] = [" kind 2 ", " kind 3 ", " kind 4 ", " kind 5 ", " kind 8 "];
+    let faults = world.faults.lock().unwrap();
+    if faults.iter().any(|fault| EXCUSED.iter().any(|excused| fault.contains(excused))) {
+        return None;
+    }
+    let requests = world.crashing.lock().unwrap();
+    let mut reached: Vec<_> = requests
+        .iter()
+        .filter(|request| request.kind == kind && executed.contains_key(&request.id))
+        .collect();
+    reached.sort_by_key(|request| request.ended);
+    let known = reached.get(crashes - 1)?.ended + STABLE_WINDOW;
+    let later = reached.iter().filter(|request| {
+        let ran_for = world.slots[request.slot].ran_for(request.sent);
+        request.sent > known && ran_for.is_some_and(|ran_for| ran_for >= STABLE_WINDOW)
+    });
+    let later = later.count();
+    println!("  {kind:?} crashed by {} of {} requests", reached.len(), requests.len());
+    (later > MAX_LATER).then(|| format!("BUDGET: {later} requests reached {kind:?} servers later"))
+}
+
 fn is_retryable(path: &str) -> bool {
     !path.starts_with(ORDERS) && !path.starts_with(QUICK)
 }
--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -1,13 +1,17 @@
 //! Sequential and overlapping faults, drawn from a seed.
 
-use crate::world::{Member, SlotEvent, World};
+use crate::caller;
+use crate::fleet::{ORDERS, QUICK};
+use crate::world::{BAD_SEGMENT, CrashingRequest, Member, POISON, SlotEvent, World};
 use rand::Rng;
 use rand::rngs::SmallRng;
-use standins::fleet::{Availability, Behaviour};
+use standins::fleet::{Availability, Behaviour, ServerKind};
 use standins::relay::Partition;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 const BEHAVIOURS: [Behaviour; 10] = [
@@ -27,7 +31,7 @@
 /// expect the effect of an event.
 const CUT_DURATION: Duration = Duration::from_millis(80);
 /// The number of kinds of faults.
-const KINDS: u32 = 26;
+const KINDS: u32 = 30;
 
 /// What was drawn for one fault.
 struct Draw {
@@ -72,6 +76,52 @@
     member.fault(false, duration, || server.pause(), || server.resume()).await;
 }
 
+/// Waits until a server is up again, and registers it.
+async fn until_up(world: &World, member: &Member) {
+    while !member.server.is_up() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    member.beat(&world.store);
+    member.beat(&world.store);
+}
+
+/// Sends requests that crash servers to all gateways, and registers the servers that are back.
+async fn send_crashing(world: &Arc<World>, number: u32, duration: Duration) {
+    let mut sending = JoinSet::new();
+    let kind = if number.is_multiple_of(2) { ServerKind::Plain } else { ServerKind::Engine };
+    let until = Instant::now() + duration;
+    let mut slot = number as usize;
+    while Instant::now() < until {
+        slot = (slot + 1) % world.slots.len();
+        sending.spawn(send_crashing_request(Arc::clone(world), kind, slot));
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        world.members().iter().for_each(|member| member.beat(&world.store));
+    }
+    while sending.join_next().await.is_some() {}
+}
+
+async fn send_crashing_request(world: Arc<World>, kind: ServerKind, slot: usize) {
+    let id = caller::new_id();
+    let text = match kind {
+        ServerKind::Plain => caller::request(&format!("{ORDERS}{POISON}"), &id, "", "body"),
+        ServerKind::Engine => {
+            let text = caller::request(&format!("{QUICK}{id}"), &id, "", "body");
+            text.replace("X-Prompt-Prefix: ", &format!("X-Prompt-Prefix: a1:90,{BAD_SEGMENT}:90,"))
+        }
+    };
+    let sent = Instant::now();
+    let Ok(mut stream) = TcpStream::connect(world.slots[slot].callers.address()).await else {
+        return;
+    };
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        return;
+    }
+    // Whatever the answer is, the servers tell whether the request reached one.
+    drop(tokio::time::timeout(Duration::from_secs(7), caller::read(&mut stream)).await);
+    let request = CrashingRequest { id, kind, slot, sent, ended: Instant::now() };
+    world.crashing.lock().unwrap().push(request);
+}
+
 async fn inject_one(world: Arc<World>, draw: Draw) {
     let Draw { kind, slot, member, duration, behaviour, number } = draw;
     let next = &world.slots[(slot + 1) % world.slots.len()];
@@ -173,6 +223,11 @@
             silence(&silent, duration).await;
             members.iter().for_each(|other| other.server.set_behaviour(Behaviour::Serves));
         }
+        26 => {
+            server.crash();
+            until_up(&world, &member).await;
+        }
+        27..=29 => send_crashing(&world, number, 4 * duration).await,
         _ => {
             let begin = || server.set_behaviour(behaviour);
             let is_break = behaviour != Behaviour::Serves;
--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -4,7 +4,9 @@
 use crate::fleet::{configuration, settings};
 use crate::process::Gateway;
 use serde_json::{Value, json};
-use standins::fleet::{Availability, Behaviour, Server, ServerKind, Store};
+use standins::fleet::{
+    Availability, Behaviour, CrashPlan, CrashTrigger, Server, ServerKind, Store,
+};
 use standins::relay::{Link, LinkConfig, Partition, Relay};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -26,6 +28,29 @@
 pub const MIN_TIMEOUT_MS: u64 = 5_000;
 const EVENT_GAP: Duration = Duration::from_millis(30);
 
+/// The text of requests that crash plain servers, and the segment that crashes engines.
+pub const POISON: &str = "poison";
+pub const BAD_SEGMENT: &str = "bad0";
+
+/// Returns how servers crash: engines under a segment, others under a request.
+fn crash_plan(kind: ServerKind) -> CrashPlan {
+    let trigger = match kind {
+        ServerKind::Plain => CrashTrigger::Request(POISON.to_owned()),
+        ServerKind::Engine => CrashTrigger::Segment(BAD_SEGMENT.to_owned()),
+    };
+    let delay = Duration::from_millis(20);
+    CrashPlan { trigger, delay, restart_after: Some(Duration::from_millis(700)) }
+}
+
+/// A request that crashes servers, and what became of it.
+pub struct CrashingRequest {
+    pub id: String,
+    pub kind: ServerKind,
+    pub slot: usize,
+    pub sent: Instant,
+    pub ended: Instant,
+}
+
 /// A server behind its link.
 pub struct Member {
     pub server: Server,
@@ -35,6 +60,8 @@
     pub kind: ServerKind,
     pub version: String,
     heartbeat: AtomicU64,
+    /// The ID of its last entry, which changes with a crash.
+    registered: std::sync::Mutex<String>,
     /// The state in its entry; `None` once it has left.
     pub state: std::sync::Mutex<Option<&'static str>>,
     /// The faults at present.
@@ -53,17 +80,39 @@
         let state = std::sync::Mutex::new(Some("ready"));
         let (heartbeat, version) = (AtomicU64::new(0), version.to_owned());
         let (faults, breaks) = (AtomicUsize::new(0), std::sync::Mutex::default());
-        Self { server, link, relay, service, kind, version, heartbeat, state, faults, breaks }
+        let registered = std::sync::Mutex::new(id.to_owned());
+        server.set_crash_plan(crash_plan(kind));
+        Self {
+            server,
+            link,
+            relay,
+            service,
+            kind,
+            version,
+            heartbeat,
+            registered,
+            state,
+            faults,
+            breaks,
+        }
     }
 
     /// Registers the server with its next heartbeat, unless it has left.
     pub fn beat(&self, store: &Store) {
         let state = self.state.lock().unwrap();
         let Some(state) = *state else { return };
+        if !self.server.is_up() {
+            return;
+        }
+        let id = self.server.id();
+        let before = std::mem::replace(&mut *self.registered.lock().unwrap(), id.clone());
+        if before != id {
+            store.remove(&before);
+        }
         let heartbeat = self.heartbeat.fetch_add(1, Ordering::Relaxed) + 1;
         let mut entry = self.server.entry(self.service, "east-1", heartbeat, state);
         entry["address"] = self.relay.address().to_string().into();
-        store.register(&self.server.id(), &entry);
+        store.register(&id, &entry);
     }
 
     pub fn is_ready(&self) -> bool {
@@ -106,7 +155,8 @@
     pub fn broke_within(&self, from: Instant, to: Instant) -> bool {
         /// How long the effects of a break take to reach the caller.
         const DELAY: Duration = Duration::from_millis(100);
-        let breaks = self.breaks.lock().unwrap();
+        let mut breaks = self.breaks.lock().unwrap().clone();
+        breaks.extend(self.server.outages());
         breaks.iter().any(|(begin, end)| *begin <= to && end.is_none_or(|end| end + DELAY >= from))
     }
 }
@@ -144,6 +194,7 @@
     releases: AtomicU64,
     /// The service that the configuration routes streams to, and since when.
     streams_service: std::sync::Mutex<(String, Instant)>,
+    pub crashing: std::sync::Mutex<Vec<CrashingRequest>>,
     /// The faults, for whoever traces a failure.
     pub faults: std::sync::Mutex<Vec<String>>,
 }
@@ -175,6 +226,7 @@
             weights,
             releases,
             streams_service,
+            crashing: std::sync::Mutex::default(),
             faults,
         });
         world.configure(0);
@@ -216,6 +268,7 @@
             member.kind == ServerKind::Engine
                 && (version.is_none() || member.service == service)
                 && member.is_ready()
+                && member.server.is_up()
                 && member.faults.load(Ordering::Relaxed) == 0
         };
         let versions = members.iter().filter(is_sound).map(|member| member.version.as_str());
@@ -264,6 +317,8 @@
             member.link.set_partition(Partition::None);
             member.server.set_behaviour(Behaviour::Serves);
             member.server.reset_streams_after(None);
+            let plan = CrashPlan { trigger: CrashTrigger::None, ..crash_plan(member.kind) };
+            member.server.set_crash_plan(plan);
             member.beat(&self.store);
             member.beat(&self.store);
         }
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -10,7 +10,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -103,6 +103,8 @@
     /// The number of crashes.
     crashes: watch::Sender<u64>,
     is_up: bool,
+    /// When it crashed and was up again.
+    outages: Vec<(Instant, Option<Instant>)>,
 }
 
 /// A running server; dropping it stops the server.
@@ -151,6 +153,7 @@
             crash_plan: CrashPlan::default(),
             crashes: watch::Sender::new(0),
             is_up: true,
+            outages: Vec::new(),
         }));
         let task = tokio::spawn(run(listener, kind, Arc::clone(&state))).abort_handle();
         Ok(Self { address, kind, state, task })
@@ -265,6 +268,11 @@
         *self.lock().crashes.borrow()
     }
 
+    /// Returns when the server crashed and when it was up again.
+    pub fn outages(&self) -> Vec<(Instant, Option<Instant>)> {
+        self.lock().outages.clone()
+    }
+
     /// Returns whether the server runs.
     pub fn is_up(&self) -> bool {
         self.lock().is_up
@@ -326,6 +334,9 @@
         state.id = format!("{base}+{crashes}");
         state.started_unix_ms += 1;
         state.is_up = true;
+        if let Some(outage) = state.outages.last_mut() {
+            outage.1 = Some(Instant::now());
+        }
     }
 }
 
@@ -353,6 +364,7 @@
 fn crash(state: &Mutex<State>) {
     let mut state = lock(state);
     if std::mem::replace(&mut state.is_up, false) {
+        state.outages.push((Instant::now(), None));
         state.crashes.send_modify(|crashes| *crashes += 1);
     }
 }
