Ask peers for their configuration before the first one comes into force

Callers with a revoked key were served by a gateway that started after the store had returned from a copy and before the operator had written again: it read the copy's configuration, and peers are asked only while the store cannot be read.

a_gateway_that_starts_before_the_operator_writes_again_serves_no_revoked_key failed before (200) and passes now; a gateway that starts alone serves as before.

--- a/crates/camphorwardd/tests/gateway/store_era.rs
+++ b/crates/camphorwardd/tests/gateway/store_era.rs
@@ -63,6 +63,38 @@
     assert_eq!(post(&gateway, ORDERS).await.status, 401);
 }
 
+#[tokio::test]
+async fn a_gateway_that_starts_before_the_operator_writes_again_serves_no_revoked_key() {
+    let fleet = Fleet::start(1, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    let copy = fleet.store.copy();
+    fleet.store.put_configuration(&configuration(2, &["other-key"]));
+    until_status(&gateway, ORDERS, 401).await;
+    fleet.store.restore(copy);
+    until("the copy has been read", || {
+        gateway.lines("store_read_again").iter().any(|line| line["topic"] == "keyed.op")
+    })
+    .await;
+    for (host, seeds) in [("gateway-2", vec![gateway.peers.to_string()]), ("gateway-3", vec![])] {
+        let late = Gateway::start(&fleet.settings(host, &seeds)).await;
+        let mut refused = 0;
+        while refused < 5 {
+            let status = post(&late, ORDERS).await.status;
+            assert!([401, 503].contains(&status), "{host} serves a revoked key: {status}");
+            refused += u32::from(status == 401);
+        }
+    }
+    assert!(fleet.desks[0].executed().is_empty());
+}
+
+#[tokio::test]
+async fn a_gateway_that_starts_alone_after_a_step_back_serves_in_the_end() {
+    let fleet = Fleet::start(1, 0).await;
+    fleet.store.restore(fleet.store.copy());
+    let gateway = fleet.gateway("gateway-1").await;
+    assert_eq!(post(&gateway, ORDERS).await.status, 200);
+}
+
 #[tokio::test]
 async fn a_server_missing_in_the_copy_is_used_until_its_entry_is_written_again() {
     let fleet = Fleet::start(1, 0).await;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use crate::follow::servers::ServerRecords;
 use crate::gateways::Source;
 use crate::node::Node;
-use crate::peers::Follower;
+use crate::peers::{self, Follower};
 use crate::store::{StoreClient, StoreError};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -90,7 +90,7 @@
 /// Reads the servers' entries if that is due, then waits for an operator's record until the next
 /// read of the servers.
 async fn read_once(
-    node: &Node,
+    node: &Arc<Node>,
     store: &mut StoreClient,
     operator: &mut OperatorRecords,
     servers: &mut ServerRecords,
@@ -101,6 +101,9 @@
         let interval_ms = SERVER_READ_SHARE * node.settings.bounds.drain_ms as f64;
         *next_servers_ms = node.now_ms() + interval_ms as u64;
     }
+    if node.in_force().is_none() && node.eras().known().is_some() {
+        peers::consult(node).await;
+    }
     let wait_ms = next_servers_ms.saturating_sub(node.now_ms());
     operator.read(node, store, wait_ms).await
 }
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -104,6 +104,11 @@
         self.by_host = next;
     }
 
+    /// Returns whether the gateways have been listed.
+    pub const fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Returns the number of gateways that may be running, this one included.
     pub fn count(&self) -> usize {
         if self.is_listed { self.peers().count() + 1 } else { ASSUMED_GATEWAYS }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 pub use crate::peers::message::{
     PeerUpdate, Snapshot, UPDATE_PATH, decode, decode_with, encode, encode_with,
 };
-pub use crate::peers::pull::run as pull;
+pub use crate::peers::pull::{consult, run as pull};
 pub use crate::peers::push::run as push;
 pub use crate::peers::serve::accept;
 pub use crate::peers::streams::{
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -8,7 +8,7 @@
 use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,19 +30,7 @@
             continue;
         }
         let Some(peer) = pick_peer(&node) else { continue };
-        node.metrics.count("peer_calls", "snapshot");
-        let call = Call::get(SNAPSHOT_PATH, ANSWER_TIMEOUT);
-        let answer = match Link::new(peer).call(call).await {
-            Ok(answer) => answer,
-            Err(error) => {
-                node.metrics.count("peer_failures", "snapshot");
-                failures::record(&node, peer, &error);
-                continue;
-            }
-        };
-        let snapshot = is_ok(&answer).then(|| message::decode_with(answer.body())).flatten();
-        let snapshot = snapshot.map(|(snapshot, store_era)| Snapshot { store_era, ..snapshot });
-        if let Some(snapshot) = snapshot
+        if let Some(snapshot) = fetch(&node, peer).await
             && age_ms.is_none_or(|age_ms| snapshot.age_ms < age_ms)
         {
             apply(&node, snapshot, peer);
@@ -50,7 +38,60 @@
     }
 }
 
+/// Applies the configurations of a few peers before this process puts its first one in force.
+///
+/// After a step back of the store, until the operator has written again, the store's configuration
+/// is one from before; running gateways know the newer one.
+pub async fn consult(node: &Arc<Node>) {
+    /// How many peers are asked; some of them may have just started too.
+    const PEERS: usize = 5;
+    /// How long the gateways may take to be listed.
+    const MAX_WAIT: Duration = Duration::from_secs(1);
+    const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+    if node.settings.listen.peers.is_none() {
+        return;
+    }
+    let listed = async {
+        while !node.state().gateways.is_listed() {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+        }
+    };
+    // Without a listing the seeds are asked.
+    drop(tokio::time::timeout(MAX_WAIT, listed).await);
+    let mut peers = known_peers(node);
+    peers.shuffle(&mut rand::rng());
+    let answers = peers.into_iter().take(PEERS).map(|peer| fetch(node, peer));
+    for snapshot in futures_util::future::join_all(answers).await.into_iter().flatten() {
+        node.observe_peer_era(snapshot.store_era);
+        apply_configuration(node, snapshot.configuration);
+    }
+}
+
+async fn fetch(node: &Node, peer: SocketAddr) -> Option<Snapshot> {
+    node.metrics.count("peer_calls", "snapshot");
+    let call = Call::get(SNAPSHOT_PATH, ANSWER_TIMEOUT);
+    let answer = Link::new(peer).call(call).await.inspect_err(|error| {
+        node.metrics.count("peer_failures", "snapshot");
+        failures::record(node, peer, error);
+    });
+    let answer = answer.ok().filter(is_ok)?;
+    let (snapshot, store_era) = message::decode_with(answer.body())?;
+    Some(Snapshot { store_era, ..snapshot })
+}
+
+fn apply_configuration(node: &Node, configuration: Option<Vec<u8>>) {
+    if let Some(record) = configuration {
+        let record = KeyedRecord { key: CONFIGURATION_KEY.to_owned(), value: Some(record) };
+        apply_operator_record(node, &record, "peer");
+    }
+}
+
 fn pick_peer(node: &Node) -> Option<SocketAddr> {
+    known_peers(node).choose(&mut rand::rng()).copied()
+}
+
+/// Returns the listed peers, or the seeds if there are none.
+fn known_peers(node: &Node) -> Vec<SocketAddr> {
     let state = node.state();
     let mut peers: Vec<SocketAddr> =
         state.gateways.peers().map(|record| record.peer_address).collect();
@@ -60,17 +101,14 @@
         peers = node.seeds();
         peers.retain(|seed| Some(*seed) != local_address);
     }
-    peers.choose(&mut rand::rng()).copied()
+    peers
 }
 
 fn apply(node: &Node, snapshot: Snapshot, peer: SocketAddr) {
     node.observe_peer_era(snapshot.store_era);
     let now_ms = node.now_ms();
     event!(debug, now_ms, "snapshot_taken", { "peer": peer, "age_ms": snapshot.age_ms });
-    if let Some(record) = snapshot.configuration {
-        let record = KeyedRecord { key: CONFIGURATION_KEY.to_owned(), value: Some(record) };
-        apply_operator_record(node, &record, "peer");
-    }
+    apply_configuration(node, snapshot.configuration);
     let mut state = node.state();
     let mut has_new_weights = false;
     for (model, version) in snapshot.weights {
