Count the end of a server that was leaving as no crash

Found in the reading of the diff: a server that announces its leaving, or whose entry was removed, exits a while later, and streams that outlive it break. Each such exit was a crash with these requests as suspects; after three the request was refused.

Attempts on servers that have left for this gateway are no suspects now. the_end_of_a_server_that_left_is_no_crash failed before (refused) and passes. Besides, nothing is hashed while nothing is known of crashes, and a full table of unconfirmed crashes starts no further checks.

--- a/crates/camphorwardd/tests/gateway/crashing.rs
+++ b/crates/camphorwardd/tests/gateway/crashing.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Fleet, ORDERS, QUICK, STATUS};
 use crate::process::{Gateway, until};
 use serde_json::Value;
-use standins::fleet::{Behaviour, CrashPlan, CrashTrigger, Server};
+use standins::fleet::{Behaviour, CrashPlan, CrashTrigger, Server, ServerKind};
 use std::time::Duration;
 
 const POISON: &str = "poison";
@@ -134,6 +134,32 @@
     }
 }
 
+#[tokio::test]
+async fn the_end_of_a_server_that_left_is_no_crash() {
+    let fleet = Fleet::start(1, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    let mut servers = fleet.desks;
+    for number in 1..=CRASHES {
+        let server = servers.pop().unwrap();
+        server.set_execution_time(Duration::from_secs(30));
+        let next = Server::start(&format!("next-{number}"), ServerKind::Plain).await.unwrap();
+        let left = gateway.lines("server_left").len();
+        let (refused, ()) = tokio::join!(post_poison(&gateway, ORDERS), async {
+            until("the server runs it", || !server.executed().is_empty()).await;
+            fleet.store.register(&server.id(), &server.entry("desk", "east-1", 2, "draining"));
+            until("the server is left", || gateway.lines("server_left").len() > left).await;
+            server.crash();
+        });
+        assert!(!refused);
+        let joined = gateway.lines("server_joined").len();
+        fleet.store.register(&next.id(), &next.entry("desk", "east-1", 1, "ready"));
+        until("the next one is listed", || gateway.lines("server_joined").len() > joined).await;
+        servers.push(next);
+    }
+    let text = request(&format!("{ORDERS}{POISON}"), &new_id(), "", "body");
+    assert_eq!(send(gateway.callers, &text).await.status, 200);
+}
+
 #[tokio::test]
 async fn copies_of_a_request_on_one_server_count_one_crash() {
     let fleet = Fleet::start(2, 0).await;
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -84,9 +84,10 @@
             unconfirmed.suspects.extend(crash.suspects);
             return Aborted::Unconfirmed;
         }
-        if self.unconfirmed.len() < MAX_UNCONFIRMED {
-            self.unconfirmed.insert(id.clone(), crash);
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED {
+            return Aborted::Unconfirmed;
         }
+        self.unconfirmed.insert(id.clone(), crash);
         Aborted::Confirm
     }
 
@@ -179,6 +180,11 @@
         self.known.crashes.values().filter(|crash| crash.suspects(feature)).count()
     }
 
+    /// Returns whether any requests are refused.
+    pub fn refuses_any(&self) -> bool {
+        !self.signatures.is_empty()
+    }
+
     /// Returns how a request may run.
     ///
     /// A request that matches several signatures tells nothing of the lesser one, so it is a trial
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -18,7 +18,7 @@
 use crate::event;
 use crate::node::Node;
 use dispatch::crashes::{Aborted, CrashId, Evidence, Feature, Features};
-use dispatch::registry::ServerEntry;
+use dispatch::registry::{RegistryStatus, ServerEntry};
 use platform::prompt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
@@ -67,7 +67,18 @@
     } else {
         request.features()
     };
-    let aborted = node.state().crashes.record_aborted(&id, features, now_ms);
+    let aborted = {
+        let mut state = node.state();
+        let registered = state.registry.get(&id.server);
+        let has_left = registered.is_some_and(|(entry, status)| {
+            entry.incarnation == id.incarnation && status == RegistryStatus::Leaving
+        });
+        // It was expected to end.
+        if has_left {
+            return;
+        }
+        state.crashes.record_aborted(&id, features, now_ms)
+    };
     match aborted {
         Aborted::Confirm => {
             tokio::spawn(confirm::run(Arc::clone(node), Arc::clone(server), id));
@@ -79,13 +90,18 @@
 
 /// Records a whole answer that began at a time, which clears its request and its segments.
 pub fn record_answered(node: &Node, request: &CallerRequest, began_ms: u64) {
-    clear(node, request, &request.features(), began_ms);
+    if !node.state().crashes.known().is_empty() {
+        clear(node, request, &request.features(), began_ms);
+    }
 }
 
 /// Records that a stream went on after its first events, which clears the segments: they crash
 /// servers as an answer begins.
 pub fn record_progress(node: &Node, request: &CallerRequest, began_ms: u64) {
     let Some(prompt) = &request.spec.prompt else { return };
+    if node.state().crashes.known().is_empty() {
+        return;
+    }
     let segments: Features = Feature::segments(prompt).map(|(feature, _)| feature).collect();
     clear(node, request, &segments, began_ms);
 }
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -189,7 +189,11 @@
             return Verdict::Allowed;
         }
         let now_ms = self.node.now_ms();
-        self.node.state().crashes.check(&self.request.features(), now_ms)
+        let state = self.node.state();
+        if !state.crashes.refuses_any() {
+            return Verdict::Allowed;
+        }
+        state.crashes.check(&self.request.features(), now_ms)
     }
 
     /// Claims the trial that the request is to be; returns whether it may run.
