--- a/crates/camphorwardd/tests/gateway/crashing_segments.rs
+++ b/crates/camphorwardd/tests/gateway/crashing_segments.rs
@@ -114,6 +114,31 @@
     check_refused(&fleet, &[&third], PROMPTS[1]).await;
 }
 
+#[tokio::test]
+async fn a_gateway_that_wakes_refuses_a_segment_that_crashed_servers_meanwhile() {
+    let fleet = Fleet::start(0, ENGINES).await;
+    let (first, second) = two_gateways(&fleet).await;
+    second.signal("STOP");
+    crash_servers(&fleet, &[&first], PROMPTS[1]).await;
+    second.signal("CONT");
+    tokio::time::sleep(STABLE_WINDOW).await;
+    check_refused(&fleet, &[&second], PROMPTS[1]).await;
+}
+
+#[tokio::test]
+async fn of_requests_at_all_gateways_at_once_at_most_one_is_a_trial() {
+    let fleet = Fleet::start(0, ENGINES).await;
+    let (first, second) = two_gateways(&fleet).await;
+    crash_servers(&fleet, &[&first, &second], PROMPTS[1]).await;
+    let before = crashes(&fleet.engines);
+    let at_once = (0..20).map(|number| post([&first, &second][number % 2], PROMPTS[1]));
+    futures_util::future::join_all(at_once).await;
+    assert!(crashes(&fleet.engines) <= before + 1);
+    let claimed = |gateway: &Gateway| gateway.lines("trial_claimed").len();
+    until("the claims are logged", || claimed(&first) + claimed(&second) > 0).await;
+    assert_eq!(claimed(&first) + claimed(&second), 1);
+}
+
 #[tokio::test]
 async fn a_segment_is_served_again_after_one_trial_once_the_fault_is_gone() {
     let fleet = Fleet::start(0, ENGINES).await;
--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -367,8 +367,12 @@
         let store = self.store_relay.address().to_string();
         let gateway = Gateway::start(&settings(&self.host, &store, &[])).await;
         self.callers.set_target(gateway.callers);
-        *self.gateway.lock().await = Some(gateway);
+        let other = self.gateway.lock().await.replace(gateway);
         self.record(SlotEvent::Started);
+        // Another restart at the same time was first.
+        if let Some(other) = other {
+            self.end(other);
+        }
     }
 
     pub fn record(&self, event: SlotEvent) {
@@ -393,13 +397,17 @@
     }
 
     pub async fn kill(&self) {
-        if let Some(mut gateway) = self.gateway.lock().await.take() {
-            if gateway.exit_status().is_none() {
-                self.record(SlotEvent::Killed);
-                gateway.kill();
-            }
-            self.previous_logs.lock().unwrap().push(gateway.all_lines());
+        if let Some(gateway) = self.gateway.lock().await.take() {
+            self.end(gateway);
+        }
+    }
+
+    fn end(&self, mut gateway: Gateway) {
+        if gateway.exit_status().is_none() {
+            self.record(SlotEvent::Killed);
+            gateway.kill();
         }
+        self.previous_logs.lock().unwrap().push(gateway.all_lines());
     }
 
     /// Sends SIGTERM, and starts a new process once the current one has exited; does nothing more
--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -65,6 +65,8 @@
     /// The suspects of crashes that are not confirmed yet.
     unconfirmed: HashMap<CrashId, Crash>,
     signatures: Vec<Signature>,
+    /// Whether the signatures are those of earlier evidence.
+    is_outdated: bool,
 }
 
 impl Crashes {
@@ -160,17 +162,24 @@
     pub fn expire(&mut self, now_ms: u64) {
         self.known.expire(now_ms);
         self.local.expire(now_ms);
-        self.signatures = signature::find(self.known.crashes.values());
+        self.is_outdated = true;
         if self.known.crashes.len() > MAX_CRASHES {
+            self.update_signatures();
             let signatures = &self.signatures;
             let is_needed = |crash: &Crash| {
-                crash
-                    .suspects
-                    .iter()
-                    .any(|features| signatures.iter().any(|signature| signature.matches(features)))
+                let mut suspects = crash.suspects.iter();
+                suspects.any(|features| signatures.iter().any(|found| found.matches(features)))
             };
             self.known.limit(is_needed);
             self.local.limit(is_needed);
+            self.is_outdated = true;
+        }
+    }
+
+    /// Finds the signatures if the evidence has changed. Crashes come in numbers, so this waits for
+    /// the next request.
+    fn update_signatures(&mut self) {
+        if std::mem::replace(&mut self.is_outdated, false) {
             self.signatures = signature::find(self.known.crashes.values());
         }
     }
@@ -181,7 +190,8 @@
     }
 
     /// Returns whether any requests are refused.
-    pub fn refuses_any(&self) -> bool {
+    pub fn refuses_any(&mut self) -> bool {
+        self.update_signatures();
         !self.signatures.is_empty()
     }
 
@@ -189,7 +199,8 @@
     ///
     /// A request that matches several signatures tells nothing of the lesser one, so it is a trial
     /// of the one that includes all others, or none.
-    pub fn check(&self, features: &[Feature], now_ms: u64) -> Verdict {
+    pub fn check(&mut self, features: &[Feature], now_ms: u64) -> Verdict {
+        self.update_signatures();
         let matching = || self.signatures.iter().filter(|signature| signature.matches(features));
         let is_largest = |signature: &&Signature| {
             !matching().any(|other| {
--- a/crates/dispatch/src/crashes/evidence.rs
+++ b/crates/dispatch/src/crashes/evidence.rs
@@ -123,12 +123,17 @@
 
     /// Removes crashes beyond the maximum number, those that are not needed first, then the oldest.
     pub fn limit(&mut self, is_needed: impl Fn(&Crash) -> bool) {
-        while self.crashes.len() > MAX_CRASHES {
-            let first =
-                self.crashes.iter().min_by_key(|(_, crash)| (is_needed(crash), crash.at_ms));
-            let Some(id) = first.map(|(id, _)| id.clone()) else { return };
-            self.crashes.remove(&id);
+        /// How many are removed at once, so that not every further crash removes one.
+        const REMOVED: usize = 16;
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
         }
+        let keys = self.crashes.iter().map(|(id, crash)| (is_needed(crash), crash.at_ms, id));
+        let mut keys: Vec<_> = keys.collect();
+        keys.sort_unstable();
+        let excess = keys.len() - MAX_CRASHES + REMOVED;
+        let removed: Vec<_> = keys.into_iter().take(excess).map(|(.., id)| id.clone()).collect();
+        self.crashes.retain(|id, _| !removed.contains(id));
     }
 
     /// Encodes the evidence with ages in place of times of this gateway's clock.
--- a/crates/dispatch/src/crashes/signature.rs
+++ b/crates/dispatch/src/crashes/signature.rs
@@ -4,7 +4,7 @@
 use crate::crashes::feature::{Feature, Features};
 use crate::crashes::{MIN_CRASHES, MIN_SPREAD_MS};
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The maximum number of a feature's crashes that are compared, the latest ones.
 const MAX_COMPARED_CRASHES: usize = 8;
@@ -47,16 +47,10 @@
     let mut open: Vec<OpenCrash> = crashes.map(open_crash).collect();
     open.retain(|crash| !crash.suspects.is_empty());
     open.sort_by_key(|crash| crash.at_ms);
-    let mut by_feature: BTreeMap<Feature, Vec<&OpenCrash>> = BTreeMap::new();
-    for crash in &open {
-        let features: BTreeSet<Feature> = crash.suspects.iter().flatten().copied().collect();
-        for feature in features {
-            by_feature.entry(feature).or_default().push(crash);
-        }
-    }
     let mut found: BTreeMap<Features, u64> = BTreeMap::new();
-    by_feature.retain(|_, crashes| crashes.len() >= MIN_CRASHES);
-    for (feature, crashes) in by_feature {
+    for feature in frequent_features(&open) {
+        let is_suspect = |crash: &&OpenCrash| crash.suspects.iter().any(|s| s.contains(&feature));
+        let crashes: Vec<&OpenCrash> = open.iter().filter(is_suspect).collect();
         let latest = &crashes[crashes.len().saturating_sub(MAX_COMPARED_CRASHES)..];
         add_common(feature, latest, &mut found);
     }
@@ -64,6 +58,23 @@
     signatures.map(|(features, since_ms)| Signature { features, since_ms }).collect()
 }
 
+/// Returns the features that are suspected in enough crashes. Most features are in one only.
+fn frequent_features(crashes: &[OpenCrash]) -> BTreeSet<Feature> {
+    /// The last crash that was counted for a feature, and the count.
+    type Count = (usize, usize);
+    let mut counts: HashMap<Feature, Count> = HashMap::new();
+    for (index, crash) in crashes.iter().enumerate() {
+        for feature in crash.suspects.iter().flatten() {
+            let (last, count) = counts.entry(*feature).or_insert((index, 1));
+            if *last != index {
+                (*last, *count) = (index, *count + 1);
+            }
+        }
+    }
+    let frequent = counts.into_iter().filter(|(_, (_, count))| *count >= MIN_CRASHES);
+    frequent.map(|(feature, _)| feature).collect()
+}
+
 fn open_crash(crash: &Crash) -> OpenCrash {
     let suspects = crash.suspects.iter().map(|features| {
         let open = features.iter().filter(|feature| !crash.cleared.contains(feature));
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -2,7 +2,7 @@
 
 use dispatch::crashes::{
     Aborted, ContentKey, CrashId, Crashes, EVIDENCE_TTL_MS, Evidence, Feature, Features,
-    MIN_SPREAD_MS, Verdict,
+    MAX_CRASHES, MIN_SPREAD_MS, Verdict,
 };
 use dispatch::registry::ServerId;
 use protocol::ids::Incarnation;
@@ -15,7 +15,7 @@
     [Feature::content(&ContentKey::new("/a/", "alpha", body))].into_iter().collect()
 }
 
-fn is_refused(crashes: &Crashes, features: &Features) -> bool {
+fn is_refused(crashes: &mut Crashes, features: &Features) -> bool {
     crashes.check(features, 0) != Verdict::Allowed
 }
 
@@ -33,13 +33,13 @@
     let features = content(b"body");
     for incarnation in 0..2 {
         crash(&mut crashes, &id("s", incarnation), &features, 1_000 + incarnation * MIN_SPREAD_MS);
-        assert!(!is_refused(&crashes, &features));
+        assert!(!is_refused(&mut crashes, &features));
     }
     crash(&mut crashes, &id("s", 2), &features, 1_000 + 2 * MIN_SPREAD_MS);
-    assert!(is_refused(&crashes, &features));
+    assert!(is_refused(&mut crashes, &features));
     let mut later = crashes;
     later.expire(1_000 + 2 * MIN_SPREAD_MS + EVIDENCE_TTL_MS);
-    assert!(!is_refused(&later, &features), "crashes expire");
+    assert!(!is_refused(&mut later, &features), "crashes expire");
 }
 
 #[test]
@@ -52,7 +52,7 @@
         assert_eq!(crashes.record_aborted(&id, features.clone(), 0), Aborted::Unconfirmed);
         crashes.refute(&id);
     }
-    assert!(!is_refused(&crashes, &features));
+    assert!(!is_refused(&mut crashes, &features));
 }
 
 #[test]
@@ -66,10 +66,10 @@
         second.learn(&news, 5);
         second.learn(&news, 7);
     }
-    assert!(!is_refused(&second, &features));
+    assert!(!is_refused(&mut second, &features));
     let later_ms = MIN_SPREAD_MS + 5;
     second.learn(&crash(&mut first, &id("t", 0), &features, later_ms), later_ms);
-    assert!(is_refused(&first, &features) && is_refused(&second, &features));
+    assert!(is_refused(&mut first, &features) && is_refused(&mut second, &features));
 }
 
 #[test]
@@ -80,15 +80,15 @@
         crash(&mut crashes, &id("s", incarnation), &features, 100 * (1 + 2 * incarnation));
     }
     assert!(crashes.clear(&features, 100, 600).is_empty(), "it began before");
-    assert!(is_refused(&crashes, &features));
+    assert!(is_refused(&mut crashes, &features));
     let news = crashes.clear(&features, 501, 600);
-    assert!(!is_refused(&crashes, &features));
+    assert!(!is_refused(&mut crashes, &features));
     let mut other = Crashes::new();
     other.learn(&news, 700);
     for incarnation in 0..3 {
         crash(&mut other, &id("s", 10 + incarnation), &features, 800 + 200 * incarnation);
     }
-    assert!(is_refused(&other, &features), "later crashes count");
+    assert!(is_refused(&mut other, &features), "later crashes count");
 }
 
 #[test]
@@ -102,7 +102,7 @@
         let features = content(&other.to_le_bytes());
         crash(&mut crashes, &id(&format!("t{other}"), 0), &features, 1_000 + u64::from(other));
     }
-    assert!(is_refused(&crashes, &crashing));
+    assert!(is_refused(&mut crashes, &crashing));
 }
 
 #[test]
@@ -127,3 +127,22 @@
     let report = expected.to_report(50);
     assert_eq!(Evidence::from_report(report, 0, 50).to_report(50), expected.to_report(50));
 }
+
+#[test]
+fn made_up_requests_take_bounded_memory() {
+    let mut crashes = Crashes::new();
+    let mut peer = Crashes::new();
+    for server in 0_u32..300 {
+        let id = id(&format!("s{server}"), 0);
+        crash(&mut crashes, &id, &content(&server.to_le_bytes()), u64::from(server));
+        for other in 0_u32..100 {
+            let features = content(&(1_000 * server + other).to_le_bytes());
+            crashes.record_aborted(&id, features, u64::from(server));
+        }
+        peer.learn(crashes.known(), u64::from(server));
+    }
+    for table in [crashes.known(), crashes.local(), peer.known()] {
+        assert!(table.crashes.len() <= MAX_CRASHES);
+        assert!(table.crashes.values().all(|crash| crash.suspects.len() <= 64));
+    }
+}
--- a/crates/gateway/src/crashes/trial.rs
+++ b/crates/gateway/src/crashes/trial.rs
@@ -33,7 +33,7 @@
     };
     let now_ms = node.now_ms();
     let (news, local) = {
-        let state = node.state();
+        let mut state = node.state();
         if state.crashes.check(features, now_ms) != Verdict::TrialDue(features.clone()) {
             return false;
         }
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -189,7 +189,7 @@
             return Verdict::Allowed;
         }
         let now_ms = self.node.now_ms();
-        let state = self.node.state();
+        let mut state = self.node.state();
         if !state.crashes.refuses_any() {
             return Verdict::Allowed;
         }
