Test trials between signatures, and servers that end together

Three mutants of the refusal (a trial of any signature, of a smaller one, and no spread over time) survived the histories; each is found by one of these now.

--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -5,7 +5,8 @@
     MAX_CRASHES, MIN_SPREAD_MS, Verdict,
 };
 use dispatch::registry::ServerId;
-use protocol::ids::Incarnation;
+use dispatch::request::SegmentId;
+use protocol::ids::{Incarnation, ModelName};
 
 fn id(server: &str, incarnation: u64) -> CrashId {
     CrashId { server: ServerId::new(server), incarnation: Incarnation::new(incarnation) }
@@ -146,3 +147,66 @@
         assert!(table.crashes.values().all(|crash| crash.suspects.len() <= 64));
     }
 }
+
+/// Returns a request with a content of its own and shared segments.
+fn prompt(number: u64, segments: &[u64]) -> Features {
+    let model: ModelName = "m".parse().unwrap();
+    let segments = segments.iter().map(|id| Feature::segment(&model, &SegmentId::new(*id)));
+    let mut features: Features =
+        content(&number.to_le_bytes()).into_iter().chain(segments).collect();
+    features.sort_unstable();
+    features
+}
+
+/// Returns a table after one crash under each request, a second apart.
+fn after_crashes(requests: &[&[u64]]) -> Crashes {
+    let mut crashes = Crashes::new();
+    for (number, segments) in requests.iter().enumerate() {
+        let (number, at_ms) = (number as u64, 1_000 * number as u64);
+        crash(&mut crashes, &id("s", number), &prompt(number, segments), at_ms);
+    }
+    crashes
+}
+
+#[test]
+fn servers_that_end_together_make_no_shared_segment_suspect() {
+    let mut crashes = Crashes::new();
+    for server in 0..8 {
+        let id = id(&format!("s{server}"), 0);
+        crash(&mut crashes, &id, &prompt(server, &[1, 100 + server]), 1_000 + server);
+    }
+    assert_eq!(crashes.check(&prompt(90, &[1, 2]), 10_000), Verdict::Allowed);
+    crash(&mut crashes, &id("later", 0), &prompt(91, &[1, 200]), 2_000);
+    assert_ne!(crashes.check(&prompt(92, &[1, 2]), 2_000), Verdict::Allowed);
+}
+
+#[test]
+fn a_segment_beside_the_guilty_one_is_not_refused_alone() {
+    let mut crashes = after_crashes(&[&[1, 2], &[1, 2], &[1, 2]]);
+    assert_eq!(crashes.check(&prompt(90, &[1, 3]), 3_000), Verdict::Allowed);
+    assert!(is_refused(&mut crashes, &prompt(91, &[1, 2])));
+    let answered = prompt(92, &[1, 3]);
+    crashes.clear(&answered, 3_001, 4_000);
+    assert!(is_refused(&mut crashes, &prompt(93, &[4, 2])), "only the guilty one is left");
+}
+
+#[test]
+fn a_request_of_a_larger_signature_is_no_trial_of_a_smaller_one() {
+    let mut crashes = after_crashes(&[&[1, 2], &[1, 2], &[1, 2], &[1, 3]]);
+    let larger = crashes.check(&prompt(90, &[1, 2]), 60_000);
+    assert!(matches!(&larger, Verdict::TrialDue(features) if features.len() == 2));
+    let Verdict::TrialDue(features) = larger else { return };
+    let news = crashes.next_trial(&features, 1_000, 60_000);
+    crashes.record(&news, 60_000);
+    assert!(matches!(crashes.check(&prompt(91, &[1, 2]), 60_001), Verdict::Refused { .. }));
+    let smaller = crashes.check(&prompt(92, &[1, 4]), 60_001);
+    assert!(matches!(smaller, Verdict::TrialDue(features) if features.len() == 1));
+}
+
+#[test]
+fn a_request_of_two_signatures_is_no_trial() {
+    let mut crashes = after_crashes(&[&[1, 11], &[2, 12], &[1, 13], &[2, 14], &[1, 15], &[2, 16]]);
+    assert!(matches!(crashes.check(&prompt(90, &[1, 3]), 60_000), Verdict::TrialDue(_)));
+    assert!(matches!(crashes.check(&prompt(91, &[2, 3]), 60_000), Verdict::TrialDue(_)));
+    assert!(matches!(crashes.check(&prompt(92, &[1, 2]), 60_000), Verdict::Refused { .. }));
+}
