Keep the outcome of broken plain answers in the load of their server

Read in the diff: with the record of aborted attempts, a plain answer that breaks in its body had become a failed connection for the load of its server, where it was a failed request before. The outcome is as it was.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -380,7 +380,7 @@
                     ReadError::Aborted(_) => MayHaveRun::Aborted,
                     ReadError::TooLarge => MayHaveRun::TooLarge,
                 };
-                in_flight.fail(reason, &request, false);
+                in_flight.fail_with(Outcome::Failed, reason, &request, false);
                 return AttemptResult::MayHaveRun(reason);
             }
             Err(_) => {
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -46,10 +46,22 @@
     /// Records that the attempt failed although it may have run; `has_begun` tells whether the
     /// caller has got part of its answer.
     pub fn fail(self, reason: MayHaveRun, request: &CallerRequest, has_begun: bool) {
+        self.fail_with(reason.outcome(), reason, request, has_begun);
+    }
+
+    /// Records the same with an outcome for the load of the server that depends on more than the
+    /// reason.
+    pub fn fail_with(
+        self,
+        outcome: Outcome,
+        reason: MayHaveRun,
+        request: &CallerRequest,
+        has_begun: bool,
+    ) {
         if reason == MayHaveRun::Aborted {
             crashes::record_aborted(&self.node, &self.server, request, has_begun);
         }
-        self.end(reason.outcome());
+        self.end(outcome);
     }
 
     fn close(&mut self, outcome: Outcome) {
