Run nothing beside a trial

Found in the second reading of the diff: a trial whose server fell silent was hedged, as no attempt of it counted as run yet, so that one trial could take two servers at a time. a_trial_on_a_silent_server_is_not_hedged failed before (two servers ran it) and passes. A due trial without a usable server is refused at once, where it went on to placement and could have run unclaimed if a server joined in between.

The tests of a gateway that restarts or wakes asked for no more than three further crashes, which one gateway that knows nothing also keeps to. They ask for one now, a trial; without the read of the store the one on restarts fails, with two others.

--- a/crates/camphorwardd/tests/gateway/crashing_segments.rs
+++ b/crates/camphorwardd/tests/gateway/crashing_segments.rs
@@ -3,9 +3,9 @@
 
 use crate::caller::{self, Response, new_id, request, send};
 use crate::crashing::{MAX_LATER, STABLE_WINDOW, crashes, two_gateways};
-use crate::fleet::{Fleet, QUICK};
+use crate::fleet::{Fleet, NOTES, QUICK};
 use crate::process::{Gateway, until};
-use standins::fleet::{CrashPlan, CrashTrigger};
+use standins::fleet::{Behaviour, CrashPlan, CrashTrigger};
 use std::time::Duration;
 
 const BAD: &str = "bad0";
@@ -18,6 +18,10 @@
 
 /// Sends a request with a new content and a prompt.
 async fn post(gateway: &Gateway, prompt: &[&str]) -> Response {
+    post_to(gateway, QUICK, prompt).await
+}
+
+async fn post_to(gateway: &Gateway, path: &str, prompt: &[&str]) -> Response {
     let id = new_id();
     let own = |place: usize| format!("{place}{}:90", id.trim_start_matches("attempt"));
     let segments = prompt.iter().enumerate().map(|(place, segment)| match *segment {
@@ -25,7 +29,7 @@
         shared => format!("{shared}:90"),
     });
     let segments = segments.collect::<Vec<_>>().join(",");
-    let text = request(&format!("{QUICK}{id}"), &id, "", "body");
+    let text = request(&format!("{path}{id}"), &id, "", "body");
     let (before, after) = text.split_once("X-Prompt-Prefix: ").unwrap();
     let (_, after) = after.split_once("\r\n").unwrap();
     send(gateway.callers, &format!("{before}X-Prompt-Prefix: {segments}\r\n{after}")).await
@@ -71,6 +75,15 @@
     assert!(later <= MAX_LATER, "{prompt:?} crashed {later} more");
 }
 
+/// Sends two requests with the bad segment; a gateway that knows of the crashes lets at most one run,
+/// as a trial.
+async fn check_knows(fleet: &Fleet, gateway: &Gateway, prompt: &[&str]) {
+    let before = crashes(&fleet.engines);
+    post(gateway, prompt).await;
+    post(gateway, prompt).await;
+    assert!(crashes(&fleet.engines) <= before + 1);
+}
+
 async fn check_place(place: usize) {
     let fleet = Fleet::start(0, ENGINES).await;
     let (first, second) = two_gateways(&fleet).await;
@@ -111,7 +124,7 @@
     drop((first, second));
     let third = Gateway::start(&fleet.settings("gateway-3", &[])).await;
     caller::until_ready(&third).await;
-    check_refused(&fleet, &[&third], PROMPTS[1]).await;
+    check_knows(&fleet, &third, PROMPTS[1]).await;
 }
 
 #[tokio::test]
@@ -120,9 +133,11 @@
     let (first, second) = two_gateways(&fleet).await;
     second.signal("STOP");
     crash_servers(&fleet, &[&first], PROMPTS[1]).await;
+    // The gateway that noticed the crashes is gone before the other one wakes.
+    drop(first);
     second.signal("CONT");
     tokio::time::sleep(STABLE_WINDOW).await;
-    check_refused(&fleet, &[&second], PROMPTS[1]).await;
+    check_knows(&fleet, &second, PROMPTS[1]).await;
 }
 
 #[tokio::test]
@@ -139,6 +154,23 @@
     assert_eq!(claimed(&first) + claimed(&second), 1);
 }
 
+#[tokio::test]
+async fn a_trial_on_a_silent_server_is_not_hedged() {
+    let fleet = Fleet::start(0, ENGINES).await;
+    let (first, second) = two_gateways(&fleet).await;
+    crash_servers(&fleet, &[&first, &second], PROMPTS[1]).await;
+    for engine in &fleet.engines {
+        engine.set_crash_plan(CrashPlan::default());
+        engine.set_behaviour(Behaviour::Unresponsive);
+    }
+    let executed = || fleet.engines.iter().map(|engine| engine.executed().len()).sum::<usize>();
+    let before = executed();
+    // The route allows a second attempt.
+    let response = post_to(&first, NOTES, PROMPTS[1]).await;
+    assert_eq!(first.lines("trial_claimed").len() + second.lines("trial_claimed").len(), 1);
+    assert_eq!(executed(), before + 1, "{}", response.status);
+}
+
 #[tokio::test]
 async fn a_segment_is_served_again_after_one_trial_once_the_fault_is_gone() {
     let fleet = Fleet::start(0, ENGINES).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -59,8 +59,11 @@
             Verdict::Refused { features, trial_ms } => {
                 return job.refuse_crashing(&features, trial_ms);
             }
+            Verdict::TrialDue(_) if !job.has_usable_server() => {
+                return job.refuse_unplaced(NoServer::NoneUsable);
+            }
             Verdict::TrialDue(features) => {
-                if job.has_usable_server() && !job.claim_trial(&features).await {
+                if !job.claim_trial(&features).await {
                     return job.refuse_crashing(&features, node.now_ms());
                 }
             }
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -122,7 +122,9 @@
         if is_over || !self.may_retry_beside(unfinished) {
             return Err(Obstacle::NoAttemptLeft);
         }
-        if self.check_crashes() != Verdict::Allowed {
+        // A trial may crash its server, so nothing runs beside it.
+        let is_trial_beside = self.is_trial && unfinished > 0;
+        if is_trial_beside || self.check_crashes() != Verdict::Allowed {
             return Err(Obstacle::CrashesServers);
         }
         let placed = place::place(self).map_err(|reason| match reason {
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -46,7 +46,7 @@
     /// The segments of its prompt for which it is refused.
     pub crashing_parts: Option<Vec<String>>,
     /// Whether it runs once although requests like it crash servers.
-    is_trial: bool,
+    pub is_trial: bool,
 }
 
 /// A place in the wait queue, which is released when dropped.
