Name what is suspected, and drop state that follows from other state

Crash::suspects was a field and a method of another meaning; a closure named is_cleared held the opposite. The reader of the store asked twice whether this gateway follows another one. The claims' client needs no type of its own. No change of behaviour.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -14,10 +14,9 @@
     Crash, CrashId, CrashReport, EVIDENCE_TTL_MS, Evidence, EvidenceReport, MAX_CRASHES,
 };
 pub use crate::crashes::feature::{ContentKey, Feature, Features, MAX_SEGMENTS};
-pub use crate::crashes::signature::Signature;
 pub use crate::crashes::trials::{TrialReport, TrialTable, Trials};
 
-use crate::crashes::signature::is_subset;
+use crate::crashes::signature::{Signature, is_subset};
 use std::collections::HashMap;
 
 /// The number of crashes from which on a request is refused. The platform allows three under one
@@ -111,9 +110,9 @@
     pub fn clear(&mut self, features: &[Feature], began_ms: u64, now_ms: u64) -> Evidence {
         let mut news = Evidence::default();
         for (id, crash) in &self.known.crashes {
-            let is_cleared = |feature: &&Feature| crash.suspects(feature);
-            if crash.learnt_ms < began_ms && features.iter().any(|feature| is_cleared(&feature)) {
-                let cleared = features.iter().filter(is_cleared).copied().collect();
+            let is_suspected = |feature: &&Feature| crash.is_suspected(feature);
+            if crash.learnt_ms < began_ms && features.iter().any(|feature| is_suspected(&feature)) {
+                let cleared = features.iter().filter(is_suspected).copied().collect();
                 let (at_ms, learnt_ms) = (crash.at_ms, crash.learnt_ms);
                 let update = Crash { at_ms, learnt_ms, cleared, ..Crash::default() };
                 news.crashes.insert(id.clone(), update);
@@ -186,7 +185,7 @@
 
     /// Returns in how many crashes a feature is suspected.
     pub fn crashes_under(&self, feature: &Feature) -> usize {
-        self.known.crashes.values().filter(|crash| crash.suspects(feature)).count()
+        self.known.crashes.values().filter(|crash| crash.is_suspected(feature)).count()
     }
 
     /// Returns whether any requests are refused.
--- a/crates/dispatch/src/crashes/evidence.rs
+++ b/crates/dispatch/src/crashes/evidence.rs
@@ -45,7 +45,7 @@
 
 impl Crash {
     /// Returns whether a feature is suspected of the crash.
-    pub fn suspects(&self, feature: &Feature) -> bool {
+    pub fn is_suspected(&self, feature: &Feature) -> bool {
         !self.cleared.contains(feature)
             && self.suspects.iter().any(|features| features.contains(feature))
     }
--- a/crates/dispatch/src/crashes/trials.rs
+++ b/crates/dispatch/src/crashes/trials.rs
@@ -6,8 +6,7 @@
 use std::collections::BTreeMap;
 
 /// The time from a refusal to the first trial, and the time after each further one, in
-/// milliseconds. The platform allows three requests later than its stable window after the fifth
-/// crash; the first two trials are within it, or take the place of a crash before.
+/// milliseconds. They grow because the platform allows three more requests in all.
 const INTERVALS_MS: [u64; 5] = [2_000, 8_000, 45_000, 180_000, 600_000];
 
 /// The trials of the requests that have some features.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -14,9 +14,9 @@
 pub use crate::crashes::trial::claim as claim_trial;
 
 use crate::callers::CallerRequest;
-use crate::crashes::trial::TrialClaims;
 use crate::event;
 use crate::node::Node;
+use crate::store::StoreClient;
 use dispatch::crashes::{Aborted, CrashId, Evidence, Feature, Features};
 use dispatch::registry::{RegistryStatus, ServerEntry};
 use platform::prompt;
@@ -35,7 +35,8 @@
     listed: Notify,
     /// Held while this gateway's record is written.
     writing: tokio::sync::Mutex<()>,
-    trials: TrialClaims,
+    /// Held while a trial is claimed; the client connects with the first claim.
+    claims: tokio::sync::Mutex<Option<StoreClient>>,
 }
 
 #[derive(Debug, Default)]
--- a/crates/gateway/src/crashes/push.rs
+++ b/crates/gateway/src/crashes/push.rs
@@ -72,8 +72,8 @@
     }
 }
 
-/// Returns the peers in the same failure domain, and those that receive what others do not. In a
-/// small installation these are all; in a large one a few of each domain, which forward it there.
+/// Returns the peers in the same failure domain, and the others to which this gateway sends what it
+/// noticed: all in a small installation, in a large one a few of each domain, which forward it.
 fn addresses(node: &Node) -> (BTreeSet<SocketAddr>, BTreeSet<SocketAddr>) {
     let state = node.state();
     let domain = &node.settings.failure_domain;
--- a/crates/gateway/src/crashes/store.rs
+++ b/crates/gateway/src/crashes/store.rs
@@ -7,7 +7,6 @@
 use crate::clock::unix_ms;
 use crate::crashes::{forward, learn};
 use crate::event;
-use crate::gateways::Source;
 use crate::node::Node;
 use crate::peers;
 use crate::store::{LogPosition, StoreClient, StoreError};
@@ -128,13 +127,11 @@
     }
 }
 
-/// Returns whether peers do not report, and no other gateway of the failure domain reads the store.
+/// Returns whether some gateways do not report and this one reads the store, not another gateway.
 fn misses_peers(node: &Node) -> bool {
     let state = node.state();
     let reporting = state.loads.reporting_gateways().saturating_add(1);
-    reporting < state.gateways.count()
-        && (node.reads_store.load(Ordering::Relaxed)
-            || state.gateways.source(&node.settings.failure_domain) == Source::Stores)
+    reporting < state.gateways.count() && node.reads_store.load(Ordering::Relaxed)
 }
 
 /// Reads new records, or lists the newest ones first.
--- a/crates/gateway/src/crashes/trial.rs
+++ b/crates/gateway/src/crashes/trial.rs
@@ -8,20 +8,15 @@
 use crate::node::Node;
 use crate::store::StoreClient;
 use dispatch::crashes::{Features, Verdict};
-
-/// The state of the claims of this gateway.
-#[derive(Debug, Default)]
-pub struct TrialClaims {
-    client: tokio::sync::Mutex<Option<StoreClient>>,
-}
+use std::sync::Arc;
 
 /// Claims the trial that is due for some features; returns whether this gateway may run it.
 ///
 /// `for_ms` is how long the trial may take.
-pub async fn claim(node: &std::sync::Arc<Node>, features: &Features, for_ms: u64) -> bool {
+pub async fn claim(node: &Arc<Node>, features: &Features, for_ms: u64) -> bool {
     let exchange = &node.crash_exchange;
     // Other requests of this gateway do not wait for the claim; one of them is enough.
-    let Ok(mut client) = exchange.trials.client.try_lock() else { return false };
+    let Ok(mut client) = exchange.claims.try_lock() else { return false };
     let client = client.get_or_insert_with(|| StoreClient::new(node));
     let _writing = exchange.writing.lock().await;
     let end = match store::read_all(node, client).await {
