End the soak's gateways before the ports that they call are free

A play's world freed the ports of its store and relays first and ended its gateways after that, and another soak process beside it had taken the port. Gateways end first now.

--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -180,10 +180,11 @@
 
 /// A slot for a gateway, whose process changes with kills and restarts.
 pub struct GatewaySlot {
+    /// First, as in [`World`].
+    pub gateway: Mutex<Option<Gateway>>,
     pub host: String,
     pub store_link: Arc<Link>,
     store_relay: Relay,
-    pub gateway: Mutex<Option<Gateway>>,
     /// The address for callers, independent of the process that listens.
     pub callers: Relay,
     pub callers_link: Arc<Link>,
@@ -193,9 +194,10 @@
 }
 
 pub struct World {
+    /// First, so that the gateways end before the ports that they call are free for another play.
+    pub slots: Vec<GatewaySlot>,
     pub store: Store,
     members: RwLock<Vec<Arc<Member>>>,
-    pub slots: Vec<GatewaySlot>,
     pub version: AtomicU64,
     pub weights: AtomicU64,
     releases: AtomicU64,
