Log the limits that servers name

Nothing showed which limit a server had named to which gateway, so the lines of an incident could not tell a limit that is not read from one that each gateway keeps by itself. Each change of what a server names is logged (server_terms), request_sent gives the limit that is known, and unusable values are counted. Nothing else reads the table yet: requests go where they went before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod rollout;
 pub mod routes;
 pub mod streams;
+pub mod terms;
 pub mod waiting;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -245,6 +245,7 @@
 fn log_attempt(request: &CallerRequest, placed: &Placed, is_reused: bool, node: &Node) {
     let prompt = request.spec.prompt.as_ref();
     let engine = placed.engine.as_ref();
+    let terms = node.state().terms.terms(&placed.entry.id, placed.entry.incarnation);
     event!(info, node.now_ms(), "request_sent", {
         "request": request.id_text(),
         "content": request.content.to_string(),
@@ -256,6 +257,7 @@
         "cost_ms": placed.chosen.cost_ms,
         "expected_first_byte_ms": placed.chosen.first_byte_ms,
         "candidates": placed.chosen.candidates,
+        "limit_per_s": terms.limit.map(|limit| limit.per_s()),
         "known_gateways": placed.reporting_gateways,
         "fetched_tokens": engine.map(|plan| plan.blocks.fetched_tokens),
         "rank": request.spec.priority,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -22,6 +22,7 @@
 use dispatch::rollout::TargetVersions;
 use dispatch::routes::RouteTable;
 use dispatch::streams::StreamTable;
+use dispatch::terms::TermsTable;
 use dispatch::waiting::WaitQueue;
 use protocol::ids::ModelName;
 use std::collections::{BTreeMap, BTreeSet};
@@ -72,6 +73,8 @@
     pub loads: Loads,
     /// The pauses that servers asked for.
     pub pauses: Pauses,
+    /// The terms that servers name.
+    pub terms: TermsTable,
     /// The retry budgets.
     pub retry_share: RetryShare,
     /// Requests that crash servers.
@@ -219,6 +222,7 @@
             registry: Registry::new(),
             loads: Loads::new(),
             pauses: Pauses::new(),
+            terms: TermsTable::new(),
             retry_share: RetryShare::new(bounds),
             crashes: Crashes::new(),
             blocks: BlockIndex::new(),
--- a/crates/gateway/src/server_answers.rs
+++ b/crates/gateway/src/server_answers.rs
@@ -4,8 +4,9 @@
 use crate::follow;
 use crate::node::Node;
 use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::terms::Terms;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use platform::headers::{SERVER_ID, is_leaving, parse_retry_after_ms};
+use platform::headers::{SERVER_ID, is_leaving, parse_limit, parse_retry_after_ms};
 use protocol::ids::Incarnation;
 use std::time::Duration;
 
@@ -71,6 +72,10 @@
     if is_leaving(headers) {
         record_leaving(node, server, source);
     }
+    match parse_limit(headers) {
+        Ok(limit) => record_terms(node, server, Terms { limit }, node.now_ms(), source),
+        Err(reason) => node.metrics.count("server_limits_ignored", reason.as_str()),
+    }
     if status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(retry_after) = headers.get(http::header::RETRY_AFTER)
     {
@@ -87,6 +92,26 @@
     }
 }
 
+/// Records the terms that a server named, or that it names none, in an answer written at a time.
+fn record_terms(
+    node: &Node,
+    server: &ServerIdentity,
+    terms: Terms,
+    written_ms: u64,
+    source: AnswerSource,
+) {
+    let before = node.state().terms.record(&server.id, server.incarnation, terms, written_ms);
+    let Some(before) = before else { return };
+    node.metrics.count("server_terms", source.as_str());
+    event!(warn, node.now_ms(), "server_terms", {
+        "server": server.id.as_str(),
+        "incarnation": server.incarnation.value(),
+        "limit_per_s": terms.limit.map(|limit| limit.per_s()),
+        "limit_before_per_s": before.limit.map(|limit| limit.per_s()),
+        "source": source.as_str(),
+    });
+}
+
 /// Records that a server asked for a pause.
 fn record_pause(
     node: &Node,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod error;
 pub mod ids;
 pub mod message;
+pub mod rate;
 pub mod rendezvous;
 pub mod size;
