--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod hedges;
 mod leaving;
+mod limits;
 mod membership;
 mod pauses;
 mod process;
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -98,6 +98,8 @@
     extra_headers: Vec<(String, String)>,
     /// The paths of all received requests.
     received: Vec<String>,
+    /// When requests of callers arrived, refused ones included.
+    arrivals: Vec<Instant>,
     is_paused: watch::Sender<bool>,
     crash_plan: CrashPlan,
     /// The number of crashes.
@@ -149,6 +151,7 @@
             refused: 0,
             extra_headers: Vec::new(),
             received: Vec::new(),
+            arrivals: Vec::new(),
             is_paused: watch::Sender::new(false),
             crash_plan: CrashPlan::default(),
             crashes: watch::Sender::new(0),
@@ -283,6 +286,20 @@
         self.lock().received.clone()
     }
 
+    /// Returns when requests of callers arrived, refused ones included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.lock().arrivals.clone()
+    }
+
+    /// Returns the largest number of requests of callers that arrived within some time, from a
+    /// moment on.
+    pub fn most_arrivals_within(&self, length: Duration, since: Instant) -> usize {
+        let arrivals = self.arrivals();
+        let counted: Vec<&Instant> = arrivals.iter().filter(|at| **at >= since).collect();
+        let until = |start: &Instant| counted.partition_point(|at| **at <= *start + length);
+        counted.iter().enumerate().map(|(index, at)| until(at) - index).max().unwrap_or(0)
+    }
+
     /// Returns the requests that the server executed.
     pub fn executed(&self) -> Vec<ExecutedRequest> {
         self.lock().executed.clone()
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -9,7 +9,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
@@ -27,6 +27,9 @@
         let (id, behaviour) = {
             let mut state = lock(state);
             state.received.push(request.path().to_owned());
+            if !request.header("x-attempt-id").is_empty() {
+                state.arrivals.push(Instant::now());
+            }
             (state.id.clone(), state.behaviour)
         };
         let expected = request.header("x-expect-instance");
