--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -7,7 +7,8 @@
 use crate::forward::place::blocks::{
     holders, is_session_server, resident_blocks, salt, session_server, transfer_context,
 };
-use crate::node::{Node, RoutingState};
+use crate::node::Node;
+use crate::routing_state::RoutingState;
 use dispatch::blocks::{BlockPlan, CacheSalt};
 use dispatch::choice::{self, BlockCost, Candidate, ChoiceContext, Chosen, NoServer};
 use dispatch::configuration::EngineTraits;
--- a/crates/gateway/src/forward/place/blocks.rs
+++ b/crates/gateway/src/forward/place/blocks.rs
@@ -1,7 +1,7 @@
 //! Lookups of the cached blocks of one request's prompt.
 
 use crate::forward::job::Job;
-use crate::node::RoutingState;
+use crate::routing_state::RoutingState;
 use dispatch::blocks::{CacheSalt, Holder, TransferContext};
 use dispatch::configuration::EngineTraits;
 use dispatch::load::{Loads, ServerTag, SessionTag};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod pool;
 pub mod rollout_leader;
+pub mod routing_state;
 pub mod server_answers;
 pub mod settings;
 mod store;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,31 +1,22 @@
 //! The state shared by all tasks of a gateway.
 
+mod eras;
+
 use crate::answer_memory::AnswerMemory;
-use crate::block_log::{BlockEvent, BlockLog};
-use crate::clock::{self, Clock};
+use crate::clock::Clock;
 use crate::crashes::CrashExchange;
-use crate::event;
-use crate::gateways::{Gateways, Source};
+use crate::gateways::Source;
 use crate::metrics::Metrics;
 use crate::peers::{PeerUpdate, StreamExchange};
 use crate::pool::Pool;
+use crate::routing_state::RoutingState;
 use crate::settings::GatewaySettings;
-use dispatch::blocks::BlockIndex;
 use dispatch::choice::GatewayContext;
 use dispatch::configuration::Configuration;
-use dispatch::crashes::Crashes;
-use dispatch::era::{AnswerEra, EraTracker, IgnoredEra, NamedEra, StoreEra};
-use dispatch::load::Loads;
-use dispatch::pauses::Pauses;
-use dispatch::registry::{Registry, ServerEntry};
+use dispatch::era::{EraTracker, IgnoredEra};
 use dispatch::retry_share::{BudgetBounds, RetryShare};
-use dispatch::rollout::TargetVersions;
 use dispatch::routes::RouteTable;
-use dispatch::streams::StreamTable;
-use dispatch::terms::TermsTable;
-use dispatch::waiting::WaitQueue;
-use protocol::ids::ModelName;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -35,13 +26,6 @@
 /// Longer than most outages of the store, and short compared with the time for which outdated
 /// blocks may occupy memory that is needed.
 pub const MAX_FETCH_STATE_AGE_MS: u64 = 6_000;
-/// The time after the start in which a target weight version that is read may have been requested
-/// before the start, in milliseconds.
-const STARTUP_MS: u64 = 2_500;
-/// The assumed age of such a target version when it is read, in milliseconds, until the rollout
-/// lease's record gives the actual time.
-const ASSUMED_TARGET_AGE_MS: u64 = 5_000;
-
 /// The memory for answers of servers, in bytes. A process has 110 MB on small hosts.
 const ANSWER_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
@@ -64,96 +48,6 @@
     }
 }
 
-/// The state that routing decisions read and change.
-#[derive(Debug)]
-pub struct RoutingState {
-    /// The servers.
-    pub registry: Registry,
-    /// The servers' loads.
-    pub loads: Loads,
-    /// The pauses that servers asked for.
-    pub pauses: Pauses,
-    /// The terms that servers name.
-    pub terms: TermsTable,
-    /// The retry budgets.
-    pub retry_share: RetryShare,
-    /// Requests that crash servers.
-    pub crashes: Crashes,
-    /// The cached blocks of the block stores and engines.
-    pub blocks: BlockIndex,
-    /// The target weight versions of each model.
-    pub weights: BTreeMap<ModelName, TargetVersions>,
-    /// The latest changes of cached blocks, for followers.
-    pub block_log: BlockLog,
-    /// The gateways.
-    pub gateways: Gateways,
-    /// The prompts that wait for free capacity.
-    pub wait_queue: WaitQueue,
-    /// What began the streams that callers may take up again.
-    pub streams: StreamTable,
-}
-
-impl RoutingState {
-    /// Returns the newest target weight version of each model.
-    pub fn target_versions(&self) -> BTreeMap<ModelName, u64> {
-        let newest = |versions: &TargetVersions| versions.newest().unwrap_or(0);
-        self.weights.iter().map(|(model, versions)| (model.clone(), newest(versions))).collect()
-    }
-
-    /// Records a target weight version; returns whether it is newer than all previous ones. One
-    /// that is read shortly after the start counts as requested `ASSUMED_TARGET_AGE_MS` ago.
-    pub fn record_target_version(&mut self, model: ModelName, version: u64, now_ms: u64) -> bool {
-        let assumed_age_ms =
-            if now_ms < clock::START_MS + STARTUP_MS { ASSUMED_TARGET_AGE_MS } else { 0 };
-        let since_ms = now_ms.saturating_sub(assumed_age_ms);
-        self.weights.entry(model).or_default().add(version, since_ms)
-    }
-
-    /// Applies a change at a block store or an engine, and logs it for followers; returns whether
-    /// the store must be listed again.
-    pub fn apply_blocks(&mut self, event: BlockEvent, now_ms: u64) -> bool {
-        let must_list = match &event {
-            BlockEvent::Reported(store, report) => self.blocks.apply(*store, report),
-            BlockEvent::Forgotten(store) => {
-                self.blocks.forget_store(*store);
-                false
-            }
-            BlockEvent::EngineReported(engine, report) => {
-                self.blocks.apply_engine(*engine, report, now_ms);
-                false
-            }
-            BlockEvent::EngineForgotten(engine) => {
-                self.blocks.forget_engine(*engine);
-                false
-            }
-        };
-        self.block_log.push(event);
-        must_list
-    }
-
-    /// Checks whether a server takes another attempt of this gateway.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time at which it may take the next one.
-    pub fn check_pause(&self, entry: &ServerEntry, now_ms: u64) -> Result<(), u64> {
-        let in_flight_since = |since_ms| self.loads.in_flight_since(&entry.id, since_ms);
-        self.pauses.check(&entry.id, entry.incarnation, in_flight_since, now_ms)
-    }
-
-    /// Returns whether a server asked for a pause that has not ended.
-    pub fn is_paused(&self, entry: &ServerEntry, now_ms: u64) -> bool {
-        self.pauses.until_ms(&entry.id, entry.incarnation, now_ms).is_some()
-    }
-
-    /// Returns the ratio of all gateways to those whose load is reported, this one included in
-    /// both; at least 1.
-    pub fn gateway_ratio(&self) -> f64 {
-        let reporting = self.loads.reporting_gateways().saturating_add(1);
-        (self.gateways.count() as f64 / reporting as f64).max(1.0)
-    }
-}
-
 /// The shared state of a gateway.
 #[derive(Debug)]
 pub struct Node {
@@ -218,20 +112,7 @@
             regions: settings.regions.clone(),
             prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
         };
-        let state = RoutingState {
-            registry: Registry::new(),
-            loads: Loads::new(),
-            pauses: Pauses::new(),
-            terms: TermsTable::new(),
-            retry_share: RetryShare::new(bounds),
-            crashes: Crashes::new(),
-            blocks: BlockIndex::new(),
-            block_log: BlockLog::default(),
-            weights: BTreeMap::new(),
-            gateways: Gateways::new(settings.host.clone()),
-            wait_queue: WaitQueue::new(),
-            streams: StreamTable::new(),
-        };
+        let state = RoutingState::new(settings.host.clone(), RetryShare::new(bounds));
         Self {
             context,
             clock: Clock::new(),
@@ -348,102 +229,6 @@
         std::mem::take(&mut self.outbox.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Returns what is known of the era of the platform's store.
-    pub fn eras(&self) -> EraTracker {
-        *self.eras.borrow()
-    }
-
-    /// Returns a receiver that is woken when the era rises.
-    pub fn watch_eras(&self) -> watch::Receiver<EraTracker> {
-        self.eras.subscribe()
-    }
-
-    /// Judges the era that an answer of the store names. Returns the era in which the answer was
-    /// given; `None` if that is an earlier one than the current.
-    pub fn observe_answer_era(&self, asked: StoreEra, named: NamedEra) -> Option<StoreEra> {
-        let mut judged = AnswerEra::Current;
-        let now_ms = self.now_ms();
-        self.eras.send_if_modified(|eras| {
-            judged = eras.observe_answer(asked, named, now_ms);
-            let is_raised = matches!(judged, AnswerEra::Raised { .. });
-            if is_raised {
-                // No listing of the new era may be applied before.
-                self.state().registry.store_restored(now_ms);
-            }
-            is_raised
-        });
-        match judged {
-            AnswerEra::Current => {}
-            AnswerEra::Raised { before } => {
-                self.handle_raised_era(before, "store");
-                // Gateways that learn it from a peer do not pass it on at once, so that a rise does
-                // not flood an installation.
-                let era = self.eras().known();
-                self.queue_update(|update| update.store_era = era);
-            }
-            AnswerEra::Outdated => {
-                self.metrics.count("store_eras", "outdated");
-                return None;
-            }
-            AnswerEra::Ignored(reason) => self.log_ignored_era(reason, named),
-        }
-        match named {
-            NamedEra::Era(era) if !matches!(judged, AnswerEra::Ignored(_)) => Some(era),
-            _ => Some(self.eras().current()),
-        }
-    }
-
-    /// Records the era that a peer knows.
-    pub fn observe_peer_era(&self, era: Option<StoreEra>) {
-        let Some(era) = era else { return };
-        let mut before = None;
-        let now_ms = self.now_ms();
-        self.eras.send_if_modified(|eras| {
-            before = eras.observe_era(era, now_ms);
-            if before.is_some() {
-                self.state().registry.store_restored(now_ms);
-            }
-            before.is_some()
-        });
-        if let Some(before) = before {
-            self.handle_raised_era(before, "peer");
-        }
-    }
-
-    fn handle_raised_era(&self, before: StoreEra, source: &str) {
-        let now_ms = self.now_ms();
-        let era = self.eras().current();
-        self.metrics.count("store_eras", "raised");
-        event!(warn, now_ms, "store_era_raised", {
-            "before": before.value(),
-            "era": era.value(),
-            "source": source,
-        });
-        self.weights_changed.notify_one();
-    }
-
-    fn log_ignored_era(&self, reason: IgnoredEra, named: NamedEra) {
-        self.metrics.count("store_eras", reason.as_str());
-        let mut logged = self.logged_eras.lock().unwrap_or_else(PoisonError::into_inner);
-        if logged.insert(reason) {
-            event!(warn, self.now_ms(), "store_era_ignored", {
-                "reason": reason.as_str(),
-                "named": format!("{named:?}"),
-                "era": self.eras().current().value(),
-            });
-        }
-    }
-
-    /// Records that a topic was read from its newest records again, in a later era.
-    pub fn record_read_again(&self, topic: &str, era: StoreEra, records: usize) {
-        self.metrics.count("store_eras", "read_again");
-        event!(info, self.now_ms(), "store_read_again", {
-            "topic": topic,
-            "era": era.value(),
-            "records": records,
-        });
-    }
-
     /// Records that the store has been read up to now.
     pub fn record_store_read(&self) {
         self.record_store_age(0);
--- a/crates/gateway/src/peers/streams.rs
+++ b/crates/gateway/src/peers/streams.rs
@@ -4,8 +4,9 @@
 //! it survives both the end of its gateway and a lost datagram.
 
 use crate::event;
-use crate::node::{Node, RoutingState};
+use crate::node::Node;
 use crate::peers::message::{self, StreamMessage};
+use crate::routing_state::RoutingState;
 use dispatch::streams::{self, Holder, StreamKey, StreamOrigin, StreamRecord, Unknown};
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
--- /dev/null
+++ b/crates/gateway/src/routing_state.rs
@@ -0,0 +1,132 @@
+//! The state that routing decisions read and change.
+
+use crate::block_log::{BlockEvent, BlockLog};
+use crate::clock;
+use crate::gateways::Gateways;
+use dispatch::blocks::BlockIndex;
+use dispatch::crashes::Crashes;
+use dispatch::load::Loads;
+use dispatch::pauses::Pauses;
+use dispatch::registry::{Registry, ServerEntry};
+use dispatch::retry_share::RetryShare;
+use dispatch::rollout::TargetVersions;
+use dispatch::streams::StreamTable;
+use dispatch::terms::TermsTable;
+use dispatch::waiting::WaitQueue;
+use protocol::ids::{HostName, ModelName};
+use std::collections::BTreeMap;
+
+/// The time after the start in which a target weight version that is read may have been requested
+/// before the start, in milliseconds.
+const STARTUP_MS: u64 = 2_500;
+/// The assumed age of such a target version when it is read, in milliseconds, until the rollout
+/// lease's record gives the actual time.
+const ASSUMED_TARGET_AGE_MS: u64 = 5_000;
+
+/// The state that routing decisions read and change.
+#[derive(Debug)]
+pub struct RoutingState {
+    /// The servers.
+    pub registry: Registry,
+    /// The servers' loads.
+    pub loads: Loads,
+    /// The pauses that servers asked for.
+    pub pauses: Pauses,
+    /// The terms that servers name.
+    pub terms: TermsTable,
+    /// The retry budgets.
+    pub retry_share: RetryShare,
+    /// Requests that crash servers.
+    pub crashes: Crashes,
+    /// The cached blocks of the block stores and engines.
+    pub blocks: BlockIndex,
+    /// The target weight versions of each model.
+    pub weights: BTreeMap<ModelName, TargetVersions>,
+    /// The latest changes of cached blocks, for followers.
+    pub block_log: BlockLog,
+    /// The gateways.
+    pub gateways: Gateways,
+    /// The prompts that wait for free capacity.
+    pub wait_queue: WaitQueue,
+    /// What began the streams that callers may take up again.
+    pub streams: StreamTable,
+}
+
+impl RoutingState {
+    /// Creates the state of the gateway on a host, which knows of nothing yet.
+    pub fn new(host: HostName, retry_share: RetryShare) -> Self {
+        Self {
+            registry: Registry::new(),
+            loads: Loads::new(),
+            pauses: Pauses::new(),
+            terms: TermsTable::new(),
+            retry_share,
+            crashes: Crashes::new(),
+            blocks: BlockIndex::new(),
+            block_log: BlockLog::default(),
+            weights: BTreeMap::new(),
+            gateways: Gateways::new(host),
+            wait_queue: WaitQueue::new(),
+            streams: StreamTable::new(),
+        }
+    }
+
+    /// Returns the newest target weight version of each model.
+    pub fn target_versions(&self) -> BTreeMap<ModelName, u64> {
+        let newest = |versions: &TargetVersions| versions.newest().unwrap_or(0);
+        self.weights.iter().map(|(model, versions)| (model.clone(), newest(versions))).collect()
+    }
+
+    /// Records a target weight version; returns whether it is newer than all previous ones. One
+    /// that is read shortly after the start counts as requested `ASSUMED_TARGET_AGE_MS` ago.
+    pub fn record_target_version(&mut self, model: ModelName, version: u64, now_ms: u64) -> bool {
+        let assumed_age_ms =
+            if now_ms < clock::START_MS + STARTUP_MS { ASSUMED_TARGET_AGE_MS } else { 0 };
+        let since_ms = now_ms.saturating_sub(assumed_age_ms);
+        self.weights.entry(model).or_default().add(version, since_ms)
+    }
+
+    /// Applies a change at a block store or an engine, and logs it for followers; returns whether
+    /// the store must be listed again.
+    pub fn apply_blocks(&mut self, event: BlockEvent, now_ms: u64) -> bool {
+        let must_list = match &event {
+            BlockEvent::Reported(store, report) => self.blocks.apply(*store, report),
+            BlockEvent::Forgotten(store) => {
+                self.blocks.forget_store(*store);
+                false
+            }
+            BlockEvent::EngineReported(engine, report) => {
+                self.blocks.apply_engine(*engine, report, now_ms);
+                false
+            }
+            BlockEvent::EngineForgotten(engine) => {
+                self.blocks.forget_engine(*engine);
+                false
+            }
+        };
+        self.block_log.push(event);
+        must_list
+    }
+
+    /// Checks whether a server takes another attempt of this gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time at which it may take the next one.
+    pub fn check_pause(&self, entry: &ServerEntry, now_ms: u64) -> Result<(), u64> {
+        let in_flight_since = |since_ms| self.loads.in_flight_since(&entry.id, since_ms);
+        self.pauses.check(&entry.id, entry.incarnation, in_flight_since, now_ms)
+    }
+
+    /// Returns whether a server asked for a pause that has not ended.
+    pub fn is_paused(&self, entry: &ServerEntry, now_ms: u64) -> bool {
+        self.pauses.until_ms(&entry.id, entry.incarnation, now_ms).is_some()
+    }
+
+    /// Returns the ratio of all gateways to those whose load is reported, this one included in
+    /// both; at least 1.
+    pub fn gateway_ratio(&self) -> f64 {
+        let reporting = self.loads.reporting_gateways().saturating_add(1);
+        (self.gateways.count() as f64 / reporting as f64).max(1.0)
+    }
+}
