Send longer comments in the answer without end

endless::a_stream_moves_away_from_an_event_without_end failed twice beside other work: the caller's deadline of 6 s passed while the gateway, built without optimisation, read 87,000 chunks of 12 bytes. The limit is on bytes, and as many come without an event as before, in a tenth of the chunks; chunks of one byte stay in the test of plain answers. Beside twelve busy processes it passed three of three.

--- a/crates/standins/src/fleet/endless.rs
+++ b/crates/standins/src/fleet/endless.rs
@@ -48,7 +48,9 @@
                 (503, "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(&text))
             }
             Endless::Event => (200, EVENTS, chunk(&text)),
-            Endless::Comments => (200, EVENTS, chunk(": no event\n\n")),
+            Endless::Comments => {
+                (200, EVENTS, chunk(&format!(": no event{}\n\n", " ".repeat(COMMENT_BYTES))))
+            }
         };
         let mut start = head(status, headers);
         start.extend_from_slice(framing.as_bytes());
@@ -59,6 +61,9 @@
 
 /// The minimum number of bytes written at once.
 const PIECE_BYTES: usize = 256 * 1024;
+/// The size of a comment, in bytes. Shorter ones keep an unoptimised gateway busy for seconds before
+/// they add up to its limit.
+const COMMENT_BYTES: usize = 120;
 /// The delay after each piece, which bounds what one answer takes of the machine.
 const PIECE_DELAY: Duration = Duration::from_millis(2);
 
