Keep the limit of a server over all gateways by grants of one

Callers saw nothing; servers in need got about three times what they had named (LIMIT). Ruled out: a limit that each gateway keeps by itself (no gateway sent less after 8 s), and retries, hedges or health checks as the excess (none in the lines). The class: a bound over all gateways that no gateway can keep alone.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -49,6 +49,9 @@
 const LONG_PROMPT_TOKENS: u64 = 5_000;
 /// The share of a server's memory that long prompts may fill.
 const LONG_PROMPT_SHARE: f64 = 0.8;
+/// The penalty for a server that named a limit, in milliseconds of waiting. Grants keep the limit;
+/// the penalty makes use of free servers first.
+const LIMITED_MS: f64 = 20.0;
 /// How much earlier the server that ran the session last is expected to finish, in milliseconds.
 const AFFINITY_MS: f64 = 25.0;
 
@@ -106,6 +109,8 @@
     pub weight_version: Option<u64>,
     /// Whether a request of the same session runs there or did recently.
     pub has_session: bool,
+    /// Whether it named a limit.
+    pub is_limited: bool,
 }
 
 /// The cost of a prompt on one candidate, given the cached blocks.
@@ -136,6 +141,24 @@
     pub health: Health,
 }
 
+/// Why a server takes no request of this gateway now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClosedReason {
+    /// It asked for a pause, or takes only a few requests after one.
+    Paused,
+    /// It named a limit that is used up.
+    Limited,
+}
+
+/// A server that takes no request of this gateway now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Closed {
+    /// Why.
+    pub reason: ClosedReason,
+    /// When it may take one.
+    pub until_ms: u64,
+}
+
 /// The reason why no server runs a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoServer {
@@ -145,11 +168,8 @@
     TooLarge,
     /// A long prompt would preempt running requests on every server; it waits for free capacity.
     NoFreeCapacity,
-    /// Every server of the service asked for a pause, or takes only a few requests after one.
-    Paused {
-        /// When one of them may take a request.
-        until_ms: u64,
-    },
+    /// No server of the service takes a request of this gateway now; the first of them to do so.
+    Closed(Closed),
 }
 
 /// Chooses the server with the lowest cost.
@@ -260,6 +280,9 @@
     if candidate.has_session {
         cost_ms -= AFFINITY_MS;
     }
+    if candidate.is_limited {
+        cost_ms += LIMITED_MS;
+    }
     cost_ms
         + match load.health {
             Health::Good => 0.0,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crashes;
 pub mod era;
 pub mod lease;
+pub mod limits;
 pub mod load;
 pub mod pauses;
 pub mod registry;
--- /dev/null
+++ b/crates/dispatch/src/limits.rs
@@ -0,0 +1,51 @@
+//! Limits that servers name for all gateways together, kept by grants.
+//!
+//! Load pattern: a server takes less than one request a second, and dozens of gateways have requests
+//! for it. One gateway, the holder, grants each send to it; see `docs/design/limits.md`.
+
+mod asks;
+mod grants;
+
+pub use crate::limits::asks::{Asks, holders};
+pub use crate::limits::grants::{Grant, GrantTable, MAX_RETRY_MS};
+
+use protocol::ids::OrganisationId;
+use protocol::rendezvous;
+use serde::{Deserialize, Serialize};
+
+/// How long a grant may be used after it was asked for, in milliseconds.
+pub const GRANT_TTL_MS: u64 = 250;
+
+/// The urgency of a request among those that a limited server cannot all take; the lowest goes
+/// first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Urgency(u8);
+
+impl Urgency {
+    /// The number of levels.
+    pub const LEVELS: usize = 3;
+
+    /// Returns the urgency of a request's priority.
+    pub fn new(priority: u8) -> Self {
+        Self(priority.min(Self::LEVELS as u8 - 1))
+    }
+
+    /// Returns the level, below [`Urgency::LEVELS`].
+    pub fn level(self) -> usize {
+        usize::from(self.0).min(Self::LEVELS - 1)
+    }
+}
+
+/// Identifies an organisation in few bytes.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct OrganisationTag(u32);
+
+impl OrganisationTag {
+    /// Derives the tag of an organisation; requests without one share a tag.
+    pub fn new(organisation: Option<&OrganisationId>) -> Self {
+        let name = organisation.map_or("", |organisation| organisation.as_str());
+        Self(rendezvous::digest(name.as_bytes()) as u32)
+    }
+}
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,6 +1,7 @@
 //! The requirements of a request that the decisions depend on.
 
 use crate::configuration::RouteKind;
+use crate::limits::Urgency;
 use protocol::ids::{ModelName, OrganisationId, ServiceName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -118,6 +119,11 @@
 }
 
 impl RequestSpec {
+    /// Returns the urgency among requests that a limited server cannot all take.
+    pub fn urgency(&self) -> Urgency {
+        Urgency::new(self.priority)
+    }
+
     /// Returns the priority in an engine's queue.
     ///
     /// Load pattern: most organisations share one priority, which overrides the routes' priorities.
--- a/crates/dispatch/src/terms.rs
+++ b/crates/dispatch/src/terms.rs
@@ -11,6 +11,9 @@
 
 /// The maximum number of servers in the table.
 const MAX_SERVERS: usize = 4_096;
+/// How long it is remembered that a server names nothing any more, in milliseconds. Longer than a
+/// report of earlier terms may take.
+const ENDED_TTL_MS: u64 = 60_000;
 
 /// What a server wants of all gateways together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -90,4 +93,41 @@
         let held = self.servers.get(server).filter(|held| held.incarnation == incarnation);
         held.map_or(Terms::default(), |held| held.terms)
     }
+
+    /// Returns all servers that named terms, also those that name none any more.
+    pub fn reports(&self, now_ms: u64) -> Vec<TermsReport> {
+        let servers = self.servers.iter();
+        servers.map(|(server, held)| held.to_report(server, now_ms)).collect()
+    }
+
+    /// Returns what is known of one server's terms; `None` if it never named any.
+    pub fn report(&self, server: &ServerId, now_ms: u64) -> Option<TermsReport> {
+        self.servers.get(server).map(|held| held.to_report(server, now_ms))
+    }
+
+    /// Returns the servers whose terms were written before a time, with their incarnations.
+    pub fn written_before(&self, before_ms: u64) -> Vec<(ServerId, Incarnation)> {
+        let named = self.servers.iter().filter(|(_, held)| !held.terms.is_empty());
+        let outdated = named.filter(|(_, held)| held.written_ms < before_ms);
+        outdated.map(|(server, held)| (server.clone(), held.incarnation)).collect()
+    }
+
+    /// Removes servers that named nothing for a while, and those that are gone.
+    pub fn expire(&mut self, is_registered: impl Fn(&ServerId) -> bool, now_ms: u64) {
+        self.servers.retain(|server, held| {
+            let is_current = !held.terms.is_empty() && is_registered(server);
+            is_current || now_ms < held.written_ms + ENDED_TTL_MS
+        });
+    }
+}
+
+impl Held {
+    fn to_report(self, server: &ServerId, now_ms: u64) -> TermsReport {
+        TermsReport {
+            server: server.clone(),
+            incarnation: self.incarnation,
+            terms: self.terms,
+            age_ms: now_ms.saturating_sub(self.written_ms),
+        }
+    }
 }
--- a/crates/dispatch/tests/load_patterns.rs
+++ b/crates/dispatch/tests/load_patterns.rs
@@ -194,6 +194,7 @@
             blocks,
             weight_version: Some(1),
             has_session: false,
+            is_limited: false,
         })
         .collect();
     let chosen = match policy {
@@ -220,7 +221,7 @@
             ) {
                 Ok(chosen) => entries.iter().position(|entry| entry.id == chosen.server),
                 Err(NoServer::NoFreeCapacity) => return false,
-                Err(NoServer::NoneUsable | NoServer::TooLarge | NoServer::Paused { .. }) => None,
+                Err(NoServer::NoneUsable | NoServer::TooLarge | NoServer::Closed(_)) => None,
             }
         }
     };
@@ -286,6 +287,7 @@
             blocks: BlockCost::default(),
             weight_version: Some(1),
             has_session: false,
+            is_limited: false,
         };
         choose(&gateway_context(), request, Some(&engines()), &choice_context(1), &[candidate])
             .map(|_| ())
@@ -317,6 +319,7 @@
         blocks: BlockCost::default(),
         weight_version: Some(1),
         has_session: false,
+        is_limited: false,
     };
     let long = request(9, 8_600, 2_900);
     let place = |may_wait| {
@@ -355,6 +358,7 @@
         blocks,
         weight_version: Some(1),
         has_session: false,
+        is_limited: false,
     };
     let choose_from = |blocks_local, blocks_remote| {
         let candidates = [candidate(&local, blocks_local), candidate(&remote, blocks_remote)];
--- a/crates/dispatch/tests/many_gateways.rs
+++ b/crates/dispatch/tests/many_gateways.rs
@@ -46,6 +46,7 @@
                 blocks: BlockCost::default(),
                 weight_version: Some(1),
                 has_session: false,
+                is_limited: false,
             })
             .collect();
         let choice_context = ChoiceContext {
@@ -120,6 +121,7 @@
                 blocks: BlockCost::default(),
                 weight_version: Some(1),
                 has_session: false,
+                is_limited: false,
             })
             .collect();
         let spread = random.random();
@@ -159,6 +161,7 @@
             blocks: BlockCost::default(),
             weight_version: Some(1),
             has_session: index == 7,
+            is_limited: false,
         };
         entries.iter().enumerate().map(candidate).collect()
     };
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -78,6 +78,8 @@
     NoServer => "no_server", SERVICE_UNAVAILABLE;
     /// Every server of the service asked for a pause; the request has not run.
     ServersPaused => "servers_paused", SERVICE_UNAVAILABLE;
+    /// The limits that the servers of the service named are used up; the request has not run.
+    ServersLimited => "servers_limited", SERVICE_UNAVAILABLE;
     /// The request is larger than the memory of any server; it has not run.
     TooLarge => "too_large_for_servers", SERVICE_UNAVAILABLE;
     /// It is unknown which software version began the stream that is taken up again; the request
--- a/crates/gateway/src/crashes/confirm.rs
+++ b/crates/gateway/src/crashes/confirm.rs
@@ -68,7 +68,11 @@
     if registered.is_some_and(|incarnation| incarnation > server.incarnation) {
         return Finding::Crashed;
     }
-    if node.state().is_paused(server, node.now_ms()) {
+    let is_spared = {
+        let state = node.state();
+        state.is_paused(server, node.now_ms()) || state.is_limited(server)
+    };
+    if is_spared {
         return check_connection(server).await;
     }
     let path = check_path(node, server);
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,9 +1,11 @@
 //! The gateway process: start, reload, drain and exit.
 
 use crate::callers::{self, Traffic};
+use crate::clock;
 use crate::crashes;
 use crate::event;
 use crate::follow;
+use crate::limits;
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
@@ -133,12 +135,15 @@
         tokio::spawn(peers::pull(Arc::clone(node)));
         tokio::spawn(peers::push(Arc::clone(node)));
         tokio::spawn(crashes::push(Arc::clone(node)));
+        tokio::spawn(peers::share_terms(Arc::clone(node)));
         tokio::spawn(peers::share_loads(Arc::clone(node), socket));
     }
     tokio::spawn(follow::run(Arc::clone(node)));
     tokio::spawn(crashes::read(Arc::clone(node)));
     tokio::spawn(crashes::write(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
+    tokio::spawn(limits::refresh(Arc::clone(node)));
+    tokio::spawn(clock::run(Arc::clone(node)));
     tokio::spawn(rollout_leader::run(Arc::clone(node)));
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
     tokio::spawn(operators::accept(Arc::clone(node), listeners.ready));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,7 +20,7 @@
 use crate::forward::hedge::RunningAttempt;
 use crate::forward::job::Job;
 use crate::node::Node;
-use dispatch::choice::NoServer;
+use dispatch::choice::{Closed, ClosedReason, NoServer};
 use dispatch::configuration::RouteKind;
 use dispatch::crashes::{Feature, Features, Verdict};
 use dispatch::pauses;
@@ -31,6 +31,8 @@
 
 /// The number of refused attempts after which the request is refused with a retry delay.
 const MAX_REFUSED_ATTEMPTS: u32 = 3;
+/// The number of servers whose holder granted no send after which the request is refused.
+const MAX_REFUSED_GRANTS: u32 = 3;
 /// The remaining time of a draining process below which it accepts only requests whose deadline
 /// lies before its end, in milliseconds. Until then it serves the callers that the load balancer
 /// still sends.
@@ -90,6 +92,9 @@
                 if job.refused_attempts >= MAX_REFUSED_ATTEMPTS {
                     return job.abandon(Refusal::ServersRefused);
                 }
+                if job.refused_grants >= MAX_REFUSED_GRANTS {
+                    return job.abandon(Refusal::ServersLimited);
+                }
             }
             AttemptResult::MayHaveRun(reason) => {
                 job.record_may_have_run(&server, reason);
@@ -131,7 +136,10 @@
             NoServer::NoFreeCapacity => Refusal::Overloaded,
             NoServer::NoneUsable => Refusal::NoServer,
             NoServer::TooLarge => Refusal::TooLarge,
-            NoServer::Paused { .. } => Refusal::ServersPaused,
+            NoServer::Closed(Closed { reason: ClosedReason::Paused, .. }) => Refusal::ServersPaused,
+            NoServer::Closed(Closed { reason: ClosedReason::Limited, .. }) => {
+                Refusal::ServersLimited
+            }
         };
         self.abandon(refusal)
     }
@@ -175,16 +183,17 @@
     }
 
     /// Returns a random delay for the caller's retry, which spreads the retries. Callers honour a
-    /// delay of up to a third of their remaining time. While all servers are paused, the delay ends
-    /// after the first pause.
+    /// delay of up to a third of their remaining time. While no server takes a request, the delay
+    /// ends once the first one does.
     fn retry_after_ms(&self) -> u64 {
         /// The bounds of the delay, in milliseconds.
         const MIN_MS: u64 = 150;
         const MAX_MS: u64 = 1_000;
         let now_ms = self.node.now_ms();
-        let paused_until_ms = place::paused_until_ms(&self.node.state(), self, now_ms);
-        if let Some(until_ms) = paused_until_ms {
-            return pauses::retry_after_ms(until_ms.saturating_sub(now_ms), rand::random());
+        let first_to_open = place::first_to_open(&self.node.state(), self, now_ms);
+        if let Some(closed) = first_to_open {
+            let wait_ms = closed.until_ms.saturating_sub(now_ms);
+            return pauses::retry_after_ms(wait_ms, rand::random());
         }
         let usable_ms = self.remaining_ms() / 4;
         let limit_ms = usable_ms.clamp(MIN_MS + 1, MAX_MS);
@@ -233,6 +242,7 @@
         match self {
             NotRun::ConnectFailed => "unconnected",
             NotRun::Unsent => "unsent",
+            NotRun::NotGranted => "not_granted",
             NotRun::Shed => "shed",
             NotRun::WrongServer => "other_server",
             NotRun::WrongWeights => "other_weights",
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -12,6 +12,7 @@
 use crate::forward::job::Job;
 use crate::forward::place::Placed;
 use crate::forward::source::StreamSource;
+use crate::limits::{self, Ask};
 use crate::node::Node;
 use crate::pool::ServerConnection;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
@@ -53,6 +54,8 @@
     ConnectFailed,
     /// The connection closed before the request was written.
     Unsent,
+    /// The holder of a limited server granted no send.
+    NotGranted,
     /// The server refused the request without running it.
     Shed,
     /// Another server has taken over the address.
@@ -163,11 +166,16 @@
     pub async fn send(self) -> AttemptResult {
         let Self { node, request, placed, last_event_id, sent, is_logged } = self;
         let server = placed.entry.id.clone();
+        let ask = Ask::new(&placed.entry, &request.spec);
+        let Some(permit) = limits::ask(&node, &ask).await else {
+            placed.in_flight.end(Outcome::Cancelled);
+            return AttemptResult::NotRun(NotRun::NotGranted);
+        };
         let Some(mut connection) = acquire_connection(&node, &placed.entry).await else {
             placed.in_flight.end(Outcome::ConnectionFailed);
             return AttemptResult::NotRun(NotRun::ConnectFailed);
         };
-        if !may_send(&node, &placed.entry) {
+        if !may_send(&node, &placed.entry) || !permit.is_valid(node.now_ms()) {
             placed.in_flight.end(Outcome::Cancelled);
             return AttemptResult::NotRun(NotRun::Unsent);
         }
--- a/crates/gateway/src/forward/hedge.rs
+++ b/crates/gateway/src/forward/hedge.rs
@@ -129,9 +129,7 @@
         }
         let placed = place::place(self).map_err(|reason| match reason {
             NoServer::NoFreeCapacity => Obstacle::NoFreeCapacity,
-            NoServer::NoneUsable | NoServer::TooLarge | NoServer::Paused { .. } => {
-                Obstacle::NoServer
-            }
+            NoServer::NoneUsable | NoServer::TooLarge | NoServer::Closed(_) => Obstacle::NoServer,
         })?;
         if !self.take_retry() {
             return Err(Obstacle::RetryBudget);
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -29,6 +29,8 @@
     pub sent: Arc<AtomicU32>,
     /// The number of attempts that a server refused without running them.
     pub refused_attempts: u32,
+    /// The number of servers whose holder granted no send.
+    pub refused_grants: u32,
     /// The servers that may have run it.
     pub may_have_run_on: SmallVec<[ServerId; 2]>,
     /// The servers that are not tried again.
@@ -76,6 +78,7 @@
             is_logged,
             sent: Arc::default(),
             refused_attempts: 0,
+            refused_grants: 0,
             may_have_run_on: SmallVec::new(),
             excluded: SmallVec::new(),
             last_event_id: None,
@@ -159,7 +162,7 @@
         let has_other = others.any(|entry| {
             entry.id != *server
                 && !self.excluded.contains(&entry.id)
-                && state.check_pause(entry, now_ms).is_ok()
+                && state.check_open(entry, self.request.spec.urgency(), now_ms).is_ok()
         });
         has_other && (self.may_have_run_on.len() as u32) + 1 < self.request.route.max_attempts
     }
@@ -227,8 +230,15 @@
     /// Records an attempt that did not run.
     pub fn record_not_run(&mut self, server: &ServerId, reason: NotRun) {
         self.exclude(server);
-        if !matches!(reason, NotRun::ConnectFailed | NotRun::Unsent) {
-            self.refused_attempts += 1;
+        match reason {
+            NotRun::ConnectFailed | NotRun::Unsent => {}
+            NotRun::NotGranted => {
+                self.refused_grants += 1;
+                return self.node.metrics.count("failed_sends", reason.as_str());
+            }
+            NotRun::Shed | NotRun::WrongServer | NotRun::WrongWeights => {
+                self.refused_attempts += 1;
+            }
         }
         self.log_failed_attempt(server, reason.as_str(), false);
     }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -10,7 +10,7 @@
 use crate::node::Node;
 use crate::routing_state::RoutingState;
 use dispatch::blocks::{BlockPlan, CacheSalt};
-use dispatch::choice::{self, BlockCost, Candidate, ChoiceContext, Chosen, NoServer};
+use dispatch::choice::{self, BlockCost, Candidate, ChoiceContext, Chosen, Closed, NoServer};
 use dispatch::configuration::EngineTraits;
 use dispatch::load::{AttemptCost, ServerTag, SessionTag};
 use dispatch::registry::ServerEntry;
@@ -88,8 +88,8 @@
     if state.registry.usable(&spec.service).next().is_none() {
         return Err(NoServer::NoneUsable);
     }
-    if let Some(until_ms) = paused_until_ms(&state, job, now_ms) {
-        return Err(NoServer::Paused { until_ms });
+    if let Some(closed) = first_to_open(&state, job, now_ms) {
+        return Err(NoServer::Closed(closed));
     }
     if may_wait
         && choice::needs_free_capacity(spec)
@@ -214,7 +214,7 @@
     let prompt = spec.prompt.as_ref();
     let usable = state.registry.usable(&spec.service);
     let untried = usable.filter(|entry| {
-        !job.excluded.contains(&entry.id) && state.check_pause(entry, now_ms).is_ok()
+        !job.excluded.contains(&entry.id) && state.check_open(entry, spec.urgency(), now_ms).is_ok()
     });
     let mut candidates = Vec::new();
     let gateway_ratio = state.gateway_ratio();
@@ -257,21 +257,25 @@
             blocks,
             weight_version: version,
             has_session,
+            is_limited: state.is_limited(entry),
         });
     }
     candidates
 }
 
-/// Returns when the first server of the job's service takes another attempt; `None` if one does now
-/// or there is none.
-pub fn paused_until_ms(state: &RoutingState, job: &Job, now_ms: u64) -> Option<u64> {
-    let usable = state.registry.usable(&job.request.spec.service);
-    let mut earliest_ms = None;
+/// Returns the first server of the job's service to take another attempt; `None` if one does now or
+/// there is none.
+pub fn first_to_open(state: &RoutingState, job: &Job, now_ms: u64) -> Option<Closed> {
+    let spec = &job.request.spec;
+    let usable = state.registry.usable(&spec.service);
+    let mut first: Option<Closed> = None;
     for entry in usable.filter(|entry| job.allows_software(entry)) {
-        let until_ms = state.check_pause(entry, now_ms).err()?;
-        earliest_ms = Some(earliest_ms.map_or(until_ms, |other_ms: u64| other_ms.min(until_ms)));
+        let closed = state.check_open(entry, spec.urgency(), now_ms).err()?;
+        if first.is_none_or(|first| closed.until_ms < first.until_ms) {
+            first = Some(closed);
+        }
     }
-    earliest_ms
+    first
 }
 
 /// Returns the oldest weight version that may still be used.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 pub mod forward;
 pub mod gateways;
+pub mod limits;
 pub mod link;
 pub mod listener;
 pub mod logs;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,220 @@
+//! Sends to servers that name a limit: asks the holder of each, and answers as a holder.
+
+mod refresh;
+
+pub use crate::limits::refresh::run as refresh;
+
+use crate::link::{Call, Link, is_ok};
+use crate::node::Node;
+use crate::peers::{self, Spread};
+use crate::server_answers::{self, ServerIdentity};
+use dispatch::limits::{GRANT_TTL_MS, Grant, OrganisationTag, Urgency, holders};
+use dispatch::registry::{ServerEntry, ServerId};
+use dispatch::request::RequestSpec;
+use dispatch::terms::TermsReport;
+use protocol::ids::HostName;
+use protocol::rate::RequestRate;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+
+/// The path that receives questions for sends.
+pub const GRANT_PATH: &str = "/peers/grants";
+/// How long a holder may take to answer. The longest round trip takes some 30 ms.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+/// How long a server gets nothing after none of its holders answered, in milliseconds.
+const NO_HOLDER_PAUSE_MS: u64 = 300;
+
+/// A question for one send to a limited server.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    server: ServerIdentity,
+    urgency: Urgency,
+    organisation: OrganisationTag,
+}
+
+impl Ask {
+    /// Asks for a send of a request.
+    pub fn new(entry: &ServerEntry, spec: &RequestSpec) -> Self {
+        Self {
+            server: ServerIdentity::new(entry),
+            urgency: spec.urgency(),
+            organisation: OrganisationTag::new(spec.organisation.as_ref()),
+        }
+    }
+
+    /// Asks for a health check, which yields to all requests.
+    pub fn for_check(entry: &ServerEntry) -> Self {
+        let organisation = OrganisationTag::new(None);
+        Self { server: ServerIdentity::new(entry), urgency: Urgency::new(u8::MAX), organisation }
+    }
+}
+
+/// The right to send one request to a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Permit {
+    /// When it expires, on the node's clock; `None` without a limit.
+    until_ms: Option<u64>,
+}
+
+impl Permit {
+    /// Returns whether the request may still be sent.
+    pub fn is_valid(&self, now_ms: u64) -> bool {
+        self.until_ms.is_none_or(|until_ms| now_ms <= until_ms)
+    }
+}
+
+/// The message to a holder.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantRequest {
+    /// The server and what the asking gateway knows of its terms.
+    pub report: TermsReport,
+    /// The urgency of the request.
+    pub urgency: Urgency,
+    /// The request's organisation.
+    pub organisation: OrganisationTag,
+}
+
+/// A holder's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantAnswer {
+    /// The delay after which to ask again, in milliseconds; `None` if the send is granted.
+    pub retry_after_ms: Option<u64>,
+    /// What the holder knows of the server's terms.
+    pub report: TermsReport,
+}
+
+/// The connections to holders.
+#[derive(Debug, Default)]
+pub struct GrantCalls {
+    links: Mutex<HashMap<SocketAddr, Arc<AsyncMutex<Link>>>>,
+}
+
+impl GrantCalls {
+    fn link(&self, address: SocketAddr) -> Arc<AsyncMutex<Link>> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(
+            links.entry(address).or_insert_with(|| Arc::new(AsyncMutex::new(Link::new(address)))),
+        )
+    }
+}
+
+/// Where a holder is.
+#[derive(Clone, Debug)]
+enum Holder {
+    /// This gateway.
+    Local,
+    /// Another one.
+    Peer(HostName, SocketAddr),
+}
+
+/// Asks for one send to a server; returns `None` if it is not granted.
+pub async fn ask(node: &Node, ask: &Ask) -> Option<Permit> {
+    let asked_ms = node.now_ms();
+    let ServerIdentity { id, incarnation } = &ask.server;
+    if limit(node, &ask.server).is_none() {
+        return Some(Permit { until_ms: None });
+    }
+    let permit = Permit { until_ms: Some(asked_ms + GRANT_TTL_MS) };
+    for holder in find_holders(node, id) {
+        let retry_after_ms = match holder {
+            Holder::Local => take_local(node, ask),
+            Holder::Peer(host, address) => match call(node, ask, &host, address).await {
+                Some(answer) => answer.retry_after_ms,
+                None => continue,
+            },
+        };
+        let Some(retry_after_ms) = retry_after_ms else {
+            node.metrics.count("grants", "used");
+            return Some(permit);
+        };
+        node.metrics.count("grants", "refused");
+        let until_ms = node.now_ms() + retry_after_ms;
+        node.state().asks.refuse(id, *incarnation, ask.urgency, until_ms);
+        return None;
+    }
+    node.metrics.count("grants", "no_holder");
+    let until_ms = node.now_ms() + NO_HOLDER_PAUSE_MS;
+    node.state().asks.refuse(id, *incarnation, ask.urgency, until_ms);
+    None
+}
+
+fn limit(node: &Node, server: &ServerIdentity) -> Option<RequestRate> {
+    node.state().terms.terms(&server.id, server.incarnation).limit
+}
+
+/// Returns the holders of a server that may be asked now.
+fn find_holders(node: &Node, server: &ServerId) -> SmallVec<[Holder; 2]> {
+    let now_ms = node.now_ms();
+    let state = node.state();
+    let settings = &node.settings;
+    let local = std::iter::once((&settings.host, &settings.failure_domain));
+    let peers = state.gateways.peers().filter(|record| !state.asks.is_replaced(&record.host));
+    let peers = peers.map(|record| (&record.host, &record.failure_domain));
+    let gateways: Vec<_> = local.chain(peers).collect();
+    let found = holders(server, &gateways);
+    let address = |host: &HostName| {
+        state.gateways.peers().find(|record| record.host == *host).map(|record| record.peer_address)
+    };
+    let found = found.into_iter().filter_map(|host| {
+        if *host == settings.host {
+            return Some(Holder::Local);
+        }
+        let may_ask = state.asks.may_ask(host, now_ms);
+        address(host).filter(|_| may_ask).map(|address| Holder::Peer(host.clone(), address))
+    });
+    found.collect()
+}
+
+/// Returns whether this gateway is the first holder of a server.
+fn is_first_holder(node: &Node, server: &ServerId) -> bool {
+    matches!(find_holders(node, server).first(), Some(Holder::Local))
+}
+
+/// Takes a grant of this gateway; returns the delay until the next one if there is none.
+fn take_local(node: &Node, ask: &Ask) -> Option<u64> {
+    let Ask { server: ServerIdentity { id, incarnation }, urgency, organisation } = ask;
+    let limit = limit(node, &ask.server)?;
+    let now_ms = node.now_ms();
+    match node.state().grants.take(id, *incarnation, limit, *urgency, *organisation, now_ms) {
+        Grant::Granted => None,
+        Grant::Refused { retry_after_ms } => Some(retry_after_ms),
+    }
+}
+
+async fn call(node: &Node, ask: &Ask, host: &HostName, address: SocketAddr) -> Option<GrantAnswer> {
+    let report = node.state().terms.report(&ask.server.id, node.now_ms())?;
+    let request = GrantRequest { report, urgency: ask.urgency, organisation: ask.organisation };
+    let link = node.grant_calls.link(address);
+    let call = Call::post(GRANT_PATH, peers::encode(&request), ANSWER_TIMEOUT);
+    let answering = async { link.lock().await.call(call).await };
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, answering).await;
+    let answer = answer.ok().and_then(Result::ok).filter(is_ok);
+    let answer = answer.and_then(|answer| peers::decode::<GrantAnswer>(answer.body()));
+    let now_ms = node.now_ms();
+    let Some(answer) = answer else {
+        node.metrics.count("peer_failures", "grant");
+        node.state().asks.record_failure(host, now_ms);
+        return None;
+    };
+    node.metrics.count("peer_calls", "grant");
+    node.state().asks.record_answer(host);
+    server_answers::apply_report(node, answer.report.clone(), Spread::None);
+    Some(answer)
+}
+
+/// Answers a gateway that asks for a send.
+pub fn answer(node: &Node, request: GrantRequest) -> GrantAnswer {
+    let GrantRequest { report, urgency, organisation } = request;
+    let server = ServerIdentity { id: report.server.clone(), incarnation: report.incarnation };
+    server_answers::apply_report(node, report.clone(), Spread::None);
+    let ask = Ask { server, urgency, organisation };
+    let retry_after_ms = take_local(node, &ask);
+    node.metrics.count("grants", if retry_after_ms.is_none() { "given" } else { "denied" });
+    let report = node.state().terms.report(&ask.server.id, node.now_ms()).unwrap_or(report);
+    GrantAnswer { retry_after_ms, report }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,11 +3,12 @@
 mod eras;
 
 use crate::answer_memory::AnswerMemory;
-use crate::clock::Clock;
+use crate::clock::{Clock, SuspensionDetector};
 use crate::crashes::CrashExchange;
 use crate::gateways::Source;
+use crate::limits::GrantCalls;
 use crate::metrics::Metrics;
-use crate::peers::{PeerUpdate, StreamExchange};
+use crate::peers::{PeerUpdate, StreamExchange, TermsExchange};
 use crate::pool::Pool;
 use crate::routing_state::RoutingState;
 use crate::settings::GatewaySettings;
@@ -55,6 +56,8 @@
     pub settings: GatewaySettings,
     /// The clock.
     pub clock: Clock,
+    /// Finds out when the process was suspended.
+    pub suspensions: SuspensionDetector,
     /// The gateway's failure domain, regions and prefill rate, for decisions.
     pub context: GatewayContext,
     /// Counters and latencies.
@@ -79,6 +82,10 @@
     pub stream_exchange: StreamExchange,
     /// The exchange of evidence on crashes with other gateways.
     pub crash_exchange: CrashExchange,
+    /// The exchange of servers' terms with other gateways.
+    pub terms_exchange: TermsExchange,
+    /// The calls to holders of limited servers.
+    pub grant_calls: GrantCalls,
     /// Whether this gateway reads the store itself.
     pub reads_store: AtomicBool,
     in_force: Mutex<Option<Arc<InForce>>>,
@@ -116,6 +123,7 @@
         Self {
             context,
             clock: Clock::new(),
+            suspensions: SuspensionDetector::default(),
             metrics: Arc::new(Metrics::new()),
             pool: Pool::new(),
             answer_memory: Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
@@ -127,6 +135,8 @@
             server_unresponsive: Notify::new(),
             stream_exchange: StreamExchange::default(),
             crash_exchange: CrashExchange::default(),
+            terms_exchange: TermsExchange::default(),
+            grant_calls: GrantCalls::default(),
             reads_store: AtomicBool::new(true),
             outbox: Mutex::new(PeerUpdate::default()),
             in_force: Mutex::new(None),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 mod push;
 mod serve;
 mod streams;
+mod terms;
 
 pub use crate::peers::follow::Follower;
 pub use crate::peers::loads::run as share_loads;
@@ -22,3 +23,6 @@
     StreamExchange, announce as announce_stream, find as find_stream_origin,
     hand_over as hand_over_streams,
 };
+pub use crate::peers::terms::{
+    Spread, TERMS_PATH, TermsExchange, TermsMessage, run as share_terms,
+};
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,12 +1,14 @@
 //! Answers the calls of other gateways.
 
 use crate::crashes::{self, EVIDENCE_PATH, EvidenceMessage};
+use crate::limits::{self, GRANT_PATH, GrantRequest};
 use crate::listener::{self, Reply};
 use crate::node::Node;
 use crate::peers::follow;
 use crate::peers::message::{
     self, FOLLOW_PATH, FollowRequest, PeerUpdate, SNAPSHOT_PATH, Snapshot, UPDATE_PATH,
 };
+use crate::peers::terms::{self, TERMS_PATH, TermsMessage};
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -51,6 +53,17 @@
             }
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
+        TERMS_PATH => match decode_body::<TermsMessage>(request).await {
+            Some(message) => {
+                terms::receive(&node, message);
+                (StatusCode::OK, Vec::new())
+            }
+            None => (StatusCode::BAD_REQUEST, Vec::new()),
+        },
+        GRANT_PATH => match decode_body::<GrantRequest>(request).await {
+            Some(question) => (StatusCode::OK, message::encode(&limits::answer(&node, question))),
+            None => (StatusCode::BAD_REQUEST, Vec::new()),
+        },
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     }
 }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -4,7 +4,9 @@
 use crate::clock;
 use crate::gateways::Gateways;
 use dispatch::blocks::BlockIndex;
+use dispatch::choice::{Closed, ClosedReason};
 use dispatch::crashes::Crashes;
+use dispatch::limits::{Asks, GrantTable, Urgency};
 use dispatch::load::Loads;
 use dispatch::pauses::Pauses;
 use dispatch::registry::{Registry, ServerEntry};
@@ -34,6 +36,10 @@
     pub pauses: Pauses,
     /// The terms that servers name.
     pub terms: TermsTable,
+    /// The grants that this gateway gives as a holder of limited servers.
+    pub grants: GrantTable,
+    /// The refusals of holders.
+    pub asks: Asks,
     /// The retry budgets.
     pub retry_share: RetryShare,
     /// Requests that crash servers.
@@ -60,6 +66,8 @@
             loads: Loads::new(),
             pauses: Pauses::new(),
             terms: TermsTable::new(),
+            grants: GrantTable::new(),
+            asks: Asks::new(),
             retry_share,
             crashes: Crashes::new(),
             blocks: BlockIndex::new(),
@@ -108,14 +116,31 @@
         must_list
     }
 
-    /// Checks whether a server takes another attempt of this gateway.
+    /// Checks whether a server may take another attempt of this gateway. A server with a limit may
+    /// take it only once its holder grants that.
     ///
     /// # Errors
     ///
-    /// Returns the time at which it may take the next one.
-    pub fn check_pause(&self, entry: &ServerEntry, now_ms: u64) -> Result<(), u64> {
+    /// Returns why it takes none, and until when.
+    pub fn check_open(
+        &self,
+        entry: &ServerEntry,
+        urgency: Urgency,
+        now_ms: u64,
+    ) -> Result<(), Closed> {
         let in_flight_since = |since_ms| self.loads.in_flight_since(&entry.id, since_ms);
-        self.pauses.check(&entry.id, entry.incarnation, in_flight_since, now_ms)
+        let paused = self.pauses.check(&entry.id, entry.incarnation, in_flight_since, now_ms);
+        paused.map_err(|until_ms| Closed { reason: ClosedReason::Paused, until_ms })?;
+        if !self.is_limited(entry) {
+            return Ok(());
+        }
+        let until_ms = self.asks.refused_until_ms(&entry.id, entry.incarnation, urgency, now_ms);
+        until_ms.map_or(Ok(()), |until_ms| Err(Closed { reason: ClosedReason::Limited, until_ms }))
+    }
+
+    /// Returns whether a server names a limit.
+    pub fn is_limited(&self, entry: &ServerEntry) -> bool {
+        self.terms.terms(&entry.id, entry.incarnation).limit.is_some()
     }
 
     /// Returns whether a server asked for a pause that has not ended.
--- a/crates/gateway/src/server_answers.rs
+++ b/crates/gateway/src/server_answers.rs
@@ -3,8 +3,9 @@
 use crate::event;
 use crate::follow;
 use crate::node::Node;
+use crate::peers::Spread;
 use dispatch::registry::{ServerEntry, ServerId};
-use dispatch::terms::Terms;
+use dispatch::terms::{Terms, TermsReport};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use platform::headers::{SERVER_ID, is_leaving, parse_limit, parse_retry_after_ms};
 use protocol::ids::Incarnation;
@@ -73,7 +74,13 @@
         record_leaving(node, server, source);
     }
     match parse_limit(headers) {
-        Ok(limit) => record_terms(node, server, Terms { limit }, node.now_ms(), source),
+        Ok(limit) => {
+            let written_ms = node.suspensions.written_since_ms(node.now_ms());
+            let terms = Terms { limit };
+            if record_terms(node, server, terms, written_ms, source) {
+                node.terms_exchange.note_change(Spread::All);
+            }
+        }
         Err(reason) => node.metrics.count("server_limits_ignored", reason.as_str()),
     }
     if status == StatusCode::SERVICE_UNAVAILABLE
@@ -92,24 +99,43 @@
     }
 }
 
-/// Records the terms that a server named, or that it names none, in an answer written at a time.
+/// Records the terms in an answer that a server wrote at a time; returns whether they have changed.
 fn record_terms(
     node: &Node,
     server: &ServerIdentity,
     terms: Terms,
     written_ms: u64,
     source: AnswerSource,
-) {
-    let before = node.state().terms.record(&server.id, server.incarnation, terms, written_ms);
-    let Some(before) = before else { return };
+) -> bool {
+    let ServerIdentity { id, incarnation } = server;
+    let before = {
+        let mut state = node.state();
+        let before = state.terms.record(id, *incarnation, terms, written_ms);
+        if before.is_some() && terms.limit.is_none() {
+            state.asks.forget(id);
+        }
+        before
+    };
+    let Some(before) = before else { return false };
     node.metrics.count("server_terms", source.as_str());
     event!(warn, node.now_ms(), "server_terms", {
-        "server": server.id.as_str(),
-        "incarnation": server.incarnation.value(),
+        "server": id.as_str(),
+        "incarnation": incarnation.value(),
         "limit_per_s": terms.limit.map(|limit| limit.per_s()),
         "limit_before_per_s": before.limit.map(|limit| limit.per_s()),
         "source": source.as_str(),
     });
+    node.capacity_freed.notify_waiters();
+    true
+}
+
+/// Records the terms that another gateway reports, as far as they are newer.
+pub fn apply_report(node: &Node, report: TermsReport, spread: Spread) {
+    let written_ms = node.now_ms().saturating_sub(report.age_ms);
+    let server = ServerIdentity { id: report.server, incarnation: report.incarnation };
+    if record_terms(node, &server, report.terms, written_ms, AnswerSource::Peer) {
+        node.terms_exchange.note_change(spread);
+    }
 }
 
 /// Records that a server asked for a pause.
--- a/crates/gateway/src/watch_blocks/engines.rs
+++ b/crates/gateway/src/watch_blocks/engines.rs
@@ -16,6 +16,9 @@
 /// changes some dozens of times a second, and blocks stay in it for seconds.
 const BATCH_DELAY: Duration = Duration::from_millis(150);
 
+/// The same for an engine that named a limit.
+const LIMITED_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Returns whether a gateway follows the engines of a failure domain. It follows only those of its
 /// own, because all changes of their memory would add traffic to the links between domains.
 pub(super) fn is_local(node: &Node, domain: &FailureDomain) -> bool {
@@ -29,7 +32,9 @@
     loop {
         server_answers::until_unpaused(&node, &server).await;
         let Err(error) = poll(&node, &server, &mut link, &mut next).await else {
-            tokio::time::sleep(BATCH_DELAY).await;
+            let terms = node.state().terms.terms(&server.id, server.incarnation);
+            let is_limited = terms.limit.is_some();
+            tokio::time::sleep(if is_limited { LIMITED_DELAY } else { BATCH_DELAY }).await;
             continue;
         };
         // Requests detect whether the server is up; here only its cached blocks are unknown.
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -1,6 +1,7 @@
 //! Health checks of unresponsive servers.
 
 use crate::event;
+use crate::limits::{self, Ask};
 use crate::link::{Call, Link};
 use crate::node::Node;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
@@ -80,6 +81,10 @@
             server_answers::until_unpaused(&node, &ServerIdentity::new(&entry)).await;
             continue;
         }
+        if limits::ask(&node, &Ask::for_check(&entry)).await.is_none() {
+            tokio::time::sleep(FIRST_CHECK_DELAY).await;
+            continue;
+        }
         node.metrics.count("health_checks", "sent");
         let sent_ms = node.now_ms();
         let passed = passes(&node, &entry, &path).await;
