--- /dev/null
+++ b/crates/camphorwardd/tests/gateway/cut_off.rs
@@ -0,0 +1,107 @@
+//! Gateways that are cut off from servers which their peers reach.
+
+use crate::caller::{self, new_id, post, request, send};
+use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS};
+use crate::process::{Gateway, until};
+use standins::fleet::{Server, StoreView};
+use standins::relay::{Link, LinkConfig, Partition, Relay};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time that gateways have to serve as well as the others.
+const WINDOW: Duration = Duration::from_secs(4);
+const REQUESTS: usize = 20;
+const PATHS: [&str; 4] = [ORDERS, STATUS, NOTES, QUICK];
+const LINK: LinkConfig = LinkConfig { delay_ms: 0.0, bytes_per_s: None };
+
+/// A gateway whose links to the servers can be cut.
+struct CutGateway {
+    gateway: Gateway,
+    link: Arc<Link>,
+    /// The relay to each server.
+    _relays: Vec<Relay>,
+    _view: StoreView,
+}
+
+impl CutGateway {
+    async fn start(fleet: &Fleet, host: &str) -> Self {
+        let view = fleet.store.view().await.unwrap();
+        let link = Link::new(LINK);
+        let mut relays = Vec::new();
+        for server in fleet.desks.iter().chain(&fleet.engines) {
+            let relay = Relay::start(Arc::clone(&link), server.address()).await.unwrap();
+            view.replace_address(server.address(), relay.address());
+            relays.push(relay);
+        }
+        let settings = fleet.settings_at(host, view.address(), &[]);
+        let gateway = fleet.gateway_with(&settings).await;
+        Self { gateway, link, _relays: relays, _view: view }
+    }
+
+    /// Returns how many of some requests are answered with success at the first attempt.
+    async fn served(&self) -> usize {
+        let mut served = 0;
+        for index in 0..REQUESTS {
+            let response = post(&self.gateway, PATHS[index % PATHS.len()]).await;
+            served += usize::from(response.status == 200 && response.is_complete);
+        }
+        served
+    }
+}
+
+fn executed(servers: &[Server], id: &str) -> usize {
+    let runs = servers.iter().flat_map(Server::executed);
+    runs.filter(|run| run.request.header("x-attempt-id") == id).count()
+}
+
+/// Starts a fleet, a gateway that reaches the servers and one that can be cut off.
+async fn site() -> (Fleet, Gateway, CutGateway) {
+    let fleet = Fleet::start(3, 3).await;
+    let sound = fleet.gateway("gateway-1").await;
+    let cut = CutGateway::start(&fleet, "gateway-2").await;
+    caller::until_listed(&sound, 2).await;
+    caller::until_listed(&cut.gateway, 2).await;
+    assert_eq!(cut.served().await, REQUESTS);
+    (fleet, sound, cut)
+}
+
+/// Cuts the links in one way, and checks that nearly all requests are served later and that all are
+/// once the links are back.
+async fn assert_served(partition: Partition) {
+    let (fleet, _sound, cut) = site().await;
+    cut.link.set_partition(partition);
+    tokio::time::timeout(WINDOW, async {
+        loop {
+            post(&cut.gateway, STATUS).await;
+        }
+    })
+    .await
+    .unwrap_err();
+    let served = cut.served().await;
+    assert!(served >= REQUESTS - 1, "{served} of {REQUESTS} served");
+    let id = new_id();
+    let response = send(cut.gateway.callers, &request(ORDERS, &id, "", "body")).await;
+    assert_eq!((response.status, executed(&fleet.desks, &id)), (200, 1));
+    assert!(fleet.desks.iter().flat_map(Server::executed).all(|run| {
+        run.request.header("authorization").is_empty() && run.request.header("x-tenant") == "alpha"
+    }));
+    cut.link.set_partition(Partition::None);
+    until("the links are used again", || !cut.gateway.lines("server_path_restored").is_empty())
+        .await;
+    assert_eq!(cut.served().await, REQUESTS);
+}
+
+#[tokio::test]
+async fn requests_are_served_while_links_to_the_servers_hang() {
+    assert_served(Partition::Blackhole).await;
+}
+
+#[tokio::test]
+async fn requests_are_served_while_links_to_the_servers_are_reset() {
+    assert_served(Partition::Refuse).await;
+}
+
+#[tokio::test]
+async fn requests_are_served_while_only_open_connections_to_the_servers_live() {
+    assert_served(Partition::RefuseNew).await;
+}
--- a/crates/camphorwardd/tests/gateway/fleet.rs
+++ b/crates/camphorwardd/tests/gateway/fleet.rs
@@ -4,6 +4,7 @@
 use crate::process::{Gateway, until};
 use serde_json::{Value, json};
 use standins::fleet::{Server, ServerKind, Store};
+use std::net::SocketAddr;
 
 pub const KEY: &str = "alpha-key";
 pub const ORDERS: &str = "/orders/";
@@ -46,7 +47,12 @@
 
     /// Starts a gateway and waits until it is ready.
     pub async fn gateway(&self, host: &str) -> Gateway {
-        let gateway = Gateway::start(&self.settings(host, &[])).await;
+        self.gateway_with(&self.settings(host, &[])).await
+    }
+
+    /// Starts a gateway with some settings and waits until it is ready.
+    pub async fn gateway_with(&self, settings: &str) -> Gateway {
+        let gateway = Gateway::start(settings).await;
         caller::until_ready(&gateway).await;
         let servers = self.desks.len() + self.engines.len();
         until("all servers are listed", || gateway.lines("server_joined").len() >= servers).await;
@@ -55,7 +61,12 @@
 
     /// Returns a gateway's settings.
     pub fn settings(&self, host: &str, seeds: &[String]) -> String {
-        settings(host, &self.store.address().to_string(), seeds)
+        self.settings_at(host, self.store.address(), seeds)
+    }
+
+    /// Returns the settings of a gateway that reaches the store at an address.
+    pub fn settings_at(&self, host: &str, store: SocketAddr, seeds: &[String]) -> String {
+        settings(host, &store.to_string(), seeds)
     }
 }
 
--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod caller_connections;
 mod crashing;
 mod crashing_segments;
+mod cut_off;
 mod endless;
 mod fleet;
 mod hedges;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -83,6 +83,37 @@
     changed: Notify,
 }
 
+/// Other addresses for those in the servers' entries.
+type Addresses = Arc<Mutex<HashMap<String, String>>>;
+
+/// An address of the store at which the servers' entries have other addresses, so that the path from
+/// one gateway to a server can differ from that of the others; dropping it stops the view.
+#[derive(Debug)]
+pub struct StoreView {
+    address: SocketAddr,
+    addresses: Addresses,
+    task: AbortHandle,
+}
+
+impl StoreView {
+    /// Returns the address for calls.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets another address for a server's.
+    pub fn replace_address(&self, server: SocketAddr, seen: SocketAddr) {
+        let mut addresses = self.addresses.lock().unwrap_or_else(PoisonError::into_inner);
+        addresses.insert(server.to_string(), seen.to_string());
+    }
+}
+
+impl Drop for StoreView {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 /// A running store; dropping it stops the store.
 #[derive(Debug)]
 pub struct Store {
@@ -107,10 +138,25 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
-        let task = tokio::spawn(accept(listener, Arc::clone(&shared))).abort_handle();
+        let accepting = accept(listener, Arc::clone(&shared), Addresses::default());
+        let task = tokio::spawn(accepting).abort_handle();
         Ok(Self { address, shared, task })
     }
 
+    /// Starts a view of the store on a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn view(&self) -> io::Result<StoreView> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let addresses = Addresses::default();
+        let accepting = accept(listener, Arc::clone(&self.shared), Arc::clone(&addresses));
+        let task = tokio::spawn(accepting).abort_handle();
+        Ok(StoreView { address, addresses, task })
+    }
+
     /// Returns the store's address.
     pub const fn address(&self) -> SocketAddr {
         self.address
@@ -214,17 +260,17 @@
     rmp_serde::to_vec_named(value).unwrap_or_default()
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>, addresses: Addresses) {
     while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
+        let (shared, addresses) = (Arc::clone(&shared), Arc::clone(&addresses));
         tokio::spawn(async move {
             // A disconnected caller needs no answer.
-            drop(serve(stream, &shared).await);
+            drop(serve(stream, &shared, &addresses).await);
         });
     }
 }
 
-async fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
+async fn serve(stream: TcpStream, shared: &Shared, addresses: &Addresses) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read_request(&mut stream).await? {
         let availability = lock(shared).availability;
@@ -236,7 +282,9 @@
             Availability::EndlessPages if request.path() == "/camphorward/log-newest" => {
                 Answer::new(&lock(shared), 200, endless_page(&request))
             }
-            Availability::Up | Availability::EndlessPages => answer(shared, &request).await,
+            Availability::Up | Availability::EndlessPages => {
+                answer(shared, addresses, &request).await
+            }
             Availability::Refuses => Answer::new(&lock(shared), 503, Vec::new()),
             Availability::Unresponsive => return std::future::pending().await,
         };
@@ -273,20 +321,38 @@
     encode(&json!({ "items": items, "more": true, "end": usize::MAX >> 1 }))
 }
 
-async fn answer(shared: &Shared, request: &ReceivedRequest) -> Answer {
+async fn answer(shared: &Shared, addresses: &Addresses, request: &ReceivedRequest) -> Answer {
     let topic = request.query("topic");
     match request.path() {
-        "/camphorward/log-newest" => newest(shared, topic),
-        "/camphorward/log-read" => read(shared, topic, request).await,
+        "/camphorward/log-newest" => newest(shared, addresses, topic),
+        "/camphorward/log-read" => read(shared, addresses, topic, request).await,
         "/camphorward/log-append" => append(shared, topic, request),
         _ => Answer::new(&lock(shared), 404, Vec::new()),
     }
 }
 
-fn newest(shared: &Shared, topic: &str) -> Answer {
+/// Returns a topic's records as they are seen at a view.
+fn seen(state: &State, addresses: &Addresses, topic: &str) -> Vec<Record> {
+    let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+    let addresses = addresses.lock().unwrap_or_else(PoisonError::into_inner);
+    if addresses.is_empty() || topic != "keyed.servers" {
+        return records.to_vec();
+    }
+    let replace = |value: &[u8]| {
+        let mut entry: Value = rmp_serde::from_slice(value).ok()?;
+        let address = addresses.get(entry["address"].as_str()?)?;
+        entry["address"] = address.clone().into();
+        Some(encode(&entry))
+    };
+    let record =
+        |(key, value): &Record| (key.clone(), replace(value).unwrap_or_else(|| value.clone()));
+    records.iter().map(record).collect()
+}
+
+fn newest(shared: &Shared, addresses: &Addresses, topic: &str) -> Answer {
     use base64::Engine as _;
     let state = lock(shared);
-    let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
+    let records = seen(&state, addresses, topic);
     let mut by_key: HashMap<&str, (usize, &[u8])> = HashMap::new();
     for (offset, (key, value)) in records.iter().enumerate() {
         by_key.insert(key, (offset, value));
@@ -303,7 +369,12 @@
     Answer::new(&state, 200, body)
 }
 
-async fn read(shared: &Shared, topic: &str, request: &ReceivedRequest) -> Answer {
+async fn read(
+    shared: &Shared,
+    addresses: &Addresses,
+    topic: &str,
+    request: &ReceivedRequest,
+) -> Answer {
     let from: usize = request.query("from").parse().unwrap_or(0);
     let wait = Duration::from_millis(request.query("waitMs").parse().unwrap_or(0));
     let deadline = tokio::time::Instant::now() + wait;
@@ -316,7 +387,7 @@
                 return Answer::new(&state, 410, encode(&json!({ "first": 0 })));
             }
             if records.len() > from || tokio::time::Instant::now() >= deadline {
-                return Answer::new(&state, 200, frames(records, from));
+                return Answer::new(&state, 200, frames(&seen(&state, addresses, topic), from));
             }
         }
         // The loop checks both for new records and for the end of the wait.
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -39,6 +39,8 @@
     Blackhole,
     /// Open connections are closed, and new ones are closed as soon as they are accepted.
     Refuse,
+    /// Open connections live on, and new ones are closed as soon as they are accepted.
+    RefuseNew,
 }
 
 /// The byte counters of a link.
@@ -173,7 +175,7 @@
 /// Relays one connection until either side closes it or the link refuses it.
 async fn relay(client: TcpStream, link: Arc<Link>, target: SocketAddr) {
     let mut partition = link.partition.subscribe();
-    if *partition.borrow_and_update() == Partition::Refuse {
+    if matches!(*partition.borrow_and_update(), Partition::Refuse | Partition::RefuseNew) {
         return;
     }
     let refused = async move {
