Connect to servers through a peer where the links to them are lost

A path counts as broken once a peer reaches the server; two in a row and all do. A refused connection is a crash only if a peer is refused too.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod limits;
 pub mod load;
+pub mod paths;
 pub mod pauses;
 pub mod registry;
 pub mod request;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -347,6 +347,25 @@
         true
     }
 
+    /// Records that a server is reached by new connections only, as another gateway carries them:
+    /// attempts in flight may never end, while the server takes new ones.
+    pub fn reached_by_detour(&mut self, server: &ServerId) {
+        let Some(load) = self.servers.get_mut(server) else { return };
+        for attempt in &mut load.attempts {
+            attempt.cost.response_timeout_ms = u64::MAX;
+        }
+        load.is_offline = !load.attempts.is_empty();
+        load.suspected_since_ms = None;
+        load.avoided_until_ms = 0;
+    }
+
+    /// Returns the servers with attempts in flight of which nothing was received since a time.
+    pub fn silent_since(&self, since_ms: u64) -> Vec<ServerId> {
+        let in_use = self.servers.iter().filter(|(_, load)| !load.attempts.is_empty());
+        let silent = in_use.filter(|(_, load)| load.last_activity_ms < since_ms);
+        silent.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns whether a server answers neither requests nor health checks.
     pub fn is_offline(&self, server: &ServerId) -> bool {
         self.servers.get(server).is_some_and(|load| load.is_offline)
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -72,13 +73,34 @@
 ///
 /// Returns an error if the peer refuses, or does not answer in time.
 pub async fn open(address: SocketAddr, timeout: Duration) -> io::Result<ClientConnection> {
+    handshake(open_stream(address, timeout).await?).await
+}
+
+/// Opens a connection without a protocol.
+///
+/// # Errors
+///
+/// Returns an error if the peer refuses, or does not answer in time.
+pub async fn open_stream(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     prepare(&stream)?;
+    Ok(stream)
+}
+
+/// Begins HTTP/1.1 on an open connection.
+///
+/// # Errors
+///
+/// Returns an error if the connection has closed.
+pub async fn handshake<S>(stream: S) -> io::Result<ClientConnection>
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     // A lost connection shows at the next request, so the error is ignored here.
-    let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+    let task = tokio::spawn(async move { drop(connection.with_upgrades().await) }).abort_handle();
     Ok(ClientConnection { sender, task })
 }
--- a/crates/gateway/src/crashes/confirm.rs
+++ b/crates/gateway/src/crashes/confirm.rs
@@ -4,6 +4,7 @@
 use crate::event;
 use crate::link::{Call, CallError, Link};
 use crate::node::Node;
+use crate::paths::{self, PeerVerdict};
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use crate::watch_servers::check_path;
 use dispatch::crashes::CrashId;
@@ -73,14 +74,14 @@
         state.is_paused(server, node.now_ms()) || state.is_limited(server)
     };
     if is_spared {
-        return check_connection(server).await;
+        return check_connection(node, server).await;
     }
     let path = check_path(node, server);
     let call = Call::get(path.clone(), CHECK_TIMEOUT).expecting(&server.id);
     let answer = match Link::new(server.address).call(call).await {
         Ok(answer) => answer,
         Err(CallError::Connect(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            return Finding::Crashed;
+            return check_refusal(node, server).await;
         }
         Err(_) => return Finding::Unknown,
     };
@@ -99,10 +100,29 @@
 }
 
 /// Checks a server that is to receive no calls.
-async fn check_connection(server: &ServerEntry) -> Finding {
+async fn check_connection(node: &Node, server: &ServerEntry) -> Finding {
     let connecting = tokio::net::TcpStream::connect(server.address);
     match tokio::time::timeout(CHECK_TIMEOUT, connecting).await {
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Finding::Crashed,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            check_refusal(node, server).await
+        }
         _ => Finding::Unknown,
     }
 }
+
+/// Finds out whether a server that refuses connections has crashed: a gateway that has lost its links
+/// may see refusals too.
+async fn check_refusal(node: &Node, server: &ServerEntry) -> Finding {
+    match paths::ask_peers(node, server).await {
+        PeerVerdict::Reached => return Finding::Lives,
+        PeerVerdict::Refused => return Finding::Crashed,
+        PeerVerdict::Unknown => {}
+    }
+    // Without peers, or with links that work, the refusal is the server's.
+    let state = node.state();
+    let has_peers = state.gateways.peers().next().is_some();
+    if has_peers && !state.paths.has_direct(node.now_ms()) {
+        return Finding::Unknown;
+    }
+    Finding::Crashed
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
-use crate::{discovery, peers, rollout_leader};
+use crate::{discovery, paths, peers, rollout_leader};
 use crate::{watch_blocks, watch_servers};
 use std::io;
 use std::net::SocketAddr;
@@ -143,6 +143,7 @@
     tokio::spawn(crashes::write(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
     tokio::spawn(limits::refresh(Arc::clone(node)));
+    tokio::spawn(paths::probe(Arc::clone(node)));
     tokio::spawn(clock::run(Arc::clone(node)));
     tokio::spawn(rollout_leader::run(Arc::clone(node)));
     tokio::spawn(watch_blocks::run(Arc::clone(node)));
@@ -168,8 +169,8 @@
     Ok((listener, socket))
 }
 
-/// Serves callers until the balancer sends no new connections and all connections have closed, or
-/// until the drain's share of the shutdown time is over.
+/// Serves callers until the balancer sends no new connections and all connections have closed, also
+/// those that are carried for other gateways, or until the drain's share of the shutdown time is over.
 ///
 /// New connections may arrive until the listener closes, because the balancer sends callers also to
 /// a failure domain without ready gateways. Connections accepted before are served until they
@@ -194,7 +195,7 @@
             continue;
         }
         traffic.close_idle();
-        if traffic.connections.load(Ordering::Relaxed) > 0 {
+        if traffic.connections.load(Ordering::Relaxed) > 0 || node.tunnels.open() > 0 {
             continue;
         }
         if accept_task.is_finished() {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -14,6 +14,7 @@
 use crate::forward::source::StreamSource;
 use crate::limits::{self, Ask};
 use crate::node::Node;
+use crate::paths;
 use crate::pool::ServerConnection;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use bytes::Bytes;
@@ -182,7 +183,7 @@
         let server_request = head::build(&request, &placed, last_event_id.as_deref(), &node);
         sent.fetch_add(1, Ordering::Relaxed);
         if is_logged {
-            log_attempt(&request, &placed, connection.is_reused, &node);
+            log_attempt(&request, &placed, &connection, &node);
         }
         let sent_ms = node.now_ms();
         let sending = connection.connection.sender.try_send_request(server_request);
@@ -204,6 +205,9 @@
             return AttemptResult::MayHaveRun(MayHaveRun::Mismatched);
         }
         connection.read_keep_alive(&head.headers);
+        if !connection.is_detour && !connection.is_reused {
+            node.state().paths.record_direct(node.now_ms());
+        }
         let identity = ServerIdentity::new(&entry);
         server_answers::record(&node, &identity, head.status, &head.headers, AnswerSource::Request);
         let load = head.headers.get(LOAD).and_then(|value| value.to_str().ok());
@@ -230,13 +234,12 @@
 }
 
 async fn acquire_connection(node: &Node, entry: &ServerEntry) -> Option<ServerConnection> {
-    if let Some(pooled) = node.pool.take(entry, node.now_ms()) {
-        return Some(pooled);
-    }
-    match node.pool.open(entry).await {
-        Ok(opened) => {
-            node.metrics.count("server_connections", "opened");
-            Some(opened)
+    match paths::acquire(node, entry).await {
+        Ok(connection) => {
+            if !connection.is_reused {
+                node.metrics.count("server_connections", "opened");
+            }
+            Some(connection)
         }
         Err(error) => {
             node.metrics.count("server_connections", "failed");
@@ -250,7 +253,12 @@
     }
 }
 
-fn log_attempt(request: &CallerRequest, placed: &Placed, is_reused: bool, node: &Node) {
+fn log_attempt(
+    request: &CallerRequest,
+    placed: &Placed,
+    connection: &ServerConnection,
+    node: &Node,
+) {
     let prompt = request.spec.prompt.as_ref();
     let engine = placed.engine.as_ref();
     let terms = node.state().terms.terms(&placed.entry.id, placed.entry.incarnation);
@@ -279,7 +287,8 @@
             plan.blocks.sources.iter().map(|source| source.as_str()).collect::<Vec<_>>()
         }),
         "salt": engine.map(|plan| plan.salt.as_str()),
-        "reused_connection": is_reused,
+        "reused_connection": connection.is_reused,
+        "through_peer": connection.is_detour,
         "remaining_ms": request.remaining_ms(node.now_ms()),
     });
 }
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -4,6 +4,7 @@
 use crate::crashes;
 use crate::forward::attempt::MayHaveRun;
 use crate::node::Node;
+use crate::paths;
 use dispatch::load::{InFlightId, LoadHeader, Outcome};
 use dispatch::registry::{ServerEntry, ServerId};
 use std::sync::Arc;
@@ -66,6 +67,9 @@
 
     fn close(&mut self, outcome: Outcome) {
         if std::mem::replace(&mut self.is_open, false) {
+            if outcome == Outcome::ConnectionFailed {
+                paths::verify(&self.node, &self.server);
+            }
             let now_ms = self.node.now_ms();
             self.node.state().loads.finished(&self.server.id, self.id, outcome, now_ms);
             self.node.capacity_freed.notify_waiters();
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -95,6 +95,11 @@
         Self { address, connection: None }
     }
 
+    /// Creates a link over an open connection.
+    pub const fn over(connection: ClientConnection, address: SocketAddr) -> Self {
+        Self { address, connection: Some(connection) }
+    }
+
     /// Returns the peer's address.
     pub const fn address(&self) -> SocketAddr {
         self.address
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,9 +12,11 @@
 use crate::pool::Pool;
 use crate::routing_state::RoutingState;
 use crate::settings::GatewaySettings;
+use crate::tunnel::Tunnels;
 use dispatch::choice::GatewayContext;
 use dispatch::configuration::Configuration;
 use dispatch::era::{EraTracker, IgnoredEra};
+use dispatch::registry::ServerId;
 use dispatch::retry_share::{BudgetBounds, RetryShare};
 use dispatch::routes::RouteTable;
 use std::collections::BTreeSet;
@@ -86,6 +88,8 @@
     pub terms_exchange: TermsExchange,
     /// The calls to holders of limited servers.
     pub grant_calls: GrantCalls,
+    /// The connections to servers that this gateway carries for others.
+    pub tunnels: Tunnels,
     /// Whether this gateway reads the store itself.
     pub reads_store: AtomicBool,
     in_force: Mutex<Option<Arc<InForce>>>,
@@ -95,6 +99,8 @@
     /// The reasons for ignoring an era that have been logged.
     logged_eras: Mutex<BTreeSet<IgnoredEra>>,
     outbox: Mutex<PeerUpdate>,
+    /// The servers whose paths are being verified.
+    being_verified: Mutex<BTreeSet<ServerId>>,
     seeds: Mutex<Vec<SocketAddr>>,
     is_draining: AtomicBool,
     /// Whether requests end now because the process is about to exit.
@@ -137,8 +143,10 @@
             crash_exchange: CrashExchange::default(),
             terms_exchange: TermsExchange::default(),
             grant_calls: GrantCalls::default(),
+            tunnels: Tunnels::default(),
             reads_store: AtomicBool::new(true),
             outbox: Mutex::new(PeerUpdate::default()),
+            being_verified: Mutex::default(),
             in_force: Mutex::new(None),
             state: Mutex::new(state),
             eras: watch::Sender::new(EraTracker::default()),
@@ -228,6 +236,11 @@
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
     }
 
+    /// Locks the servers whose paths are being verified.
+    pub fn being_verified(&self) -> MutexGuard<'_, BTreeSet<ServerId>> {
+        self.being_verified.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds to the update in the outbox and wakes its sender.
     pub fn queue_update(&self, add: impl FnOnce(&mut PeerUpdate)) {
         add(&mut self.outbox.lock().unwrap_or_else(PoisonError::into_inner));
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -12,7 +12,7 @@
 
 /// Serves readiness and metrics on one listener.
 pub async fn accept(node: Arc<Node>, listener: TcpListener) {
-    let respond = move |request: http::Request<_>| {
+    let respond = move |request: http::Request<_>, _| {
         let reply = reply(&node, request.uri().path());
         async move { reply }
     };
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -10,11 +10,13 @@
 };
 use crate::peers::terms::{self, TERMS_PATH, TermsMessage};
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
+use crate::tunnel::{self, TUNNEL_PATH};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
@@ -23,10 +25,11 @@
 
 /// Serves other gateways.
 pub async fn accept(node: Arc<Node>, listener: TcpListener) {
-    listener::accept(listener, move |request| reply(Arc::clone(&node), request)).await;
+    let answer = move |request, from| reply(Arc::clone(&node), request, from);
+    listener::accept(listener, answer).await;
 }
 
-async fn reply(node: Arc<Node>, request: Request<Incoming>) -> Reply {
+async fn reply(node: Arc<Node>, request: Request<Incoming>, from: SocketAddr) -> Reply {
     let path = request.uri().path().to_owned();
     let unavailable = (StatusCode::SERVICE_UNAVAILABLE, Vec::new());
     match path.as_str() {
@@ -64,6 +67,7 @@
             Some(question) => (StatusCode::OK, message::encode(&limits::answer(&node, question))),
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
+        TUNNEL_PATH => (tunnel::accept(&node, request, from).await, Vec::new()),
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,13 +1,11 @@
 //! Pool of idle connections to servers.
 
-use crate::connect::{self, ClientConnection};
+use crate::connect::ClientConnection;
 use dispatch::registry::{ServerEntry, ServerId};
 use http::HeaderMap;
 use protocol::ids::Incarnation;
 use std::collections::HashMap;
-use std::io;
 use std::sync::{Mutex, PoisonError};
-use std::time::Duration;
 
 /// How long an idle connection is held if the server sends no keep-alive timeout, in milliseconds.
 /// The platform omits a timeout below a second.
@@ -19,9 +17,6 @@
 const MAX_KEEP_ALIVE_MS: u64 = 20_000;
 /// The maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 24;
-/// The timeout for opening a connection to a server. The longest round trip takes some 30 ms; the
-/// rest allows for one lost packet.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// A connection to one server, which carries at most one request at a time.
 #[derive(Debug)]
@@ -33,12 +28,24 @@
     keep_alive_ms: u64,
     /// Whether a request was sent on it before.
     pub is_reused: bool,
+    /// Whether another gateway carries it.
+    pub is_detour: bool,
 }
 
 impl ServerConnection {
-    /// Reads from the head of an answer how long the connection may be held.
+    /// Wraps a connection to an incarnation of a server on which nothing was sent.
+    pub const fn new(
+        connection: ClientConnection,
+        incarnation: Incarnation,
+        is_detour: bool,
+    ) -> Self {
+        Self { connection, incarnation, keep_alive_ms: 0, is_reused: false, is_detour }
+    }
+
+    /// Reads from the head of an answer how long the connection may be held. One that another gateway
+    /// carries is not, as that gateway decides on each request anew.
     pub fn read_keep_alive(&mut self, headers: &HeaderMap) {
-        self.keep_alive_ms = keep_alive_ms(headers);
+        self.keep_alive_ms = if self.is_detour { 0 } else { keep_alive_ms(headers) };
     }
 }
 
@@ -60,29 +67,25 @@
         Self::default()
     }
 
-    /// Removes and returns an idle connection to a server's incarnation that can be used now.
-    pub fn take(&self, server: &ServerEntry, now_ms: u64) -> Option<ServerConnection> {
+    /// Removes and returns an idle connection to a server's incarnation that can be used now and that
+    /// was used since a time.
+    pub fn take(
+        &self,
+        server: &ServerEntry,
+        used_since_ms: u64,
+        now_ms: u64,
+    ) -> Option<ServerConnection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&server.id)?;
         connections.retain(|entry| {
             entry.connection.incarnation == server.incarnation && is_usable(entry, now_ms)
         });
-        let index =
-            connections.iter().rposition(|entry| entry.connection.connection.sender.is_ready())?;
+        let index = connections.iter().rposition(|entry| {
+            entry.since_ms >= used_since_ms && entry.connection.connection.sender.is_ready()
+        })?;
         Some(connections.swap_remove(index).connection)
     }
 
-    /// Opens a connection.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the server refuses or does not answer in time.
-    pub async fn open(&self, entry: &ServerEntry) -> io::Result<ServerConnection> {
-        let connection = connect::open(entry.address, CONNECT_TIMEOUT).await?;
-        let incarnation = entry.incarnation;
-        Ok(ServerConnection { connection, incarnation, keep_alive_ms: 0, is_reused: false })
-    }
-
     /// Adds a connection whose answer was read completely.
     pub fn put(&self, server: &ServerId, mut connection: ServerConnection, now_ms: u64) {
         if connection.keep_alive_ms == 0 || connection.connection.sender.is_closed() {
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -8,6 +8,7 @@
 use dispatch::crashes::Crashes;
 use dispatch::limits::{Asks, GrantTable, Urgency};
 use dispatch::load::Loads;
+use dispatch::paths::Paths;
 use dispatch::pauses::Pauses;
 use dispatch::registry::{Registry, ServerEntry};
 use dispatch::retry_share::RetryShare;
@@ -32,6 +33,8 @@
     pub registry: Registry,
     /// The servers' loads.
     pub loads: Loads,
+    /// The links to the servers.
+    pub paths: Paths,
     /// The pauses that servers asked for.
     pub pauses: Pauses,
     /// The terms that servers name.
@@ -64,6 +67,7 @@
         Self {
             registry: Registry::new(),
             loads: Loads::new(),
+            paths: Paths::new(),
             pauses: Pauses::new(),
             terms: TermsTable::new(),
             grants: GrantTable::new(),
--- /dev/null
+++ b/crates/gateway/src/tunnel.rs
@@ -0,0 +1,112 @@
+//! Connections to servers that one gateway carries for another which has lost its links.
+//!
+//! The bytes to the server travel unchanged. Those from it are framed, so that the end of an answer
+//! is not mistaken for the end of the gateway that carries it.
+
+mod frames;
+mod serve;
+
+pub use crate::tunnel::serve::{Tunnels, accept};
+
+use crate::connect::{self, ClientConnection};
+use crate::listener::TUNNEL_PROTOCOL;
+use crate::tunnel::frames::FramedStream;
+use bytes::Bytes;
+use dispatch::registry::ServerEntry;
+use http::header::{CONNECTION, HOST, UPGRADE};
+use http::{HeaderName, Method, Request, StatusCode};
+use http_body_util::Full;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The path that opens a tunnel.
+pub const TUNNEL_PATH: &str = "/peers/tunnel";
+/// The server to connect to, and its incarnation.
+const SERVER: HeaderName = HeaderName::from_static("camphorward-server");
+const INCARNATION: HeaderName = HeaderName::from_static("camphorward-incarnation");
+/// The timeout for connecting to a peer. The longest round trip takes some 30 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a peer may take to connect to a server.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why a peer carries no connection to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TunnelError {
+    /// The server refuses the peer's connections.
+    Refused,
+    /// The peer does not reach the server.
+    Unreached,
+    /// For the peer the server takes no requests.
+    NotUsable,
+    /// The peer does not answer, drains, is cut off itself or carries enough.
+    Unavailable,
+    /// The peer runs a version of the program without tunnels.
+    Unsupported,
+}
+
+impl TunnelError {
+    /// Returns the reason's name in counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            TunnelError::Refused => "refused",
+            TunnelError::Unreached => "unreached",
+            TunnelError::NotUsable => "not_usable",
+            TunnelError::Unavailable => "unavailable",
+            TunnelError::Unsupported => "unsupported",
+        }
+    }
+
+    /// Returns the status that stands for it between gateways.
+    const fn status(self) -> StatusCode {
+        match self {
+            TunnelError::Refused => StatusCode::BAD_GATEWAY,
+            TunnelError::Unreached => StatusCode::GATEWAY_TIMEOUT,
+            TunnelError::NotUsable => StatusCode::CONFLICT,
+            TunnelError::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            TunnelError::Unsupported => StatusCode::NOT_FOUND,
+        }
+    }
+
+    const fn from_status(status: StatusCode) -> Self {
+        match status {
+            StatusCode::BAD_GATEWAY => TunnelError::Refused,
+            StatusCode::GATEWAY_TIMEOUT => TunnelError::Unreached,
+            StatusCode::CONFLICT => TunnelError::NotUsable,
+            StatusCode::NOT_FOUND => TunnelError::Unsupported,
+            _ => TunnelError::Unavailable,
+        }
+    }
+}
+
+/// Opens a connection to a server through a peer.
+///
+/// # Errors
+///
+/// Returns why the peer carries none.
+pub async fn open(entry: &ServerEntry, peer: SocketAddr) -> Result<ClientConnection, TunnelError> {
+    let unavailable = |_| TunnelError::Unavailable;
+    let mut connection = connect::open(peer, CONNECT_TIMEOUT).await.map_err(unavailable)?;
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(TUNNEL_PATH)
+        .header(HOST, peer.to_string())
+        .header(CONNECTION, "upgrade")
+        .header(UPGRADE, TUNNEL_PROTOCOL)
+        .header(SERVER, entry.id.as_str())
+        .header(INCARNATION, entry.incarnation.value())
+        .body(Full::new(Bytes::new()))
+        .map_err(|_| TunnelError::Unavailable)?;
+    let upgrading = async {
+        let answer =
+            connection.sender.send_request(request).await.map_err(|_| TunnelError::Unavailable)?;
+        if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
+            return Err(TunnelError::from_status(answer.status()));
+        }
+        hyper::upgrade::on(answer).await.map_err(|_| TunnelError::Unavailable)
+    };
+    let upgraded = tokio::time::timeout(ANSWER_TIMEOUT, upgrading);
+    let upgraded = upgraded.await.unwrap_or(Err(TunnelError::Unavailable))?;
+    let stream = FramedStream::new(TokioIo::new(upgraded));
+    connect::handshake(stream).await.map_err(unavailable)
+}
--- a/crates/gateway/src/watch_servers.rs
+++ b/crates/gateway/src/watch_servers.rs
@@ -4,7 +4,9 @@
 use crate::limits::{self, Ask};
 use crate::link::{Call, Link};
 use crate::node::Node;
+use crate::paths;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
+use dispatch::paths::PathChoice;
 use dispatch::registry::{RegistryStatus, ServerEntry, ServerId};
 use http::StatusCode;
 use platform::engine::REPORT_PATH;
@@ -69,6 +71,15 @@
     node.pool.sweep(|id| usable.contains(id), node.now_ms());
 }
 
+/// The result of a health check.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Check {
+    Passed,
+    /// The server answered through a peer only.
+    PassedByDetour,
+    Failed,
+}
+
 async fn check_until_healthy(
     node: Arc<Node>,
     entry: ServerEntry,
@@ -87,15 +98,27 @@
         }
         node.metrics.count("health_checks", "sent");
         let sent_ms = node.now_ms();
-        let passed = passes(&node, &entry, &path).await;
+        let check = check(&node, &entry, &path).await;
         let now_ms = node.now_ms();
-        event!(info, now_ms, "server_checked", { "server": entry.id.as_str(), "passed": passed });
+        event!(info, now_ms, "server_checked", {
+            "server": entry.id.as_str(),
+            "passed": check != Check::Failed,
+            "through_peer": check == Check::PassedByDetour,
+        });
         if !is_of_interest(&node, &entry) {
             break;
         }
-        if passed {
-            node.state().loads.healthy(&entry.id, now_ms);
-            break;
+        match check {
+            Check::Passed => {
+                node.state().loads.healthy(&entry.id, now_ms);
+                break;
+            }
+            Check::PassedByDetour => {
+                node.state().loads.reached_by_detour(&entry.id);
+                node.server_unresponsive.notify_waiters();
+                break;
+            }
+            Check::Failed => {}
         }
         if node.state().loads.unhealthy(&entry.id, sent_ms, now_ms) {
             node.pool.forget(&entry.id);
@@ -129,11 +152,23 @@
     }
 }
 
-async fn passes(node: &Node, entry: &ServerEntry, path: &str) -> bool {
+/// Checks a server directly, or through a peer if it does not answer.
+async fn check(node: &Node, entry: &ServerEntry, path: &str) -> Check {
     let call = Call::get(path, CHECK_TIMEOUT).expecting(&entry.id);
-    let Ok(answer) = Link::new(entry.address).call(call).await else { return false };
+    let choice = node.state().paths.choose(&entry.id);
+    let direct = match choice {
+        PathChoice::Direct => Link::new(entry.address).call(call.clone()).await.ok(),
+        PathChoice::Detour { .. } => None,
+    };
+    let (answer, passed) = match direct {
+        Some(answer) => (answer, Check::Passed),
+        None => match paths::call_by_detour(node, entry, call).await {
+            Ok(answer) => (answer, Check::PassedByDetour),
+            Err(_) => return Check::Failed,
+        },
+    };
     let (status, server) = (answer.status(), ServerIdentity::new(entry));
     server_answers::record(node, &server, status, answer.headers(), AnswerSource::HealthCheck);
     // A refusal by a full server also shows that the server is up.
-    status != StatusCode::MISDIRECTED_REQUEST
+    if status == StatusCode::MISDIRECTED_REQUEST { Check::Failed } else { passed }
 }
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -8,8 +8,9 @@
 use protocol::size::{ByteCount, BytesPerSecond};
 use pump::Pump;
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -39,7 +40,7 @@
     Blackhole,
     /// Open connections are closed, and new ones are closed as soon as they are accepted.
     Refuse,
-    /// Open connections live on, and new ones are closed as soon as they are accepted.
+    /// Open connections live on, and new ones are refused.
     RefuseNew,
 }
 
@@ -136,7 +137,7 @@
     ///
     /// Returns the error of binding the address.
     pub async fn start(link: Arc<Link>, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let listener = bind_free_port().await?;
         let address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(target));
         let task = tokio::spawn(accept(listener, link, Arc::clone(&target)));
@@ -160,10 +161,35 @@
     }
 }
 
-async fn accept(listener: TcpListener, link: Arc<Link>, target: Arc<Mutex<SocketAddr>>) {
+/// Binds a free port by its number: only then it stays bound while nothing listens.
+async fn bind_free_port() -> io::Result<TcpListener> {
+    loop {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let address = TcpListener::bind(any).await?.local_addr()?;
+        match TcpListener::bind(address).await {
+            // Another process was first.
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            bound => return bound,
+        }
+    }
+}
+
+async fn accept(mut listener: TcpListener, link: Arc<Link>, target: Arc<Mutex<SocketAddr>>) {
     let mut connections = JoinSet::new();
+    let mut partition = link.partition.subscribe();
     loop {
-        let Ok((client, _)) = listener.accept().await else {
+        if *partition.borrow_and_update() == Partition::RefuseNew {
+            match refuse_until_changed(listener, &mut partition).await {
+                Ok(listening) => listener = listening,
+                Err(_) => return,
+            }
+            continue;
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = partition.changed() => continue,
+        };
+        let Ok((client, _)) = accepted else {
             continue;
         };
         while connections.try_join_next().is_some() {}
@@ -172,10 +198,26 @@
     }
 }
 
+/// Stops listening until the partition changes; the port stays bound.
+async fn refuse_until_changed(
+    listener: TcpListener,
+    partition: &mut watch::Receiver<Partition>,
+) -> io::Result<TcpListener> {
+    const BACKLOG: i32 = 128;
+    // On Linux this ends the listening, and `listen` begins it again. The runtime forgets the closed
+    // state only with a new registration.
+    let listener = listener.into_std()?;
+    SockRef::from(&listener).shutdown(Shutdown::Both)?;
+    // Without a sender the relay ends too.
+    let _ = partition.changed().await;
+    SockRef::from(&listener).listen(BACKLOG)?;
+    TcpListener::from_std(listener)
+}
+
 /// Relays one connection until either side closes it or the link refuses it.
 async fn relay(client: TcpStream, link: Arc<Link>, target: SocketAddr) {
     let mut partition = link.partition.subscribe();
-    if matches!(*partition.borrow_and_update(), Partition::Refuse | Partition::RefuseNew) {
+    if *partition.borrow_and_update() == Partition::Refuse {
         return;
     }
     let refused = async move {
