Do not take a cut peer's word that a server refuses connections

Gateways asked peers of their domain first; those were cut as well, were refused too, and said that the server refuses, which ended the search: nobody found out. A peer now says so only if a server answered it over a new connection just before; peers are tried one a failure domain; and one through which nothing is answered is left out for 2 s.

cut_off.rs cuts two gateways of a domain: two of its three tests failed before, and with links that hang it did not end in a minute; all pass now.

--- a/crates/camphorwardd/tests/gateway/cut_off.rs
+++ b/crates/camphorwardd/tests/gateway/cut_off.rs
@@ -54,29 +54,40 @@
     runs.filter(|run| run.request.header("x-attempt-id") == id).count()
 }
 
-/// Starts a fleet, a gateway that reaches the servers and one that can be cut off.
-async fn site() -> (Fleet, Gateway, CutGateway) {
-    let fleet = Fleet::start(3, 3).await;
-    let sound = fleet.gateway("gateway-1").await;
-    let cut = CutGateway::start(&fleet, "gateway-2").await;
-    caller::until_listed(&sound, 2).await;
-    caller::until_listed(&cut.gateway, 2).await;
-    assert_eq!(cut.served().await, REQUESTS);
-    (fleet, sound, cut)
+/// A fleet, a gateway that reaches the servers, and two of another failure domain that can be cut off.
+struct Site {
+    fleet: Fleet,
+    cut: CutGateway,
+    also_cut: CutGateway,
+    _sound: Gateway,
+}
+
+impl Site {
+    async fn start() -> Self {
+        let fleet = Fleet::start(3, 3).await;
+        let settings = fleet.settings("gateway-1", &[]);
+        let _sound = fleet.gateway_with(&settings.replace("\"east-1\",", "\"east-2\",")).await;
+        let cut = CutGateway::start(&fleet, "gateway-2").await;
+        let also_cut = CutGateway::start(&fleet, "gateway-3").await;
+        for gateway in [&_sound, &cut.gateway, &also_cut.gateway] {
+            caller::until_listed(gateway, 3).await;
+        }
+        assert_eq!(cut.served().await, REQUESTS);
+        Self { fleet, cut, also_cut, _sound }
+    }
 }
 
 /// Cuts the links in one way, and checks that nearly all requests are served later and that all are
 /// once the links are back.
 async fn assert_served(partition: Partition) {
-    let (fleet, _sound, cut) = site().await;
+    let Site { fleet, cut, also_cut, _sound } = Site::start().await;
     cut.link.set_partition(partition);
-    tokio::time::timeout(WINDOW, async {
-        loop {
-            post(&cut.gateway, STATUS).await;
-        }
-    })
-    .await
-    .unwrap_err();
+    also_cut.link.set_partition(partition);
+    let load = async |gateway: &Gateway| loop {
+        post(gateway, STATUS).await;
+    };
+    let both = futures_util::future::join(load(&cut.gateway), load(&also_cut.gateway));
+    tokio::time::timeout(WINDOW, both).await.unwrap_err();
     let served = cut.served().await;
     assert!(served >= REQUESTS - 1, "{served} of {REQUESTS} served");
     let id = new_id();
--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -164,8 +164,8 @@
         self.unavailable_until_ms.insert(host.clone(), now_ms + for_ms);
     }
 
-    /// Returns the peers to try for a connection, those of this failure domain first; `spread` varies
-    /// their order.
+    /// Returns the peers to try for a connection: one of this failure domain, then one of each other
+    /// domain, as links are lost by domains. `spread` varies the choice.
     pub fn detour_peers<'a>(
         &self,
         peers: &[DetourPeer<'a>],
@@ -183,6 +183,14 @@
             found.rotate_left(first);
         }
         found.sort_by_key(|peer| peer.domain != local_domain);
-        found.into_iter().take(MAX_PEERS).copied().collect()
+        let mut taken: SmallVec<[DetourPeer<'a>; MAX_PEERS]> = SmallVec::new();
+        let mut rest: SmallVec<[DetourPeer<'a>; MAX_PEERS]> = SmallVec::new();
+        for peer in found {
+            let is_new = taken.iter().all(|other| other.domain != peer.domain);
+            if is_new { &mut taken } else { &mut rest }.push(*peer);
+        }
+        taken.extend(rest);
+        taken.truncate(MAX_PEERS);
+        taken
     }
 }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -24,8 +24,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// How long a peer that cannot carry connections is left out, in milliseconds.
 const UNAVAILABLE_MS: u64 = 1_000;
+/// The same for a peer through which a server did not answer.
+const SILENT_PEER_MS: u64 = 2_000;
 /// The same for a peer that does not know the protocol.
 const UNSUPPORTED_MS: u64 = 30_000;
+/// The number of peers through which a server is called.
+const CALLED_PEERS: usize = 3;
 /// The time without a byte from a server after which a request there counts as lost once all links
 /// are, in milliseconds.
 const SILENT_MS: u64 = 300;
@@ -64,39 +68,47 @@
         },
         PathChoice::Detour { .. } => io::Error::from(io::ErrorKind::NetworkUnreachable),
     };
-    let connection = detour(node, entry).await.map_err(|_| error)?;
+    let (connection, _) = detour(node, entry).await.map_err(|_| error)?;
     if choice == PathChoice::Direct {
         record_broken(node, &entry.id);
     }
     Ok(connection)
 }
 
-/// Opens a connection to a server through a peer.
-async fn detour(node: &Node, entry: &ServerEntry) -> Result<ServerConnection, TunnelError> {
+/// Opens a connection to a server through a peer; returns the peer too.
+async fn detour(
+    node: &Node,
+    entry: &ServerEntry,
+) -> Result<(ServerConnection, HostName), TunnelError> {
     let mut last = TunnelError::Unavailable;
     for (host, address) in peers(node) {
         match tunnel::open(entry, address).await {
             Ok(connection) => {
                 node.metrics.count("detours", "opened");
-                return Ok(ServerConnection::new(connection, entry.incarnation, true));
+                let connection = ServerConnection::new(connection, entry.incarnation, true);
+                return Ok((connection, host));
             }
             Err(error) => {
                 node.metrics.count("detours", error.as_str());
                 last = error;
                 let for_ms = match error {
                     TunnelError::Refused => break,
-                    TunnelError::NotUsable => continue,
+                    TunnelError::NotUsable | TunnelError::Unconfirmed => continue,
                     TunnelError::Unavailable | TunnelError::Unreached => UNAVAILABLE_MS,
                     TunnelError::Unsupported => UNSUPPORTED_MS,
                 };
-                let now_ms = node.now_ms();
-                node.state().paths.record_unavailable(&host, for_ms, now_ms);
+                record_unavailable(node, &host, for_ms);
             }
         }
     }
     Err(last)
 }
 
+fn record_unavailable(node: &Node, host: &HostName, for_ms: u64) {
+    let now_ms = node.now_ms();
+    node.state().paths.record_unavailable(host, for_ms, now_ms);
+}
+
 /// Returns the peers to try for one connection.
 fn peers(node: &Node) -> Vec<(HostName, SocketAddr)> {
     let now_ms = node.now_ms();
@@ -127,7 +139,7 @@
     }
 }
 
-/// Makes a call to a server through a peer after it got no direct answer.
+/// Makes a call to a server through peers, one after another, after it got no direct answer.
 ///
 /// # Errors
 ///
@@ -137,12 +149,22 @@
     entry: &ServerEntry,
     call: Call,
 ) -> Result<Response<Bytes>, CallError> {
-    let connection = detour(node, entry).await.map_err(|error| {
-        CallError::Connect(io::Error::new(io::ErrorKind::NetworkUnreachable, error.as_str()))
-    })?;
-    let answer = Link::over(connection.connection, entry.address).call(call).await?;
-    record_broken(node, &entry.id);
-    Ok(answer)
+    let mut last = CallError::TimedOut(call.timeout);
+    for _ in 0..CALLED_PEERS {
+        let (connection, host) = detour(node, entry).await.map_err(|error| {
+            CallError::Connect(io::Error::new(io::ErrorKind::NetworkUnreachable, error.as_str()))
+        })?;
+        match Link::over(connection.connection, entry.address).call(call.clone()).await {
+            Ok(answer) => {
+                record_broken(node, &entry.id);
+                return Ok(answer);
+            }
+            // The peer's links may hang as this gateway's do.
+            Err(error) => last = error,
+        }
+        record_unavailable(node, &host, SILENT_PEER_MS);
+    }
+    Err(last)
 }
 
 /// Records that a peer reaches a server which this gateway does not reach.
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -35,6 +35,8 @@
 pub enum TunnelError {
     /// The server refuses the peer's connections.
     Refused,
+    /// The server refuses the peer's connections, but the peer does not know whether its links work.
+    Unconfirmed,
     /// The peer does not reach the server.
     Unreached,
     /// For the peer the server takes no requests.
@@ -50,6 +52,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             TunnelError::Refused => "refused",
+            TunnelError::Unconfirmed => "unconfirmed",
             TunnelError::Unreached => "unreached",
             TunnelError::NotUsable => "not_usable",
             TunnelError::Unavailable => "unavailable",
@@ -61,6 +64,7 @@
     const fn status(self) -> StatusCode {
         match self {
             TunnelError::Refused => StatusCode::BAD_GATEWAY,
+            TunnelError::Unconfirmed => StatusCode::FAILED_DEPENDENCY,
             TunnelError::Unreached => StatusCode::GATEWAY_TIMEOUT,
             TunnelError::NotUsable => StatusCode::CONFLICT,
             TunnelError::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
@@ -71,6 +75,7 @@
     const fn from_status(status: StatusCode) -> Self {
         match status {
             StatusCode::BAD_GATEWAY => TunnelError::Refused,
+            StatusCode::FAILED_DEPENDENCY => TunnelError::Unconfirmed,
             StatusCode::GATEWAY_TIMEOUT => TunnelError::Unreached,
             StatusCode::CONFLICT => TunnelError::NotUsable,
             StatusCode::NOT_FOUND => TunnelError::Unsupported,
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -97,7 +97,11 @@
     }
     match connect::open_stream(entry.address, CONNECT_TIMEOUT).await {
         Ok(server) => Ok((server, permit)),
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Err(TunnelError::Refused),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            // This gateway may have lost its links too, and not know yet.
+            let has_direct = node.state().paths.has_direct(node.now_ms());
+            Err(if has_direct { TunnelError::Refused } else { TunnelError::Unconfirmed })
+        }
         Err(_) => Err(TunnelError::Unreached),
     }
 }
