--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -6,11 +6,11 @@
 mod frames;
 mod serve;
 
+pub use crate::tunnel::frames::FramedStream;
 pub use crate::tunnel::serve::{Tunnels, accept};
 
 use crate::connect::{self, ClientConnection};
 use crate::listener::TUNNEL_PROTOCOL;
-use crate::tunnel::frames::FramedStream;
 use bytes::Bytes;
 use dispatch::registry::ServerEntry;
 use http::header::{CONNECTION, HOST, UPGRADE};
