--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -66,6 +66,15 @@
     UnframedCut,
 }
 
+/// How many requests a server takes, and what it bears.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// The requests that it takes at once; it refuses others.
+    pub requests: usize,
+    /// The refusals within a second after which it crashes.
+    pub max_refusals: usize,
+}
+
 /// A request that was executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -94,6 +103,11 @@
     framing: Framing,
     executed: Vec<ExecutedRequest>,
     refused: u64,
+    capacity: Option<Capacity>,
+    /// The requests in progress.
+    in_progress: usize,
+    /// When requests were refused for want of room.
+    full_refusals: Vec<Instant>,
     /// Headers that every answer carries besides its own.
     extra_headers: Vec<(String, String)>,
     /// The paths of all received requests.
@@ -149,6 +163,9 @@
             framing: Framing::default(),
             executed: Vec::new(),
             refused: 0,
+            capacity: None,
+            in_progress: 0,
+            full_refusals: Vec::new(),
             extra_headers: Vec::new(),
             received: Vec::new(),
             arrivals: Vec::new(),
@@ -181,7 +198,8 @@
         };
         json!({
             "service": service, "address": self.address.to_string(), "zone": domain,
-            "version": current.software_version, "slots": 64, "state": state, "coldRemainingMs": 0,
+            "version": current.software_version,
+            "slots": current.capacity.map_or(64, |capacity| capacity.requests), "state": state, "coldRemainingMs": 0,
             "phase": "prefill_decode", "models": models, "sequence": heartbeat,
             "born": current.started_unix_ms,
         })
@@ -209,6 +227,11 @@
         self.lock().execution_time = execution_time;
     }
 
+    /// Sets how many requests the server takes, which the entry names from now on.
+    pub fn set_capacity(&self, capacity: Capacity) {
+        self.lock().capacity = Some(capacity);
+    }
+
     /// Pads each plain answer and each event of a stream with this many bytes.
     pub fn set_padding_bytes(&self, padding_bytes: usize) {
         self.lock().padding_bytes = padding_bytes;
@@ -371,6 +394,31 @@
     }
 }
 
+/// Begins a request if there is room; returns whether there was. Crashes after too many refusals.
+fn begin(state: &Mutex<State>) -> bool {
+    const SECOND: Duration = Duration::from_secs(1);
+    let mut guard = lock(state);
+    let Some(capacity) = guard.capacity else { return true };
+    if guard.in_progress < capacity.requests {
+        guard.in_progress += 1;
+        return true;
+    }
+    guard.refused += 1;
+    guard.full_refusals.retain(|at| at.elapsed() < SECOND);
+    guard.full_refusals.push(Instant::now());
+    let is_over = guard.full_refusals.len() > capacity.max_refusals;
+    drop(guard);
+    if is_over {
+        crash(state);
+    }
+    false
+}
+
+fn end(state: &Mutex<State>) {
+    let mut state = lock(state);
+    state.in_progress = state.in_progress.saturating_sub(1);
+}
+
 fn crash(state: &Mutex<State>) {
     let mut state = lock(state);
     if std::mem::replace(&mut state.is_up, false) {
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -2,7 +2,9 @@
 
 use crate::fleet::endless::write_endless;
 use crate::fleet::http::{ReceivedRequest, head, read_request, write_chunk};
-use crate::fleet::server::{Behaviour, ExecutedRequest, Framing, ServerKind, State, crash, lock};
+use crate::fleet::server::{
+    Behaviour, ExecutedRequest, Framing, ServerKind, State, begin, crash, end, lock,
+};
 use crate::fleet::store::encode;
 use serde_json::{Value, json};
 use socket2::SockRef;
@@ -155,6 +157,15 @@
     state.executed.len() - 1
 }
 
+/// A request in progress, which ends when dropped.
+struct Running<'a>(&'a Mutex<State>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        end(self.0);
+    }
+}
+
 /// Serves one request; returns whether the connection stays open.
 async fn execute(
     stream: &mut BufReader<TcpStream>,
@@ -164,13 +175,17 @@
     behaviour: Behaviour,
 ) -> io::Result<bool> {
     let id = request.header("x-attempt-id").to_owned();
-    if behaviour == Behaviour::Sheds {
-        lock(state).refused += 1;
+    let is_full = behaviour != Behaviour::Sheds && !begin(state);
+    if behaviour == Behaviour::Sheds || is_full {
+        if !is_full {
+            lock(state).refused += 1;
+        }
         until_resumed(state).await;
         let headers = [("X-Attempt-Id", id.as_str()), ("X-Not-Executed", "1")];
         answer(stream, state, 503, &headers, b"").await?;
         return Ok(true);
     }
+    let _running = Running(state);
     let index = record_executed(state, request);
     let crash_plan = lock(state).crash_plan.clone();
     let seal = format!("seal.{}.{index}", lock(state).id);
