Ask other servers before a refused connection counts for or against one

It now asks up to three other servers for their health, here and at the peer that is asked; where there is no other server, the refusal counts.

--- a/crates/gateway/src/crashes/confirm.rs
+++ b/crates/gateway/src/crashes/confirm.rs
@@ -118,10 +118,9 @@
         PeerVerdict::Refused => return Finding::Crashed,
         PeerVerdict::Unknown => {}
     }
-    // Without peers, or with links that work, the refusal is the server's.
-    let state = node.state();
-    let has_peers = state.gateways.peers().next().is_some();
-    if has_peers && !state.paths.has_direct(node.now_ms()) {
+    // With links that work, the refusal is the server's.
+    let has_peers = node.state().gateways.peers().next().is_some();
+    if has_peers && !paths::links_work(node, &server.id).await {
         return Finding::Unknown;
     }
     Finding::Crashed
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -2,7 +2,7 @@
 
 mod probe;
 
-pub use crate::paths::probe::{run as probe, verify};
+pub use crate::paths::probe::{links_work, run as probe, verify};
 
 use crate::connect;
 use crate::event;
--- a/crates/gateway/src/paths/probe.rs
+++ b/crates/gateway/src/paths/probe.rs
@@ -6,7 +6,7 @@
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use crate::watch_servers::check_path;
 use dispatch::paths::PathChoice;
-use dispatch::registry::ServerEntry;
+use dispatch::registry::{ServerEntry, ServerId};
 use futures_util::future::join_all;
 use http::StatusCode;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -56,22 +56,49 @@
     picked
 }
 
-/// Asks a server for its health over a new direct connection.
+/// Returns whether this gateway reaches a server other than one that refuses its connections; also
+/// if there is no other to ask.
+pub async fn links_work(node: &Node, refusing: &ServerId) -> bool {
+    let now_ms = node.now_ms();
+    let others: Vec<ServerEntry> = {
+        let state = node.state();
+        if state.paths.has_direct(now_ms) {
+            return true;
+        }
+        let usable = state.registry.all_usable().filter(|entry| entry.id != *refusing);
+        let spared =
+            |entry: &&ServerEntry| !state.is_paused(entry, now_ms) && !state.is_limited(entry);
+        usable.filter(spared).cloned().choose_multiple(&mut rand::rng(), PROBED)
+    };
+    if others.is_empty() {
+        return true;
+    }
+    let reached = join_all(others.iter().map(|entry| reaches(node, entry))).await;
+    let has_reached = reached.contains(&true);
+    if has_reached {
+        node.state().paths.record_direct(node.now_ms());
+    }
+    has_reached
+}
+
 async fn probe(node: &Node, entry: &ServerEntry) {
-    node.metrics.count("health_checks", "path");
-    let call = Call::get(check_path(node, entry), PROBE_TIMEOUT).expecting(&entry.id);
-    let Ok(answer) = Link::new(entry.address).call(call).await else {
+    if !reaches(node, entry).await {
         return node.state().paths.record_unreached();
-    };
-    let (status, server) = (answer.status(), ServerIdentity::new(entry));
-    server_answers::record(node, &server, status, answer.headers(), AnswerSource::HealthCheck);
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
     }
     let change = node.state().paths.record_restored(&entry.id);
     log_change(node, &entry.id, change);
 }
 
+/// Asks a server for its health over a new direct connection.
+async fn reaches(node: &Node, entry: &ServerEntry) -> bool {
+    node.metrics.count("health_checks", "path");
+    let call = Call::get(check_path(node, entry), PROBE_TIMEOUT).expecting(&entry.id);
+    let Ok(answer) = Link::new(entry.address).call(call).await else { return false };
+    let (status, server) = (answer.status(), ServerIdentity::new(entry));
+    server_answers::record(node, &server, status, answer.headers(), AnswerSource::HealthCheck);
+    status != StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Finds out whether a connection that failed failed for its link, once at a time for each server.
 pub fn verify(node: &Arc<Node>, entry: &Arc<ServerEntry>) {
     if node.state().paths.choose(&entry.id) != PathChoice::Direct {
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -27,15 +27,15 @@
 const INCARNATION: HeaderName = HeaderName::from_static("camphorward-incarnation");
 /// The timeout for connecting to a peer. The longest round trip takes some 30 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// How long a peer may take to connect to a server.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a peer may take to connect to a server, or to find out whether its links work.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Why a peer carries no connection to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TunnelError {
     /// The server refuses the peer's connections.
     Refused,
-    /// The server refuses the peer's connections, but the peer does not know whether its links work.
+    /// The server refuses the peer's connections, but the peer reaches no other server either.
     Unconfirmed,
     /// The peer does not reach the server.
     Unreached,
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::connect;
 use crate::node::Node;
+use crate::paths;
 use crate::tunnel::frames::{HEADER_BYTES, MAX_FRAME_BYTES, header};
 use crate::tunnel::{INCARNATION, SERVER, TunnelError};
 use dispatch::paths::PathChoice;
@@ -99,8 +100,8 @@
         Ok(server) => Ok((server, permit)),
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             // This gateway may have lost its links too, and not know yet.
-            let has_direct = node.state().paths.has_direct(node.now_ms());
-            Err(if has_direct { TunnelError::Refused } else { TunnelError::Unconfirmed })
+            let is_certain = paths::links_work(node, &entry.id).await;
+            Err(if is_certain { TunnelError::Refused } else { TunnelError::Unconfirmed })
         }
         Err(_) => Err(TunnelError::Unreached),
     }
