Let the holder grant sends to brittle servers while they have room

Brittle servers crash when they have to refuse more than some requests in a second, and nothing read that they say so.

The holder of a server, which grants sends under a limit, also grants those to a brittle server, by the load that is reported and what it has just granted; refusals go to all gateways with the terms.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -148,6 +148,8 @@
     Paused,
     /// It named a limit that is used up.
     Limited,
+    /// It is brittle and has no room.
+    Full,
 }
 
 /// A server that takes no request of this gateway now.
--- a/crates/dispatch/src/limits/grants.rs
+++ b/crates/dispatch/src/limits/grants.rs
@@ -2,9 +2,10 @@
 
 use crate::limits::{OrganisationTag, Urgency};
 use crate::registry::ServerId;
+use crate::terms::is_full;
 use protocol::ids::Incarnation;
 use protocol::rate::RequestRate;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 /// The share of a limit that one holder grants. The platform allows half more than the limit, so two
 /// holders at a time, after a change of the members, stay within what it allows.
@@ -27,6 +28,11 @@
 const MIN_RETRY_MS: u64 = 30;
 /// The longest delay after which a gateway asks again, in milliseconds.
 pub const MAX_RETRY_MS: u64 = 3_000;
+/// The time after a grant in which the load reports of the gateway that got it have arrived, in
+/// milliseconds.
+const REPORTED_AFTER_MS: u64 = 120;
+/// The delay after which a brittle server may have room, in milliseconds.
+const FULL_RETRY_MS: u64 = 100;
 /// How long a server's grants are kept without a question, in milliseconds.
 const IDLE_TTL_MS: u64 = 60_000;
 
@@ -125,6 +131,8 @@
 #[derive(Debug, Default)]
 pub struct GrantTable {
     buckets: HashMap<ServerId, Bucket>,
+    /// When sends to brittle servers were granted.
+    recent_ms: HashMap<ServerId, VecDeque<u64>>,
 }
 
 impl GrantTable {
@@ -133,6 +141,30 @@
         Self::default()
     }
 
+    /// Decides on one send to a brittle server with some requests in flight, as gateways reported
+    /// them. Sends that were just granted may not be reported yet.
+    pub fn take_room(
+        &mut self,
+        server: &ServerId,
+        in_flight: f64,
+        slots: u32,
+        urgency: Urgency,
+        now_ms: u64,
+    ) -> Grant {
+        self.recent_ms.retain(|_, recent_ms| {
+            while recent_ms.front().is_some_and(|at_ms| at_ms + REPORTED_AFTER_MS <= now_ms) {
+                recent_ms.pop_front();
+            }
+            !recent_ms.is_empty()
+        });
+        let recent = self.recent_ms.get(server).map_or(0, VecDeque::len);
+        if is_full(in_flight + recent as f64, slots, urgency) {
+            return Grant::Refused { retry_after_ms: FULL_RETRY_MS };
+        }
+        self.recent_ms.entry(server.clone()).or_default().push_back(now_ms);
+        Grant::Granted
+    }
+
     /// Decides on one send to a server that named a limit.
     pub fn take(
         &mut self,
--- a/crates/dispatch/tests/limit_histories.rs
+++ b/crates/dispatch/tests/limit_histories.rs
@@ -376,7 +376,7 @@
         let process = held.process;
         let limit = self.servers[server].limit(now_ms);
         let limit = limit.map(|per_s| RequestRate::new(per_s).unwrap());
-        let terms = Terms { limit };
+        let terms = Terms { limit, ..Terms::default() };
         let delay_ms = 1 + self.draw(300);
         let answer = Event::Answer { server, gateway, terms, written_ms: now_ms, process };
         self.schedule(delay_ms, answer);
--- a/crates/dispatch/tests/limits.rs
+++ b/crates/dispatch/tests/limits.rs
@@ -22,7 +22,7 @@
 }
 
 fn limit(per_s: f64) -> Terms {
-    Terms { limit: Some(rate(per_s)) }
+    Terms { limit: Some(rate(per_s)), ..Terms::default() }
 }
 
 fn organisation(name: &str) -> OrganisationTag {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -74,8 +74,9 @@
         let has_left = registered.is_some_and(|(entry, status)| {
             entry.incarnation == id.incarnation && status == RegistryStatus::Leaving
         });
-        // It was expected to end.
-        if has_left {
+        let is_overloaded = state.terms.has_refused(&id.server, id.incarnation, now_ms);
+        // It was expected to end, or ended for another reason than its requests.
+        if has_left || is_overloaded {
             return;
         }
         state.crashes.record_aborted(&id, features, now_ms)
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -133,7 +133,8 @@
 
     fn refuse_unplaced(&mut self, reason: NoServer) -> Response<AnswerBody> {
         let refusal = match reason {
-            NoServer::NoFreeCapacity => Refusal::Overloaded,
+            NoServer::NoFreeCapacity
+            | NoServer::Closed(Closed { reason: ClosedReason::Full, .. }) => Refusal::Overloaded,
             NoServer::NoneUsable => Refusal::NoServer,
             NoServer::TooLarge => Refusal::TooLarge,
             NoServer::Closed(Closed { reason: ClosedReason::Paused, .. }) => Refusal::ServersPaused,
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -13,7 +13,6 @@
 use dispatch::request::RequestSpec;
 use dispatch::terms::TermsReport;
 use protocol::ids::HostName;
-use protocol::rate::RequestRate;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -116,7 +115,8 @@
 pub async fn ask(node: &Node, ask: &Ask) -> Option<Permit> {
     let asked_ms = node.now_ms();
     let ServerIdentity { id, incarnation } = &ask.server;
-    if limit(node, &ask.server).is_none() {
+    let terms = node.state().terms.terms(id, *incarnation);
+    if !terms.needs_grants() {
         return Some(Permit { until_ms: None });
     }
     let permit = Permit { until_ms: Some(asked_ms + GRANT_TTL_MS) };
@@ -138,15 +138,15 @@
         return None;
     }
     node.metrics.count("grants", "no_holder");
+    if terms.limit.is_none() {
+        // The load that is reported to this gateway has to do.
+        return Some(permit);
+    }
     let until_ms = node.now_ms() + NO_HOLDER_PAUSE_MS;
     node.state().asks.refuse(id, *incarnation, ask.urgency, until_ms);
     None
 }
 
-fn limit(node: &Node, server: &ServerIdentity) -> Option<RequestRate> {
-    node.state().terms.terms(&server.id, server.incarnation).limit
-}
-
 /// Returns the holders of a server that may be asked now.
 fn find_holders(node: &Node, server: &ServerId) -> SmallVec<[Holder; 2]> {
     let now_ms = node.now_ms();
@@ -178,9 +178,22 @@
 /// Takes a grant of this gateway; returns the delay until the next one if there is none.
 fn take_local(node: &Node, ask: &Ask) -> Option<u64> {
     let Ask { server: ServerIdentity { id, incarnation }, urgency, organisation } = ask;
-    let limit = limit(node, &ask.server)?;
     let now_ms = node.now_ms();
-    match node.state().grants.take(id, *incarnation, limit, *urgency, *organisation, now_ms) {
+    let mut guard = node.state();
+    let state = &mut *guard;
+    let terms = state.terms.terms(id, *incarnation);
+    if terms.max_refusals.is_some() {
+        if let Some(until_ms) = state.terms.refused_until_ms(id, *incarnation, now_ms) {
+            return Some(until_ms - now_ms);
+        }
+        let slots = state.registry.get(id).map_or(1, |(entry, _)| entry.slots);
+        let in_flight = state.loads.view(id, now_ms).in_flight as f64 * state.gateway_ratio();
+        let grant = state.grants.take_room(id, in_flight, slots, *urgency, now_ms);
+        if let Grant::Refused { retry_after_ms } = grant {
+            return Some(retry_after_ms);
+        }
+    }
+    match state.grants.take(id, *incarnation, terms.limit?, *urgency, *organisation, now_ms) {
         Grant::Granted => None,
         Grant::Refused { retry_after_ms } => Some(retry_after_ms),
     }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -14,7 +14,7 @@
 use dispatch::retry_share::RetryShare;
 use dispatch::rollout::TargetVersions;
 use dispatch::streams::StreamTable;
-use dispatch::terms::TermsTable;
+use dispatch::terms::{TermsTable, is_full};
 use dispatch::waiting::WaitQueue;
 use protocol::ids::{HostName, ModelName};
 use std::collections::BTreeMap;
@@ -135,11 +135,36 @@
         let in_flight_since = |since_ms| self.loads.in_flight_since(&entry.id, since_ms);
         let paused = self.pauses.check(&entry.id, entry.incarnation, in_flight_since, now_ms);
         paused.map_err(|until_ms| Closed { reason: ClosedReason::Paused, until_ms })?;
-        if !self.is_limited(entry) {
+        self.check_room(entry, urgency, now_ms)?;
+        let terms = self.terms.terms(&entry.id, entry.incarnation);
+        if !terms.needs_grants() {
             return Ok(());
         }
         let until_ms = self.asks.refused_until_ms(&entry.id, entry.incarnation, urgency, now_ms);
-        until_ms.map_or(Ok(()), |until_ms| Err(Closed { reason: ClosedReason::Limited, until_ms }))
+        let is_limited = terms.limit.is_some();
+        let reason = if is_limited { ClosedReason::Limited } else { ClosedReason::Full };
+        until_ms.map_or(Ok(()), |until_ms| Err(Closed { reason, until_ms }))
+    }
+
+    /// Checks whether a brittle server has room; others queue what they cannot run.
+    fn check_room(&self, entry: &ServerEntry, urgency: Urgency, now_ms: u64) -> Result<(), Closed> {
+        /// The delay after which a full server may have room, in milliseconds.
+        const FULL_MS: u64 = 100;
+        let ServerEntry { id, incarnation, .. } = entry;
+        if self.terms.terms(id, *incarnation).max_refusals.is_none() {
+            return Ok(());
+        }
+        let full_until = |until_ms| Err(Closed { reason: ClosedReason::Full, until_ms });
+        if let Some(until_ms) = self.terms.refused_until_ms(id, *incarnation, now_ms) {
+            return full_until(until_ms);
+        }
+        let load = self.loads.view(id, now_ms);
+        let is_queueing = load.header.is_some_and(|header| header.waiting > 0);
+        let in_flight = load.in_flight as f64 * self.gateway_ratio();
+        if is_queueing || is_full(in_flight, entry.slots, urgency) {
+            return full_until(now_ms + FULL_MS);
+        }
+        Ok(())
     }
 
     /// Returns whether a server names a limit.
--- a/crates/gateway/src/server_answers.rs
+++ b/crates/gateway/src/server_answers.rs
@@ -7,7 +7,9 @@
 use dispatch::registry::{ServerEntry, ServerId};
 use dispatch::terms::{Terms, TermsReport};
 use http::{HeaderMap, HeaderValue, StatusCode};
-use platform::headers::{SERVER_ID, is_leaving, parse_limit, parse_retry_after_ms};
+use platform::headers::{
+    NOT_EXECUTED, SERVER_ID, is_leaving, parse_limit, parse_max_refusals, parse_retry_after_ms,
+};
 use protocol::ids::Incarnation;
 use std::time::Duration;
 
@@ -76,13 +78,16 @@
     match parse_limit(headers) {
         Ok(limit) => {
             let written_ms = node.suspensions.written_since_ms(node.now_ms());
-            let terms = Terms { limit };
+            let terms = Terms { limit, max_refusals: parse_max_refusals(headers) };
             if record_terms(node, server, terms, written_ms, source) {
                 node.terms_exchange.note_change(Spread::All);
             }
         }
         Err(reason) => node.metrics.count("server_limits_ignored", reason.as_str()),
     }
+    if status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(NOT_EXECUTED) {
+        record_refusal(node, server, node.suspensions.written_since_ms(node.now_ms()), Spread::All);
+    }
     if status == StatusCode::SERVICE_UNAVAILABLE
         && let Some(retry_after) = headers.get(http::header::RETRY_AFTER)
     {
@@ -111,7 +116,7 @@
     let before = {
         let mut state = node.state();
         let before = state.terms.record(id, *incarnation, terms, written_ms);
-        if before.is_some() && terms.limit.is_none() {
+        if before.is_some() && !terms.needs_grants() {
             state.asks.forget(id);
         }
         before
@@ -123,12 +128,24 @@
         "incarnation": incarnation.value(),
         "limit_per_s": terms.limit.map(|limit| limit.per_s()),
         "limit_before_per_s": before.limit.map(|limit| limit.per_s()),
+        "max_refusals_per_s": terms.max_refusals,
+        "max_refusals_before_per_s": before.max_refusals,
         "source": source.as_str(),
     });
     node.capacity_freed.notify_waiters();
     true
 }
 
+/// Records that a brittle server refused a request for want of room, for all gateways.
+fn record_refusal(node: &Node, server: &ServerIdentity, at_ms: u64, spread: Spread) {
+    let ServerIdentity { id, incarnation } = server;
+    if node.state().terms.record_refusal(id, *incarnation, at_ms) {
+        node.metrics
+            .count("brittle_refusals", if spread == Spread::All { "noticed" } else { "peer" });
+        node.terms_exchange.note_change(spread);
+    }
+}
+
 /// Records the terms that another gateway reports, as far as they are newer.
 pub fn apply_report(node: &Node, report: TermsReport, spread: Spread) {
     let written_ms = node.now_ms().saturating_sub(report.age_ms);
@@ -136,6 +153,9 @@
     if record_terms(node, &server, report.terms, written_ms, AnswerSource::Peer) {
         node.terms_exchange.note_change(spread);
     }
+    if let Some(ago_ms) = report.refused_ago_ms {
+        record_refusal(node, &server, node.now_ms().saturating_sub(ago_ms), spread);
+    }
 }
 
 /// Records that a server asked for a pause.
