Let idle connections live through a server's silence of some seconds

A user timeout also decides when keep-alive probes give up, whatever their count: with 2 s for both, an idle connection was closed at the first probe that a server did not answer, and a sound server may be silent for a second. Three probes may fail now, and the user timeout covers them.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -12,9 +12,10 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// How long sent bytes may stay unacknowledged before the connection is closed. Longer than a few
-/// retransmissions on a lossy link, shorter than any caller's wait timeout.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// How long sent bytes may stay unacknowledged before the connection is closed. It also decides when
+/// the probes of an idle connection give up, whatever their count, so it allows for several: a sound
+/// server may be silent for a second.
+const USER_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// The same for callers. It also limits how long a caller that is connected may read nothing, so it
 /// is longer than any pause in reading.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -22,6 +23,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 /// The interval between probes of an idle connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// The number of unanswered probes after which the connection is closed.
+const KEEPALIVE_PROBES: u32 = 3;
 
 /// The maximum size of a head, and of the buffer from which heads and bodies are read, in bytes.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -49,7 +52,10 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(user_timeout))?;
-    let probes = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)
 }
 
