--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -108,20 +108,20 @@
     /// Clears features by an answer that began at a time, of all crashes that were known by then;
     /// returns what is new.
     pub fn clear(&mut self, features: &[Feature], began_ms: u64, now_ms: u64) -> Evidence {
-        let mut news = Evidence::default();
+        let mut evidence = Evidence::default();
         for (id, crash) in &self.known.crashes {
             let is_suspected = |feature: &&Feature| crash.is_suspected(feature);
             if crash.learnt_ms < began_ms && features.iter().any(|feature| is_suspected(&feature)) {
                 let cleared = features.iter().filter(is_suspected).copied().collect();
                 let (at_ms, learnt_ms) = (crash.at_ms, crash.learnt_ms);
                 let update = Crash { at_ms, learnt_ms, cleared, ..Crash::default() };
-                news.crashes.insert(id.clone(), update);
+                evidence.crashes.insert(id.clone(), update);
             }
         }
-        if !news.is_empty() {
-            self.record(&news, now_ms);
+        if !evidence.is_empty() {
+            self.record(&evidence, now_ms);
         }
-        news
+        evidence
     }
 
     /// Returns the next trial of some features, as evidence to record once it is claimed.
@@ -196,7 +196,7 @@
 
     /// Returns how a request may run.
     ///
-    /// A request that matches several signatures tells nothing of the lesser one, so it is a trial
+    /// A request that matches several signatures is no evidence on the lesser one, so it is a trial
     /// of the one that includes all others, or none.
     pub fn check(&mut self, features: &[Feature], now_ms: u64) -> Verdict {
         self.update_signatures();
@@ -226,8 +226,8 @@
 
     fn record_local(&mut self, id: &CrashId, crash: Crash, now_ms: u64) -> Evidence {
         let crashes = [(id.clone(), crash)].into();
-        let news = Evidence { crashes, ..Evidence::default() };
-        self.record(&news, now_ms);
-        news
+        let evidence = Evidence { crashes, ..Evidence::default() };
+        self.record(&evidence, now_ms);
+        evidence
     }
 }
--- a/crates/dispatch/src/crashes/evidence.rs
+++ b/crates/dispatch/src/crashes/evidence.rs
@@ -35,7 +35,7 @@
 pub struct Crash {
     /// When it was noticed first, on the gateway's clock.
     pub at_ms: u64,
-    /// When this gateway learnt of it, on its clock.
+    /// When this gateway received it, on its clock.
     pub learnt_ms: u64,
     /// The features of the requests that were in flight.
     pub suspects: BTreeSet<Features>,
--- a/crates/dispatch/src/paths.rs
+++ b/crates/dispatch/src/paths.rs
@@ -1,4 +1,4 @@
-//! The links between this gateway and the servers, told from the servers' own health.
+//! The links between this gateway and the servers, as distinct from the servers' own health.
 //!
 //! Load pattern: a gateway loses its links to all servers, which its peers still reach. Singly, each
 //! server looks as if it had failed. A path counts as broken only once a peer has reached the server
--- a/crates/dispatch/tests/crash_histories.rs
+++ b/crates/dispatch/tests/crash_histories.rs
@@ -334,8 +334,8 @@
         let began_ms = attempt.began_ms.unwrap_or(0);
         if self.gateways[gateway].is_up && self.gateways[gateway].process == process {
             let now_ms = self.now_ms;
-            let news = self.gateways[gateway].crashes.clear(&features, began_ms, now_ms);
-            self.publish(gateway, &news);
+            let evidence = self.gateways[gateway].crashes.clear(&features, began_ms, now_ms);
+            self.publish(gateway, &evidence);
         }
     }
 
@@ -371,23 +371,23 @@
             }
             let mut features = attempt.request.features;
             features.retain(|feature| attempt.began_ms.is_none() || !feature.is_segment());
-            let news = match gateway.crashes.record_aborted(&crash_id, features, now_ms) {
-                Aborted::Crashed(news) => news,
+            let evidence = match gateway.crashes.record_aborted(&crash_id, features, now_ms) {
+                Aborted::Crashed(evidence) => evidence,
                 Aborted::Confirm | Aborted::Unconfirmed => {
                     gateway.crashes.confirm(&crash_id, now_ms)
                 }
             };
-            self.publish(attempt.gateway, &news);
+            self.publish(attempt.gateway, &evidence);
         }
         self.after(RESTART_MS, Event::Restart(server));
     }
 
-    fn publish(&mut self, from: usize, news: &Evidence) {
-        if news.is_empty() {
+    fn publish(&mut self, from: usize, evidence: &Evidence) {
+        if evidence.is_empty() {
             return;
         }
         for to in (0..self.plan.gateways).filter(|to| *to != from) {
-            self.send_message(to, news.clone());
+            self.send_message(to, evidence.clone());
         }
         if !std::mem::replace(&mut self.gateways[from].will_write, true) {
             let delay_ms = 20 + self.below(100);
@@ -395,24 +395,24 @@
         }
     }
 
-    fn send_message(&mut self, to: usize, news: Evidence) {
+    fn send_message(&mut self, to: usize, evidence: Evidence) {
         self.number += 1;
-        self.messages.insert(self.number, (to, news));
+        self.messages.insert(self.number, (to, evidence));
         let (number, delay_ms) = (self.number, 25 + self.below(60));
         self.after(delay_ms, Event::Deliver(number));
     }
 
     /// Delivers a message, or tries again while a gateway is cut off.
     fn deliver(&mut self, number: usize) {
-        let Some((to, news)) = self.messages.remove(&number) else { return };
+        let Some((to, evidence)) = self.messages.remove(&number) else { return };
         let now_ms = self.now_ms;
         let gateway = &mut self.gateways[to];
         if gateway.is_up && gateway.is_cut {
-            self.messages.insert(number, (to, news));
+            self.messages.insert(number, (to, evidence));
             return self.after(300, Event::Deliver(number));
         }
         if gateway.is_up {
-            gateway.crashes.learn(&news, now_ms);
+            gateway.crashes.learn(&evidence, now_ms);
         }
     }
 
@@ -450,10 +450,10 @@
         if crashes.check(features, now_ms) != Verdict::TrialDue(features.clone()) {
             return false;
         }
-        let news = crashes.next_trial(features, TRIAL_MS, now_ms);
-        crashes.record(&news, now_ms);
+        let evidence = crashes.next_trial(features, TRIAL_MS, now_ms);
+        crashes.record(&evidence, now_ms);
         self.write(at);
-        self.publish(at, &news);
+        self.publish(at, &evidence);
         true
     }
 
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -62,10 +62,10 @@
     let features = content(b"body");
     for incarnation in 0..2 {
         let id = id("s", incarnation);
-        let news = crash(&mut first, &id, &features, 0);
+        let evidence = crash(&mut first, &id, &features, 0);
         second.learn(&crash(&mut Crashes::new(), &id, &features, 5), 5);
-        second.learn(&news, 5);
-        second.learn(&news, 7);
+        second.learn(&evidence, 5);
+        second.learn(&evidence, 7);
     }
     assert!(!is_refused(&mut second, &features));
     let later_ms = MIN_SPREAD_MS + 5;
@@ -82,10 +82,10 @@
     }
     assert!(crashes.clear(&features, 100, 600).is_empty(), "it began before");
     assert!(is_refused(&mut crashes, &features));
-    let news = crashes.clear(&features, 501, 600);
+    let evidence = crashes.clear(&features, 501, 600);
     assert!(!is_refused(&mut crashes, &features));
     let mut other = Crashes::new();
-    other.learn(&news, 700);
+    other.learn(&evidence, 700);
     for incarnation in 0..3 {
         crash(&mut other, &id("s", 10 + incarnation), &features, 800 + 200 * incarnation);
     }
@@ -196,8 +196,8 @@
     let larger = crashes.check(&prompt(90, &[1, 2]), 60_000);
     assert!(matches!(&larger, Verdict::TrialDue(features) if features.len() == 2));
     let Verdict::TrialDue(features) = larger else { return };
-    let news = crashes.next_trial(&features, 1_000, 60_000);
-    crashes.record(&news, 60_000);
+    let evidence = crashes.next_trial(&features, 1_000, 60_000);
+    crashes.record(&evidence, 60_000);
     assert!(matches!(crashes.check(&prompt(91, &[1, 2]), 60_001), Verdict::Refused { .. }));
     let smaller = crashes.check(&prompt(92, &[1, 4]), 60_001);
     assert!(matches!(smaller, Verdict::TrialDue(features) if features.len() == 1));
--- a/crates/gateway/src/callers/resumed.rs
+++ b/crates/gateway/src/callers/resumed.rs
@@ -56,7 +56,7 @@
     })
 }
 
-/// Returns what began a stream; `None` if that cannot be told.
+/// Returns what began a stream; `None` if that is unknown.
 async fn find_origin(
     node: &Node,
     configuration: &Configuration,
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -86,7 +86,7 @@
             tokio::spawn(confirm::run(Arc::clone(node), Arc::clone(server), id));
         }
         Aborted::Unconfirmed => {}
-        Aborted::Crashed(news) => publish(node, &news),
+        Aborted::Crashed(evidence) => publish(node, &evidence),
     }
 }
 
@@ -109,8 +109,8 @@
 }
 
 fn clear(node: &Node, request: &CallerRequest, features: &Features, began_ms: u64) {
-    let news = node.state().crashes.clear(features, began_ms, node.now_ms());
-    if news.is_empty() {
+    let evidence = node.state().crashes.clear(features, began_ms, node.now_ms());
+    if evidence.is_empty() {
         return;
     }
     node.metrics.count("crashes", "cleared");
@@ -118,15 +118,15 @@
         "request": request.id_text(),
         "content": request.content.to_string(),
         "parts": request.spec.prompt.as_ref().map(prompt::format_segments),
-        "crashes": news.crashes.len(),
+        "crashes": evidence.crashes.len(),
     });
-    publish(node, &news);
+    publish(node, &evidence);
 }
 
 /// Sends evidence that this gateway noticed to its peers and into the store.
-fn publish(node: &Node, news: &Evidence) {
+fn publish(node: &Node, evidence: &Evidence) {
     let exchange = &node.crash_exchange;
-    exchange.lock().noticed.merge(news);
+    exchange.lock().noticed.merge(evidence);
     exchange.queued.notify_one();
     exchange.noticed.notify_one();
 }
--- a/crates/gateway/src/crashes/confirm.rs
+++ b/crates/gateway/src/crashes/confirm.rs
@@ -1,4 +1,4 @@
-//! Tells the crash of a server from a reset connection.
+//! Distinguishes the crash of a server from a reset connection.
 
 use crate::crashes::publish;
 use crate::event;
@@ -53,15 +53,15 @@
             .count("crashes", if finding == Finding::Lives { "refuted" } else { "unknown" });
         return;
     }
-    let news = node.state().crashes.confirm(&id, now_ms);
-    let suspects = news.crashes.values().map(|crash| crash.suspects.len()).sum::<usize>();
+    let evidence = node.state().crashes.confirm(&id, now_ms);
+    let suspects = evidence.crashes.values().map(|crash| crash.suspects.len()).sum::<usize>();
     node.metrics.count("crashes", "confirmed");
     event!(warn, now_ms, "server_crashed", {
         "server": id.server.as_str(),
         "incarnation": id.incarnation.value(),
         "suspects": suspects,
     });
-    publish(&node, &news);
+    publish(&node, &evidence);
 }
 
 async fn check(node: &Node, server: &ServerEntry) -> Finding {
--- a/crates/gateway/src/crashes/trial.rs
+++ b/crates/gateway/src/crashes/trial.rs
@@ -27,20 +27,20 @@
         }
     };
     let now_ms = node.now_ms();
-    let (news, local) = {
+    let (evidence, local) = {
         let mut state = node.state();
         if state.crashes.check(features, now_ms) != Verdict::TrialDue(features.clone()) {
             return false;
         }
-        let news = state.crashes.next_trial(features, for_ms, now_ms);
+        let evidence = state.crashes.next_trial(features, for_ms, now_ms);
         let mut local = state.crashes.local().clone();
-        local.merge(&news);
-        (news, local)
+        local.merge(&evidence);
+        (evidence, local)
     };
     match store::append(node, client, &local, Some(end)).await {
         Ok(()) => {
-            node.state().crashes.record(&news, now_ms);
-            publish(node, &news);
+            node.state().crashes.record(&evidence, now_ms);
+            publish(node, &evidence);
             node.metrics.count("crashes", "trial");
             true
         }
--- a/crates/gateway/src/forward/in_flight.rs
+++ b/crates/gateway/src/forward/in_flight.rs
@@ -44,7 +44,7 @@
         self.close(outcome);
     }
 
-    /// Records that the attempt failed although it may have run; `has_begun` tells whether the
+    /// Records that the attempt failed although it may have run; `has_begun` is whether the
     /// caller has got part of its answer.
     pub fn fail(self, reason: MayHaveRun, request: &CallerRequest, has_begun: bool) {
         self.fail_with(reason.outcome(), reason, request, has_begun);
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PeerUpdate {
     /// Earlier versions of the program send the contents of aborted requests here. The field stays
-    /// empty, as fields are told apart by their position.
+    /// empty, as fields are identified by their position.
     #[serde(rename = "broken")]
     pub aborted: Vec<[u8; 16]>,
     /// Servers that load weights, with the time for which they get no requests, in milliseconds.
--- a/crates/gateway/src/server_answers.rs
+++ b/crates/gateway/src/server_answers.rs
@@ -42,7 +42,7 @@
     Command,
     /// A poll for changes of cached blocks.
     BlockChanges,
-    /// No answer: another gateway passed on what it was told.
+    /// No answer: another gateway passed on what it had received.
     Peer,
 }
 
