Spare paused and limited servers when a failed connection is verified

Found in the second reading: after a connection that failed, the check of its path asked the server for its health without a grant and also during a pause. On plain services that takes a slot, so a limited server got requests that nothing counted. No test plays it yet; the tests of cut_off, and one each of limits and pauses, pass.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -29,6 +29,7 @@
 /// Longer than most outages of the store, and short compared with the time for which outdated
 /// blocks may occupy memory that is needed.
 pub const MAX_FETCH_STATE_AGE_MS: u64 = 6_000;
+
 /// The memory for answers of servers, in bytes. A process has 110 MB on small hosts.
 const ANSWER_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
--- a/crates/gateway/src/paths/probe.rs
+++ b/crates/gateway/src/paths/probe.rs
@@ -101,8 +101,13 @@
 
 /// Finds out whether a connection that failed failed for its link, once at a time for each server.
 pub fn verify(node: &Arc<Node>, entry: &Arc<ServerEntry>) {
-    if node.state().paths.choose(&entry.id) != PathChoice::Direct {
-        return;
+    {
+        // The check would be a request that no holder granted.
+        let state = node.state();
+        let is_spared = state.is_paused(entry, node.now_ms()) || state.is_limited(entry);
+        if is_spared || state.paths.choose(&entry.id) != PathChoice::Direct {
+            return;
+        }
     }
     if !node.being_verified().insert(entry.id.clone()) {
         return;
