--- a/crates/gateway/src/paths/probe.rs
+++ b/crates/gateway/src/paths/probe.rs
@@ -66,9 +66,9 @@
             return true;
         }
         let usable = state.registry.all_usable().filter(|entry| entry.id != *refusing);
-        let spared =
+        let may_ask =
             |entry: &&ServerEntry| !state.is_paused(entry, now_ms) && !state.is_limited(entry);
-        usable.filter(spared).cloned().choose_multiple(&mut rand::rng(), PROBED)
+        usable.filter(may_ask).cloned().choose_multiple(&mut rand::rng(), PROBED)
     };
     if others.is_empty() {
         return true;
