Review case 3: bodies at the limit take more memory than the machine has

Cause: bodies of callers are gathered up to the limit of the desired state, without a bound on all of them together, unlike answers of servers.

The stand-in for the platform kills a gateway that takes more than 110 MB.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod gateway;
 mod http;
+mod memory;
 mod model_server;
 mod msgpack;
 mod record;
@@ -66,6 +67,7 @@
     let thread = std::thread::spawn(move || {
         let result = match case.as_str() {
             "added" => added::run(&folder, &running, has_trouble),
+            "memory" => memory::run(&folder, &running, has_trouble),
             "release" => release::run(&folder, &running, has_trouble),
             _ => Err(io::Error::other("no such case")),
         };
