--- a/review/standins/added.rs
+++ b/review/standins/added.rs
@@ -14,8 +14,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const PATH: &str = "/dossier/";
--- a/review/standins/blocks.rs
+++ b/review/standins/blocks.rs
@@ -157,8 +157,7 @@
         let (serial, epoch) = {
             let mut state = self.state.lock().unwrap();
             let used: u64 = state.parts.values().map(|part| part.tokens).sum();
-            if used + tokens > self.capacity_tokens
-                || state.parts.contains_key(key) {
+            if used + tokens > self.capacity_tokens || state.parts.contains_key(key) {
                 return;
             }
             state.serial += 1;
--- a/review/standins/caller.rs
+++ b/review/standins/caller.rs
@@ -16,9 +16,8 @@
 /// Makes a plain call without a key.
 pub fn get(address: SocketAddr, path: &str) -> Answer {
     let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    open(address, request.as_bytes()).map_or_else(Answer::default, |mut stream| {
-        http::read_answer(&mut stream)
-    })
+    open(address, request.as_bytes())
+        .map_or_else(Answer::default, |mut stream| http::read_answer(&mut stream))
 }
 
 /// Opens a connection and sends bytes.
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 /// The machine's memory (`memoryMb`), in bytes.
-const MEMORY_BYTES: u64 = 110_000_000;
+const MEMORY_BYTES: u64 = 110 << 20;
 /// The desired state's `maxBodyBytes`.
 const MAX_BODY_BYTES: usize = 4_194_304;
 /// The size of this kind of request on the sheet.
--- a/review/standins/model_server.rs
+++ b/review/standins/model_server.rs
@@ -300,7 +300,8 @@
                 ));
                 is_read = !matches!(fetched, Fetched::Missing | Fetched::ThrownAway);
                 if matches!(fetched, Fetched::Incomplete | Fetched::Freed) {
-                    let bad = BadFetch { attempt: attempt.to_owned(), key: key.clone(), what: fetched };
+                    let bad =
+                        BadFetch { attempt: attempt.to_owned(), key: key.clone(), what: fetched };
                     self.bad_fetches.lock().unwrap().push(bad);
                 }
             }
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -42,7 +42,6 @@
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
         self.append(topic, key, &value.encode());
     }
-
 }
 
 fn newest(records: &[(String, Vec<u8>)]) -> BTreeMap<String, (usize, &[u8])> {
