Release the rollout lease where no server can be reached

What callers saw: a leader that had lost its links to all servers kept the lease and renewed it, as it still reached the store; no server loaded new weights while the links were lost. Once the time for the older weights was over, their servers got no requests at any gateway.

Cause: whether commands arrive was no condition for holding the lease. docs/design/cut-off.md listed it as left open.

Ruled out: commands through a peer. Servers and their operators take the host that a command comes from for its holder, so two hosts would seem to give orders under one lease.

Change: a gateway that counts all paths as broken releases the lease and does not acquire it.

--- a/crates/camphorwardd/tests/gateway/cut_off.rs
+++ b/crates/camphorwardd/tests/gateway/cut_off.rs
@@ -116,3 +116,28 @@
 async fn requests_are_served_while_only_open_connections_to_the_servers_live() {
     assert_served(Partition::RefuseNew).await;
 }
+
+/// The leader kept its lease and commanded nothing while it reached no server.
+#[tokio::test]
+async fn a_rollout_goes_on_while_its_leader_is_cut_off_from_the_servers() {
+    let fleet = Fleet::start(3, 3).await;
+    let cut = CutGateway::start(&fleet, "gateway-1").await;
+    let sound = fleet.gateway("gateway-2").await;
+    for gateway in [&cut.gateway, &sound] {
+        caller::until_listed(gateway, 2).await;
+    }
+    cut.link.set_partition(Partition::Blackhole);
+    fleet.store.set_target_version("m", 2);
+    caller::until_line(&cut.gateway, "lease_claimed").await;
+    let load = async {
+        loop {
+            post(&cut.gateway, STATUS).await;
+        }
+    };
+    let is_loaded = || fleet.engines.iter().all(|engine| engine.weight_version() == 2);
+    tokio::select! {
+        () = load => {}
+        () = until("all servers have loaded the weights", is_loaded) => {}
+    }
+    assert!(!sound.lines("lease_claimed").is_empty());
+}
--- a/crates/gateway/src/rollout_leader.rs
+++ b/crates/gateway/src/rollout_leader.rs
@@ -29,7 +29,8 @@
     let mut frees = BlockFrees::default();
     loop {
         let has_work = states.refresh(&node);
-        if node.is_draining() {
+        // Another gateway leads while this one drains or reaches no server.
+        if node.is_draining() || node.state().paths.is_cut_off() {
             lease.release(&node, &mut store).await;
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
             continue;
