Bound the nesting of the MessagePack that others wrote

Cause: the decoder recurses once a level and allows 1,024 levels. In a debug build some hundreds of these fill the 2 MB stack of a worker thread, and an overflow of the stack ends the process. One record of the servers' topic with such a value, also in a field that is ignored, would end every gateway that reads it, again after each start.

--- a/crates/clients/src/peer.rs
+++ b/crates/clients/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::error::ClientError;
 use crate::http::{HttpClient, build_request};
 use http::Method;
+use protocol::msgpack;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -57,5 +58,5 @@
 ///
 /// Returns [`ClientError::Malformed`] for bytes that are not MessagePack of the expected form.
 pub fn decode<A: DeserializeOwned>(bytes: &[u8]) -> Result<A, ClientError> {
-    rmp_serde::from_slice(bytes).map_err(|error| ClientError::Malformed(error.to_string()))
+    msgpack::decode(bytes).map_err(|error| ClientError::Malformed(error.to_string()))
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -7,6 +7,7 @@
 use dispatch::registry::{EntryPosition, RegistryStatus, ServerEntry, ServerId};
 use dispatch::streams::{StreamKey, StreamRecord};
 use protocol::ids::{Incarnation, ModelName};
+use protocol::msgpack;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -183,12 +184,12 @@
     V: DeserializeOwned + Default,
     W: DeserializeOwned + Default,
 {
-    let message = rmp_serde::from_read(&mut bytes).ok()?;
-    let first = rmp_serde::from_read(&mut bytes).unwrap_or_default();
-    Some((message, first, rmp_serde::from_read(&mut bytes).unwrap_or_default()))
+    let message = msgpack::decode_next(&mut bytes).ok()?;
+    let first = msgpack::decode_next(&mut bytes).unwrap_or_default();
+    Some((message, first, msgpack::decode_next(&mut bytes).unwrap_or_default()))
 }
 
 /// Decodes a message; `None` if another version of the program encoded it in another form.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
-    rmp_serde::from_slice(bytes).ok()
+    msgpack::decode(bytes).ok()
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod error;
 pub mod ids;
 pub mod message;
+pub mod msgpack;
 pub mod rate;
 pub mod rendezvous;
 pub mod size;
