Read the entries beside an odd one on a page of newest records

Cause: a page was decoded as a whole, so that one item of a foreign form rejected all of it. The store leaves the form of a key that is not text open; given as bytes, or as text that is not UTF-8, no gateway got past its first listing of the topic, and none after a step of the store's era: it never became ready, or kept the servers that it had. The key was also used as text to ask for the next page.

Change: each item's fields may have any type; items that cannot be read are left out and counted. The next page starts behind the bytes of the last known key, and a listing ends where a page does not lead on. Ruled out: an error of the batch format on the log-read path, where each record is decoded alone.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limits;
 mod membership;
+mod odd_entries;
 mod outage_calls;
 mod pauses;
 mod process;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -135,8 +135,8 @@
         let mut records: Vec<(KeyedRecord, u64)> = Vec::new();
         let mut first_end: Option<LogPosition> = None;
         let mut bytes = 0;
+        let mut after: Option<Vec<u8>> = None;
         loop {
-            let after = records.last().map(|(record, _)| record.key.clone());
             let call = Call::get(wire::newest_path(topic, after.as_deref()), ANSWER_TIMEOUT);
             let (answer, era) = self.call("newest", call).await?;
             if first_end.is_some_and(|end| end.era != era) {
@@ -149,15 +149,20 @@
             // The pages are not a consistent snapshot. Reading from the first page's end misses no
             // record.
             let end = *first_end.get_or_insert(LogPosition { era, offset: page.end });
-            let is_empty = page.records.is_empty();
+            for _ in 0..page.unreadable {
+                self.node.metrics.count("unreadable_records", topic);
+            }
             bytes += page.records.iter().map(|(record, _)| size_bytes(record)).sum::<usize>();
             if bytes > MAX_NEWEST_BYTES {
                 return Err(CallError::TooLarge.into());
             }
             records.extend(page.records);
-            if !page.has_more || is_empty {
+            // A store may render a key in a way that does not lead to the next page.
+            let is_stuck = page.last_key.is_none() || page.last_key == after;
+            if !page.has_more || is_stuck {
                 return Ok(NewestRecords { records, end });
             }
+            after = page.last_key;
         }
     }
 
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -2,8 +2,9 @@
 
 use crate::fleet::endless::{Endless, write_endless};
 use crate::fleet::http::{ReceivedRequest, read_request, write_answer};
+use serde::{Serialize, Serializer};
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -27,13 +28,15 @@
     Endless(Endless),
     /// Its lists of newest records have no last page.
     EndlessPages,
+    /// Each page of its lists of newest records is the first one.
+    RepeatedPages,
 }
 
 /// The era of a store that was never restored.
 pub const FIRST_ERA: u64 = 1;
 
 /// One record of a keyed topic: key and value.
-type Record = (String, Vec<u8>);
+type Record = (Vec<u8>, Vec<u8>);
 
 #[derive(Debug)]
 struct State {
@@ -73,7 +76,8 @@
     }
 
     fn append(&mut self, topic: &str, key: &str, value: &[u8]) {
-        self.topics.entry(topic.to_owned()).or_default().push((key.to_owned(), value.to_vec()));
+        let record = (key.as_bytes().to_vec(), value.to_vec());
+        self.topics.entry(topic.to_owned()).or_default().push(record);
     }
 }
 
@@ -190,8 +194,8 @@
     }
 
     /// Appends a record to a topic.
-    pub fn append(&self, topic: &str, key: &str, value: &[u8]) {
-        let record = (key.to_owned(), value.to_vec());
+    pub fn append(&self, topic: &str, key: impl AsRef<[u8]>, value: &[u8]) {
+        let record = (key.as_ref().to_vec(), value.to_vec());
         self.lock().topics.entry(topic.to_owned()).or_default().push(record);
         self.shared.changed.notify_waiters();
     }
@@ -221,7 +225,7 @@
     pub fn keys(&self, topic: &str) -> Vec<String> {
         let state = self.lock();
         let records = state.topics.get(topic).map_or(&[] as &[Record], Vec::as_slice);
-        records.iter().map(|(key, _)| key.clone()).collect()
+        records.iter().map(|(key, _)| String::from_utf8_lossy(key).into_owned()).collect()
     }
 
     /// Returns the MessagePack values with which a topic's records begin.
@@ -282,7 +286,10 @@
             Availability::EndlessPages if request.path() == "/camphorward/log-newest" => {
                 Answer::new(&lock(shared), 200, endless_page(&request))
             }
-            Availability::Up | Availability::EndlessPages => {
+            Availability::RepeatedPages if request.path() == "/camphorward/log-newest" => {
+                newest(shared, addresses, request.query("topic"), true)
+            }
+            Availability::Up | Availability::EndlessPages | Availability::RepeatedPages => {
                 answer(shared, addresses, &request).await
             }
             Availability::Refuses => Answer::new(&lock(shared), 503, Vec::new()),
@@ -324,7 +331,7 @@
 async fn answer(shared: &Shared, addresses: &Addresses, request: &ReceivedRequest) -> Answer {
     let topic = request.query("topic");
     match request.path() {
-        "/camphorward/log-newest" => newest(shared, addresses, topic),
+        "/camphorward/log-newest" => newest(shared, addresses, topic, false),
         "/camphorward/log-read" => read(shared, addresses, topic, request).await,
         "/camphorward/log-append" => append(shared, topic, request),
         _ => Answer::new(&lock(shared), 404, Vec::new()),
@@ -349,23 +356,49 @@
     records.iter().map(record).collect()
 }
 
-fn newest(shared: &Shared, addresses: &Addresses, topic: &str) -> Answer {
+/// A page of newest records.
+#[derive(Serialize)]
+struct Page<'a> {
+    items: Vec<Item<'a>>,
+    more: bool,
+    end: usize,
+}
+
+#[derive(Serialize)]
+struct Item<'a> {
+    key: Key<'a>,
+    value: String,
+    offset: usize,
+}
+
+/// A key, encoded as bytes if it is not text.
+struct Key<'a>(&'a [u8]);
+
+impl Serialize for Key<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        match std::str::from_utf8(self.0) {
+            Ok(text) => serializer.serialize_str(text),
+            Err(_) => serializer.serialize_bytes(self.0),
+        }
+    }
+}
+
+fn newest(shared: &Shared, addresses: &Addresses, topic: &str, more: bool) -> Answer {
     use base64::Engine as _;
     let state = lock(shared);
     let records = seen(&state, addresses, topic);
-    let mut by_key: HashMap<&str, (usize, &[u8])> = HashMap::new();
+    let mut by_key: BTreeMap<&[u8], (usize, &[u8])> = BTreeMap::new();
     for (offset, (key, value)) in records.iter().enumerate() {
         by_key.insert(key, (offset, value));
     }
     let base64 = base64::engine::general_purpose::STANDARD;
-    let items: Vec<Value> = by_key
+    let items: Vec<Item> = by_key
         .into_iter()
         .filter(|(_, (_, value))| !value.is_empty())
-        .map(|(key, (offset, value))| {
-            json!({ "key": key, "value": base64.encode(value), "offset": offset })
-        })
+        .map(|(key, (offset, value))| Item { key: Key(key), value: base64.encode(value), offset })
         .collect();
-    let body = encode(&json!({ "items": items, "more": false, "end": records.len() }));
+    let body = rmp_serde::to_vec_named(&Page { items, more, end: records.len() });
+    let body = body.unwrap_or_default();
     Answer::new(&state, 200, body)
 }
 
@@ -401,7 +434,7 @@
     for (key, value) in records.iter().skip(from) {
         bytes.extend((1 + key.len() as u32 + value.len() as u32).to_be_bytes());
         bytes.push(key.len() as u8);
-        bytes.extend(key.as_bytes());
+        bytes.extend(key);
         bytes.extend(value);
     }
     bytes
@@ -417,7 +450,7 @@
     }
     let record = &request.body[4..];
     let key_length = usize::from(record[0]);
-    let key = String::from_utf8_lossy(&record[1..=key_length]).into_owned();
+    let key = record[1..=key_length].to_vec();
     records.push((key, record[1 + key_length..].to_vec()));
     state.appends.push((topic.to_owned(), at));
     let body = encode(&json!({ "offset": offset, "end": offset + 1 }));
