Count and log the records of servers that cannot be read

Entries of servers that could not be decoded were read as absent without a sign, and each crash record and operator's record that could not be decoded was logged at every reading.

--- a/crates/gateway/src/crashes/store.rs
+++ b/crates/gateway/src/crashes/store.rs
@@ -7,11 +7,12 @@
 use crate::backoff::Backoff;
 use crate::clock::unix_ms;
 use crate::crashes::{forward, learn};
-use crate::event;
 use crate::node::Node;
 use crate::peers;
 use crate::store::{LogPosition, StoreClient, StoreError};
+use crate::unreadable;
 use dispatch::crashes::{Evidence, EvidenceReport};
+use platform::codec::FormatError;
 use platform::frames::{KeyedRecord, decode_keyed};
 use platform::store::CRASH_TOPIC;
 use serde::{Deserialize, Serialize};
@@ -174,9 +175,8 @@
 fn apply(node: &Node, record: &KeyedRecord) {
     let Some(value) = &record.value else { return };
     let Some(stored) = peers::decode::<StoredEvidence>(value) else {
-        node.metrics.count("unreadable_records", CRASH_TOPIC);
-        event!(warn, node.now_ms(), "record_unreadable", { "record": CRASH_TOPIC });
-        return;
+        let error = FormatError::new("crash record", "it has another form");
+        return unreadable::report(node, CRASH_TOPIC, &record.key, &error);
     };
     let transit_ms = unix_ms().saturating_sub(stored.written_unix_ms);
     let evidence = Evidence::from_report(stored.report, transit_ms, node.now_ms());
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -4,6 +4,7 @@
 use crate::node::{InForce, Node};
 use crate::routing_state::Found;
 use crate::store::{LogPosition, StoreClient, StoreError};
+use crate::unreadable;
 use dispatch::era::StoreEra;
 use dispatch::rollout::TargetVersions;
 use platform::configuration::{decode_configuration, decode_weights};
@@ -53,7 +54,7 @@
         for bytes in &batch.records {
             match decode_keyed(bytes) {
                 Ok(record) => apply(node, &record, Found::Appended, "store"),
-                Err(error) => report_unreadable(node, "record", &error.to_string()),
+                Err(error) => unreadable::report(node, OPERATOR_TOPIC, "", &error),
             }
         }
         self.next = Some(LogPosition { offset: from.offset + batch.records.len() as u64, ..from });
@@ -67,14 +68,16 @@
     if record.key == CONFIGURATION_KEY {
         apply_configuration(node, value, source);
     } else if record.key.starts_with(WEIGHTS_KEY_PREFIX) {
-        apply_weights(node, value, found, source);
+        apply_weights(node, &record.key, value, found, source);
     }
 }
 
 fn apply_configuration(node: &Node, value: &[u8], source: &str) {
     let configuration = match decode_configuration(value) {
         Ok(configuration) => configuration,
-        Err(error) => return report_unreadable(node, CONFIGURATION_KEY, &error.to_string()),
+        Err(error) => {
+            return unreadable::report(node, CONFIGURATION_KEY, CONFIGURATION_KEY, &error);
+        }
     };
     let version = configuration.version.value();
     let old_version = node.in_force().map(|held| held.configuration.version.value());
@@ -95,10 +98,10 @@
     }
 }
 
-fn apply_weights(node: &Node, value: &[u8], found: Found, source: &str) {
+fn apply_weights(node: &Node, key: &str, value: &[u8], found: Found, source: &str) {
     let (model, version) = match decode_weights(value) {
         Ok(target) => target,
-        Err(error) => return report_unreadable(node, WEIGHTS_KEY_PREFIX, &error.to_string()),
+        Err(error) => return unreadable::report(node, WEIGHTS_KEY_PREFIX, key, &error),
     };
     let received_ms = node.now_ms();
     let mut state = node.state();
@@ -115,8 +118,3 @@
         "source": source,
     });
 }
-
-fn report_unreadable(node: &Node, what: &str, error: &str) {
-    node.metrics.count("unreadable_records", what);
-    event!(warn, node.now_ms(), "record_unreadable", { "record": what, "error": error });
-}
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -3,9 +3,10 @@
 use crate::event;
 use crate::node::Node;
 use crate::store::{LogPosition, StoreClient, StoreError};
+use crate::unreadable;
 use dispatch::era::StoreEra;
 use dispatch::registry::{RegistryChange, ServerRecord};
-use platform::frames::decode_keyed;
+use platform::frames::{KeyedRecord, decode_keyed};
 use platform::servers::decode_entry;
 use platform::store::SERVER_TOPIC;
 
@@ -42,7 +43,7 @@
     ) -> Result<Vec<RegistryChange>, StoreError> {
         let newest = store.newest(SERVER_TOPIC).await?;
         let records: Vec<(ServerRecord, u64)> =
-            newest.records.iter().map(|(record, offset)| (decode_entry(record), *offset)).collect();
+            newest.records.iter().map(|(record, offset)| (decode(node, record), *offset)).collect();
         self.next = Some(newest.end);
         let was_listed_in = self.listed_era.replace(newest.end.era);
         if was_listed_in.is_some_and(|listed| listed < newest.end.era) {
@@ -67,20 +68,31 @@
             }
             other => other?,
         };
+        let records = batch.records.iter().zip(from.offset..).filter_map(|(bytes, offset)| {
+            let record = decode_keyed(bytes);
+            let record = record.inspect_err(|error| {
+                unreadable::report(node, SERVER_TOPIC, "", error);
+            });
+            Some((decode(node, &record.ok()?), LogPosition { offset, ..from }))
+        });
+        let records: Vec<(ServerRecord, LogPosition)> = records.collect();
         let now_ms = node.now_ms();
         let mut changes = Vec::new();
         let mut state = node.state();
         state.registry.store_read(now_ms);
-        for (bytes, offset) in batch.records.iter().zip(from.offset..) {
-            let Ok(record) = decode_keyed(bytes) else { continue };
-            let at = LogPosition { offset, ..from };
-            changes.extend(state.registry.apply(decode_entry(&record), at.into(), now_ms));
+        for (record, at) in records {
+            changes.extend(state.registry.apply(record, at.into(), now_ms));
         }
         self.next = Some(LogPosition { offset: from.offset + batch.records.len() as u64, ..from });
         Ok(changes)
     }
 }
 
+/// Decodes a server's record, and reports one that is malformed.
+fn decode(node: &Node, record: &KeyedRecord) -> ServerRecord {
+    decode_entry(record, |error| unreadable::report(node, SERVER_TOPIC, &record.key, error))
+}
+
 /// Logs changes of the registry, and updates loads and connections to match.
 pub fn handle_registry_changes(
     node: &Node,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod settings;
 mod store;
 pub mod tunnel;
+pub mod unreadable;
 pub mod watch_blocks;
 pub mod watch_servers;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use crate::routing_state::RoutingState;
 use crate::settings::GatewaySettings;
 use crate::tunnel::Tunnels;
+use crate::unreadable::LoggedRecords;
 use dispatch::choice::GatewayContext;
 use dispatch::configuration::Configuration;
 use dispatch::era::{EraTracker, IgnoredEra};
@@ -99,6 +100,8 @@
     eras: watch::Sender<EraTracker>,
     /// The reasons for ignoring an era that have been logged.
     logged_eras: Mutex<BTreeSet<IgnoredEra>>,
+    /// The records that cannot be read and have been logged.
+    logged_records: Mutex<LoggedRecords>,
     outbox: Mutex<PeerUpdate>,
     /// The servers whose paths are being verified.
     being_verified: Mutex<BTreeSet<ServerId>>,
@@ -152,6 +155,7 @@
             state: Mutex::new(state),
             eras: watch::Sender::new(EraTracker::default()),
             logged_eras: Mutex::new(BTreeSet::new()),
+            logged_records: Mutex::default(),
             seeds: Mutex::new(settings.seeds.clone().unwrap_or_default()),
             is_draining: AtomicBool::new(false),
             is_ending: watch::Sender::new(false),
@@ -248,6 +252,11 @@
         self.being_verified.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the records that cannot be read and have been logged.
+    pub fn logged_records(&self) -> MutexGuard<'_, LoggedRecords> {
+        self.logged_records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adds to the update in the outbox and wakes its sender.
     pub fn queue_update(&self, add: impl FnOnce(&mut PeerUpdate)) {
         add(&mut self.outbox.lock().unwrap_or_else(PoisonError::into_inner));
