--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod membership;
 mod odd_entries;
+mod odd_headers;
 mod outage_calls;
 mod pauses;
 mod process;
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -188,11 +188,16 @@
     refusal.answer(retry_after_ms)
 }
 
+/// The longest time that a caller's deadline counts for, in milliseconds: one day.
+const MAX_CALLER_TIMEOUT_MS: f64 = 86_400_000.0;
+
 /// Returns how long the caller waits for the answer, in milliseconds.
 pub fn caller_timeout_ms<B>(request: &Request<B>) -> u64 {
     let text = request.headers().get(DEADLINE_MS).and_then(|value| value.to_str().ok());
     let deadline_ms = text.and_then(|text| text.trim().parse::<f64>().ok());
-    deadline_ms.map_or(DEFAULT_CALLER_TIMEOUT_MS, |deadline_ms| deadline_ms.max(0.0) as u64)
+    deadline_ms.map_or(DEFAULT_CALLER_TIMEOUT_MS, |deadline_ms| {
+        deadline_ms.max(0.0).min(MAX_CALLER_TIMEOUT_MS) as u64
+    })
 }
 
 fn find_route<'a>(in_force: &'a InForce, request: &Request<Incoming>) -> Option<&'a Route> {
