Bound the time that a server keeps idle connections

Cause: the seconds of a Keep-Alive header near 2^64 overflowed when they were converted. In a build with checks the answer was lost; otherwise the connection was held for another time than the header names.

The process test failed before: a panic in pool.rs and no answer.

--- a/crates/camphorwardd/tests/gateway/odd_headers.rs
+++ b/crates/camphorwardd/tests/gateway/odd_headers.rs
@@ -1,6 +1,6 @@
 //! Headers with numbers that are far too high.
 
-use crate::caller::{new_id, post, request, send};
+use crate::caller::{self, new_id, post, request, send};
 use crate::fleet::{Fleet, NOTES, ORDERS};
 
 #[tokio::test]
@@ -34,3 +34,15 @@
     }
     assert_eq!(post(&gateway, NOTES).await.status, 200);
 }
+
+#[tokio::test]
+async fn a_servers_keep_alive_time_may_be_far_too_high() {
+    let fleet = Fleet::start(1, 0).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    fleet.desks[0].set_extra_headers(&[("Keep-Alive", "timeout=18446744073709551615")]);
+    for _ in 0..3 {
+        let response = post(&gateway, ORDERS).await;
+        assert_eq!((response.status, response.is_complete), (200, true));
+    }
+    assert!(caller::metrics(&gateway).await.contains("answers{kind=\"success\"} 3"));
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -129,9 +129,8 @@
     let fields = keep_alive.split(',').filter_map(|field| field.trim().strip_prefix("timeout="));
     let timeout_s = fields.filter_map(|seconds| seconds.trim().parse::<u64>().ok()).next();
     match timeout_s {
-        Some(seconds) => {
-            ((seconds * 1_000) as f64 * KEEP_ALIVE_SHARE).min(MAX_KEEP_ALIVE_MS as f64) as u64
-        }
+        Some(seconds) => (seconds.saturating_mul(1_000) as f64 * KEEP_ALIVE_SHARE)
+            .min(MAX_KEEP_ALIVE_MS as f64) as u64,
         None => DEFAULT_KEEP_ALIVE_MS,
     }
 }
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -74,11 +74,13 @@
     Ok(())
 }
 
-/// Builds a head with the extra headers.
+/// Builds a head with the extra headers, which replace those of the same name.
 fn answer_head(state: &Mutex<State>, status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
     let state = lock(state);
     let extra = state.extra_headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
-    let all: Vec<(&str, &str)> = headers.iter().copied().chain(extra).collect();
+    let is_replaced = |name: &str| extra.clone().any(|(other, _)| other == name);
+    let kept = headers.iter().copied().filter(|(name, _)| !is_replaced(name));
+    let all: Vec<(&str, &str)> = kept.chain(extra.clone()).collect();
     head(status, &all)
 }
 
