Bound the numbers in other gateways' records of trials

Cause: the time that a trial may take and the number of trials come from records of other gateways, and sums with them overflowed near the highest values: a panic in a build with checks, and a trial that is due at once otherwise.

The test failed before: an overflow in the time of the next trial.

--- a/crates/dispatch/src/crashes.rs
+++ b/crates/dispatch/src/crashes.rs
@@ -127,7 +127,7 @@
     /// Returns the next trial of some features, as evidence to record once it is claimed.
     pub fn next_trial(&self, features: &Features, for_ms: u64, now_ms: u64) -> Evidence {
         let before = trials::related(&self.known.trials, &self.signatures, features);
-        let count = before.map_or(0, |trials| trials.count) + 1;
+        let count = before.map_or(0, |trials| trials.count).saturating_add(1);
         let trials = Trials { count, last_ms: now_ms, for_ms };
         Evidence { trials: [(features.clone(), trials)].into(), ..Evidence::default() }
     }
--- a/crates/dispatch/src/crashes/evidence.rs
+++ b/crates/dispatch/src/crashes/evidence.rs
@@ -163,7 +163,8 @@
         });
         let trials = report.trials.into_iter().map(|trial| {
             let last_ms = now_ms.saturating_sub(trial.age_ms.saturating_add(transit_ms));
-            (trial.features, Trials { count: trial.count, last_ms, for_ms: trial.for_ms })
+            let for_ms = trial.for_ms.min(EVIDENCE_TTL_MS);
+            (trial.features, Trials { count: trial.count, last_ms, for_ms })
         });
         Self { crashes: crashes.collect(), trials: trials.collect() }
     }
--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -1,8 +1,8 @@
 //! Which requests crash servers.
 
 use dispatch::crashes::{
-    Aborted, ContentKey, CrashId, Crashes, EVIDENCE_TTL_MS, Evidence, Feature, Features,
-    MAX_CRASHES, MIN_SPREAD_MS, Verdict,
+    Aborted, ContentKey, CrashId, Crashes, EVIDENCE_TTL_MS, Evidence, EvidenceReport, Feature,
+    Features, MAX_CRASHES, MIN_SPREAD_MS, TrialReport, Verdict,
 };
 use dispatch::registry::ServerId;
 use dispatch::request::SegmentId;
@@ -210,3 +210,23 @@
     assert!(matches!(crashes.check(&prompt(91, &[2, 3]), 60_000), Verdict::TrialDue(_)));
     assert!(matches!(crashes.check(&prompt(92, &[1, 2]), 60_000), Verdict::Refused { .. }));
 }
+
+#[test]
+fn a_trial_of_another_gateway_with_odd_numbers_can_be_followed_by_another() {
+    let mut crashes = Crashes::new();
+    let features = content(b"body");
+    for incarnation in 0..3 {
+        crash(&mut crashes, &id("s", incarnation), &features, 1_000 + incarnation * MIN_SPREAD_MS);
+    }
+    let now_ms = 20_000;
+    let trial =
+        TrialReport { features: features.clone(), count: u32::MAX, age_ms: 0, for_ms: u64::MAX };
+    let report = EvidenceReport { crashes: Vec::new(), trials: vec![trial] };
+    crashes.learn(&Evidence::from_report(report, 0, now_ms), now_ms);
+    let Verdict::Refused { trial_ms, .. } = crashes.check(&features, now_ms) else {
+        panic!("the next trial is due")
+    };
+    assert!(trial_ms <= now_ms + EVIDENCE_TTL_MS);
+    let next = crashes.next_trial(&features, 1_000, trial_ms);
+    assert_eq!(next.trials[&features].count, u32::MAX);
+}
