Leave servers of services without engines out of rollouts

Cause: an entry may name any service. One with a model of a rollout, but of a service that no configuration has or that runs no engines, counted as a server that lacks the new weights: it was queried and commanded every 240 ms, the rollout never ended and the lease was never released.

--- a/crates/camphorwardd/tests/gateway/odd_entries.rs
+++ b/crates/camphorwardd/tests/gateway/odd_entries.rs
@@ -159,3 +159,21 @@
     assert!(trap.arrivals().is_empty());
     assert_eq!(gateway.exit_status(), None);
 }
+
+#[tokio::test]
+async fn an_entry_of_a_service_without_engines_takes_no_part_in_a_rollout() {
+    let fleet = Fleet::start(1, 2).await;
+    let trap = Server::start("trap", ServerKind::Engine).await.unwrap();
+    for service in ["nowhere", "desk"] {
+        fleet.store.register(service, &trap.entry(service, "east-1", 1, "ready"));
+    }
+    let gateway = fleet.gateway_with(&settings(&fleet, "gateway-1")).await;
+    fleet.store.set_target_version("m", 2);
+    let has_newest = |engine: &Server| engine.weight_version() == 2;
+    until("the engines have it", || fleet.engines.iter().all(has_newest)).await;
+    for engine in &fleet.engines {
+        fleet.store.register(&engine.id(), &engine.entry("notes", "east-1", 2, "ready"));
+    }
+    until("the rollout is over", || !gateway.lines("lease_released").is_empty()).await;
+    assert!(trap.arrivals().is_empty());
+}
--- a/crates/gateway/src/rollout_leader/states.rs
+++ b/crates/gateway/src/rollout_leader/states.rs
@@ -1,11 +1,12 @@
 //! The rollout leader's view of servers: their registry entries and their later reports.
 
-use crate::node::Node;
+use crate::node::{InForce, Node};
 use dispatch::registry::{ServerEntry, ServerId};
 use dispatch::rollout::ServerState;
 use platform::engine::ServerReport;
 use protocol::ids::{Incarnation, ModelName};
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// How long the weight versions of a report count, in milliseconds, where the registry still lists
 /// older ones.
@@ -25,6 +26,14 @@
     is_unresponsive: bool,
 }
 
+/// Returns whether a server is of a service of engines. An entry may name any service; one that is in
+/// no configuration has no server to load weights.
+fn is_engine(in_force: &Option<Arc<InForce>>, entry: &ServerEntry) -> bool {
+    let service =
+        in_force.as_ref().and_then(|held| held.configuration.services.get(&entry.service));
+    service.is_some_and(|service| service.engines().is_some())
+}
+
 /// The states of servers for a rollout.
 #[derive(Debug, Default)]
 pub struct ServerStates {
@@ -36,9 +45,11 @@
     /// Reads the target versions; returns whether some server has older weights.
     pub fn refresh(&mut self, node: &Node) -> bool {
         let now_ms = node.now_ms();
+        let in_force = node.in_force();
         let state = node.state();
         self.newest = state.target_versions();
-        let has_work = state.registry.all_usable().any(|entry| {
+        let mut engines = state.registry.all_usable().filter(|entry| is_engine(&in_force, entry));
+        let has_work = engines.any(|entry| {
             self.newest.iter().any(|(model, newest)| {
                 entry.weight_versions.get(model).is_some_and(|held| {
                     (*held).max(self.reported_version(entry, model, now_ms)) < *newest
@@ -59,10 +70,12 @@
     /// Returns the state of every server of a model.
     pub fn servers(&self, node: &Node, model: &ModelName) -> Vec<ServerState> {
         let now_ms = node.now_ms();
+        let in_force = node.in_force();
         let state = node.state();
         let serving = state
             .registry
             .all_usable()
+            .filter(|entry| is_engine(&in_force, entry))
             .filter_map(|entry| Some((entry, *entry.weight_versions.get(model)?)));
         serving
             .map(|(entry, version)| {
