Start tasks again that panicked

Cause: a panic in a task of the gateway ended that task alone. The process went on with what the task had read so far: one that panics on an entry no longer follows the servers, and nothing shows it but a line on standard error.

The follower of a block store that ended is replaced at the next check. Not supervised: the task that writes crash records, which waits for the first listing once, those of listeners and load reports.

No value is known any more that makes a task panic, so no process test shows it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod server_answers;
 pub mod settings;
 mod store;
+pub mod supervisor;
 pub mod tunnel;
 pub mod unreadable;
 pub mod watch_blocks;
--- a/crates/gateway/src/watch_blocks.rs
+++ b/crates/gateway/src/watch_blocks.rs
@@ -54,8 +54,9 @@
             watched.drain().for_each(|(_, task)| task.abort());
         } else if let Some(in_force) = node.in_force() {
             let wanted = wanted(&node, &in_force.configuration);
+            // A task that panicked is started again.
             watched.retain(|watched, task| {
-                let is_wanted = wanted.contains(watched);
+                let is_wanted = wanted.contains(watched) && !task.is_finished();
                 if !is_wanted {
                     task.abort();
                     record_event(&node, watched.invalidation());
