Bound the tokens of a block that another gateway reports

Cause: changes of stores also come from other gateways, of earlier builds too, which pass on any number; the sum over a store's blocks overflowed.

--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -50,6 +50,9 @@
 /// The largest share of a store's memory to fill. The rest is a margin, because stores round block
 /// sizes up and saves of other gateways are reported late.
 const MAX_FILL_SHARE: f64 = 0.97;
+/// The highest number of tokens of a block, far above any memory, so that the sum over a store's
+/// blocks does not overflow.
+const MAX_BLOCK_TOKENS: u64 = u32::MAX as u64;
 /// The share of fetches from engines that miss because the block was evicted before the eviction
 /// was reported.
 const ENGINE_MISS_SHARE: f64 = 0.1;
@@ -99,8 +102,9 @@
             match change {
                 BlockChange::Stored(key, tokens) => {
                     state.pending.remove(key);
-                    let before = state.blocks.insert(key.clone(), *tokens).unwrap_or(0);
-                    state.tokens = state.tokens + *tokens - before;
+                    let tokens = (*tokens).min(MAX_BLOCK_TOKENS);
+                    let before = state.blocks.insert(key.clone(), tokens).unwrap_or(0);
+                    state.tokens = state.tokens + tokens - before;
                 }
                 BlockChange::Dropped(key) => {
                     state.tokens -= state.blocks.remove(key).unwrap_or(0);
