--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -196,7 +196,7 @@
     let text = request.headers().get(DEADLINE_MS).and_then(|value| value.to_str().ok());
     let deadline_ms = text.and_then(|text| text.trim().parse::<f64>().ok());
     deadline_ms.map_or(DEFAULT_CALLER_TIMEOUT_MS, |deadline_ms| {
-        deadline_ms.max(0.0).min(MAX_CALLER_TIMEOUT_MS) as u64
+        deadline_ms.clamp(0.0, MAX_CALLER_TIMEOUT_MS) as u64
     })
 }
 
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -54,7 +54,7 @@
         for bytes in &batch.records {
             match decode_keyed(bytes) {
                 Ok(record) => apply(node, &record, Found::Appended, "store"),
-                Err(error) => unreadable::report(node, OPERATOR_TOPIC, "", &error),
+                Err(error) => unreadable::report(node, "record", "", &error),
             }
         }
         self.next = Some(LogPosition { offset: from.offset + batch.records.len() as u64, ..from });
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -180,7 +180,7 @@
     /// Sets a model's target weight version.
     pub fn set_target_version(&self, model: &str, version: u64) {
         let value = encode(&json!({ "model": model, "version": version }));
-        self.append("keyed.op", &format!("version/{model}"), &value);
+        self.append("keyed.op", format!("version/{model}"), &value);
     }
 
     /// Appends a server's entry.
