--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -13,6 +13,8 @@
 mod leaving;
 mod limits;
 mod membership;
+mod odd_entries;
+mod odd_headers;
 mod outage_calls;
 mod pauses;
 mod process;
