Log since when each weight version counts, and how that is known

weights_named now comes from all sources with found and since_ms, weights_dated reports a correction, and the counters target_weights and old_weights count versions learnt, corrections, and placements that passed over servers with older weights.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -118,11 +118,11 @@
         is_newest
     }
 
-    /// Corrects the time at which a version was requested.
-    pub fn set_since_ms(&mut self, version: u64, since_ms: u64) {
-        if let Some(entry) = self.versions.iter_mut().find(|entry| entry.0 == version) {
-            entry.1 = since_ms;
-        }
+    /// Corrects the time at which a version was requested. Returns the earlier time; `None` if the
+    /// version is not known.
+    pub fn set_since_ms(&mut self, version: u64, since_ms: u64) -> Option<u64> {
+        let entry = self.versions.iter_mut().find(|entry| entry.0 == version)?;
+        Some(std::mem::replace(&mut entry.1, since_ms))
     }
 
     /// Returns the time from which the newest version's time limit counts.
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -4,8 +4,8 @@
 use crate::node::{InForce, Node};
 use crate::routing_state::Found;
 use crate::store::{LogPosition, StoreClient, StoreError};
+use crate::target_weights;
 use dispatch::era::StoreEra;
-use dispatch::rollout::TargetVersions;
 use platform::configuration::{decode_configuration, decode_weights};
 use platform::frames::{KeyedRecord, decode_keyed};
 use platform::store::{CONFIGURATION_KEY, OPERATOR_TOPIC, WEIGHTS_KEY_PREFIX};
@@ -100,20 +100,7 @@
         Ok(target) => target,
         Err(error) => return report_unreadable(node, WEIGHTS_KEY_PREFIX, &error.to_string()),
     };
-    let received_ms = node.now_ms();
-    let mut state = node.state();
-    let old_version = state.weights.get(&model).and_then(TargetVersions::newest);
-    if !state.record_target_version(model.clone(), version, found, received_ms) {
-        return;
-    }
-    drop(state);
-    node.weights_changed.notify_one();
-    event!(info, received_ms, "weights_named", {
-        "model": model.as_str(),
-        "version": version,
-        "old_version": old_version,
-        "source": source,
-    });
+    target_weights::record(node, model, version, found, source);
 }
 
 fn report_unreadable(node: &Node, what: &str, error: &str) {
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -219,9 +219,11 @@
     let mut candidates = Vec::new();
     let gateway_ratio = state.gateway_ratio();
     let oldest_usable = oldest_usable_version(state, job, now_ms);
+    let mut is_any_outdated = false;
     for entry in untried.filter(|entry| job.allows_software(entry)) {
         let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
         if version.is_some_and(|version| version < oldest_usable) {
+            is_any_outdated = true;
             continue;
         }
         let mut has_session = false;
@@ -260,6 +262,10 @@
             is_limited: state.is_limited(entry),
         });
     }
+    if is_any_outdated {
+        let kind = if candidates.is_empty() { "none_left" } else { "passed_over" };
+        job.node.metrics.count("old_weights", kind);
+    }
     candidates
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod server_answers;
 pub mod settings;
 mod store;
+pub mod target_weights;
 pub mod tunnel;
 pub mod watch_blocks;
 pub mod watch_servers;
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -7,6 +7,7 @@
 use crate::peers::failures;
 use crate::peers::message::{self, FOLLOW_PATH, FollowAnswer, FollowRequest};
 use crate::routing_state::Found;
+use crate::target_weights;
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
 use std::net::SocketAddr;
@@ -79,12 +80,11 @@
     if let Some(clock_ms) = answer.servers_clock_ms {
         node.record_server_clock(clock_ms as f64);
     }
-    let now_ms = node.now_ms();
-    let mut state = node.state();
-    let mut has_new_weights = false;
     for (model, version) in answer.weights {
-        has_new_weights |= state.record_target_version(model, version, Found::Listed, now_ms);
+        target_weights::record(node, model, version, Found::Listed, "followed");
     }
+    let now_ms = node.now_ms();
+    let mut state = node.state();
     for (model, oldest_used) in answer.oldest_used {
         state.blocks.retire(&model, oldest_used);
     }
@@ -100,9 +100,6 @@
     let changes = answer.servers.map(|servers| state.registry.merge(servers, until, now_ms));
     drop(state);
     handle_registry_changes(node, changes.unwrap_or_default(), "followed");
-    if has_new_weights {
-        node.weights_changed.notify_one();
-    }
 }
 
 /// Answers a follower once there is a change, or after `POLL_WAIT`.
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -7,6 +7,7 @@
 use crate::peers::failures;
 use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
 use crate::routing_state::Found;
+use crate::target_weights;
 use platform::frames::KeyedRecord;
 use platform::store::CONFIGURATION_KEY;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -110,11 +111,10 @@
     let now_ms = node.now_ms();
     event!(debug, now_ms, "snapshot_taken", { "peer": peer, "age_ms": snapshot.age_ms });
     apply_configuration(node, snapshot.configuration);
-    let mut state = node.state();
-    let mut has_new_weights = false;
     for (model, version) in snapshot.weights {
-        has_new_weights |= state.record_target_version(model, version, Found::Listed, now_ms);
+        target_weights::record(node, model, version, Found::Listed, "peer");
     }
+    let mut state = node.state();
     for record in snapshot.gateways {
         state.gateways.add(record);
     }
@@ -122,7 +122,4 @@
     drop(state);
     handle_registry_changes(node, changes, "peer");
     node.record_store_age(snapshot.age_ms);
-    if has_new_weights {
-        node.weights_changed.notify_one();
-    }
 }
--- a/crates/gateway/src/rollout_leader/lease.rs
+++ b/crates/gateway/src/rollout_leader/lease.rs
@@ -4,6 +4,7 @@
 use crate::node::Node;
 use crate::peers;
 use crate::store::{LogPosition, StoreClient, StoreError};
+use crate::target_weights;
 use dispatch::era::StoreEra;
 use dispatch::lease::{self, Fence, HeldLease, LeaseRecord, SeenLease, TargetVersionRecord};
 use dispatch::rollout;
@@ -270,11 +271,9 @@
 /// starts can only assume them.
 fn correct_target_times(node: &Node, record: &LeaseRecord) {
     let Some(lead_ms) = node.to_servers_clock_ms(0) else { return };
-    let mut state = node.state();
     for target in &record.target_versions {
-        if let Some(versions) = state.weights.get_mut(&target.model) {
-            versions.set_since_ms(target.version, target.at_ms.saturating_sub(lead_ms));
-        }
+        let since_ms = target.at_ms.saturating_sub(lead_ms);
+        target_weights::correct(node, &target.model, target.version, since_ms, "lease");
     }
 }
 
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -36,6 +36,16 @@
     Appended,
 }
 
+impl Found {
+    /// Returns the name in logs and counters.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Found::Listed => "listed",
+            Found::Appended => "appended",
+        }
+    }
+}
+
 /// The state that routing decisions read and change.
 #[derive(Debug)]
 pub struct RoutingState {
