Show that a gateway that starts after two named versions uses the wrong time

Two versions are named 4 s apart, engines don't execute commands, and a gateway starts right after the second. It lists version 3 alone, assumes an age of 5 s, and the lease's record then moves that to the actual, later time: version 1 counts as allowed until the time of version 3 is over.

The stand-in servers can leave commands unanswered, and their block events name the servers' clock, without which no gateway reads the record's times.

--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -1,8 +1,14 @@
 //! Rollouts of weights by the rollout leader.
 
 use crate::caller;
-use crate::fleet::{Fleet, NOTES};
-use crate::process::until;
+use crate::fleet::{self, Fleet, NOTES};
+use crate::process::{Gateway, until};
+use serde_json::json;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// The time after which no request may begin at older weights, as in the gateways' settings.
+const WEIGHTS_TIME: Duration = Duration::from_secs(10);
 
 #[tokio::test]
 async fn one_rollout_leader_brings_all_servers_to_the_target_weights() {
@@ -65,3 +71,50 @@
         assert!(fences.is_sorted() && fences.first() < fences.last(), "{fences:?}");
     }
 }
+
+/// Has gateways follow a block store, which tells them the servers' clock.
+fn add_block_store(fleet: &Fleet) {
+    let mut configuration = fleet::configuration(2, &[fleet::KEY]);
+    let store = json!({
+        "name": "blocks", "kvStoreAddr": fleet.desks[0].address(), "zone": "east-1",
+        "kvCapacity": 80_000, "tokenKvBytes": 18_432, "linkMbps": 10_000.0, "maxInflight": 12,
+        "healthPath": "/health", "maxConns": 100
+    });
+    configuration["services"].as_array_mut().unwrap().push(store);
+    fleet.store.put_configuration(&configuration);
+}
+
+/// Sends requests until a moment, and returns when the last one reached any engine.
+async fn send_until(fleet: &Fleet, gateway: &Gateway, until: Instant) -> Option<Instant> {
+    const INTERVAL: Duration = Duration::from_millis(40);
+    while Instant::now() < until {
+        caller::post(gateway, NOTES).await;
+        sleep(INTERVAL).await;
+    }
+    fleet.engines.iter().flat_map(standins::fleet::Server::arrivals).max()
+}
+
+/// It used servers with version 1 until the time of version 3, because it knew nothing of version 2.
+#[tokio::test]
+async fn a_gateway_that_starts_after_the_second_of_two_versions_keeps_to_the_time_of_the_first() {
+    const BETWEEN: Duration = Duration::from_secs(4);
+    let fleet = Fleet::start(1, 3).await;
+    add_block_store(&fleet);
+    for engine in &fleet.engines {
+        engine.set_ignores_commands(true);
+    }
+    let first = fleet.gateway("gateway-1").await;
+    let second = fleet.gateway("gateway-2").await;
+    for gateway in [&first, &second] {
+        caller::until_listed(gateway, 2).await;
+    }
+    drop(second);
+    let named = Instant::now();
+    fleet.store.set_target_version("m", 2);
+    sleep(BETWEEN).await;
+    fleet.store.set_target_version("m", 3);
+    let second = fleet.gateway("gateway-2").await;
+    let last = send_until(&fleet, &second, named + WEIGHTS_TIME + Duration::from_millis(500)).await;
+    let last = last.expect("requests are sent while they may be") - named;
+    assert!(last < WEIGHTS_TIME, "sent to version 1 {last:?} after version 2 was named");
+}
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -93,6 +93,7 @@
     software_version: String,
     weight_version: u64,
     commands: Vec<Value>,
+    ignores_commands: bool,
     behaviour: Behaviour,
     events: u64,
     event_gap: Duration,
@@ -153,6 +154,7 @@
             software_version: "v1".to_owned(),
             weight_version: 1,
             commands: Vec::new(),
+            ignores_commands: false,
             behaviour: Behaviour::Serves,
             events: 5,
             event_gap: Duration::from_millis(5),
@@ -333,6 +335,11 @@
         self.lock().refused
     }
 
+    /// Sets whether the server closes the connections of commands, without executing them.
+    pub fn set_ignores_commands(&self, ignores_commands: bool) {
+        self.lock().ignores_commands = ignores_commands;
+    }
+
     /// Returns the commands that the server accepted.
     pub fn commands(&self) -> Vec<Value> {
         self.lock().commands.clone()
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -11,7 +11,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 
@@ -54,6 +54,7 @@
                 answer(&mut stream, state, 200, &[("X-Instance-Id", &id)], b"").await?;
             }
             "/camphorward/report" => report(&mut stream, state).await?,
+            "/camphorward/order" if lock(state).ignores_commands => return Ok(()),
             "/camphorward/order" => execute_command(&mut stream, state, &request).await?,
             "/camphorward/kv-events" => kv_events(&mut stream, state, &request).await?,
             _ if has_other_version(kind, state, &request) => {
@@ -143,7 +144,10 @@
     let wait_ms = request.header("wait-ms").parse().unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     until_resumed(state).await;
-    let body = json!({ "bootEpoch": 1, "nextPageToken": 0, "lost": false, "events": [] });
+    let clock_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
+    let body = json!({
+        "bootEpoch": 1, "nextPageToken": 0, "lost": false, "events": [], "clock_ms": clock_ms as u64,
+    });
     answer(stream, state, 200, &[], &encode(&body)).await
 }
 
