Count each weight version from its confirmation, at all gateways

Callers saw: a request began on version 1 over 10 s after version 2 was acknowledged, at gateways that had started just after version 3 was named.

Cause: a time was kept per version, dated to when the gateway noticed it. A listing names the newest version alone, so version 2 was lost to a gateway that started; the lease's record, which names the newest alone too, then moved version 3 from an assumed age of 5 s to its actual, later time. The same class of fault: one that lists late (refused, following, era changed) dated a version to the listing, and peers passed versions without times.

Fix: a version has the span in which it was confirmed, and every rule counts from its start. The start speaks of all versions after the previous known one: what is listed is bounded by the last read to the log's end, so it holds for versions that the listing leaves out. Spans only narrow. Times of earlier builds are not taken over: they may be too late or too early.

A request that waits at older weights is given up at 0.86 of the time, not 0.96, as a sound server may be silent for a second before it notices.

Ruled out: reading the log back from its first record, as a record has no time, and taking an unknown confirmation as long past: where all gateways start at once, that refuses all servers until they have loaded.

The tests of TargetVersions moved with it; the one of a corrected time is replaced by one that what is learnt never loosens, as the correction is gone, and that of the assumed age by those of a gateway that starts. The bound of the test of aborts is stricter.

--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -117,4 +117,6 @@
     let last = send_until(&fleet, &second, named + WEIGHTS_TIME + Duration::from_millis(500)).await;
     let last = last.expect("requests are sent while they may be") - named;
     assert!(last < WEIGHTS_TIME, "sent to version 1 {last:?} after version 2 was named");
+    // The other gateway knows when version 2 was named, so nothing ends sooner either.
+    assert!(last > WEIGHTS_TIME * 6 / 10, "sent to version 1 until {last:?} only");
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod rollout;
 pub mod routes;
 pub mod streams;
+pub mod target_versions;
 pub mod terms;
 pub mod waiting;
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -6,7 +6,6 @@
 
 use crate::registry::ServerId;
 use protocol::ids::FailureDomain;
-use smallvec::SmallVec;
 use std::collections::BTreeMap;
 
 /// The share of a service's servers that are commanded to load at once. A server first completes
@@ -17,12 +16,6 @@
 const MIN_LOADING: usize = 2;
 /// The time after which a command without effect is sent again, in milliseconds.
 const COMMAND_RETRY_MS: u64 = 1_200;
-/// The share of the time allowed for new weights after which no request is sent to older ones. The
-/// rest covers requests that wait at a server.
-const OLD_WEIGHTS_SHARE: f64 = 0.68;
-/// The share of the time allowed after which a request still waiting at a server with older weights
-/// is aborted. The rest covers the transit time.
-const ABORT_SHARE: f64 = 0.96;
 
 /// The rollout leader's view of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -100,53 +93,3 @@
 fn max_loading(servers: usize) -> usize {
     ((servers as f64 * LOADING_SHARE) as usize).max(MIN_LOADING)
 }
-
-/// The weight versions requested for a model.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct TargetVersions {
-    /// Increasing versions, each with the time from which its time limit counts.
-    versions: SmallVec<[(u64, u64); 2]>,
-}
-
-impl TargetVersions {
-    /// Adds a version. Returns whether it is the newest.
-    pub fn add(&mut self, version: u64, since_ms: u64) -> bool {
-        let is_newest = self.newest().is_none_or(|newest| version > newest);
-        if is_newest {
-            self.versions.push((version, since_ms));
-        }
-        is_newest
-    }
-
-    /// Corrects the time at which a version was requested. Returns the earlier time; `None` if the
-    /// version is not known.
-    pub fn set_since_ms(&mut self, version: u64, since_ms: u64) -> Option<u64> {
-        let entry = self.versions.iter_mut().find(|entry| entry.0 == version)?;
-        Some(std::mem::replace(&mut entry.1, since_ms))
-    }
-
-    /// Returns the time from which the newest version's time limit counts.
-    pub fn newest_since_ms(&self) -> Option<u64> {
-        self.versions.last().map(|(_, since_ms)| *since_ms)
-    }
-
-    /// Returns when a request that waits at a server with the given version is aborted; `None` if no
-    /// newer version is requested.
-    pub fn abort_at_ms(&self, version: u64, allowed_ms: u64) -> Option<u64> {
-        let next = self.versions.iter().find(|(target, _)| *target > version);
-        next.map(|(_, since_ms)| since_ms + (ABORT_SHARE * allowed_ms as f64) as u64)
-    }
-
-    /// Returns the newest version.
-    pub fn newest(&self) -> Option<u64> {
-        self.versions.last().map(|(version, _)| *version)
-    }
-
-    /// Returns the oldest version that requests may still be sent to. `allowed_ms` is the time that
-    /// the installation allows for new weights.
-    pub fn oldest_usable(&self, allowed_ms: u64, now_ms: u64) -> u64 {
-        let bound_ms = (OLD_WEIGHTS_SHARE * allowed_ms as f64) as u64;
-        let due = self.versions.iter().filter(|(_, since_ms)| now_ms >= since_ms + bound_ms);
-        due.map(|(version, _)| *version).max().unwrap_or(0)
-    }
-}
--- a/crates/dispatch/tests/rollout.rs
+++ b/crates/dispatch/tests/rollout.rs
@@ -2,7 +2,7 @@
 //! weights are out of use.
 
 use dispatch::registry::ServerId;
-use dispatch::rollout::{ServerState, Step, TargetVersions, may_command_at_ms, next_step};
+use dispatch::rollout::{ServerState, Step, may_command_at_ms, next_step};
 
 fn server(index: usize, domain: &str) -> ServerState {
     ServerState {
@@ -106,35 +106,6 @@
     assert!(now_ms < 7_200, "{now_ms} ms");
 }
 
-#[test]
-fn a_later_version_does_not_hide_that_an_older_one_is_overdue() {
-    let mut versions = TargetVersions::default();
-    assert!(versions.add(2, 10_000));
-    assert!(versions.add(3, 18_500));
-    assert!(!versions.add(2, 19_000));
-    assert_eq!(versions.oldest_usable(10_000, 16_700), 0);
-    assert_eq!(versions.oldest_usable(10_000, 17_300), 2, "version 1 may no longer be used");
-    assert_eq!(versions.oldest_usable(10_000, 25_800), 3);
-}
-
-#[test]
-fn a_request_that_waits_at_older_weights_is_aborted_before_the_limit() {
-    let mut versions = TargetVersions::default();
-    versions.add(2, 10_000);
-    versions.add(3, 18_500);
-    assert_eq!(versions.abort_at_ms(1, 10_000), Some(19_600));
-    assert_eq!(versions.abort_at_ms(2, 10_000), Some(28_100));
-    assert_eq!(versions.abort_at_ms(3, 10_000), None);
-}
-
-#[test]
-fn a_corrected_time_moves_the_limit() {
-    let mut versions = TargetVersions::default();
-    versions.add(2, 55_000);
-    versions.set_since_ms(2, 50_000);
-    assert_eq!(versions.oldest_usable(10_000, 57_300), 2);
-}
-
 #[test]
 fn a_new_leader_waits_only_for_servers_that_accepted_commands() {
     assert_eq!(may_command_at_ms(0, 5_000, 3_000), 5_000);
--- /dev/null
+++ b/crates/dispatch/tests/target_versions.rs
@@ -0,0 +1,143 @@
+//! Since when target weight versions count.
+
+use dispatch::target_versions::{TargetHistory, TargetTable, TargetVersions};
+use protocol::ids::ModelName;
+
+/// The time allowed for new weights, in milliseconds.
+const ALLOWED_MS: u64 = 10_000;
+
+fn model() -> ModelName {
+    "m".parse().unwrap()
+}
+
+fn versions(table: &TargetTable) -> TargetVersions {
+    table.get(&model()).cloned().unwrap_or_default()
+}
+
+/// Returns what a gateway knows that reads each version as it is named.
+fn reader(named: &[(u64, u64)]) -> TargetTable {
+    let mut table = TargetTable::default();
+    table.record_complete(0);
+    for (version, at_ms) in named {
+        table.record_read(&model(), *version, Some(*at_ms), *at_ms);
+        table.record_complete(*at_ms);
+    }
+    table
+}
+
+/// Returns what a gateway knows that starts and lists the newest version.
+fn started(version: u64, at_ms: u64) -> TargetTable {
+    let mut table = TargetTable::default();
+    table.record_read(&model(), version, None, at_ms);
+    table.record_complete(at_ms);
+    table
+}
+
+/// Returns what a gateway learns of another whose answer takes some time; their clocks agree.
+fn reported(table: &TargetTable, took_ms: i64) -> TargetHistory {
+    table.history().shifted(-took_ms, took_ms)
+}
+
+#[test]
+fn a_later_version_does_not_hide_that_an_older_one_is_overdue() {
+    let mut table = reader(&[(2, 10_000), (3, 18_500)]);
+    table.record_read(&model(), 2, None, 19_000);
+    let versions = versions(&table);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 16_700), 0);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 17_300), 2, "version 1 may no longer be used");
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 25_800), 3);
+}
+
+/// A server may be silent for a second before it notices.
+#[test]
+fn a_request_that_waits_at_older_weights_is_aborted_before_the_limit() {
+    let versions = versions(&reader(&[(2, 10_000), (3, 18_500)]));
+    assert_eq!(versions.abort_at_ms(1, ALLOWED_MS), Some(18_600));
+    assert_eq!(versions.abort_at_ms(2, ALLOWED_MS), Some(27_100));
+    assert_eq!(versions.abort_at_ms(3, ALLOWED_MS), None);
+}
+
+#[test]
+fn a_gateway_that_starts_after_the_second_of_two_versions_learns_when_the_first_was_named() {
+    let peer = reader(&[(2, 65_000), (3, 69_000)]);
+    let mut table = started(3, 69_100);
+    table.merge(&reported(&peer, 20));
+    let versions = versions(&table);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 71_700), 0);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 71_800), 2);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 75_800), 3);
+}
+
+/// The time of version 3 says nothing of a version 2 that a listing leaves out.
+#[test]
+fn a_version_that_a_listing_leaves_out_counts_although_the_newest_is_dated() {
+    let mut table = started(3, 69_100);
+    let before = versions(&table).oldest_usable(ALLOWED_MS, 71_000);
+    // It listed version 3 too, a little earlier.
+    table.merge(&reported(&started(3, 69_050), 20));
+    table.record_newest(&model(), 3, 69_060);
+    let versions = versions(&table);
+    assert_eq!((before, versions.oldest_usable(ALLOWED_MS, 71_000)), (3, 3));
+    assert!(table.is_uncertain(ALLOWED_MS, 71_000));
+}
+
+#[test]
+fn versions_that_a_gateway_lists_late_count_from_when_it_last_read() {
+    let mut table = TargetTable::default();
+    table.record_complete(60_000);
+    // The store refuses this gateway for six seconds; versions 2 and 3 are named meanwhile.
+    table.record_read(&model(), 3, None, 66_000);
+    table.record_complete(66_000);
+    let versions = versions(&table);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 66_700), 0);
+    assert_eq!(versions.oldest_usable(ALLOWED_MS, 66_800), 3);
+    assert!(!table.is_uncertain(ALLOWED_MS, 66_100));
+}
+
+#[test]
+fn what_a_peer_reports_never_loosens() {
+    let mut table = reader(&[(2, 65_000)]);
+    table.merge(&reported(&started(2, 68_000), 20));
+    let mut late = TargetTable::default();
+    late.record_complete(64_000);
+    late.record_read(&model(), 2, None, 69_000);
+    table.merge(&reported(&late, 20));
+    assert_eq!(versions(&table), versions(&reader(&[(2, 65_000)])));
+}
+
+/// The copy had lost version 2, and the operator names it again.
+#[test]
+fn a_version_that_is_named_again_after_a_step_back_of_the_store_counts_from_the_first_time() {
+    let again = reader(&[(2, 69_000)]);
+    let mut table = reader(&[(2, 65_000)]);
+    table.record_read(&model(), 2, Some(69_000), 69_000);
+    table.merge(&reported(&again, 20));
+    assert_eq!(versions(&table).newest_since_ms(ALLOWED_MS), Some(65_000));
+    let mut table = again;
+    table.merge(&reported(&reader(&[(2, 65_000)]), 20));
+    assert_eq!(versions(&table).newest_since_ms(ALLOWED_MS), Some(64_980));
+}
+
+#[test]
+fn an_older_version_that_a_peer_of_an_earlier_build_names_counts_as_unknown() {
+    let mut table = started(3, 69_100);
+    table.record_newest(&model(), 2, 69_300);
+    let known: Vec<u64> = versions(&table).versions().iter().map(|known| known.version).collect();
+    assert_eq!(known, [2, 3]);
+    assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 71_000), 3);
+}
+
+#[test]
+fn versions_are_forgotten_once_newer_ones_make_them_irrelevant() {
+    let mut table = reader(&[(2, 65_000), (3, 69_000)]);
+    table.forget_outdated(ALLOWED_MS, 78_900);
+    assert_eq!(versions(&table).versions().len(), 2);
+    table.forget_outdated(ALLOWED_MS, 79_000);
+    assert_eq!(versions(&table).versions().len(), 1);
+    assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 79_000), 3);
+    assert!(!table.is_uncertain(ALLOWED_MS, 79_000));
+    let many: Vec<(u64, u64)> = (2..30).map(|version| (version, 60_000 + version * 100)).collect();
+    let table = reader(&many);
+    assert_eq!(versions(&table).versions().len(), 8);
+    assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 60_200 + 6_800), 22);
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -133,6 +133,7 @@
         tokio::spawn(peers::accept(Arc::clone(node), listener));
         tokio::spawn(discovery::run(Arc::clone(node)));
         tokio::spawn(peers::pull(Arc::clone(node)));
+        tokio::spawn(peers::pull_targets(Arc::clone(node)));
         tokio::spawn(peers::push(Arc::clone(node)));
         tokio::spawn(crashes::push(Arc::clone(node)));
         tokio::spawn(peers::share_terms(Arc::clone(node)));
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -10,6 +10,9 @@
 use platform::frames::{KeyedRecord, decode_keyed};
 use platform::store::{CONFIGURATION_KEY, OPERATOR_TOPIC, WEIGHTS_KEY_PREFIX};
 
+/// How long the store takes to answer, and the answer is on its way, in milliseconds.
+const MAX_ANSWER_MS: u64 = 250;
+
 /// The position of the next read; `None` before the first listing.
 #[derive(Debug, Default)]
 pub struct OperatorRecords {
@@ -31,6 +34,7 @@
         wait_ms: u64,
     ) -> Result<(), StoreError> {
         let era = node.eras().current();
+        let asked_ms = node.now_ms();
         let Some(from) = self.next.filter(|from| from.era == era) else {
             let newest = store.newest(OPERATOR_TOPIC).await?;
             let was_listed_in = self.listed_era.replace(newest.end.era);
@@ -40,6 +44,7 @@
             for (record, _) in newest.records {
                 apply(node, &record, Found::Listed, "store");
             }
+            target_weights::record_complete(node, asked_ms);
             self.next = Some(newest.end);
             return Ok(());
         };
@@ -50,13 +55,21 @@
             }
             other => other?,
         };
+        // A record that is there is sent at once, so one that took longer was not there before.
+        let sent_ms =
+            node.suspensions.written_since_ms(node.now_ms()).saturating_sub(MAX_ANSWER_MS);
+        let not_before_ms = (sent_ms > asked_ms).then_some(sent_ms);
         for bytes in &batch.records {
             match decode_keyed(bytes) {
-                Ok(record) => apply(node, &record, Found::Appended, "store"),
+                Ok(record) => apply(node, &record, Found::Appended { not_before_ms }, "store"),
                 Err(error) => report_unreadable(node, "record", &error.to_string()),
             }
         }
-        self.next = Some(LogPosition { offset: from.offset + batch.records.len() as u64, ..from });
+        let next = from.offset + batch.records.len() as u64;
+        if next >= batch.end {
+            target_weights::record_complete(node, sent_ms.max(asked_ms));
+        }
+        self.next = Some(LogPosition { offset: next, ..from });
         Ok(())
     }
 }
@@ -100,7 +113,7 @@
         Ok(target) => target,
         Err(error) => return report_unreadable(node, WEIGHTS_KEY_PREFIX, &error.to_string()),
     };
-    target_weights::record(node, model, version, found, source);
+    target_weights::record(node, &model, version, found, source);
 }
 
 fn report_unreadable(node: &Node, what: &str, error: &str) {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -317,7 +317,11 @@
 {
     let now_ms = node.now_ms();
     let remaining_ms = request.remaining_ms(now_ms);
-    let abort_at_ms = placed.engine.as_ref().and_then(|plan| plan.abort_at_ms);
+    let abort_at_ms = placed.engine.as_ref().zip(request.spec.prompt.as_ref());
+    let abort_at_ms = abort_at_ms.and_then(|(plan, prompt)| {
+        let allowed_ms = node.settings.bounds.weights_ms;
+        node.state().weights.get(&prompt.model)?.abort_at_ms(plan.weight_version, allowed_ms)
+    });
     let abort_in_ms = abort_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms));
     let wait_ms = abort_in_ms.unwrap_or(u64::MAX).min(remaining_ms);
     match tokio::time::timeout(Duration::from_millis(wait_ms), sending).await {
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -15,7 +15,7 @@
 use dispatch::load::{AttemptCost, ServerTag, SessionTag};
 use dispatch::registry::ServerEntry;
 use dispatch::request::{Prompt, RequestSpec};
-use dispatch::rollout::TargetVersions;
+use dispatch::target_versions::TargetVersions;
 use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
 use std::sync::Arc;
@@ -64,9 +64,6 @@
     pub blocks: BlockPlan,
     /// When unfinished fetches are discarded, on the servers' clock.
     pub fetch_until: Option<u64>,
-    /// When the attempt is aborted if the request still waits, because a newer weight version is
-    /// the target.
-    pub abort_at_ms: Option<u64>,
     /// The priority in the engine's queue.
     pub priority: u8,
 }
@@ -145,11 +142,7 @@
             }
             state.blocks.book(configuration, spec, &salt, &context, &blocks, now_ms);
             let priority = spec.engine_priority();
-            let allowed_ms = node.settings.bounds.weights_ms;
-            let targets = state.weights.get(&prompt.model);
-            let abort_at_ms =
-                targets.and_then(|targets| targets.abort_at_ms(weight_version, allowed_ms));
-            Some(EnginePlan { salt, weight_version, blocks, fetch_until, abort_at_ms, priority })
+            Some(EnginePlan { salt, weight_version, blocks, fetch_until, priority })
         }
         _ => None,
     };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -73,6 +73,8 @@
     pub incarnation: u64,
     /// Woken when a target weight version changes, or a server joins or reports other weights.
     pub weights_changed: Notify,
+    /// Counts the changes at the target weight versions and their times.
+    pub target_changes: watch::Sender<u64>,
     /// Woken when there may be changes for followers.
     pub state_changed: Notify,
     /// Woken when the outbox holds an update for other gateways.
@@ -136,6 +138,7 @@
             answer_memory: Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
             incarnation: crate::clock::unix_ms(),
             weights_changed: Notify::new(),
+            target_changes: watch::Sender::new(0),
             state_changed: Notify::new(),
             update_queued: Notify::new(),
             capacity_freed: Notify::new(),
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -46,16 +46,18 @@
     pub async fn poll(&mut self, node: &Node) -> bool {
         node.metrics.count("peer_calls", "follow");
         let body = message::encode(&self.position);
+        let asked_ms = node.now_ms();
         let response =
             self.link.call(Call::post(FOLLOW_PATH, body, POLL_WAIT + ANSWER_TIMEOUT)).await;
         let response = response
             .inspect_err(|error| failures::record(node, self.address(), error))
             .ok()
             .filter(is_ok);
-        let answer = response.and_then(|response| message::decode_with_two(response.body()));
-        let answer = answer.map(|(answer, store_era, servers_until)| FollowAnswer {
+        let answer = response.and_then(|response| message::decode_with_three(response.body()));
+        let answer = answer.map(|(answer, store_era, servers_until, targets)| FollowAnswer {
             store_era,
             servers_until,
+            targets,
             ..answer
         });
         let Some(answer) = answer else {
@@ -65,13 +67,13 @@
         };
         self.position = answer.next;
         let age_ms = answer.age_ms;
-        apply(node, answer);
+        apply(node, answer, asked_ms);
         node.record_store_age(age_ms);
         age_ms <= MAX_AGE_MS
     }
 }
 
-fn apply(node: &Node, answer: FollowAnswer) {
+fn apply(node: &Node, answer: FollowAnswer, asked_ms: u64) {
     node.observe_peer_era(answer.store_era);
     if let Some(record) = answer.configuration {
         let record = KeyedRecord { key: CONFIGURATION_KEY.to_owned(), value: Some(record) };
@@ -80,8 +82,12 @@
     if let Some(clock_ms) = answer.servers_clock_ms {
         node.record_server_clock(clock_ms as f64);
     }
-    for (model, version) in answer.weights {
-        target_weights::record(node, model, version, Found::Listed, "followed");
+    match answer.targets {
+        Some(report) => target_weights::merge_report(node, report, asked_ms, "followed"),
+        None => {
+            let (versions, age_ms) = (answer.weights, answer.age_ms);
+            target_weights::record_newest(node, versions, age_ms, asked_ms, "followed");
+        }
     }
     let now_ms = node.now_ms();
     let mut state = node.state();
@@ -105,13 +111,16 @@
 /// Answers a follower once there is a change, or after `POLL_WAIT`.
 pub async fn answer(node: &Node, position: FollowRequest) -> Option<FollowAnswer> {
     let until = Instant::now() + POLL_WAIT;
+    let asked_ms = node.now_ms();
+    let target_changes = node.target_changes.subscribe();
     loop {
         let changed = node.state_changed.notified();
         let current = current(node);
         let is_new = position.incarnation != current.incarnation
             || position.configuration < current.configuration
             || position.servers != current.servers
-            || position.blocks != current.blocks;
+            || position.blocks != current.blocks
+            || target_changes.has_changed().unwrap_or(false);
         if is_new || Instant::now() >= until {
             break;
         }
@@ -119,7 +128,7 @@
         drop(tokio::time::timeout_at(until, changed).await);
     }
     tokio::time::sleep(BATCH_DELAY).await;
-    build(node, position)
+    build(node, position, asked_ms)
 }
 
 fn current(node: &Node) -> FollowRequest {
@@ -133,12 +142,13 @@
     }
 }
 
-fn build(node: &Node, position: FollowRequest) -> Option<FollowAnswer> {
+fn build(node: &Node, position: FollowRequest, asked_ms: u64) -> Option<FollowAnswer> {
     let age_ms = node.store_age_ms()?;
     let next = current(node);
     let in_force = node.in_force();
     let is_same_incarnation = position.incarnation == node.incarnation;
     let store_era = node.eras().known();
+    let targets = Some(target_weights::report(node, asked_ms));
     let state = node.state();
     let recent = is_same_incarnation.then(|| state.block_log.since(position.blocks)).flatten();
     let all_blocks = || {
@@ -160,5 +170,6 @@
         servers_clock_ms: node.to_servers_clock_ms(node.now_ms()),
         store_era,
         servers_until: state.registry.read_until(),
+        targets,
     })
 }
--- a/crates/gateway/src/peers/message.rs
+++ b/crates/gateway/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::block_log::BlockEvent;
 use crate::gateways::GatewayRecord;
+use crate::target_weights::TargetReport;
 use dispatch::era::StoreEra;
 use dispatch::load::LoadDigest;
 use dispatch::registry::{EntryPosition, RegistryStatus, ServerEntry, ServerId};
@@ -35,8 +36,15 @@
     /// The end of what was read of the servers' entries; it follows the era.
     #[serde(skip)]
     pub servers_until: Option<EntryPosition>,
+    /// The target weight versions with their times; they follow the position. Builds before them
+    /// name only the newest versions, in `weights`.
+    #[serde(skip)]
+    pub targets: Option<TargetReport>,
 }
 
+/// The path of a report on target weight versions.
+pub const TARGETS_PATH: &str = "/peers/targets";
+
 /// The path on which a follower polls for changes.
 pub const FOLLOW_PATH: &str = "/peers/follow";
 
@@ -82,6 +90,9 @@
     /// The end of what was read of the servers' entries; it follows the era.
     #[serde(skip)]
     pub servers_until: Option<EntryPosition>,
+    /// The target weight versions with their times; they follow the position.
+    #[serde(skip)]
+    pub targets: Option<TargetReport>,
 }
 
 /// An update that a gateway sends to all others as events occur.
@@ -168,6 +179,20 @@
     [encode(message), encode(first), encode(second)].concat()
 }
 
+/// Encodes a message and three values that follow it.
+///
+/// # Panics
+///
+/// Panics as [`encode`] does.
+pub fn encode_with_three<T: Serialize, V: Serialize, W: Serialize, X: Serialize>(
+    message: &T,
+    first: &V,
+    second: &W,
+    third: &X,
+) -> Vec<u8> {
+    [encode_with_two(message, first, second), encode(third)].concat()
+}
+
 /// Decodes a message and the value that follows it, or the default if none does.
 pub fn decode_with<T: DeserializeOwned, V: DeserializeOwned + Default>(
     bytes: &[u8],
@@ -177,15 +202,28 @@
 }
 
 /// Decodes a message and the two values that follow it, or the defaults of those that are missing.
-pub fn decode_with_two<T, V, W>(mut bytes: &[u8]) -> Option<(T, V, W)>
+pub fn decode_with_two<T, V, W>(bytes: &[u8]) -> Option<(T, V, W)>
+where
+    T: DeserializeOwned,
+    V: DeserializeOwned + Default,
+    W: DeserializeOwned + Default,
+{
+    let (message, first, second, ()) = decode_with_three(bytes)?;
+    Some((message, first, second))
+}
+
+/// Decodes a message and the three values that follow it, or the defaults of those that are missing.
+pub fn decode_with_three<T, V, W, X>(mut bytes: &[u8]) -> Option<(T, V, W, X)>
 where
     T: DeserializeOwned,
     V: DeserializeOwned + Default,
     W: DeserializeOwned + Default,
+    X: DeserializeOwned + Default,
 {
     let message = rmp_serde::from_read(&mut bytes).ok()?;
     let first = rmp_serde::from_read(&mut bytes).unwrap_or_default();
-    Some((message, first, rmp_serde::from_read(&mut bytes).unwrap_or_default()))
+    let second = rmp_serde::from_read(&mut bytes).unwrap_or_default();
+    Some((message, first, second, rmp_serde::from_read(&mut bytes).unwrap_or_default()))
 }
 
 /// Decodes a message; `None` if another version of the program encoded it in another form.
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -5,7 +5,7 @@
 use crate::link::{Call, Link, is_ok};
 use crate::node::Node;
 use crate::peers::failures;
-use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot};
+use crate::peers::message::{self, SNAPSHOT_PATH, Snapshot, TARGETS_PATH};
 use crate::routing_state::Found;
 use crate::target_weights;
 use platform::frames::KeyedRecord;
@@ -32,10 +32,11 @@
             continue;
         }
         let Some(peer) = pick_peer(&node) else { continue };
+        let asked_ms = node.now_ms();
         if let Some(snapshot) = fetch(&node, peer).await
             && age_ms.is_none_or(|age_ms| snapshot.age_ms < age_ms)
         {
-            apply(&node, snapshot, peer);
+            apply(&node, snapshot, peer, asked_ms);
         }
     }
 }
@@ -69,6 +70,36 @@
     }
 }
 
+/// Asks peers since when target weight versions count while this gateway doesn't know, because it
+/// started after they were named.
+pub async fn run_targets(node: Arc<Node>) {
+    /// The interval between questions.
+    const INTERVAL: Duration = Duration::from_millis(200);
+    /// The number of questions; where all gateways have just started, none of them knows.
+    const QUESTIONS: usize = 10;
+    if node.settings.listen.peers.is_none() {
+        return;
+    }
+    let mut asked = 0;
+    while asked < QUESTIONS {
+        tokio::time::sleep(INTERVAL).await;
+        if !target_weights::is_uncertain(&node) {
+            continue;
+        }
+        let Some(peer) = pick_peer(&node) else { continue };
+        asked += 1;
+        let asked_ms = node.now_ms();
+        node.metrics.count("peer_calls", "targets");
+        let answer = Link::new(peer).call(Call::get(TARGETS_PATH, ANSWER_TIMEOUT)).await;
+        let answer = answer.inspect_err(|error| failures::record(&node, peer, error)).ok();
+        let report = answer.filter(is_ok).and_then(|answer| message::decode(answer.body()));
+        match report {
+            Some(report) => target_weights::merge_report(&node, report, asked_ms, "peer"),
+            None => node.metrics.count("peer_failures", "targets"),
+        }
+    }
+}
+
 async fn fetch(node: &Node, peer: SocketAddr) -> Option<Snapshot> {
     node.metrics.count("peer_calls", "snapshot");
     let call = Call::get(SNAPSHOT_PATH, ANSWER_TIMEOUT);
@@ -77,8 +108,8 @@
         failures::record(node, peer, error);
     });
     let answer = answer.ok().filter(is_ok)?;
-    let (snapshot, store_era, servers_until) = message::decode_with_two(answer.body())?;
-    Some(Snapshot { store_era, servers_until, ..snapshot })
+    let (snapshot, store_era, servers_until, targets) = message::decode_with_three(answer.body())?;
+    Some(Snapshot { store_era, servers_until, targets, ..snapshot })
 }
 
 fn apply_configuration(node: &Node, configuration: Option<Vec<u8>>) {
@@ -106,13 +137,17 @@
     peers
 }
 
-fn apply(node: &Node, snapshot: Snapshot, peer: SocketAddr) {
+fn apply(node: &Node, snapshot: Snapshot, peer: SocketAddr, asked_ms: u64) {
     node.observe_peer_era(snapshot.store_era);
     let now_ms = node.now_ms();
     event!(debug, now_ms, "snapshot_taken", { "peer": peer, "age_ms": snapshot.age_ms });
     apply_configuration(node, snapshot.configuration);
-    for (model, version) in snapshot.weights {
-        target_weights::record(node, model, version, Found::Listed, "peer");
+    match snapshot.targets {
+        Some(report) => target_weights::merge_report(node, report, asked_ms, "peer"),
+        None => {
+            let (versions, age_ms) = (snapshot.weights, snapshot.age_ms);
+            target_weights::record_newest(node, versions, age_ms, asked_ms, "peer");
+        }
     }
     let mut state = node.state();
     for record in snapshot.gateways {
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -6,10 +6,12 @@
 use crate::node::Node;
 use crate::peers::follow;
 use crate::peers::message::{
-    self, FOLLOW_PATH, FollowRequest, PeerUpdate, SNAPSHOT_PATH, Snapshot, UPDATE_PATH,
+    self, FOLLOW_PATH, FollowRequest, PeerUpdate, SNAPSHOT_PATH, Snapshot, TARGETS_PATH,
+    UPDATE_PATH,
 };
 use crate::peers::terms::{self, TERMS_PATH, TermsMessage};
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
+use crate::target_weights;
 use crate::tunnel::{self, TUNNEL_PATH};
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -35,12 +37,18 @@
     match path.as_str() {
         SNAPSHOT_PATH => snapshot(&node).map_or(unavailable, |snapshot| {
             let (era, until) = (snapshot.store_era, snapshot.servers_until);
-            (StatusCode::OK, message::encode_with_two(&snapshot, &era, &until))
+            let bytes = message::encode_with_three(&snapshot, &era, &until, &snapshot.targets);
+            (StatusCode::OK, bytes)
         }),
+        TARGETS_PATH => {
+            let report = target_weights::report(&node, node.now_ms());
+            (StatusCode::OK, message::encode(&report))
+        }
         FOLLOW_PATH => match decode_body::<FollowRequest>(request).await {
             Some(position) => follow::answer(&node, position).await.map_or(unavailable, |answer| {
                 let (era, until) = (answer.store_era, answer.servers_until);
-                (StatusCode::OK, message::encode_with_two(&answer, &era, &until))
+                let bytes = message::encode_with_three(&answer, &era, &until, &answer.targets);
+                (StatusCode::OK, bytes)
             }),
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
@@ -92,6 +100,7 @@
     let age_ms = node.store_age_ms()?;
     let configuration = node.in_force().map(|held| held.record.clone());
     let store_era = node.eras().known();
+    let targets = Some(target_weights::report(node, node.now_ms()));
     let state = node.state();
     Some(Snapshot {
         age_ms,
@@ -101,6 +110,7 @@
         gateways: state.gateways.records(),
         store_era,
         servers_until: state.registry.read_until(),
+        targets,
     })
 }
 
--- a/crates/gateway/src/rollout_leader/lease.rs
+++ b/crates/gateway/src/rollout_leader/lease.rs
@@ -226,7 +226,8 @@
             target_versions: target_version_records(node),
             era: end.era,
         };
-        let value = peers::encode_with(&record, &record.era);
+        let history = target_weights::history_on_servers_clock(node);
+        let value = peers::encode_with_two(&record, &record.era, &history);
         let (appended, _) = store.append(ROLLOUT_LEASE_TOPIC, LEASE_KEY, &value, Some(end)).await?;
         Ok((appended.offset, appended.end))
     }
@@ -244,15 +245,17 @@
         }
         let now_ms = node.now_ms();
         for (record, offset) in newest.records {
-            let lease =
-                record.value.as_deref().and_then(peers::decode_with::<LeaseRecord, StoreEra>);
-            let lease = lease.map(|(record, era)| LeaseRecord { era, ..record });
             let offset = LogOffset::new(offset);
-            let is_seen = self.seen.as_ref().is_some_and(|seen| seen.offset == offset);
-            if let Some(record) = lease.filter(|_| !is_seen) {
-                correct_target_times(node, &record);
-                self.seen = Some(SeenLease { record, offset, seen_ms: now_ms });
+            if self.seen.as_ref().is_some_and(|seen| seen.offset == offset) {
+                continue;
             }
+            let lease = record.value.as_deref().and_then(peers::decode_with_two);
+            let Some((record, era, history)) = lease else { continue };
+            let record = LeaseRecord { era, ..record };
+            if let Some(history) = history {
+                target_weights::merge_from_servers_clock(node, history, "lease");
+            }
+            self.seen = Some(SeenLease { record, offset, seen_ms: now_ms });
         }
         Ok(newest.end)
     }
@@ -260,23 +263,14 @@
 
 fn target_version_records(node: &Node) -> Vec<TargetVersionRecord> {
     let state = node.state();
-    let newest = state.weights.iter().filter_map(|(model, target)| {
-        let at_ms = node.to_servers_clock_ms(target.newest_since_ms()?)?;
+    let allowed_ms = node.settings.bounds.weights_ms;
+    let newest = state.weights.models().filter_map(|(model, target)| {
+        let at_ms = node.to_servers_clock_ms(target.newest_since_ms(allowed_ms)?)?;
         Some(TargetVersionRecord { model: model.clone(), version: target.newest()?, at_ms })
     });
     newest.collect()
 }
 
-/// Sets the actual request times of target versions from the lease record, because a gateway that
-/// starts can only assume them.
-fn correct_target_times(node: &Node, record: &LeaseRecord) {
-    let Some(lead_ms) = node.to_servers_clock_ms(0) else { return };
-    for target in &record.target_versions {
-        let since_ms = target.at_ms.saturating_sub(lead_ms);
-        target_weights::correct(node, &target.model, target.version, since_ms, "lease");
-    }
-}
-
 /// Returns the position at which the topic must end for a lease to be renewed or released.
 const fn held_end(held: &HeldLease) -> LogPosition {
     LogPosition { era: held.era, offset: held.end.value() }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -1,7 +1,6 @@
 //! The state that routing decisions read and change.
 
 use crate::block_log::{BlockEvent, BlockLog};
-use crate::clock;
 use crate::gateways::Gateways;
 use dispatch::blocks::BlockIndex;
 use dispatch::choice::{Closed, ClosedReason};
@@ -13,27 +12,23 @@
 use dispatch::registry::{Registry, ServerEntry};
 use dispatch::relays::RelayChoice;
 use dispatch::retry_share::RetryShare;
-use dispatch::rollout::TargetVersions;
 use dispatch::streams::StreamTable;
+use dispatch::target_versions::{TargetTable, TargetVersions};
 use dispatch::terms::{TermsTable, is_full};
 use dispatch::waiting::WaitQueue;
 use protocol::ids::{HostName, ModelName};
 use std::collections::BTreeMap;
 
-/// The time after the start in which a target weight version that is read may have been requested
-/// before the start, in milliseconds.
-const STARTUP_MS: u64 = 2_500;
-/// The assumed age of such a target version when it is read, in milliseconds, until the rollout
-/// lease's record gives the actual time.
-const ASSUMED_TARGET_AGE_MS: u64 = 5_000;
-
 /// How a record of the store was found.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Found {
     /// In a listing, or at a peer: it may have been written long before.
     Listed,
     /// It was appended while this gateway read the log.
-    Appended,
+    Appended {
+        /// A time before which it was not appended, if reading showed one.
+        not_before_ms: Option<u64>,
+    },
 }
 
 impl Found {
@@ -41,7 +36,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Found::Listed => "listed",
-            Found::Appended => "appended",
+            Found::Appended { .. } => "appended",
         }
     }
 }
@@ -70,7 +65,7 @@
     /// The cached blocks of the block stores and engines.
     pub blocks: BlockIndex,
     /// The target weight versions of each model.
-    pub weights: BTreeMap<ModelName, TargetVersions>,
+    pub weights: TargetTable,
     /// When this gateway last noticed that a rollout leader commands servers.
     pub last_rollout_sign_ms: Option<u64>,
     /// The latest changes of cached blocks, for followers.
@@ -100,7 +95,7 @@
             crashes: Crashes::new(),
             blocks: BlockIndex::new(),
             block_log: BlockLog::default(),
-            weights: BTreeMap::new(),
+            weights: TargetTable::default(),
             last_rollout_sign_ms: None,
             relays: RelayChoice::new(host.clone()),
             gateways: Gateways::new(host),
@@ -112,22 +107,7 @@
     /// Returns the newest target weight version of each model.
     pub fn target_versions(&self) -> BTreeMap<ModelName, u64> {
         let newest = |versions: &TargetVersions| versions.newest().unwrap_or(0);
-        self.weights.iter().map(|(model, versions)| (model.clone(), newest(versions))).collect()
-    }
-
-    /// Records a target weight version; returns whether it is newer than all previous ones. One
-    /// that is found shortly after the start counts as requested `ASSUMED_TARGET_AGE_MS` ago.
-    pub fn record_target_version(
-        &mut self,
-        model: ModelName,
-        version: u64,
-        found: Found,
-        now_ms: u64,
-    ) -> bool {
-        let may_be_old = found == Found::Listed && now_ms < clock::START_MS + STARTUP_MS;
-        let assumed_age_ms = if may_be_old { ASSUMED_TARGET_AGE_MS } else { 0 };
-        let since_ms = now_ms.saturating_sub(assumed_age_ms);
-        self.weights.entry(model).or_default().add(version, since_ms)
+        self.weights.models().map(|(model, versions)| (model.clone(), newest(versions))).collect()
     }
 
     /// Applies a change at a block store or an engine, and logs it for followers; returns whether
--- a/crates/gateway/tests/target_versions.rs
+++ b/crates/gateway/tests/target_versions.rs
@@ -1,22 +1,27 @@
-//! Since when a target weight version counts as requested.
+//! Reports on target weight versions between gateways.
 
-use dispatch::retry_share::{BudgetBounds, RetryShare};
-use gateway::clock::START_MS;
-use gateway::routing_state::{Found, RoutingState};
+use dispatch::target_versions::{TargetHistory, TargetVersion};
+use gateway::peers;
+use gateway::target_weights::TargetReport;
 
-/// Returns the age that a target version has for a gateway that found it soon after its start.
-fn age_ms(found: Found) -> u64 {
-    let now_ms = START_MS + 2_000;
-    let bounds = BudgetBounds { ratio: 0.2, slack: 10.0, window_ms: 10_000 };
-    let mut state = RoutingState::new("host-1".parse().unwrap(), RetryShare::new(bounds));
-    let model: protocol::ids::ModelName = "m".parse().unwrap();
-    assert!(state.record_target_version(model.clone(), 2, found, now_ms));
-    now_ms - state.weights[&model].newest_since_ms().unwrap()
+/// The bytes of a report; later builds read it in this form.
+#[test]
+fn a_report_on_target_versions_keeps_its_form() {
+    let target = TargetVersion { version: 2, earliest_ms: Some(5), latest_ms: 6 };
+    let history = TargetHistory {
+        complete_until_ms: Some(7),
+        models: vec![("m".parse().unwrap(), vec![target])],
+    };
+    let report = TargetReport { now_ms: 9, held_ms: 1, history };
+    let bytes = peers::encode(&report);
+    let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    assert_eq!(hex, "930901920791 92a16d91 93020506".replace(' ', ""));
+    assert_eq!(peers::decode(&bytes), Some(report));
 }
 
-/// It refused requests two seconds after the version was named, as too late for older weights.
 #[test]
-fn weights_that_are_named_soon_after_the_start_of_a_gateway_are_new() {
-    assert_eq!(age_ms(Found::Appended), 0);
-    assert!(age_ms(Found::Listed) > 0);
+fn a_message_of_an_earlier_build_has_no_report_on_target_versions() {
+    let bytes = peers::encode_with_two(&1_u64, &2_u64, &3_u64);
+    let decoded = peers::decode_with_three::<u64, u64, u64, Option<TargetReport>>(&bytes);
+    assert_eq!(decoded, Some((1, 2, 3, None)));
 }
