Give up requests that wait at weights which became too old after they were sent

A request could begin on older weights after versionMs: the time at which an attempt is given up was computed when it was placed, so one that was sent before a version was named had none, and waited until its deadline, up to 15 s. The head of an answer ended the wait too, though a stream may still be queued until its first event. What waited for a grant or for a connection was not checked again.

An attempt now watches the target versions and is given up by what is known at that moment, until its first event; may_send is followed by a check of the weights for which the server was chosen.

Tests: two process tests with weights_ms of 4 s, where a version is named 0.3 s after the request reached its server. No test delays a grant or a connection; that check is by reading.

--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -1,10 +1,13 @@
 //! Rollouts of weights by the rollout leader.
 
 use crate::caller;
-use crate::fleet::{self, Fleet, NOTES};
+use crate::fleet::{self, Fleet, NOTES, QUICK};
 use crate::process::{Gateway, until};
 use serde_json::json;
+use standins::fleet::{Queueing, Server};
 use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// The time after which no request may begin at older weights, as in the gateways' settings.
@@ -42,7 +45,7 @@
     for gateway in &gateways {
         caller::until_status(gateway, NOTES, 200).await;
     }
-    for executed in fleet.engines.iter().flat_map(standins::fleet::Server::executed) {
+    for executed in fleet.engines.iter().flat_map(Server::executed) {
         assert_eq!(executed.request.header("x-expect-version"), "2");
         assert_eq!(executed.request.header("x-cache-salt"), "2/m");
     }
@@ -91,7 +94,7 @@
         caller::post(gateway, NOTES).await;
         sleep(INTERVAL).await;
     }
-    fleet.engines.iter().flat_map(standins::fleet::Server::arrivals).max()
+    fleet.engines.iter().flat_map(Server::arrivals).max()
 }
 
 /// It used servers with version 1 until the time of version 3, because it knew nothing of version 2.
@@ -120,3 +123,39 @@
     // The other gateway knows when version 2 was named, so nothing ends sooner either.
     assert!(last > WEIGHTS_TIME * 6 / 10, "sent to version 1 until {last:?} only");
 }
+
+/// Sends a request that waits at its server before its first event, has a version named at some time
+/// after it was sent, and checks that the gateway gives it up before the time allowed is over.
+async fn check_given_up(sends_head: bool, named_after: Duration) {
+    const ALLOWED_MS: u64 = 4_000;
+    let fleet = Fleet::start(0, 1).await;
+    let engine = &fleet.engines[0];
+    engine.set_ignores_commands(true);
+    engine.set_queueing(Queueing { wait: WEIGHTS_TIME, sends_head });
+    let settings = fleet.settings("gateway-1", &[]);
+    let settings = settings.replace("\"weights_ms\":10000", "\"weights_ms\":4000");
+    let gateway = fleet.gateway_with(&settings).await;
+    let mut caller = TcpStream::connect(gateway.callers).await.unwrap();
+    let request = caller::request(QUICK, &caller::new_id(), "", "body");
+    caller.write_all(request.as_bytes()).await.unwrap();
+    until("a server has it", || !engine.executed().is_empty()).await;
+    sleep(named_after).await;
+    let named = Instant::now();
+    fleet.store.set_target_version("m", 2);
+    until("it is given up", || engine.executed()[0].caller_disconnected).await;
+    let given_up = named.elapsed();
+    assert!(given_up < Duration::from_millis(ALLOWED_MS), "given up after {given_up:?}");
+    assert!(given_up > Duration::from_millis(ALLOWED_MS / 2), "given up after {given_up:?}");
+}
+
+/// The time to give it up was computed when it was sent.
+#[tokio::test]
+async fn a_request_that_was_sent_before_a_version_was_named_is_given_up_in_time() {
+    check_given_up(false, Duration::from_millis(300)).await;
+}
+
+/// The head of the answer ended the wait.
+#[tokio::test]
+async fn a_stream_whose_head_comes_before_its_first_event_is_given_up_in_time() {
+    check_given_up(true, Duration::from_millis(300)).await;
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -247,6 +247,7 @@
             NotRun::Shed => "shed",
             NotRun::WrongServer => "other_server",
             NotRun::WrongWeights => "other_weights",
+            NotRun::OldWeights => "old_weights_unsent",
         }
     }
 }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -17,6 +17,7 @@
 use crate::paths;
 use crate::pool::ServerConnection;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
+use crate::target_weights;
 use bytes::Bytes;
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerEntry, ServerId, SoftwareVersion};
@@ -63,6 +64,8 @@
     WrongServer,
     /// The server serves other weights.
     WrongWeights,
+    /// The server's weights became too old before the request was sent.
+    OldWeights,
 }
 
 /// The reason why it is undetermined whether a request has run.
@@ -180,6 +183,10 @@
             placed.in_flight.end(Outcome::Cancelled);
             return AttemptResult::NotRun(NotRun::Unsent);
         }
+        if has_old_weights(&node, &request, &placed) {
+            placed.in_flight.end(Outcome::Cancelled);
+            return AttemptResult::NotRun(NotRun::OldWeights);
+        }
         let server_request = head::build(&request, &placed, last_event_id.as_deref(), &node);
         sent.fetch_add(1, Ordering::Relaxed);
         if is_logged {
@@ -188,7 +195,8 @@
         let sent_ms = node.now_ms();
         let sending = connection.connection.sender.try_send_request(server_request);
         let answer = await_head(&node, &request, &placed, sending).await;
-        let Placed { in_flight, entry, .. } = placed;
+        let Placed { in_flight, entry, engine, .. } = placed;
+        let weight_version = engine.map(|plan| plan.weight_version);
         let (head, body) = match answer {
             Ok(answer) => answer.into_parts(),
             Err(Unanswered::Unsent) => {
@@ -214,8 +222,17 @@
         in_flight.start(load.and_then(parse_load));
         record_weights(&node, &request, &server, &head);
         let software = entry.software.clone();
-        let exchange =
-            Exchange { node, request, head, body, connection, in_flight, software, sent_ms };
+        let exchange = Exchange {
+            node,
+            request,
+            head,
+            body,
+            connection,
+            in_flight,
+            software,
+            weight_version,
+            sent_ms,
+        };
         if let Some(reason) = refusal_reason(&exchange.head, &server) {
             return exchange.end_refused(reason).await;
         }
@@ -233,6 +250,18 @@
     state.registry.is_usable(&entry.id, entry.incarnation) && !state.is_paused(entry, node.now_ms())
 }
 
+/// Returns whether no request may be sent any more to the weights for which the server was chosen.
+fn has_old_weights(node: &Node, request: &CallerRequest, placed: &Placed) -> bool {
+    let Some((plan, prompt)) = placed.engine.as_ref().zip(request.spec.prompt.as_ref()) else {
+        return false;
+    };
+    let state = node.state();
+    let allowed_ms = node.settings.bounds.weights_ms;
+    state.weights.get(&prompt.model).is_some_and(|targets| {
+        plan.weight_version < targets.oldest_usable(allowed_ms, node.now_ms())
+    })
+}
+
 async fn acquire_connection(node: &Node, entry: &ServerEntry) -> Option<ServerConnection> {
     match paths::acquire(node, entry).await {
         Ok(connection) => {
@@ -299,8 +328,8 @@
     MayHaveRun(MayHaveRun),
 }
 
-/// Waits for the head of the answer, until the deadline passes or the time to abort the attempt is
-/// reached.
+/// Waits for the head of the answer, until the deadline passes or the weights of the server are too
+/// old.
 async fn await_head<F>(
     node: &Node,
     request: &CallerRequest,
@@ -315,25 +344,34 @@
         >,
     >,
 {
-    let now_ms = node.now_ms();
-    let remaining_ms = request.remaining_ms(now_ms);
-    let abort_at_ms = placed.engine.as_ref().zip(request.spec.prompt.as_ref());
-    let abort_at_ms = abort_at_ms.and_then(|(plan, prompt)| {
-        let allowed_ms = node.settings.bounds.weights_ms;
-        node.state().weights.get(&prompt.model)?.abort_at_ms(plan.weight_version, allowed_ms)
-    });
-    let abort_in_ms = abort_at_ms.map(|at_ms| at_ms.saturating_sub(now_ms));
-    let wait_ms = abort_in_ms.unwrap_or(u64::MAX).min(remaining_ms);
-    match tokio::time::timeout(Duration::from_millis(wait_ms), sending).await {
-        Ok(answer) => answer.map_err(|mut error| match error.take_message() {
+    let remaining = Duration::from_millis(request.remaining_ms(node.now_ms()));
+    let weight_version = placed.engine.as_ref().map(|plan| plan.weight_version);
+    tokio::select! {
+        biased;
+        answer = sending => answer.map_err(|mut error| match error.take_message() {
             Some(_) => Unanswered::Unsent,
             None if error.error().is_parse_too_large() => {
                 Unanswered::MayHaveRun(MayHaveRun::TooLarge)
             }
             None => Unanswered::MayHaveRun(MayHaveRun::Aborted),
         }),
-        Err(_) if wait_ms < remaining_ms => Err(Unanswered::MayHaveRun(MayHaveRun::OldWeights)),
-        Err(_) => Err(Unanswered::MayHaveRun(MayHaveRun::DeadlineExceeded)),
+        () = until_weights_too_old(node, request, weight_version) => {
+            Err(Unanswered::MayHaveRun(MayHaveRun::OldWeights))
+        }
+        () = tokio::time::sleep(remaining) => {
+            Err(Unanswered::MayHaveRun(MayHaveRun::DeadlineExceeded))
+        }
+    }
+}
+
+/// Waits until the request must be given up at a server with a weight version if it has not begun;
+/// forever without one.
+async fn until_weights_too_old(node: &Node, request: &CallerRequest, weight_version: Option<u64>) {
+    match (&request.spec.prompt, weight_version) {
+        (Some(prompt), Some(version)) => {
+            target_weights::until_too_old(node, &prompt.model, version).await;
+        }
+        _ => std::future::pending().await,
     }
 }
 
@@ -357,6 +395,8 @@
     connection: ServerConnection,
     in_flight: InFlightAttempt,
     software: SoftwareVersion,
+    /// The weight version for which the server was chosen.
+    weight_version: Option<u64>,
     sent_ms: u64,
 }
 
@@ -421,12 +461,22 @@
 
     /// Reads a stream up to its first complete events.
     async fn start_stream(self) -> AttemptResult {
-        let Self { node, request, head, body, connection, in_flight, software, .. } = self;
+        let Self {
+            node, request, head, body, connection, in_flight, software, weight_version, ..
+        } = self;
         let splitter = EventSplitter::new(Arc::clone(&node.answer_memory));
         let (began_ms, has_gone_on) = (0, false);
         let mut source =
             StreamSource { body, splitter, connection, in_flight, began_ms, has_gone_on };
-        let first = match source.next_events(&node, &request).await {
+        // A stream begins with its first event; until then the request may wait in a queue.
+        let first = tokio::select! {
+            biased;
+            first = source.next_events(&node, &request) => first,
+            () = until_weights_too_old(&node, &request, weight_version) => {
+                Err(MayHaveRun::OldWeights)
+            }
+        };
+        let first = match first {
             Ok(Some(events)) => events,
             // The end of a connection says nothing before the first event.
             Ok(None) if is_unframed(&head) => {
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -231,7 +231,7 @@
     pub fn record_not_run(&mut self, server: &ServerId, reason: NotRun) {
         self.exclude(server);
         match reason {
-            NotRun::ConnectFailed | NotRun::Unsent => {}
+            NotRun::ConnectFailed | NotRun::Unsent | NotRun::OldWeights => {}
             NotRun::NotGranted => {
                 self.refused_grants += 1;
                 return self.node.metrics.count("failed_sends", reason.as_str());
--- a/crates/gateway/src/target_weights.rs
+++ b/crates/gateway/src/target_weights.rs
@@ -7,6 +7,7 @@
 use protocol::ids::ModelName;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The smallest change of the time from which a version counts that is reported, in milliseconds.
 const REPORTED_CHANGE_MS: u64 = 100;
@@ -95,6 +96,27 @@
     node.state().weights.is_uncertain(node.settings.bounds.weights_ms, node.now_ms())
 }
 
+/// Waits until a request that has not begun at a server with a weight version must be given up.
+/// Versions that are named meanwhile count.
+pub async fn until_too_old(node: &Node, model: &ModelName, version: u64) {
+    let mut changes = node.target_changes.subscribe();
+    loop {
+        changes.mark_unchanged();
+        let abort_at_ms = {
+            let state = node.state();
+            let targets = state.weights.get(model);
+            targets
+                .and_then(|targets| targets.abort_at_ms(version, node.settings.bounds.weights_ms))
+        };
+        let wait_ms = abort_at_ms.map_or(u64::MAX, |at_ms| at_ms.saturating_sub(node.now_ms()));
+        if wait_ms == 0 {
+            return;
+        }
+        // Either the time has come or there is a change; the next iteration checks both.
+        drop(tokio::time::timeout(Duration::from_millis(wait_ms), changes.changed()).await);
+    }
+}
+
 /// Changes what this gateway knows, and reports versions and times that are new.
 fn update(node: &Node, found: &str, source: &str, change: impl FnOnce(&mut TargetTable)) {
     let allowed_ms = node.settings.bounds.weights_ms;
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -10,5 +10,7 @@
 
 pub use crate::fleet::crash::{CrashPlan, CrashTrigger};
 pub use crate::fleet::endless::Endless;
-pub use crate::fleet::server::{Behaviour, Capacity, ExecutedRequest, Framing, Server, ServerKind};
+pub use crate::fleet::server::{
+    Behaviour, Capacity, ExecutedRequest, Framing, Queueing, Server, ServerKind,
+};
 pub use crate::fleet::store::{Availability, FIRST_ERA, Store, StoreCopy, StoreView};
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -66,6 +66,15 @@
     UnframedCut,
 }
 
+/// How long streams wait at a server before their first event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Queueing {
+    /// The time from the request to the first event.
+    pub wait: Duration,
+    /// Whether the head of the answer is sent before that.
+    pub sends_head: bool,
+}
+
 /// How many requests a server takes, and what it bears.
 #[derive(Clone, Copy, Debug)]
 pub struct Capacity {
@@ -98,6 +107,7 @@
     events: u64,
     event_gap: Duration,
     execution_time: Duration,
+    queueing: Queueing,
     padding_bytes: usize,
     reset_after_events: Option<u64>,
     resets_all_streams: bool,
@@ -159,6 +169,7 @@
             events: 5,
             event_gap: Duration::from_millis(5),
             execution_time: Duration::ZERO,
+            queueing: Queueing::default(),
             padding_bytes: 0,
             reset_after_events: None,
             resets_all_streams: false,
@@ -229,6 +240,11 @@
         self.lock().execution_time = execution_time;
     }
 
+    /// Sets how long streams wait before their first event.
+    pub fn set_queueing(&self, queueing: Queueing) {
+        self.lock().queueing = queueing;
+    }
+
     /// Sets how many requests the server takes, which the entry names from now on.
     pub fn set_capacity(&self, capacity: Capacity) {
         self.lock().capacity = Some(capacity);
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -339,7 +339,15 @@
     let mut bytes = answer_head(state, 200, headers);
     let end = if is_framed { "Transfer-Encoding: chunked" } else { "Connection: close" };
     bytes.extend(format!("Content-Type: text/event-stream\r\n{end}\r\n\r\n").into_bytes());
+    let queueing = lock(state).queueing;
+    if !queueing.sends_head && !wait_while_connected(stream, state, index, queueing.wait).await {
+        return Ok(false);
+    }
     stream.write_all(&bytes).await?;
+    stream.flush().await?;
+    if queueing.sends_head && !wait_while_connected(stream, state, index, queueing.wait).await {
+        return Ok(false);
+    }
     for event in last_event + 1..=events {
         let (version, resets_all) = {
             let state = lock(state);
