Leave the rollout to another gateway when the leader reaches no server

A leader that was cut off from all servers, but not from the store, renewed the lease as long as there was work, so no server got new weights; once the time for the older ones was over, no gateway had a server left to use. In a process test with two gateways the servers had no new weights after 60 s.

Commands and queries of the leader without an answer now have the path checked, as those of requests do: it counts as cut off only once a peer has reached servers that it does not reach. It then lets the lease lapse and seeks none until a path is back. It does not release it: a command without an answer may still be on its way, and others then wait as for a leader that stands still. Commands don't go through peers, as a holder is one machine.

--- a/crates/camphorwardd/tests/gateway/cut_off.rs
+++ b/crates/camphorwardd/tests/gateway/cut_off.rs
@@ -15,16 +15,16 @@
 const LINK: LinkConfig = LinkConfig { delay_ms: 0.0, bytes_per_s: None };
 
 /// A gateway whose links to the servers can be cut.
-struct CutGateway {
-    gateway: Gateway,
-    link: Arc<Link>,
+pub struct CutGateway {
+    pub gateway: Gateway,
+    pub link: Arc<Link>,
     /// The relay to each server.
     _relays: Vec<Relay>,
     _view: StoreView,
 }
 
 impl CutGateway {
-    async fn start(fleet: &Fleet, host: &str) -> Self {
+    pub async fn start(fleet: &Fleet, host: &str) -> Self {
         let view = fleet.store.view().await.unwrap();
         let link = Link::new(LINK);
         let mut relays = Vec::new();
--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -1,10 +1,12 @@
 //! Rollouts of weights by the rollout leader.
 
 use crate::caller;
+use crate::cut_off::CutGateway;
 use crate::fleet::{self, Fleet, NOTES, QUICK};
 use crate::process::{Gateway, until};
 use serde_json::json;
 use standins::fleet::{Queueing, Server};
+use standins::relay::Partition;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -159,3 +161,21 @@
 async fn a_stream_whose_head_comes_before_its_first_event_is_given_up_in_time() {
     check_given_up(true, Duration::from_millis(300)).await;
 }
+
+/// It kept the lease, and no server got the weights before older ones were not used any more.
+#[tokio::test]
+async fn a_leader_that_reaches_no_server_leaves_the_rollout_to_another() {
+    let fleet = Fleet::start(0, 3).await;
+    let cut = CutGateway::start(&fleet, "gateway-1").await;
+    let sound = fleet.gateway("gateway-2").await;
+    for gateway in [&cut.gateway, &sound] {
+        caller::until_listed(gateway, 2).await;
+    }
+    cut.link.set_partition(Partition::Blackhole);
+    let named = Instant::now();
+    fleet.store.set_target_version("m", 2);
+    until("all have them", || fleet.engines.iter().all(|engine| engine.weight_version() == 2))
+        .await;
+    let took = named.elapsed();
+    assert!(took < WEIGHTS_TIME * 6 / 10, "the servers have the weights after {took:?}");
+}
--- a/crates/gateway/src/rollout_leader.rs
+++ b/crates/gateway/src/rollout_leader.rs
@@ -29,6 +29,12 @@
     let mut frees = BlockFrees::default();
     loop {
         let has_work = states.refresh(&node);
+        // A leader commands servers itself; others may reach them.
+        if node.state().paths.is_cut_off() {
+            lease.lapse(&node);
+            tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
+            continue;
+        }
         if node.is_draining() {
             lease.release(&node, &mut store).await;
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
--- a/crates/gateway/src/rollout_leader/commands.rs
+++ b/crates/gateway/src/rollout_leader/commands.rs
@@ -3,6 +3,7 @@
 use crate::event;
 use crate::link::{Call, CallError, Link, is_ok};
 use crate::node::Node;
+use crate::paths;
 use crate::rollout_leader::lease::RolloutLease;
 use crate::rollout_leader::states::ServerStates;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
@@ -45,6 +46,9 @@
     queries.retain(|entry| states.may_query(entry, QUERY_INTERVAL_MS, now_ms));
     let reports = join_all(queries.iter().map(|entry| report(node, entry))).await;
     for (entry, report) in queries.iter().zip(reports) {
+        if report.is_none() {
+            paths::verify(node, &Arc::new(entry.clone()));
+        }
         record_loaded(node, entry, model, newest, report.as_ref());
         states.record_report(entry, report, node.now_ms());
     }
@@ -71,6 +75,9 @@
         states.record_command(entry, node.now_ms());
     }
     for ((entry, accepted), answer) in commands.iter().zip(answers.await) {
+        if answer.is_err() {
+            paths::verify(node, &Arc::new(entry.clone()));
+        }
         record_answer(node, states, entry, *accepted, fence.value(), newest, answer);
     }
 }
--- a/crates/gateway/src/rollout_leader/lease.rs
+++ b/crates/gateway/src/rollout_leader/lease.rs
@@ -153,6 +153,14 @@
         });
     }
 
+    /// Gives the lease up without a record, so that others wait until it expires: commands that got no
+    /// answer may still be on their way.
+    pub fn lapse(&mut self, node: &Node) {
+        self.work_since_ms = None;
+        let Some(held) = self.held.take() else { return };
+        event!(warn, node.now_ms(), "lease_lapsed", { "fence": held.fence.value() });
+    }
+
     /// Records that there is no work; after a rollout, the standbys read who held the lease last.
     pub async fn record_idle(&mut self, node: &Node, store: &mut StoreClient) {
         self.follow_era(node);
