Test that a version named while the store refuses counts from the last read

A gateway that the store refused dated a version to when it noticed it. The process test (weights_ms of 4 s, version 2 named 2.5 s before the store is back) fails on, before the fix: a request reached version 1 5.27 s after version 2 was named.

--- a/crates/camphorwardd/tests/gateway/weights.rs
+++ b/crates/camphorwardd/tests/gateway/weights.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{self, Fleet, NOTES, QUICK};
 use crate::process::{Gateway, until};
 use serde_json::json;
-use standins::fleet::{Queueing, Server};
+use standins::fleet::{Availability, Queueing, Server};
 use standins::relay::Partition;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
@@ -179,3 +179,27 @@
     let took = named.elapsed();
     assert!(took < WEIGHTS_TIME * 6 / 10, "the servers have the weights after {took:?}");
 }
+
+/// It counted from when the gateway noticed it.
+#[tokio::test]
+async fn a_version_that_is_named_while_the_store_refuses_counts_from_the_last_read() {
+    const ALLOWED: Duration = Duration::from_secs(4);
+    let fleet = Fleet::start(0, 2).await;
+    for engine in &fleet.engines {
+        engine.set_ignores_commands(true);
+    }
+    let settings = fleet.settings("gateway-1", &[]);
+    let settings = settings.replace("\"weights_ms\":10000", "\"weights_ms\":4000");
+    let gateway = fleet.gateway_with(&settings).await;
+    fleet.store.set_availability(Availability::Refuses);
+    // A read that is under way would still get the record.
+    sleep(Duration::from_millis(1_300)).await;
+    let named = Instant::now();
+    fleet.store.set_target_version("m", 2);
+    sleep(ALLOWED * 5 / 8).await;
+    fleet.store.set_availability(Availability::Up);
+    caller::until_line(&gateway, "weights_named").await;
+    let last = send_until(&fleet, &gateway, named + ALLOWED * 2).await;
+    let last = last.map_or(Duration::ZERO, |last| last - named);
+    assert!(last < ALLOWED, "sent to version 1 {last:?} after version 2 was named");
+}
--- a/crates/dispatch/tests/target_versions.rs
+++ b/crates/dispatch/tests/target_versions.rs
@@ -127,6 +127,54 @@
     assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 71_000), 3);
 }
 
+#[test]
+fn the_spans_of_neighbouring_versions_bound_each_other() {
+    let mut table = TargetTable::default();
+    table.record_complete(60_000);
+    table.record_read(&model(), 3, None, 66_000);
+    table.record_newest(&model(), 2, 66_500);
+    let spans = |table: &TargetTable| -> Vec<(u64, Option<u64>, u64)> {
+        let versions = versions(table);
+        let spans = versions.versions().iter();
+        spans.map(|known| (known.version, known.earliest_ms, known.latest_ms)).collect()
+    };
+    assert_eq!(spans(&table), [(2, Some(60_000), 66_000), (3, Some(60_000), 66_000)]);
+    table.record_newest(&model(), 3, 62_000);
+    assert_eq!(spans(&table), [(2, Some(60_000), 62_000), (3, Some(60_000), 62_000)]);
+    // What was read of versions after 2 says nothing of those before.
+    table.merge(&reported(&started(2, 61_000), 0));
+    assert_eq!(spans(&table), [(2, Some(60_000), 61_000), (3, Some(61_000), 62_000)]);
+    table.forget_outdated(ALLOWED_MS, 72_000);
+    assert_eq!(spans(&table), [(3, None, 62_000)]);
+}
+
+#[test]
+fn what_a_peer_has_read_bounds_what_is_listed_later() {
+    let mut table = TargetTable::default();
+    table.merge(&reported(&reader(&[(2, 65_000)]), 20));
+    table.record_read(&model(), 3, None, 69_000);
+    assert_eq!(versions(&table).newest_since_ms(ALLOWED_MS), Some(64_980));
+}
+
+#[test]
+fn what_a_peer_has_read_bounds_what_was_listed_before() {
+    let mut peer = reader(&[(2, 65_000)]);
+    peer.record_complete(68_000);
+    let mut table = started(3, 69_100);
+    table.merge(&reported(&peer, 20));
+    assert_eq!(versions(&table).newest_since_ms(ALLOWED_MS), Some(67_980));
+}
+
+#[test]
+fn versions_that_do_not_fit_do_not_make_older_ones_seem_later() {
+    let mut table = TargetTable::default();
+    for version in 10..18 {
+        table.record_read(&model(), version, None, 70_000);
+    }
+    table.merge(&reported(&reader(&[(5, 60_000), (6, 69_000)]), 0));
+    assert_eq!(versions(&table).abort_at_ms(4, ALLOWED_MS), Some(68_600));
+}
+
 #[test]
 fn versions_are_forgotten_once_newer_ones_make_them_irrelevant() {
     let mut table = reader(&[(2, 65_000), (3, 69_000)]);
