--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -134,6 +134,7 @@
         tokio::spawn(peers::accept(Arc::clone(node), listener));
         tokio::spawn(supervisor::run(Arc::clone(node), "discovery", discovery::run));
         tokio::spawn(supervisor::run(Arc::clone(node), "peers_pull", peers::pull));
+        tokio::spawn(supervisor::run(Arc::clone(node), "peers_targets", peers::pull_targets));
         tokio::spawn(supervisor::run(Arc::clone(node), "peers_push", peers::push));
         tokio::spawn(supervisor::run(Arc::clone(node), "crashes_push", crashes::push));
         tokio::spawn(supervisor::run(Arc::clone(node), "peers_terms", peers::share_terms));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod settings;
 mod store;
 pub mod supervisor;
+pub mod target_weights;
 pub mod tunnel;
 pub mod unreadable;
 pub mod watch_blocks;
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -66,6 +66,15 @@
     UnframedCut,
 }
 
+/// How long streams wait at a server before their first event.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Queueing {
+    /// The time from the request to the first event.
+    pub wait: Duration,
+    /// Whether the head of the answer is sent before that.
+    pub sends_head: bool,
+}
+
 /// How many requests a server takes, and what it bears.
 #[derive(Clone, Copy, Debug)]
 pub struct Capacity {
@@ -93,10 +102,12 @@
     software_version: String,
     weight_version: u64,
     commands: Vec<Value>,
+    ignores_commands: bool,
     behaviour: Behaviour,
     events: u64,
     event_gap: Duration,
     execution_time: Duration,
+    queueing: Queueing,
     padding_bytes: usize,
     reset_after_events: Option<u64>,
     resets_all_streams: bool,
@@ -153,10 +164,12 @@
             software_version: "v1".to_owned(),
             weight_version: 1,
             commands: Vec::new(),
+            ignores_commands: false,
             behaviour: Behaviour::Serves,
             events: 5,
             event_gap: Duration::from_millis(5),
             execution_time: Duration::ZERO,
+            queueing: Queueing::default(),
             padding_bytes: 0,
             reset_after_events: None,
             resets_all_streams: false,
@@ -227,6 +240,11 @@
         self.lock().execution_time = execution_time;
     }
 
+    /// Sets how long streams wait before their first event.
+    pub fn set_queueing(&self, queueing: Queueing) {
+        self.lock().queueing = queueing;
+    }
+
     /// Sets how many requests the server takes, which the entry names from now on.
     pub fn set_capacity(&self, capacity: Capacity) {
         self.lock().capacity = Some(capacity);
@@ -333,6 +351,11 @@
         self.lock().refused
     }
 
+    /// Sets whether the server closes the connections of commands, without executing them.
+    pub fn set_ignores_commands(&self, ignores_commands: bool) {
+        self.lock().ignores_commands = ignores_commands;
+    }
+
     /// Returns the commands that the server accepted.
     pub fn commands(&self) -> Vec<Value> {
         self.lock().commands.clone()
