Write a body into a tunnel without a copy of it

Cause: a stream that takes one buffer a write makes the HTTP library copy a body behind its head. The stream into a tunnel was such a one, so that each body to a server behind a peer was in memory twice.

Ruled out: the peer's side, which passes bytes on in pieces of 8 KiB.

Change: the stream takes several buffers a write, as the connection below it does.

Result: several_buffers_are_written_at_once failed before (is_write_vectored was false) and passes.

--- a/crates/gateway/src/tunnel/frames.rs
+++ b/crates/gateway/src/tunnel/frames.rs
@@ -90,6 +90,19 @@
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, buffers)
+    }
+
+    // Without it the HTTP library copies each body behind its head.
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/crates/gateway/tests/tunnel.rs
+++ b/crates/gateway/tests/tunnel.rs
@@ -1,8 +1,8 @@
 //! The frames of tunnels between gateways.
 
 use gateway::tunnel::FramedStream;
-use std::io::ErrorKind;
-use tokio::io::AsyncReadExt;
+use std::io::{ErrorKind, IoSlice};
+use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// Reads all that a gateway sent before it closed.
 async fn read(sent: &[u8]) -> std::io::Result<Vec<u8>> {
@@ -27,3 +27,14 @@
         assert_eq!(read(sent).await.unwrap_err().kind(), ErrorKind::ConnectionReset, "{sent:?}");
     }
 }
+
+/// The HTTP library copies bodies behind their heads for streams that take one buffer a write.
+#[tokio::test]
+async fn several_buffers_are_written_at_once() {
+    let mut sent = Vec::new();
+    let mut stream = FramedStream::new(std::io::Cursor::new(&mut sent));
+    assert!(stream.is_write_vectored());
+    let parts = [IoSlice::new(b"head"), IoSlice::new(b"body")];
+    assert_eq!(stream.write_vectored(&parts).await.unwrap(), 8);
+    assert_eq!(sent, b"headbody");
+}
