Bound callers' bodies by one account of the gateway's memory

Cause: answers of servers and of calls had a bound over all connections each, callers' bodies had none.

Change: gateway::memory gives out 0.55 of the new setting memory_mb (limits.memoryMb in the template, 110 if absent) to small and large bodies, answers, calls and messages of peers, tunnels and callers' connections, with parts set aside. Room for a body's whole length is taken before it is read, chunked bodies take it as they grow; without room the answer is 503 with Retry-After on a connection that closes, and the sender may go on for a while so that it gets to the answer. Expect: 100-continue gets no permission then. A length beyond maxBodyBytes is refused unread too. A silent sender is refused after idleTimeoutMs, after headerTimeoutMs once another body found no room. Bodies gather in one piece, without a second copy. Counter memory_refusals, gauges memory_held_bytes and memory_size_bytes.

--- a/crates/camphorwardd/tests/gateway/cut_off.rs
+++ b/crates/camphorwardd/tests/gateway/cut_off.rs
@@ -15,9 +15,9 @@
 const LINK: LinkConfig = LinkConfig { delay_ms: 0.0, bytes_per_s: None };
 
 /// A gateway whose links to the servers can be cut.
-struct CutGateway {
-    gateway: Gateway,
-    link: Arc<Link>,
+pub struct CutGateway {
+    pub gateway: Gateway,
+    pub link: Arc<Link>,
     /// The relay to each server.
     _relays: Vec<Relay>,
     _view: StoreView,
@@ -55,32 +55,36 @@
 }
 
 /// A fleet, a gateway that reaches the servers, and two of another failure domain that can be cut off.
-struct Site {
-    fleet: Fleet,
-    cut: CutGateway,
-    also_cut: CutGateway,
-    _sound: Gateway,
+pub struct Site {
+    pub fleet: Fleet,
+    pub cut: CutGateway,
+    pub also_cut: CutGateway,
+    pub sound: Gateway,
 }
 
 impl Site {
     async fn start() -> Self {
-        let fleet = Fleet::start(3, 3).await;
+        Self::start_on(Fleet::start(3, 3).await).await
+    }
+
+    /// Starts the gateways before three servers of each kind.
+    pub async fn start_on(fleet: Fleet) -> Self {
         let settings = fleet.settings("gateway-1", &[]);
-        let _sound = fleet.gateway_with(&settings.replace("\"east-1\",", "\"east-2\",")).await;
+        let sound = fleet.gateway_with(&settings.replace("\"east-1\",", "\"east-2\",")).await;
         let cut = CutGateway::start(&fleet, "gateway-2").await;
         let also_cut = CutGateway::start(&fleet, "gateway-3").await;
-        for gateway in [&_sound, &cut.gateway, &also_cut.gateway] {
+        for gateway in [&sound, &cut.gateway, &also_cut.gateway] {
             caller::until_listed(gateway, 3).await;
         }
         assert_eq!(cut.served().await, REQUESTS);
-        Self { fleet, cut, also_cut, _sound }
+        Self { fleet, cut, also_cut, sound }
     }
 }
 
 /// Cuts the links in one way, and checks that nearly all requests are served later and that all are
 /// once the links are back.
 async fn assert_served(partition: Partition) {
-    let Site { fleet, cut, also_cut, _sound } = Site::start().await;
+    let Site { fleet, cut, also_cut, sound: _sound } = Site::start().await;
     cut.link.set_partition(partition);
     also_cut.link.set_partition(partition);
     let load = async |gateway: &Gateway| loop {
--- a/crates/camphorwardd/tests/gateway/endless.rs
+++ b/crates/camphorwardd/tests/gateway/endless.rs
@@ -23,13 +23,6 @@
     Endless::Refusal,
 ];
 
-/// Returns the peak of a gateway's resident memory, in kilobytes.
-fn peak_memory_kb(gateway: &Gateway) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.id())).unwrap();
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    peak.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 async fn until_counted(gateway: &Gateway, counter: &str, kind: &str) {
     let text = format!("camphorward_{counter}{{kind=\"{kind}\"}}");
     let counted = async {
@@ -113,11 +106,11 @@
     for endless in PLAIN {
         let fleet = Fleet::start(1, 1).await;
         let gateway = fleet.gateway("gateway-1").await;
-        let idle_kb = peak_memory_kb(&gateway);
+        let idle_kb = gateway.peak_memory_kb();
         fleet.desks[0].set_behaviour(Behaviour::Endless(endless));
         let answers = (0..8).map(|_| post(&gateway, ORDERS));
         let answers = futures_util::future::join_all(answers).await;
-        let peak_kb = peak_memory_kb(&gateway);
+        let peak_kb = gateway.peak_memory_kb();
         println!("{endless:?}: {idle_kb} kB idle, peak {peak_kb} kB");
         let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
         let serves_others = post(&gateway, NOTES).await.is_complete;
@@ -140,7 +133,7 @@
         fleet.engines[0].set_behaviour(Behaviour::Endless(endless));
         let answers = (0..40).map(|_| post(&gateway, QUICK));
         let answers = futures_util::future::join_all(answers).await;
-        let peak_kb = peak_memory_kb(&gateway);
+        let peak_kb = gateway.peak_memory_kb();
         println!("{endless:?}: peak {peak_kb} kB");
         assert!(peak_kb < MEMORY_KB, "{endless:?}: {peak_kb} kB");
         assert!(answers.iter().all(|answer| !answer.is_complete || answer.status == 502));
@@ -167,7 +160,7 @@
             gateway.lines("configuration_in_force").iter().any(|line| line["version"] == 2)
         })
         .await;
-        assert!(peak_memory_kb(&gateway) < MEMORY_KB, "{endless:?}");
+        assert!(gateway.peak_memory_kb() < MEMORY_KB, "{endless:?}");
     }
 }
 
@@ -179,7 +172,7 @@
     until_counted(&gateway, "store_failures", "too_large").await;
     fleet.store.set_availability(Availability::Up);
     until_ready(&gateway).await;
-    assert!(peak_memory_kb(&gateway) < MEMORY_KB);
+    assert!(gateway.peak_memory_kb() < MEMORY_KB);
 }
 
 #[tokio::test]
@@ -197,6 +190,6 @@
         fleet.store.set_availability(Availability::Up);
         until_ready(&gateway).await;
         until_closed(&peer).await;
-        assert!(peak_memory_kb(&gateway) < MEMORY_KB, "{endless:?}");
+        assert!(gateway.peak_memory_kb() < MEMORY_KB, "{endless:?}");
     }
 }
--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests with gateways as separate processes, against stand-ins in the test's process.
 
 mod answers;
+mod bodies;
 mod brittle;
 mod caller;
 mod caller_connections;
--- a/crates/camphorwardd/tests/gateway/process.rs
+++ b/crates/camphorwardd/tests/gateway/process.rs
@@ -121,6 +121,13 @@
         self.child.id()
     }
 
+    /// Returns the peak of the process's resident memory, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Returns the exit status of the process, if it has exited.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
--- a/crates/camphorwardd/tests/gateway/settings.rs
+++ b/crates/camphorwardd/tests/gateway/settings.rs
@@ -43,6 +43,15 @@
     assert!(error.contains("prefill_tokens_per_ms"), "{error}");
 }
 
+#[test]
+fn memory_that_is_not_above_zero_is_named() {
+    for memory_mb in [0.0, -110.0] {
+        let (code, error) = start_with(|value| value["memory_mb"] = Value::from(memory_mb));
+        assert_eq!(code, Some(2));
+        assert!(error.contains("memory_mb"), "{error}");
+    }
+}
+
 #[test]
 fn a_share_of_logged_requests_beyond_one_is_named() {
     for share in [-0.1, 1.5] {
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -64,6 +64,8 @@
     SlowBody => "slow_body", REQUEST_TIMEOUT;
     /// The body is larger than the configuration allows.
     BodyTooLarge => "body_too_large", PAYLOAD_TOO_LARGE;
+    /// The gateway has no memory for the body; the request has not run.
+    NoMemory => "no_memory", SERVICE_UNAVAILABLE;
     /// No configuration is in force yet; the request has not run.
     NoConfiguration => "no_configuration", SERVICE_UNAVAILABLE;
     /// No route matches this host and path.
--- a/crates/gateway/src/answer_memory.rs
+++ b/crates/gateway/src/answer_memory.rs
@@ -1,5 +1,6 @@
-//! Bounds the memory of answers that are held until they are complete.
+//! Reads answers that are held until they are complete, within the gateway's memory.
 
+use crate::memory::{MemoryAccount, MemoryShare, Purpose};
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
@@ -8,13 +9,9 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use thiserror::Error;
 
-/// The size up to which an answer is always held, in bytes, so that large answers leave room for
-/// small ones.
-const MIN_SHARE_BYTES: usize = 16 * 1024;
 /// The size below which frames are joined, in bytes. Each frame keeps a whole read buffer alive.
 const MIN_CHUNK_BYTES: usize = 4 * 1024;
 /// The size that a smaller frame counts as, in bytes: each frame takes some processor time, however
@@ -23,67 +20,6 @@
 /// The size of joined frames, in bytes.
 const JOINED_BYTES: usize = 16 * 1024;
 
-/// The memory for answers. An answer may hold as much as the others leave free, so that one alone
-/// may hold half, and any number of them less than the whole.
-#[derive(Debug)]
-pub struct AnswerMemory {
-    size_bytes: usize,
-    held_bytes: AtomicUsize,
-}
-
-impl AnswerMemory {
-    /// Creates the memory, of which nothing is held.
-    pub const fn new(size_bytes: usize) -> Self {
-        Self { size_bytes, held_bytes: AtomicUsize::new(0) }
-    }
-
-    /// Returns how many bytes are held.
-    pub fn held_bytes(&self) -> usize {
-        self.held_bytes.load(Ordering::Relaxed)
-    }
-
-    /// Returns the size of the largest answer that may be held.
-    const fn max_answer_bytes(&self) -> u64 {
-        (self.size_bytes / 2) as u64
-    }
-}
-
-/// The part of the memory that one answer holds, until it is dropped.
-#[derive(Debug)]
-pub struct MemoryShare {
-    memory: Arc<AnswerMemory>,
-    bytes: usize,
-}
-
-impl MemoryShare {
-    /// Creates an empty share.
-    pub const fn new(memory: Arc<AnswerMemory>) -> Self {
-        Self { memory, bytes: 0 }
-    }
-
-    /// Sets the size of the share; returns whether the memory allows it.
-    pub fn resize(&mut self, bytes: usize) -> bool {
-        if bytes > self.bytes {
-            let growth = bytes - self.bytes;
-            let held = self.memory.held_bytes.fetch_add(growth, Ordering::Relaxed) + growth;
-            self.bytes = bytes;
-            return bytes <= MIN_SHARE_BYTES
-                || bytes <= self.memory.size_bytes.saturating_sub(held);
-        }
-        if bytes < self.bytes {
-            self.memory.held_bytes.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
-            self.bytes = bytes;
-        }
-        true
-    }
-}
-
-impl Drop for MemoryShare {
-    fn drop(&mut self) {
-        self.resize(0);
-    }
-}
-
 /// Why a body could not be read completely.
 #[derive(Debug, Error)]
 pub enum ReadError {
@@ -110,15 +46,19 @@
     /// # Errors
     ///
     /// Returns an error if the body is aborted or too large. The rest of it is unread.
-    pub async fn read<B>(mut body: B, memory: Arc<AnswerMemory>) -> Result<Self, ReadError>
+    pub async fn read<B>(
+        mut body: B,
+        account: Arc<MemoryAccount>,
+        purpose: Purpose,
+    ) -> Result<Self, ReadError>
     where
         B: Body<Data = Bytes> + Unpin,
         ReadError: From<B::Error>,
     {
-        if body.size_hint().lower() > memory.max_answer_bytes() {
+        if body.size_hint().lower() > account.max_answer_bytes(purpose) {
             return Err(ReadError::TooLarge);
         }
-        let share = MemoryShare::new(memory);
+        let share = MemoryShare::new(account, purpose);
         let mut held = Self { chunks: VecDeque::new(), bytes: 0, share };
         let mut joined = BytesMut::new();
         let mut counted_bytes = 0;
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections and counts their requests.
 
+pub mod body;
 mod connection;
 mod request;
 mod resumed;
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -7,6 +7,7 @@
 use crate::connect;
 use crate::event;
 use crate::forward;
+use crate::memory::{MemoryShare, Purpose};
 use crate::node::Node;
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response};
@@ -34,6 +35,9 @@
 /// After that the connection is closed.
 const UNREAD_ANSWER_TIMEOUT_MS: u64 = 2_000;
 
+/// What a connection holds beside its largest head, in bytes: what is about to be written.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+
 /// How long a connection whose timeout has passed stays open for bytes that have already arrived.
 const CLOSE_DELAY: Duration = Duration::from_millis(10);
 /// How long a connection without a request stays open while idle connections are closed, in
@@ -50,6 +54,9 @@
     let max_head = node
         .in_force()
         .map_or(DEFAULT_HEADER_BYTES, |in_force| in_force.configuration.limits.max_header_bytes);
+    let mut share = MemoryShare::new(Arc::clone(&node.memory), Purpose::Connections);
+    // Connections are as many as the descriptors allow; bodies give way to them.
+    share.resize(max_head.max(MIN_BUFFER_BYTES) + WRITE_BUFFER_BYTES);
     let io = TokioIo::new(WatchedStream::new(stream, watch.clone(), Arc::clone(&node)));
     let service = {
         let (node, traffic, watch) = (Arc::clone(&node), Arc::clone(&traffic), watch.clone());
@@ -190,18 +197,29 @@
     watch: Watch,
     request: Request<Incoming>,
 ) -> Result<Response<CountedBody>, Infallible> {
-    let guard = RequestGuard::new(traffic, watch.clone());
+    let guard = Arc::new(RequestGuard::new(traffic, watch.clone()));
     let now_ms = node.now_ms();
     let deadline_at_ms = now_ms + request::caller_timeout_ms(&request);
     let has_conflicting_framing = watch.start_request(now_ms, deadline_at_ms);
     // Bytes after a chunked body are never parsed as another request.
-    let is_last = has_conflicting_framing || request.headers().contains_key(TRANSFER_ENCODING);
+    let mut is_last = has_conflicting_framing || request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = if has_conflicting_framing {
         request::refuse(&node, None, Refusal::ConflictingFraming)
     } else {
         match CallerRequest::read(&node, request, deadline_at_ms).await {
             Ok(caller) => forward::serve(Arc::clone(&node), caller).await,
-            Err(refused) => *refused,
+            Err(refused) => {
+                is_last |= refused.is_last;
+                if let Some(unread) = refused.unread {
+                    // Until the end of the body, what arrives is not the next head.
+                    let guard = Arc::clone(&guard);
+                    tokio::spawn(async move {
+                        unread.discard().await;
+                        drop(guard);
+                    });
+                }
+                refused.answer
+            }
         }
     };
     if is_last || node.is_draining() {
@@ -235,7 +253,7 @@
 #[derive(Debug)]
 struct CountedBody {
     body: AnswerBody,
-    _guard: RequestGuard,
+    _guard: Arc<RequestGuard>,
 }
 
 impl Body for CountedBody {
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,8 +1,10 @@
 //! Reads a caller's request: route, identity, body and prompt.
 
 use crate::answer::{AnswerBody, Refusal, strip_hop_headers};
+use crate::callers::body::{self, BodyLimits, UnreadBody};
 use crate::callers::resumed::{self, StreamTarget};
 use crate::event;
+use crate::memory::Purpose;
 use crate::node::{InForce, Node};
 use bytes::Bytes;
 use dispatch::configuration::Route;
@@ -12,12 +14,13 @@
 use dispatch::streams::{StreamKey, StreamOrigin};
 use http::header::{AUTHORIZATION, EXPECT, HOST};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Body;
 use hyper::body::Incoming;
 use platform::headers::{
     DEADLINE_MS, MODEL, ORGANISATION, PROMPT_SEGMENTS, REQUEST_ID, RESERVED, TOKEN_COUNT,
 };
 use platform::prompt;
+use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,7 +28,22 @@
 /// is determined, its timeout applies too.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
 
-type Refused = Box<Response<AnswerBody>>;
+/// A refused request.
+#[derive(Debug)]
+pub struct Refused {
+    /// The answer.
+    pub answer: Response<AnswerBody>,
+    /// The rest of the body, if its sender goes on sending.
+    pub unread: Option<UnreadBody>,
+    /// Whether the connection closes after the answer.
+    pub is_last: bool,
+}
+
+impl Refused {
+    const fn new(answer: Response<AnswerBody>) -> Self {
+        Self { answer, unread: None, is_last: false }
+    }
+}
 
 /// A valid request, to be forwarded.
 #[derive(Debug)]
@@ -101,10 +119,10 @@
         node: &Node,
         request: Request<Incoming>,
         caller_deadline_at_ms: u64,
-    ) -> Result<Self, Refused> {
+    ) -> Result<Self, Box<Refused>> {
         let arrived_ms = node.now_ms();
         let id = request.headers().get(REQUEST_ID).cloned();
-        let refuse = |refusal| Box::new(refuse(node, id.as_ref(), refusal));
+        let refuse = |refusal| Box::new(Refused::new(refuse(node, id.as_ref(), refusal)));
         let Some(in_force) = node.in_force() else {
             return Err(refuse(Refusal::NoConfiguration));
         };
@@ -128,10 +146,19 @@
         let route_deadline_at_ms = arrived_ms + route.timeout_ms;
         let (head, body) = request.into_parts();
         let has_organisations = in_force.configuration.organisations_by_key.is_some();
+        let awaits_permission = head.headers.contains_key(EXPECT);
         let headers = server_headers(head.headers, organisation.as_ref(), has_organisations);
         let deadline_at_ms = caller_deadline_at_ms.min(route_deadline_at_ms);
-        let limit = in_force.configuration.limits.max_body_bytes;
-        let body = read_body(node, body, limit, deadline_at_ms).await.map_err(refuse)?;
+        let remaining_ms = deadline_at_ms.saturating_sub(node.now_ms());
+        let limits = &in_force.configuration.limits;
+        let limits = BodyLimits::new(limits, Duration::from_millis(remaining_ms));
+        let body = read_body(node, body, limits, awaits_permission).await;
+        let body = body.map_err(|(refusal, unread)| {
+            let retry_after_ms =
+                (refusal == Refusal::NoMemory).then(|| no_memory_retry_ms(remaining_ms));
+            let answer = refuse_until(node, Some(&id), refusal, retry_after_ms);
+            Box::new(Refused { answer, unread, is_last: true })
+        })?;
         let organisation_name =
             organisation.as_ref().map_or("", |organisation| organisation.id.as_str());
         let content = ContentKey::new(&target, organisation_name, &body);
@@ -177,6 +204,16 @@
     /// milliseconds.
     const NO_CONFIGURATION_RETRY_MS: u64 = 300;
     let retry_after_ms = (refusal == Refusal::NoConfiguration).then_some(NO_CONFIGURATION_RETRY_MS);
+    refuse_until(node, id, refusal, retry_after_ms)
+}
+
+/// Refuses a request that may come again after a delay, with a log line and a count.
+fn refuse_until(
+    node: &Node,
+    id: Option<&HeaderValue>,
+    refusal: Refusal,
+    retry_after_ms: Option<u64>,
+) -> Response<AnswerBody> {
     node.metrics.count("refusals", refusal.as_str());
     event!(warn, node.now_ms(), "request_refused", {
         "request": id.and_then(|id| id.to_str().ok()),
@@ -184,10 +221,20 @@
         "status": refusal.status().as_u16(),
         "configuration": node.in_force().map(|held| held.configuration.version.value()),
         "store_age_ms": node.store_age_ms(),
+        "retry_after_ms": retry_after_ms,
     });
     refusal.answer(retry_after_ms)
 }
 
+/// Returns a random delay after which a caller should send its body again. Callers honour a delay of
+/// up to a third of their remaining time.
+fn no_memory_retry_ms(remaining_ms: u64) -> u64 {
+    /// The bounds of the delay, in milliseconds. Large bodies take seconds to arrive.
+    const MIN_MS: u64 = 150;
+    const MAX_MS: u64 = 3_000;
+    rand::rng().random_range(MIN_MS..(remaining_ms / 4).clamp(MIN_MS + 1, MAX_MS))
+}
+
 /// Returns how long the caller waits for the answer, in milliseconds.
 pub fn caller_timeout_ms<B>(request: &Request<B>) -> u64 {
     let text = request.headers().get(DEADLINE_MS).and_then(|value| value.to_str().ok());
@@ -240,17 +287,30 @@
     headers
 }
 
+/// Reads a body.
+///
+/// # Errors
+///
+/// Returns why there is none, and what its sender goes on sending: nothing if it awaits permission to
+/// send, which it does not get.
 async fn read_body(
     node: &Node,
-    body: Incoming,
-    limit: usize,
-    deadline_at_ms: u64,
-) -> Result<Bytes, Refusal> {
-    let remaining = Duration::from_millis(deadline_at_ms.saturating_sub(node.now_ms()));
-    match tokio::time::timeout(remaining, Limited::new(body, limit).collect()).await {
-        Err(_) => Err(Refusal::SlowBody),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
+    mut body: Incoming,
+    limits: BodyLimits,
+    awaits_permission: bool,
+) -> Result<Bytes, (Refusal, Option<UnreadBody>)> {
+    let announced = body.size_hint().exact();
+    let refusal = match body::read(&mut body, &node.memory, limits).await {
+        Ok(bytes) => return Ok(bytes),
+        Err(refusal) => refusal,
+    };
+    if refusal == Refusal::NoMemory {
+        let kind =
+            announced.map_or("without_length", |bytes| Purpose::body(bytes as usize).as_str());
+        node.metrics.count("memory_refusals", kind);
     }
+    let is_refused_unread = matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge);
+    let is_unsent = awaits_permission && announced.is_some();
+    let unread = UnreadBody { body, limit_bytes: limits.size_bytes };
+    Err((refusal, (is_refused_unread && !is_unsent).then_some(unread)))
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::event;
 use crate::follow;
 use crate::limits;
+use crate::link;
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
@@ -46,6 +47,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let (settings, listeners) = listen(settings).await?;
     let node = Arc::new(Node::new(settings));
+    link::set_memory(&node.memory);
     let traffic = Arc::new(Traffic::default());
     let accept_task = start(&node, &traffic, listeners);
     let mut last_modified = modified(file);
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 use crate::forward::place::Placed;
 use crate::forward::source::StreamSource;
 use crate::limits::{self, Ask};
+use crate::memory::Purpose;
 use crate::node::Node;
 use crate::paths;
 use crate::pool::ServerConnection;
@@ -391,7 +392,7 @@
         let remaining = self.remaining();
         let Self { node, request, mut head, body, connection, in_flight, sent_ms, .. } = self;
         let first_byte_ms = node.now_ms().saturating_sub(request.arrived_ms);
-        let reading = HeldBody::read(body, Arc::clone(&node.answer_memory));
+        let reading = HeldBody::read(body, Arc::clone(&node.memory), Purpose::Answers);
         let body = match tokio::time::timeout(remaining, reading).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
@@ -418,7 +419,7 @@
     /// Reads a stream up to its first complete events.
     async fn start_stream(self) -> AttemptResult {
         let Self { node, request, head, body, connection, in_flight, software, .. } = self;
-        let splitter = EventSplitter::new(Arc::clone(&node.answer_memory));
+        let splitter = EventSplitter::new(Arc::clone(&node.memory));
         let (began_ms, has_gone_on) = (0, false);
         let mut source =
             StreamSource { body, splitter, connection, in_flight, began_ms, has_gone_on };
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -1,6 +1,6 @@
 //! Splits a stream of server-sent events into complete events.
 
-use crate::answer_memory::{AnswerMemory, MemoryShare};
+use crate::memory::{MemoryAccount, MemoryShare, Purpose};
 use bytes::{Bytes, BytesMut};
 use std::sync::Arc;
 
@@ -32,8 +32,8 @@
 
 impl EventSplitter {
     /// Creates a splitter with an empty buffer.
-    pub fn new(memory: Arc<AnswerMemory>) -> Self {
-        let share = MemoryShare::new(memory);
+    pub fn new(account: Arc<MemoryAccount>) -> Self {
+        let share = MemoryShare::new(account, Purpose::Answers);
         Self { pending: BytesMut::new(), share, is_allowed: true, comment_bytes: 0 }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod link;
 pub mod listener;
 pub mod logs;
+pub mod memory;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,7 +1,9 @@
 //! Sequential calls over one persistent connection: to the store, peers, engines and block stores.
 
-use crate::answer_memory::{AnswerMemory, HeldBody, ReadError};
+use crate::answer_memory::{HeldBody, ReadError};
 use crate::connect::{self, ClientConnection};
+use crate::memory::{MemoryAccount, Purpose};
+use crate::settings::SMALL_HOST_MEMORY_MB;
 use bytes::Bytes;
 use dispatch::registry::ServerId;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -9,19 +11,27 @@
 use platform::codec::CONTENT_TYPE;
 use platform::headers::EXPECT_SERVER;
 use std::net::SocketAddr;
-use std::sync::{Arc, LazyLock};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use thiserror::Error;
 
-/// The memory for the answers to all calls of the process, in bytes. An answer has at most a few
-/// megabytes.
-const ANSWER_MEMORY_BYTES: usize = 24 * 1024 * 1024;
+/// The account of the process, in which the answers to all calls are held.
+static MEMORY: OnceLock<Arc<MemoryAccount>> = OnceLock::new();
 
-static ANSWER_MEMORY: LazyLock<Arc<AnswerMemory>> =
-    LazyLock::new(|| Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)));
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Sets the account in which the answers to all calls of the process are held. Only the first account
+/// is used.
+pub fn set_memory(account: &Arc<MemoryAccount>) {
+    drop(MEMORY.set(Arc::clone(account)));
+}
+
+fn memory() -> Arc<MemoryAccount> {
+    let small_host = || Arc::new(MemoryAccount::for_host(SMALL_HOST_MEMORY_MB));
+    Arc::clone(MEMORY.get_or_init(small_host))
+}
+
 /// A call that got no answer.
 #[derive(Debug, Error)]
 pub enum CallError {
@@ -143,7 +153,7 @@
     })?;
     let (head, body) = answer.into_parts();
     let body =
-        HeldBody::read(body, Arc::clone(&ANSWER_MEMORY)).await.map_err(|error| match error {
+        HeldBody::read(body, memory(), Purpose::Calls).await.map_err(|error| match error {
             ReadError::Aborted(error) => lost(&error),
             ReadError::TooLarge => CallError::TooLarge,
         })?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms, served as text on the metrics port.
 
 use crate::logs;
+use crate::memory::{Ledger, Purpose};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -39,9 +40,14 @@
         histogram.saturating_record(latency_ms.clamp(1, MAX_LATENCY_MS));
     }
 
-    /// Formats all values as text, one per line.
-    pub fn to_text(&self) -> String {
+    /// Formats all values, and those of the account of memory, as text, one per line.
+    pub fn to_text(&self, memory: &Ledger) -> String {
         let mut text = format!("camphorward_log_lines_dropped {}\n", logs::dropped_lines());
+        let _ = writeln!(text, "camphorward_memory_size_bytes {}", memory.size_bytes());
+        for purpose in Purpose::ALL {
+            let (kind, bytes) = (purpose.as_str(), memory.held_bytes(purpose));
+            let _ = writeln!(text, "camphorward_memory_held_bytes{{kind=\"{kind}\"}} {bytes}");
+        }
         let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
         for ((name, label), value) in counters.iter() {
             let _ = writeln!(text, "camphorward_{name}{{kind=\"{label}\"}} {value}");
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,11 +2,11 @@
 
 mod eras;
 
-use crate::answer_memory::AnswerMemory;
 use crate::clock::{Clock, SuspensionDetector};
 use crate::crashes::CrashExchange;
 use crate::gateways::Source;
 use crate::limits::GrantCalls;
+use crate::memory::MemoryAccount;
 use crate::metrics::Metrics;
 use crate::peers::{PeerUpdate, StreamExchange, TermsExchange};
 use crate::pool::Pool;
@@ -30,9 +30,6 @@
 /// blocks may occupy memory that is needed.
 pub const MAX_FETCH_STATE_AGE_MS: u64 = 6_000;
 
-/// The memory for answers of servers, in bytes. A process has 110 MB on small hosts.
-const ANSWER_MEMORY_BYTES: usize = 32 * 1024 * 1024;
-
 /// The configuration in force with its derived route table.
 #[derive(Debug)]
 pub struct InForce {
@@ -67,8 +64,8 @@
     pub metrics: Arc<Metrics>,
     /// The connections to servers.
     pub pool: Pool,
-    /// The memory for answers of servers.
-    pub answer_memory: Arc<AnswerMemory>,
+    /// The account of the memory that others make the gateway hold.
+    pub memory: Arc<MemoryAccount>,
     /// The start of this process as Unix milliseconds, which identifies its incarnation.
     pub incarnation: u64,
     /// Woken when a target weight version changes, or a server joins or reports other weights.
@@ -133,7 +130,7 @@
             suspensions: SuspensionDetector::default(),
             metrics: Arc::new(Metrics::new()),
             pool: Pool::new(),
-            answer_memory: Arc::new(AnswerMemory::new(ANSWER_MEMORY_BYTES)),
+            memory: Arc::new(MemoryAccount::for_host(settings.memory_mb)),
             incarnation: crate::clock::unix_ms(),
             weights_changed: Notify::new(),
             state_changed: Notify::new(),
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -23,11 +23,15 @@
     match path {
         READY_PATH if is_ready(node) => (StatusCode::OK, Vec::new()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
-        METRICS_PATH => (StatusCode::OK, node.metrics.to_text().into_bytes()),
+        METRICS_PATH => (StatusCode::OK, metrics(node)),
         _ => (StatusCode::NOT_FOUND, Vec::new()),
     }
 }
 
+fn metrics(node: &Node) -> Vec<u8> {
+    node.metrics.to_text(&node.memory.ledger()).into_bytes()
+}
+
 /// A gateway is ready when it has a configuration and usable servers, and does not drain.
 fn is_ready(node: &Node) -> bool {
     let has_servers = node.state().registry.all_usable().next().is_some();
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -1,8 +1,10 @@
 //! Answers the calls of other gateways.
 
+use crate::answer_memory::HeldBody;
 use crate::crashes::{self, EVIDENCE_PATH, EvidenceMessage};
 use crate::limits::{self, GRANT_PATH, GrantRequest};
 use crate::listener::{self, Reply};
+use crate::memory::Purpose;
 use crate::node::Node;
 use crate::peers::follow;
 use crate::peers::message::{
@@ -13,7 +15,7 @@
 use crate::tunnel::{self, TUNNEL_PATH};
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body::Body;
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -21,7 +23,7 @@
 use tokio::net::TcpListener;
 
 /// The largest message accepted, in bytes.
-const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+const MAX_MESSAGE_BYTES: u64 = 256 * 1024;
 
 /// Serves other gateways.
 pub async fn accept(node: Arc<Node>, listener: TcpListener) {
@@ -37,35 +39,35 @@
             let (era, until) = (snapshot.store_era, snapshot.servers_until);
             (StatusCode::OK, message::encode_with_two(&snapshot, &era, &until))
         }),
-        FOLLOW_PATH => match decode_body::<FollowRequest>(request).await {
+        FOLLOW_PATH => match decode_body::<FollowRequest>(&node, request).await {
             Some(position) => follow::answer(&node, position).await.map_or(unavailable, |answer| {
                 let (era, until) = (answer.store_era, answer.servers_until);
                 (StatusCode::OK, message::encode_with_two(&answer, &era, &until))
             }),
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
-        UPDATE_PATH => match decode_update(request).await {
+        UPDATE_PATH => match decode_update(&node, request).await {
             Some(update) => {
                 apply_update(&node, update);
                 (StatusCode::OK, Vec::new())
             }
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
-        EVIDENCE_PATH => match decode_body::<EvidenceMessage>(request).await {
+        EVIDENCE_PATH => match decode_body::<EvidenceMessage>(&node, request).await {
             Some(message) => {
                 crashes::receive(&node, message);
                 (StatusCode::OK, Vec::new())
             }
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
-        TERMS_PATH => match decode_body::<TermsMessage>(request).await {
+        TERMS_PATH => match decode_body::<TermsMessage>(&node, request).await {
             Some(message) => {
                 terms::receive(&node, message);
                 (StatusCode::OK, Vec::new())
             }
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
-        GRANT_PATH => match decode_body::<GrantRequest>(request).await {
+        GRANT_PATH => match decode_body::<GrantRequest>(&node, request).await {
             Some(question) => (StatusCode::OK, message::encode(&limits::answer(&node, question))),
             None => (StatusCode::BAD_REQUEST, Vec::new()),
         },
@@ -74,18 +76,21 @@
     }
 }
 
-async fn decode_body<T: DeserializeOwned>(request: Request<Incoming>) -> Option<T> {
-    message::decode(&read_body(request).await?)
+async fn decode_body<T: DeserializeOwned>(node: &Node, request: Request<Incoming>) -> Option<T> {
+    message::decode(&read_body(node, request).await?)
 }
 
-async fn decode_update(request: Request<Incoming>) -> Option<PeerUpdate> {
-    let (update, store_era) = message::decode_with(&read_body(request).await?)?;
+async fn decode_update(node: &Node, request: Request<Incoming>) -> Option<PeerUpdate> {
+    let (update, store_era) = message::decode_with(&read_body(node, request).await?)?;
     Some(PeerUpdate { store_era, ..update })
 }
 
-async fn read_body(request: Request<Incoming>) -> Option<Bytes> {
-    let body = Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await.ok()?;
-    Some(body.to_bytes())
+/// Reads a message; gateways send the length of each.
+async fn read_body(node: &Node, request: Request<Incoming>) -> Option<Bytes> {
+    let body = request.into_body();
+    body.size_hint().upper().filter(|bytes| *bytes <= MAX_MESSAGE_BYTES)?;
+    let body = HeldBody::read(body, Arc::clone(&node.memory), Purpose::Calls).await;
+    body.ok().map(HeldBody::into_bytes)
 }
 
 fn snapshot(node: &Node) -> Option<Snapshot> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,6 +26,9 @@
     pub store: StoreSettings,
     /// The bounds that the installation sets.
     pub bounds: Bounds,
+    /// The memory that the process may take, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// The number of threads that serve requests.
     pub worker_threads: usize,
     /// The prompt tokens that an engine prefills per millisecond.
@@ -34,6 +37,13 @@
     pub log: LogSettings,
 }
 
+/// The memory of a small host, in megabytes.
+pub const SMALL_HOST_MEMORY_MB: f64 = 110.0;
+
+const fn default_memory_mb() -> f64 {
+    SMALL_HOST_MEMORY_MB
+}
+
 /// The addresses on which a gateway listens.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Listeners {
@@ -162,6 +172,9 @@
         if self.worker_threads == 0 {
             return invalid("worker_threads", "must be at least 1");
         }
+        if self.memory_mb.is_nan() || self.memory_mb <= 0.0 {
+            return invalid("memory_mb", "must be above zero");
+        }
         if self.prefill_tokens_per_ms.is_nan() || self.prefill_tokens_per_ms <= 0.0 {
             return invalid("prefill_tokens_per_ms", "must be above zero");
         }
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -1,6 +1,7 @@
 //! Carries connections to servers for other gateways.
 
 use crate::connect;
+use crate::memory::{MemoryShare, Purpose};
 use crate::node::Node;
 use crate::paths;
 use crate::tunnel::frames::{HEADER_BYTES, MAX_FRAME_BYTES, header};
@@ -22,6 +23,9 @@
 
 /// The connections that a gateway carries for others at a time.
 const MAX_TUNNELS: usize = 256;
+/// What a tunnel holds, in bytes: a frame, the bytes on the way to the server, and the buffers of two
+/// connections.
+const TUNNEL_BYTES: usize = HEADER_BYTES + MAX_FRAME_BYTES + 24 * 1024;
 /// How long a server may take to accept a connection. The longest round trip takes some 30 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -44,6 +48,12 @@
     }
 }
 
+/// What an open connection holds until it closes.
+struct Permit {
+    _free: OwnedSemaphorePermit,
+    _memory: MemoryShare,
+}
+
 /// Opens a connection to a server for the gateway that asks, and returns the status of the answer.
 pub async fn accept(
     node: &Arc<Node>,
@@ -75,13 +85,19 @@
 async fn open(
     node: &Node,
     request: &Request<Incoming>,
-) -> Result<(TcpStream, OwnedSemaphorePermit), TunnelError> {
+) -> Result<(TcpStream, Permit), TunnelError> {
     if node.is_draining() {
         return Err(TunnelError::Unavailable);
     }
     let entry = find_server(node, request).ok_or(TunnelError::NotUsable)?;
-    let permit = Arc::clone(&node.tunnels.free).try_acquire_owned();
-    let permit = permit.map_err(|_| TunnelError::Unavailable)?;
+    let free = Arc::clone(&node.tunnels.free).try_acquire_owned();
+    let free = free.map_err(|_| TunnelError::Unavailable)?;
+    let mut memory = MemoryShare::new(Arc::clone(&node.memory), Purpose::Tunnels);
+    if !memory.try_grow(TUNNEL_BYTES) {
+        node.metrics.count("memory_refusals", Purpose::Tunnels.as_str());
+        return Err(TunnelError::Unavailable);
+    }
+    let permit = Permit { _free: free, _memory: memory };
     let choice = {
         let state = node.state();
         if state.paths.is_cut_off() {
@@ -118,7 +134,7 @@
 }
 
 /// Carries bytes until either side closes; the permit is held as long.
-async fn carry(upgrade: OnUpgrade, server: TcpStream, _permit: OwnedSemaphorePermit) {
+async fn carry(upgrade: OnUpgrade, server: TcpStream, _permit: Permit) {
     let Ok(upgraded) = upgrade.await else { return };
     let (mut from_gateway, to_gateway) = tokio::io::split(TokioIo::<Upgraded>::new(upgraded));
     let (from_server, mut to_server) = server.into_split();
--- a/crates/gateway/tests/answer_memory.rs
+++ b/crates/gateway/tests/answer_memory.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use gateway::answer_memory::{AnswerMemory, HeldBody, ReadError};
+use gateway::answer_memory::{HeldBody, ReadError};
+use gateway::memory::{MemoryAccount, Purpose};
 use http_body::Frame;
 use http_body_util::StreamBody;
 use std::sync::Arc;
@@ -14,13 +15,14 @@
 
 /// Reads an answer in frames of a size; returns the result and the number of frames read.
 async fn read(frame_bytes: usize, frames: usize) -> (Result<HeldBody, ReadError>, usize) {
-    let memory = Arc::new(AnswerMemory::new(MEMORY_BYTES));
+    let memory = Arc::new(MemoryAccount::new(MEMORY_BYTES));
     let read = AtomicUsize::new(0);
     let frames = (0..frames).map(|_| {
         read.fetch_add(1, Ordering::Relaxed);
         Ok::<_, hyper::Error>(Frame::data(Bytes::from(vec![b'x'; frame_bytes])))
     });
-    let result = HeldBody::read(StreamBody::new(stream::iter(frames)), memory).await;
+    let result =
+        HeldBody::read(StreamBody::new(stream::iter(frames)), memory, Purpose::Answers).await;
     (result, read.load(Ordering::Relaxed))
 }
 
--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -78,6 +78,7 @@
             ("bounds.budgetWindowS", "10".to_owned()),
             ("bounds.leaseMs", "3000".to_owned()),
             ("bounds.versionMs", "10000".to_owned()),
+            ("limits.memoryMb", "110".to_owned()),
             ("limits.cpuCores", "1".to_owned()),
         ];
         let mut text = std::fs::read_to_string(TEMPLATE)?;
