Keep the software versions that may have begun streams in the store

Cause: without a record, the only version that the registry listed as taking new requests was taken for all that had served. A process that has just started, or was out of step, does not know what served before or meanwhile, nor does a registry up to 2.6 s old, and peers that answer "unknown" prove nothing about streams of gateways that ended. Ruled out: lost records (all holders were killed), and servers that restarted under their id.

A topic of the log, keyed.software, now holds each service and software version that may have begun a stream. A gateway lists the servers of a version only after its record is acknowledged, and a return without a record waits for a reading of the history that began after it arrived; it goes on only if the history is complete and names a single version. Log lines and kinds of the counter "streams" name the result.

The three new tests in software_versions.rs failed before (mixed streams after a restart while servers drain, after they were removed, and at a suspended gateway) and pass now. The stand-in of the store accepts several records in one append, as the platform does.

--- a/crates/camphorwardd/tests/gateway/software_versions.rs
+++ b/crates/camphorwardd/tests/gateway/software_versions.rs
@@ -340,6 +340,75 @@
     assert_whole(&streams);
 }
 
+/// Starts streams until both versions run at least as many as the test needs.
+async fn start_on_both(fleet: &Fleet, gateway: &Gateway) -> Vec<Held> {
+    let mut streams = Vec::new();
+    while fleet.engines.iter().any(|engine| engine.executed().len() < STREAMS / 2) {
+        streams.push(Held::start(gateway).await);
+    }
+    streams
+}
+
+/// Starts streams at two versions, lets the servers of the old one leave, kills all gateways and
+/// lets the callers return; checks that no stream goes on at another version.
+async fn assert_not_mixed_after_restart(leave: impl Fn(&Fleet, &Server)) {
+    let mut fleet = start(2).await;
+    let mut gateways: [_; 2] = start_gateways(&fleet).await;
+    let old: Vec<String> = fleet.engines.iter().map(Server::id).collect();
+    release(&mut fleet, &[&gateways[0], &gateways[1]]).await;
+    let mut streams = start_on_both(&fleet, &gateways[0]).await;
+    for engine in fleet.engines.iter().filter(|engine| old.contains(&engine.id())) {
+        leave(&fleet, engine);
+    }
+    for gateway in &gateways {
+        until("the old servers have left", || gateway.lines("server_left").len() >= old.len())
+            .await;
+    }
+    gateways.iter_mut().for_each(Gateway::kill);
+    read_cut(&mut streams).await;
+    let again = Gateway::start(&fleet.settings("gateway-1", &[])).await;
+    caller::until_ready(&again).await;
+    caller::until_status(&again, NOTES, 200).await;
+    return_to(&again, &mut streams).await;
+    read_all(&mut streams).await;
+    assert_eq!(outcome(&streams).mixed, 0);
+}
+
+/// Guards against the only version that takes new requests after a restart being taken for all that
+/// served.
+#[tokio::test]
+async fn a_stream_of_draining_servers_does_not_go_on_at_another_version_after_a_restart() {
+    assert_not_mixed_after_restart(|fleet, engine| {
+        let entry = engine.entry("notes", "east-1", 2, "draining");
+        fleet.store.register(&engine.id(), &entry);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_stream_of_removed_servers_does_not_go_on_at_another_version_after_a_restart() {
+    assert_not_mixed_after_restart(|fleet, engine| fleet.store.remove(&engine.id())).await;
+}
+
+/// Guards against a version that joined while a gateway stood still, cut off from the others.
+#[tokio::test]
+async fn a_stream_of_servers_that_a_suspended_gateway_does_not_know_is_not_mixed() {
+    let mut fleet = start(2).await;
+    let [first] = start_gateways(&fleet).await;
+    let mut settings: Value = serde_json::from_str(&fleet.settings("gateway-2", &[])).unwrap();
+    settings["listen"].as_object_mut().unwrap().remove("peers");
+    let suspended = fleet.gateway_with(&settings.to_string()).await;
+    suspended.signal("STOP");
+    release(&mut fleet, &[&first]).await;
+    let mut streams = start_on_both(&fleet, &first).await;
+    drop(first);
+    read_cut(&mut streams).await;
+    return_to(&suspended, &mut streams).await;
+    suspended.signal("CONT");
+    read_all(&mut streams).await;
+    assert_eq!(outcome(&streams).mixed, 0);
+}
+
 /// Terminates a gateway, runs an action while it drains, and starts it again.
 async fn restart(fleet: &Fleet, gateways: &mut [Gateway], index: usize, action: impl FnOnce()) {
     gateways[index].terminate();
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod retry_share;
 pub mod rollout;
 pub mod routes;
+pub mod software_history;
 pub mod streams;
 pub mod terms;
 pub mod waiting;
--- a/crates/dispatch/src/registry.rs
+++ b/crates/dispatch/src/registry.rs
@@ -7,9 +7,9 @@
 pub use crate::registry::presence::{COPIED_ENTRY_MS, EntryPosition, RegistryStatus};
 
 use crate::registry::presence::{Origin, RegisteredServer};
-use crate::streams::RECORD_TTL_MS;
+use crate::streams::StreamOrigin;
 use protocol::ids::{Incarnation, ModelName, ServiceName};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// How long after the store becomes readable again a missing entry may still return, in
 /// milliseconds. The platform documentation gives about two seconds; half a second covers the
@@ -42,8 +42,6 @@
     copy_until: Option<EntryPosition>,
     /// The end of what was read of the log, here or by a peer.
     read_until: Option<EntryPosition>,
-    /// When each software version of a service last had a server that takes new requests.
-    software_used_ms: BTreeMap<(ServiceName, SoftwareVersion), u64>,
 }
 
 impl Registry {
@@ -131,7 +129,6 @@
     /// Removes servers that stayed missing after an outage of the store, and returns removed ones
     /// that stayed listed after a step back.
     pub fn expire_missing(&mut self, now_ms: u64) -> Vec<RegistryChange> {
-        self.record_software(now_ms);
         let mut changes = Vec::new();
         for (id, registered) in self.servers.iter_mut().filter(|_| !self.is_unreachable) {
             match registered.status {
@@ -154,36 +151,9 @@
         changes
     }
 
-    /// Records the software versions that serve at this moment.
-    fn record_software(&mut self, now_ms: u64) {
-        let all = self.servers.values();
-        let usable = all.filter(|registered| registered.status != RegistryStatus::Leaving);
-        for RegisteredServer { entry, .. } in usable {
-            let key = (entry.service.clone(), entry.software.clone());
-            self.software_used_ms.insert(key, now_ms);
-        }
-        self.software_used_ms.retain(|_, used_ms| *used_ms + RECORD_TTL_MS > now_ms);
-    }
-
-    /// Returns the software versions of a service that may have begun a stream which callers still
-    /// take up again.
-    pub fn software_versions(&self, service: &ServiceName, now_ms: u64) -> Vec<SoftwareVersion> {
-        let current = self.usable(service).map(|entry| &entry.software);
-        let recent = self
-            .software_used_ms
-            .iter()
-            .filter(|((of, _), used_ms)| of == service && **used_ms + RECORD_TTL_MS > now_ms);
-        let versions: BTreeSet<&SoftwareVersion> =
-            current.chain(recent.map(|((_, software), _)| software)).collect();
-        versions.into_iter().cloned().collect()
-    }
-
-    /// Returns the services that may have begun a stream which callers still take up again.
-    pub fn recent_services(&self, now_ms: u64) -> BTreeSet<&ServiceName> {
-        let recent = self.software_used_ms.iter();
-        let recent = recent.filter(|(_, used_ms)| **used_ms + RECORD_TTL_MS > now_ms);
-        let current = self.all_usable().map(|entry| &entry.service);
-        current.chain(recent.map(|((service, _), _)| service)).collect()
+    /// Returns the software versions of all servers that take new requests.
+    pub fn software(&self) -> BTreeSet<StreamOrigin> {
+        self.all_usable().map(ServerEntry::stream_origin).collect()
     }
 
     /// Returns the servers that take new requests of a service.
@@ -271,7 +241,6 @@
         until: Option<EntryPosition>,
         now_ms: u64,
     ) -> Vec<RegistryChange> {
-        self.record_software(now_ms);
         let is_older = until.is_some() && until < self.read_until;
         self.read_until = self.read_until.max(until);
         let mut changes = Vec::new();
--- a/crates/dispatch/src/registry/entry.rs
+++ b/crates/dispatch/src/registry/entry.rs
@@ -1,5 +1,6 @@
 //! A server's registration, as its record in the store gives it.
 
+use crate::streams::StreamOrigin;
 use protocol::ids::{FailureDomain, Incarnation, ModelName, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -86,6 +87,13 @@
     pub software: SoftwareVersion,
 }
 
+impl ServerEntry {
+    /// Returns the origin of the streams that the server begins.
+    pub fn stream_origin(&self) -> StreamOrigin {
+        StreamOrigin { service: self.service.clone(), software: self.software.clone() }
+    }
+}
+
 /// The meaning of one of the store's records for a server.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum ServerRecord {
--- a/crates/dispatch/src/streams.rs
+++ b/crates/dispatch/src/streams.rs
@@ -37,7 +37,7 @@
 }
 
 /// What began a stream.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct StreamOrigin {
     /// The service.
     pub service: ServiceName,
@@ -174,26 +174,3 @@
     };
     ranked.into_iter().map(|(domain, hosts)| (domain, rank_hosts(hosts))).collect()
 }
-
-/// The result of a query of peers that brought no record.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Unknown {
-    /// Every queried peer answered that it has none.
-    ToAll,
-    /// Some peers did not answer.
-    ToSome,
-}
-
-/// Returns what began a stream of which no record was found: certain only if a single version has
-/// served since the stream can have begun, and if either the registry is up to date or all peers
-/// answered.
-pub fn origin_without_record(
-    service: &ServiceName,
-    versions: &[SoftwareVersion],
-    unknown: Unknown,
-    is_registry_fresh: bool,
-) -> Option<StreamOrigin> {
-    let [software] = versions else { return None };
-    let is_certain = is_registry_fresh || unknown == Unknown::ToAll;
-    is_certain.then(|| StreamOrigin { service: service.clone(), software: software.clone() })
-}
--- a/crates/dispatch/tests/streams.rs
+++ b/crates/dispatch/tests/streams.rs
@@ -2,12 +2,10 @@
 
 mod common;
 
-use common::{id, server};
-use dispatch::era::StoreEra;
-use dispatch::registry::{EntryPosition, Registry, ServerEntry, ServerRecord, SoftwareVersion};
+use common::id;
+use dispatch::registry::SoftwareVersion;
 use dispatch::streams::{
-    Holder, RECORD_TTL_MS, StreamKey, StreamOrigin, StreamRecord, StreamTable, Unknown, holders,
-    origin_without_record, queried,
+    Holder, RECORD_TTL_MS, StreamKey, StreamOrigin, StreamRecord, StreamTable, holders, queried,
 };
 use protocol::ids::{FailureDomain, HostName};
 use quickcheck::{Arbitrary, Gen};
@@ -53,50 +51,6 @@
     assert_eq!(table.origin(&StreamKey::new(b"59999"), 1_000), Some(&origin("v1")));
 }
 
-#[test]
-fn a_version_is_certain_without_a_record_only_if_no_other_served() {
-    let service = id("notes");
-    let one = [SoftwareVersion::new("v1")];
-    let two = [SoftwareVersion::new("v1"), SoftwareVersion::new("v2")];
-    let find = |versions: &[SoftwareVersion], unknown, is_fresh| {
-        origin_without_record(&service, versions, unknown, is_fresh)
-    };
-    assert_eq!(find(&one, Unknown::ToSome, true), Some(origin("v1")));
-    assert_eq!(find(&one, Unknown::ToAll, false), Some(origin("v1")));
-    assert_eq!(find(&one, Unknown::ToSome, false), None);
-    assert_eq!(find(&two, Unknown::ToAll, true), None);
-    assert_eq!(find(&[], Unknown::ToAll, true), None);
-}
-
-fn position(offset: u64) -> EntryPosition {
-    EntryPosition { era: StoreEra::new(1), offset }
-}
-
-#[test]
-fn a_version_counts_for_a_while_after_its_last_server_left() {
-    let mut registry = Registry::new();
-    let with_software = |name: &str, software: &str| ServerEntry {
-        software: SoftwareVersion::new(software),
-        ..server(name, "east-1", 1)
-    };
-    registry.apply(ServerRecord::Present(with_software("a", "v1")), position(1), 1_000);
-    registry.apply(ServerRecord::Present(with_software("b", "v2")), position(2), 1_000);
-    registry.expire_missing(1_000);
-    registry.apply(
-        ServerRecord::Absent(dispatch::registry::ServerId::new("a")),
-        position(3),
-        2_000,
-    );
-    registry.expire_missing(2_000);
-    let versions = |now_ms| {
-        let versions = registry.software_versions(&id("notes"), now_ms);
-        versions.iter().map(|version| version.as_str().to_owned()).collect::<Vec<_>>()
-    };
-    assert_eq!(versions(2_000), ["v1", "v2"]);
-    assert_eq!(versions(1_000 + RECORD_TTL_MS), ["v2"]);
-    assert!(registry.software_versions(&id("desk"), 2_000).is_empty());
-}
-
 /// Guards against a record with too few holders, because other gateways do not report yet.
 #[test]
 fn a_record_has_three_holders_although_peers_have_not_reported() {
--- a/crates/gateway/src/callers/resumed.rs
+++ b/crates/gateway/src/callers/resumed.rs
@@ -1,20 +1,16 @@
 //! Streams that callers take up again after a broken connection.
 
 use crate::answer::Refusal;
+use crate::event;
 use crate::node::Node;
 use crate::peers;
 use dispatch::configuration::{Configuration, Route, RouteKind};
-use dispatch::registry::SoftwareVersion;
 use dispatch::routes;
-use dispatch::streams::{self, StreamKey, StreamOrigin, Unknown};
+use dispatch::software_history::UnknownOrigin;
+use dispatch::streams::{StreamKey, StreamOrigin};
 use http::{HeaderMap, HeaderValue};
 use platform::headers::{LAST_EVENT_ID, RESUMES};
 use protocol::ids::ServiceName;
-use std::collections::BTreeSet;
-
-/// The age of the store's cached state up to which the registry lists all software versions in use,
-/// in milliseconds.
-const MAX_REGISTRY_AGE_MS: u64 = 2_600;
 
 /// Where a request goes, and the stream that its answer belongs to.
 #[derive(Debug)]
@@ -63,23 +59,30 @@
     stream: Option<StreamKey>,
     service: &ServiceName,
 ) -> Option<StreamOrigin> {
-    let unknown = match stream {
-        Some(stream) => match peers::find_stream_origin(node, stream).await {
-            Ok(origin) => return Some(origin),
-            Err(unknown) => unknown,
-        },
-        None => Unknown::ToSome,
+    if let Some(stream) = stream
+        && let Some(origin) = peers::find_stream_origin(node, stream).await
+    {
+        return Some(origin);
+    }
+    let found = match node.history_queries.read().await {
+        Some(reading) => {
+            let (history, era) = &*reading;
+            let registered = node.state().registry.software();
+            // The route may have named another service when the stream began.
+            let may_have_begun =
+                |other: &ServiceName| other == service || may_stream(configuration, other);
+            history.only_origin(*era, registered, service, may_have_begun)
+        }
+        None => Err(UnknownOrigin::HistoryUnread),
     };
-    let is_fresh = node.store_age_ms().is_some_and(|age_ms| age_ms < MAX_REGISTRY_AGE_MS);
-    let now_ms = node.now_ms();
-    let state = node.state();
-    // The route may have named another service when the stream began.
-    let services = state.registry.recent_services(now_ms).into_iter();
-    let services = services.filter(|other| *other == service || may_stream(configuration, other));
-    let versions: BTreeSet<SoftwareVersion> =
-        services.flat_map(|other| state.registry.software_versions(other, now_ms)).collect();
-    let versions: Vec<SoftwareVersion> = versions.into_iter().collect();
-    streams::origin_without_record(service, &versions, unknown, is_fresh)
+    let result = found.as_ref().map_or_else(|unknown| unknown.as_str(), |_| "only_version");
+    node.metrics.count("streams", result);
+    event!(info, node.now_ms(), "stream_without_record", {
+        "service": service.as_str(),
+        "result": result,
+        "software": found.as_ref().ok().map(|origin| origin.software.as_str()),
+    });
+    found.ok()
 }
 
 /// Returns whether a service may have begun streams; one that is no longer configured may.
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
+use crate::software_history;
 use crate::{discovery, paths, peers, rollout_leader};
 use crate::{watch_blocks, watch_servers};
 use std::io;
@@ -139,6 +140,7 @@
         tokio::spawn(peers::share_loads(Arc::clone(node), socket));
     }
     tokio::spawn(follow::run(Arc::clone(node)));
+    tokio::spawn(software_history::answer_queries(Arc::clone(node)));
     tokio::spawn(crashes::read(Arc::clone(node)));
     tokio::spawn(crashes::write(Arc::clone(node)));
     tokio::spawn(watch_servers::run(Arc::clone(node)));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,6 +2,7 @@
 
 mod operator;
 mod servers;
+mod software;
 
 pub use crate::follow::operator::apply as apply_operator_record;
 pub use crate::follow::servers::handle_registry_changes;
@@ -153,9 +154,8 @@
     next_servers_ms: &mut u64,
 ) -> Result<(), StoreError> {
     if node.now_ms() >= *next_servers_ms {
-        servers.read(node, store).await?;
         let interval_ms = SERVER_READ_SHARE * node.settings.bounds.drain_ms as f64;
-        *next_servers_ms = node.now_ms() + interval_ms as u64;
+        *next_servers_ms = servers.read(node, store, interval_ms as u64).await?;
     }
     if node.in_force().is_none() && node.eras().known().is_some() {
         peers::consult(node).await;
--- a/crates/gateway/src/follow/servers.rs
+++ b/crates/gateway/src/follow/servers.rs
@@ -1,13 +1,19 @@
 //! The servers' entries.
 
 use crate::event;
+use crate::follow::software::SoftwareRecords;
 use crate::node::Node;
 use crate::store::{LogPosition, StoreClient, StoreError};
 use dispatch::era::StoreEra;
 use dispatch::registry::{RegistryChange, ServerRecord};
+use dispatch::streams::StreamOrigin;
 use platform::frames::decode_keyed;
 use platform::servers::decode_entry;
 use platform::store::SERVER_TOPIC;
+use std::collections::BTreeSet;
+
+/// The interval at which a listing that held servers back is repeated, in milliseconds.
+const HELD_BACK_INTERVAL_MS: u64 = 250;
 
 /// The position of the next read; `None` before the first listing.
 #[derive(Debug, Default)]
@@ -15,15 +21,24 @@
     next: Option<LogPosition>,
     /// The era of the last listing.
     listed_era: Option<StoreEra>,
+    software: SoftwareRecords,
+    /// Whether servers of the last listing are not used yet.
+    holds_back: bool,
 }
 
 impl ServerRecords {
-    /// Reads new entries, or lists the newest ones first.
+    /// Reads new entries, or lists the newest ones first; returns when to read again, in
+    /// milliseconds, at the given interval.
     ///
     /// # Errors
     ///
     /// Returns an error if the store cannot be read or has deleted the records.
-    pub async fn read(&mut self, node: &Node, store: &mut StoreClient) -> Result<(), StoreError> {
+    pub async fn read(
+        &mut self,
+        node: &Node,
+        store: &mut StoreClient,
+        interval_ms: u64,
+    ) -> Result<u64, StoreError> {
         let era = node.eras().current();
         let changes = match self.next.filter(|next| next.era == era) {
             None => self.list(node, store).await?,
@@ -32,7 +47,8 @@
         let now_ms = node.now_ms();
         let expired = node.state().registry.expire_missing(now_ms);
         handle_registry_changes(node, changes.into_iter().chain(expired), "store");
-        Ok(())
+        let interval_ms = if self.holds_back { HELD_BACK_INTERVAL_MS } else { interval_ms };
+        Ok(now_ms + interval_ms)
     }
 
     async fn list(
@@ -41,13 +57,23 @@
         store: &mut StoreClient,
     ) -> Result<Vec<RegistryChange>, StoreError> {
         let newest = store.newest(SERVER_TOPIC).await?;
-        let records: Vec<(ServerRecord, u64)> =
+        let mut records: Vec<(ServerRecord, u64)> =
             newest.records.iter().map(|(record, offset)| (decode_entry(record), *offset)).collect();
-        self.next = Some(newest.end);
         let was_listed_in = self.listed_era.replace(newest.end.era);
         if was_listed_in.is_some_and(|listed| listed < newest.end.era) {
             node.record_read_again(SERVER_TOPIC, newest.end.era, records.len());
         }
+        let listed = origins(records.iter().map(|(record, _)| record));
+        let started = self.software.start(node, store, &listed, newest.end.era).await;
+        self.next = Some(newest.end);
+        self.holds_back = false;
+        if let Err(error) = started {
+            report_unrecorded(node, &error);
+            let held_back = self.held_back(node, &listed);
+            self.holds_back = !held_back.is_empty();
+            records.retain(|(record, _)| !is_of(record, &held_back));
+            self.next = None;
+        }
         let now_ms = node.now_ms();
         let mut state = node.state();
         state.registry.store_read(now_ms);
@@ -60,6 +86,7 @@
         store: &mut StoreClient,
         from: LogPosition,
     ) -> Result<Vec<RegistryChange>, StoreError> {
+        let forgetting = self.software.prepare_forgetting(node, store).await;
         let batch = match store.read(SERVER_TOPIC, from, 0).await {
             Err(error @ (StoreError::Deleted | StoreError::EraChanged)) => {
                 self.next = None;
@@ -67,18 +94,74 @@
             }
             other => other?,
         };
+        let records: Vec<(ServerRecord, u64)> = batch
+            .records
+            .iter()
+            .zip(from.offset..)
+            .filter_map(|(bytes, offset)| Some((decode_entry(&decode_keyed(bytes).ok()?), offset)))
+            .collect();
+        let mut next = LogPosition { offset: from.offset + batch.records.len() as u64, ..from };
+        let is_at_end = next.offset >= batch.end;
+        let seen = origins(records.iter().map(|(record, _)| record));
+        let mut held_back = BTreeSet::new();
+        if let Err(error) = self.software.record(node, store, &seen, from.era).await {
+            report_unrecorded(node, &error);
+            held_back = self.held_back(node, &seen);
+        }
         let now_ms = node.now_ms();
         let mut changes = Vec::new();
-        let mut state = node.state();
-        state.registry.store_read(now_ms);
-        for (bytes, offset) in batch.records.iter().zip(from.offset..) {
-            let Ok(record) = decode_keyed(bytes) else { continue };
-            let at = LogPosition { offset, ..from };
-            changes.extend(state.registry.apply(decode_entry(&record), at.into(), now_ms));
+        {
+            let mut state = node.state();
+            state.registry.store_read(now_ms);
+            for (record, offset) in records {
+                if is_of(&record, &held_back) {
+                    // The records from here on are read again.
+                    next.offset = next.offset.min(offset);
+                    continue;
+                }
+                let at = LogPosition { offset, ..from };
+                changes.extend(state.registry.apply(record, at.into(), now_ms));
+            }
+        }
+        self.next = Some(next);
+        let end = forgetting.inspect_err(|error| report_unrecorded(node, error)).ok().flatten();
+        let end = end.filter(|_| is_at_end);
+        if let Err(error) = self.software.tidy(node, store, end, from.era).await {
+            report_unrecorded(node, &error);
+            // The history may have changed; it is read again.
+            self.next = None;
         }
-        self.next = Some(LogPosition { offset: from.offset + batch.records.len() as u64, ..from });
         Ok(changes)
     }
+
+    /// Returns the versions whose servers cannot be listed yet, because the history does not hold
+    /// them.
+    fn held_back(&self, node: &Node, seen: &BTreeSet<StreamOrigin>) -> BTreeSet<StreamOrigin> {
+        let listed = node.state().registry.software();
+        let is_held_back = |origin: &&StreamOrigin| {
+            !listed.contains(*origin) && !self.software.is_recorded(node, origin)
+        };
+        seen.iter().filter(is_held_back).cloned().collect()
+    }
+}
+
+/// Returns the versions of entries.
+fn origins<'a>(records: impl Iterator<Item = &'a ServerRecord>) -> BTreeSet<StreamOrigin> {
+    let present = records.filter_map(|record| match record {
+        ServerRecord::Present(entry) => Some(entry.stream_origin()),
+        ServerRecord::Absent(_) => None,
+    });
+    present.collect()
+}
+
+/// Returns whether a record is an entry of one of some versions.
+fn is_of(record: &ServerRecord, versions: &BTreeSet<StreamOrigin>) -> bool {
+    matches!(record, ServerRecord::Present(entry) if versions.contains(&entry.stream_origin()))
+}
+
+fn report_unrecorded(node: &Node, error: &StoreError) {
+    node.metrics.count("store_failures", error.as_str());
+    event!(warn, node.now_ms(), "software_history_unwritten", { "error": error.to_string() });
 }
 
 /// Logs changes of the registry, and updates loads and connections to match.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod routing_state;
 pub mod server_answers;
 pub mod settings;
+pub mod software_history;
 mod store;
 pub mod tunnel;
 pub mod watch_blocks;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,6 +12,7 @@
 use crate::pool::Pool;
 use crate::routing_state::RoutingState;
 use crate::settings::GatewaySettings;
+use crate::software_history::HistoryQueries;
 use crate::tunnel::Tunnels;
 use dispatch::choice::GatewayContext;
 use dispatch::configuration::Configuration;
@@ -83,6 +84,8 @@
     pub server_unresponsive: Notify,
     /// The exchange of stream records with other gateways.
     pub stream_exchange: StreamExchange,
+    /// The requests that wait for the history of software versions.
+    pub history_queries: HistoryQueries,
     /// The exchange of evidence on crashes with other gateways.
     pub crash_exchange: CrashExchange,
     /// The exchange of servers' terms with other gateways.
@@ -141,6 +144,7 @@
             capacity_freed: Notify::new(),
             server_unresponsive: Notify::new(),
             stream_exchange: StreamExchange::default(),
+            history_queries: HistoryQueries::default(),
             crash_exchange: CrashExchange::default(),
             terms_exchange: TermsExchange::default(),
             grant_calls: GrantCalls::default(),
--- a/crates/gateway/src/peers/streams.rs
+++ b/crates/gateway/src/peers/streams.rs
@@ -7,7 +7,7 @@
 use crate::node::Node;
 use crate::peers::message::{self, StreamMessage};
 use crate::routing_state::RoutingState;
-use dispatch::streams::{self, Holder, StreamKey, StreamOrigin, StreamRecord, Unknown};
+use dispatch::streams::{self, Holder, StreamKey, StreamOrigin, StreamRecord};
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -131,27 +131,23 @@
     }
 }
 
-/// Finds what began a stream: among the records held here, then by a query of peers.
-///
-/// # Errors
-///
-/// Returns which peers answered that they have no record.
-pub async fn find(node: &Node, key: StreamKey) -> Result<StreamOrigin, Unknown> {
+/// Finds the record of what began a stream: among those held here, then by a query of peers.
+pub async fn find(node: &Node, key: StreamKey) -> Option<StreamOrigin> {
     let queried = {
         let state = node.state();
         if let Some(origin) = state.streams.origin(&key, node.now_ms()) {
-            return Ok(origin.clone());
+            return Some(origin.clone());
         }
         queried(node, &state, &key)
     };
     if queried.is_empty() {
-        return Err(Unknown::ToAll);
+        return None;
     }
     node.stream_exchange.lock_queries().insert(key, HashSet::new());
     let result = query(node, key, &queried).await;
     node.stream_exchange.lock_queries().remove(&key);
-    node.metrics.count("streams", if result.is_ok() { "found" } else { "not_found" });
-    if result.is_ok() {
+    node.metrics.count("streams", if result.is_some() { "found" } else { "not_found" });
+    if result.is_some() {
         // Holders may have ended since the stream began.
         let record = node.state().streams.record(&key, node.now_ms());
         send_to_holders(node, record.as_slice());
@@ -159,11 +155,7 @@
     result
 }
 
-async fn query(
-    node: &Node,
-    key: StreamKey,
-    queried: &[SocketAddr],
-) -> Result<StreamOrigin, Unknown> {
+async fn query(node: &Node, key: StreamKey, queried: &[SocketAddr]) -> Option<StreamOrigin> {
     let exchange = &node.stream_exchange;
     for wait in QUERY_WAITS {
         let answered = exchange.lock_queries().get(&key).cloned().unwrap_or_default();
@@ -174,21 +166,21 @@
         loop {
             let replied = exchange.replied.notified();
             if let Some(origin) = node.state().streams.origin(&key, node.now_ms()) {
-                return Ok(origin.clone());
+                return Some(origin.clone());
             }
             let is_unknown_to_all = exchange
                 .lock_queries()
                 .get(&key)
                 .is_some_and(|answered| queried.iter().all(|peer| answered.contains(peer)));
             if is_unknown_to_all {
-                return Err(Unknown::ToAll);
+                return None;
             }
             if tokio::time::timeout_at(resend_at, replied).await.is_err() {
                 break;
             }
         }
     }
-    Err(Unknown::ToSome)
+    None
 }
 
 fn holders(node: &Node, state: &RoutingState, key: &StreamKey) -> SmallVec<[SocketAddr; 12]> {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -176,7 +176,24 @@
         value: &[u8],
         at: Option<LogPosition>,
     ) -> Result<(Appended, StoreEra), StoreError> {
-        let body = frames::encode_keyed(key, value)?;
+        self.append_all(topic, &[(key.to_owned(), value.to_vec())], at).await
+    }
+
+    /// Appends records as [`StoreClient::append`] does, all or none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error as [`StoreClient::append`] does.
+    pub async fn append_all(
+        &mut self,
+        topic: &str,
+        records: &[(String, Vec<u8>)],
+        at: Option<LogPosition>,
+    ) -> Result<(Appended, StoreEra), StoreError> {
+        let mut body = Vec::new();
+        for (key, value) in records {
+            body.extend(frames::encode_keyed(key, value)?);
+        }
         let call =
             Call::post(wire::append_path(topic, at.map(|at| at.offset)), body, ANSWER_TIMEOUT);
         let (answer, era) = self.call("append", call).await?;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -415,12 +415,16 @@
     if at.is_some_and(|at| at != offset) {
         return Answer::new(&state, 412, encode(&json!({ "end": offset })));
     }
-    let record = &request.body[4..];
-    let key_length = usize::from(record[0]);
-    let key = String::from_utf8_lossy(&record[1..=key_length]).into_owned();
-    records.push((key, record[1 + key_length..].to_vec()));
+    let mut rest = request.body.as_slice();
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let (record, after) = after.split_at(u32::from_be_bytes(*length) as usize);
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        records.push((String::from_utf8_lossy(key).into_owned(), value.to_vec()));
+        rest = after;
+    }
+    let end = records.len() as u64;
     state.appends.push((topic.to_owned(), at));
-    let body = encode(&json!({ "offset": offset, "end": offset + 1 }));
+    let body = encode(&json!({ "offset": offset, "end": end }));
     let answer = Answer::new(&state, 200, body);
     drop(state);
     shared.changed.notify_waiters();
