Test the history of software versions against a store that loses or refuses it

Servers of a version that cannot be recorded get no streams, also at a gateway that starts then, and the versions known are recorded again after a step back of the store. A return is refused, not mixed, if the store lost the record together with all gateways. The stand-in of the store can refuse appends for want of room.

--- a/crates/camphorwardd/tests/gateway/software_versions.rs
+++ b/crates/camphorwardd/tests/gateway/software_versions.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{Fleet, NOTES, QUICK, configuration};
 use crate::process::{Gateway, until};
 use serde_json::{Value, json};
-use standins::fleet::{Server, ServerKind};
+use standins::fleet::{Availability, Server, ServerKind};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -153,8 +153,8 @@
     format!("gateway-{}", index + 1)
 }
 
-/// Starts two engines of the new version and waits until the gateways list them.
-async fn release(fleet: &mut Fleet, gateways: &[&Gateway]) {
+/// Starts two engines of the new version.
+async fn start_new(fleet: &mut Fleet) {
     for _ in 0..2 {
         let id = format!("engine-{}", fleet.engines.len());
         let engine = Server::start(&id, ServerKind::Engine).await.unwrap();
@@ -163,6 +163,11 @@
         fleet.store.register(&id, &engine.entry("notes", "east-1", 1, "ready"));
         fleet.engines.push(engine);
     }
+}
+
+/// Starts two engines of the new version and waits until the gateways list them.
+async fn release(fleet: &mut Fleet, gateways: &[&Gateway]) {
+    start_new(fleet).await;
     for gateway in gateways {
         until("the new engines are listed", || {
             gateway.lines("server_joined").len() >= fleet.engines.len()
@@ -390,6 +395,62 @@
     assert_not_mixed_after_restart(|fleet, engine| fleet.store.remove(&engine.id())).await;
 }
 
+/// Guards against streams of a version that gateways which start later cannot know.
+#[tokio::test]
+async fn servers_of_a_version_that_the_store_does_not_record_get_no_streams() {
+    let mut fleet = start(2).await;
+    let [gateway] = start_gateways(&fleet).await;
+    fleet.store.set_availability(Availability::Full);
+    start_new(&mut fleet).await;
+    until("the version could not be recorded", || {
+        !gateway.lines("software_history_unwritten").is_empty()
+    })
+    .await;
+    start_streams(&gateway).await;
+    let new = &fleet.engines[2..];
+    assert!(new.iter().all(|engine| engine.executed().is_empty()));
+    // Versions that are recorded serve, also at a gateway that starts now.
+    let again = Gateway::start(&fleet.settings("gateway-2", &[])).await;
+    caller::until_status(&again, NOTES, 200).await;
+    assert!(new.iter().all(|engine| engine.executed().is_empty()));
+    fleet.store.set_availability(Availability::Up);
+    start_on_both(&fleet, &gateway).await;
+}
+
+#[tokio::test]
+async fn a_stream_is_not_mixed_after_the_store_lost_the_record_of_its_version() {
+    let mut fleet = start(2).await;
+    let mut gateways: [_; 2] = start_gateways(&fleet).await;
+    let copy = fleet.store.copy();
+    release(&mut fleet, &[&gateways[0], &gateways[1]]).await;
+    let mut streams = start_on_both(&fleet, &gateways[0]).await;
+    gateways.iter_mut().for_each(Gateway::kill);
+    read_cut(&mut streams).await;
+    fleet.store.restore(copy);
+    let again = Gateway::start(&fleet.settings("gateway-1", &[])).await;
+    caller::until_status(&again, NOTES, 200).await;
+    let before = executed(&fleet);
+    return_to(&again, &mut streams).await;
+    let statuses = read_all(&mut streams).await;
+    assert_eq!((statuses, outcome(&streams).mixed), (vec![503; streams.len()], 0));
+    assert_eq!(executed(&fleet), before);
+}
+
+#[tokio::test]
+async fn versions_are_recorded_again_after_a_step_back_of_the_store() {
+    const TOPIC: &str = "keyed.software";
+    let mut fleet = start(2).await;
+    let [gateway] = start_gateways(&fleet).await;
+    let copy = fleet.store.copy();
+    let recorded = fleet.store.keys(TOPIC);
+    release(&mut fleet, &[&gateway]).await;
+    let new: Vec<String> =
+        fleet.store.keys(TOPIC).into_iter().filter(|key| !recorded.contains(key)).collect();
+    assert_eq!(new.len(), 1);
+    fleet.store.restore(copy);
+    until("the new version is recorded again", || fleet.store.keys(TOPIC).contains(&new[0])).await;
+}
+
 /// Guards against a version that joined while a gateway stood still, cut off from the others.
 #[tokio::test]
 async fn a_stream_of_servers_that_a_suspended_gateway_does_not_know_is_not_mixed() {
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -23,6 +23,8 @@
     Refuses,
     /// It answers no call.
     Unresponsive,
+    /// It serves reads, but has no room for appends.
+    Full,
     /// Its answers never end.
     Endless(Endless),
     /// Its lists of newest records have no last page.
@@ -282,7 +284,10 @@
             Availability::EndlessPages if request.path() == "/camphorward/log-newest" => {
                 Answer::new(&lock(shared), 200, endless_page(&request))
             }
-            Availability::Up | Availability::EndlessPages => {
+            Availability::Full if request.path() == "/camphorward/log-append" => {
+                Answer::new(&lock(shared), 507, Vec::new())
+            }
+            Availability::Up | Availability::EndlessPages | Availability::Full => {
                 answer(shared, addresses, &request).await
             }
             Availability::Refuses => Answer::new(&lock(shared), 503, Vec::new()),
