--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::node::Node;
 use crate::operators;
 use crate::settings::GatewaySettings;
+use crate::software_history;
 use crate::supervisor;
 use crate::{discovery, paths, peers, rollout_leader};
 use crate::{watch_blocks, watch_servers};
@@ -143,6 +144,11 @@
         tokio::spawn(peers::share_loads(Arc::clone(node), socket));
     }
     tokio::spawn(supervisor::run(Arc::clone(node), "follow", follow::run));
+    tokio::spawn(supervisor::run(
+        Arc::clone(node),
+        "software_history",
+        software_history::answer_queries,
+    ));
     tokio::spawn(supervisor::run(Arc::clone(node), "crashes_read", crashes::read));
     tokio::spawn(crashes::write(Arc::clone(node)));
     tokio::spawn(supervisor::run(Arc::clone(node), "watch_servers", watch_servers::run));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod routing_state;
 pub mod server_answers;
 pub mod settings;
+pub mod software_history;
 mod store;
 pub mod supervisor;
 pub mod target_weights;
--- a/crates/standins/src/fleet/store.rs
+++ b/crates/standins/src/fleet/store.rs
@@ -24,6 +24,8 @@
     Refuses,
     /// It answers no call.
     Unresponsive,
+    /// It serves reads, but has no room for appends.
+    Full,
     /// Its answers never end.
     Endless(Endless),
     /// Its lists of newest records have no last page.
@@ -289,9 +291,13 @@
             Availability::RepeatedPages if request.path() == "/camphorward/log-newest" => {
                 newest(shared, addresses, request.query("topic"), true)
             }
-            Availability::Up | Availability::EndlessPages | Availability::RepeatedPages => {
-                answer(shared, addresses, &request).await
+            Availability::Full if request.path() == "/camphorward/log-append" => {
+                Answer::new(&lock(shared), 507, Vec::new())
             }
+            Availability::Up
+            | Availability::EndlessPages
+            | Availability::RepeatedPages
+            | Availability::Full => answer(shared, addresses, &request).await,
             Availability::Refuses => Answer::new(&lock(shared), 503, Vec::new()),
             Availability::Unresponsive => return std::future::pending().await,
         };
@@ -448,12 +454,16 @@
     if at.is_some_and(|at| at != offset) {
         return Answer::new(&state, 412, encode(&json!({ "end": offset })));
     }
-    let record = &request.body[4..];
-    let key_length = usize::from(record[0]);
-    let key = record[1..=key_length].to_vec();
-    records.push((key, record[1 + key_length..].to_vec()));
+    let mut rest = request.body.as_slice();
+    while let Some((length, after)) = rest.split_first_chunk::<4>() {
+        let (record, after) = after.split_at(u32::from_be_bytes(*length) as usize);
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        records.push((key.to_vec(), value.to_vec()));
+        rest = after;
+    }
+    let end = records.len() as u64;
     state.appends.push((topic.to_owned(), at));
-    let body = encode(&json!({ "offset": offset, "end": offset + 1 }));
+    let body = encode(&json!({ "offset": offset, "end": end }));
     let answer = Answer::new(&state, 200, body);
     drop(state);
     shared.changed.notify_waiters();
