Test that gateways started after a retirement name no retired block

A gateway is added after the retirement, or restarted after it confirmed; its requests to the engine with older weights must not fetch the retired block at any time.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod pauses;
 mod process;
 mod refusals;
+mod retired_blocks;
 mod settings;
 mod shutdown;
 mod silence;
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -93,6 +93,7 @@
     software_version: String,
     weight_version: u64,
     commands: Vec<Value>,
+    refuses_commands: bool,
     behaviour: Behaviour,
     events: u64,
     event_gap: Duration,
@@ -153,6 +154,7 @@
             software_version: "v1".to_owned(),
             weight_version: 1,
             commands: Vec::new(),
+            refuses_commands: false,
             behaviour: Behaviour::Serves,
             events: 5,
             event_gap: Duration::from_millis(5),
@@ -215,6 +217,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets whether the server refuses all commands, and so keeps its weights.
+    pub fn set_refuses_commands(&self, refuses_commands: bool) {
+        self.lock().refuses_commands = refuses_commands;
+    }
+
     /// Sets the number of events of a stream and the interval between them.
     pub fn set_events(&self, events: u64, gap: Duration) {
         let mut state = self.lock();
--- a/crates/standins/src/fleet/server/serve.rs
+++ b/crates/standins/src/fleet/server/serve.rs
@@ -123,7 +123,8 @@
     let command: Value = rmp_serde::from_slice(&request.body).unwrap_or_default();
     let status = {
         let mut state = lock(state);
-        if command["expect"].as_u64() == Some(state.commands.len() as u64) {
+        let is_expected = command["expect"].as_u64() == Some(state.commands.len() as u64);
+        if is_expected && !state.refuses_commands {
             state.weight_version = command["version"].as_u64().unwrap_or(0);
             state.commands.push(command);
             202
