Free blocks only after each gateway has learned of their retirement, also added ones

Cause: the rollout leader asked the gateways that it had listed (every 20 s) to stop using the blocks of older weights, and took silence of none for consent of all. A gateway that was added meanwhile, or restarted after it had confirmed, named blocks that were being freed.

Ruled out: freeing in another place (only the rollout leader frees blocks; a full store just takes no saves); the listing's interval alone (a shorter one makes the window smaller); the confirmation of a process that is gone (its successor is asked, but may start later).

Change: what is retired is in the store before blocks are freed, in the topic of the gateways' records. A gateway names no cached block before it has registered and then listed that topic, as it did at its start anyway. The leader appends the retirement at the end of its own listing, so that each gateway is in that listing or reads the retirement: two calls a rollout, none at rest. The permission to fetch ends with the listing, the registration, the era and the age of the state; a gateway that had none for a while retires what is superseded. Where gateways do not confirm, the wait follows from when they stop by themselves, which it did not before: one that learned of the weights late used the older ones for longer than the leader waited. An answer that waited while the process was suspended no longer makes the state look new. Beside gateways of earlier builds, which a new bit of their records shows, blocks are freed once no server has the older weights.

Visible: a gateway fetches nothing in the first 2.4 s after its start if the store names its era; a leader that has just started frees nothing for 9 s; frees wait for some 16 s after the naming if a gateway does not confirm (11 s after the retirement before).

--- a/crates/camphorwardd/tests/gateway/retired_blocks.rs
+++ b/crates/camphorwardd/tests/gateway/retired_blocks.rs
@@ -4,6 +4,8 @@
 use crate::caller::{self, new_id, send};
 use crate::fleet::{Fleet, KEY, NOTES, configuration};
 use crate::process::{Gateway, until};
+use gateway::gateways::GatewayRecord;
+use gateway::peers;
 use serde_json::Value;
 use standins::fleet::{Behaviour, BlockStore, ExecutedRequest};
 
@@ -101,6 +103,8 @@
     caller::until_line(&first, "older_parts_given_up").await;
     let added = site.gateway("gateway-2").await;
     site.send_until_retired(&added).await;
+    let freed = ("1/m".to_owned(), SEGMENT.to_owned());
+    until("the block is freed", || site.block_store.freed().contains(&freed)).await;
 }
 
 #[tokio::test]
@@ -123,3 +127,28 @@
     let restarted = site.gateway("gateway-2").await;
     site.send_until_retired(&restarted).await;
 }
+
+#[tokio::test]
+async fn beside_an_earlier_build_blocks_are_retired_once_no_server_has_the_weights() {
+    let site = HalfDone::start().await;
+    let earlier = GatewayRecord {
+        host: "gateway-0".parse().unwrap(),
+        failure_domain: "east-1".parse().unwrap(),
+        peer_address: "127.0.0.1:9".parse().unwrap(),
+        incarnation: 1,
+    };
+    site.fleet.store.append("keyed.gateways", "gateway-0", &peers::encode(&earlier));
+    let first = site.gateway("gateway-1").await;
+    site.name_weights().await;
+    caller::until_line(&first, "parts_not_freed_yet").await;
+    let waiting = &first.lines("parts_not_freed_yet")[0];
+    assert_eq!(
+        (waiting["waits_for"].as_str(), waiting["detail"].as_str()),
+        (Some("earlier_builds"), Some("gateway-0"))
+    );
+    assert!(first.lines("older_parts_given_up").is_empty());
+    site.fleet.engines[1].set_refuses_commands(false);
+    caller::until_line(&first, "older_parts_given_up").await;
+    assert_eq!(site.fleet.engines[1].weight_version(), 2);
+    assert!(caller::metrics(&first).await.contains("block_frees_waiting{kind=\"earlier_builds\"}"));
+}
--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -19,6 +19,7 @@
 use crate::blocks::resident::ResidentBlocks;
 use crate::configuration::{BlockStoreTraits, Configuration};
 use crate::request::{Prompt, PromptSegment, RequestSpec};
+use crate::retirement::Retirements;
 use placement::rendezvous;
 use protocol::ids::ModelName;
 use std::collections::HashMap;
@@ -62,8 +63,8 @@
 pub struct BlockIndex {
     stores: HashMap<SocketAddr, StoreState>,
     residents: ResidentBlocks,
-    /// The oldest weight version of each model whose blocks may be fetched and saved.
-    oldest_used: HashMap<ModelName, u64>,
+    /// The blocks that may not be fetched and saved any more.
+    pub retirements: Retirements,
 }
 
 impl BlockIndex {
@@ -72,17 +73,6 @@
         Self::default()
     }
 
-    /// Stops fetching and saving blocks of a model that were computed with weights older than
-    /// `oldest_used`.
-    pub fn retire(&mut self, model: &ModelName, oldest_used: u64) {
-        let held = self.oldest_used.entry(model.clone()).or_insert(oldest_used);
-        *held = (*held).max(oldest_used);
-    }
-
-    fn is_retired(&self, model: &ModelName, salt: &CacheSalt) -> bool {
-        self.oldest_used.get(model).is_some_and(|oldest| salt.is_older(model, *oldest))
-    }
-
     /// Discards the cached content of a store that restarted or is unreachable.
     pub fn forget_store(&mut self, store: SocketAddr) {
         self.stores.remove(&store);
@@ -174,11 +164,6 @@
         reports.collect()
     }
 
-    /// Returns the oldest weight version of each model whose blocks may be used.
-    pub fn oldest_used(&self) -> Vec<(ModelName, u64)> {
-        self.oldest_used.iter().map(|(model, version)| (model.clone(), *version)).collect()
-    }
-
     /// Returns the tokens that a store holds, including saves in progress.
     pub fn used_tokens(&self, store: SocketAddr, now_ms: u64) -> u64 {
         let Some(state) = self.stores.get(&store) else { return 0 };
@@ -213,7 +198,7 @@
         let mut plan = BlockPlan::default();
         let Some(prompt) = &request.prompt else { return plan };
         let shared = prompt.shared_segments().len();
-        let is_retired = self.is_retired(&prompt.model, salt);
+        let is_retired = self.retirements.is_retired(&prompt.model, salt, now_ms);
         for (index, segment) in prompt.segments.iter().enumerate() {
             if index >= shared || segment.tokens < MIN_FETCH_TOKENS || is_retired {
                 let is_private = index >= shared;
--- a/crates/dispatch/src/era.rs
+++ b/crates/dispatch/src/era.rs
@@ -117,6 +117,11 @@
         self.known
     }
 
+    /// Returns when the current era was first seen; zero before the first answer that names one.
+    pub const fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+
     /// Returns from when on every lease of earlier eras has expired, known of or not. Their last
     /// appends were answered before the first answer of the current era.
     pub const fn leases_expired_at_ms(&self) -> u64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod registry;
 pub mod relays;
 pub mod request;
+pub mod retirement;
 pub mod retry_share;
 pub mod rollout;
 pub mod routes;
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -152,7 +152,7 @@
     let mut fixture = Fixture::new(500_000);
     fixture.report(EAST, 1, vec![stored(&salt(1), 9, 8_000), stored(&salt(2), 9, 8_000)]);
     let model: ModelName = id("m");
-    fixture.index.retire(&model, 2);
+    fixture.index.retirements.retire(&model, 2);
     let request = request(9, 8_000, 2_000);
     assert_eq!(fixture.sources(&request, &salt(1), 0)[1], SegmentSource::Retired);
     assert_eq!(fixture.sources(&request, &salt(2), 0)[1], SegmentSource::Store);
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,13 +1,14 @@
-//! Registers this gateway in the platform's store and lists its peers.
+//! Registers this gateway in the platform's store, and lists its peers and the retired blocks.
 
 use crate::backoff::Backoff;
 use crate::event;
+use crate::gateway_records;
 use crate::gateways::{Features, GatewayRecord};
 use crate::node::Node;
 use crate::peers;
 use crate::store::{StoreClient, StoreError};
 use dispatch::era::StoreEra;
-use platform::store::GATEWAY_TOPIC;
+use platform::store::{GATEWAY_TOPIC, RETIREMENT_KEY};
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,23 +83,28 @@
     record: &GatewayRecord,
 ) -> Result<StoreEra, StoreError> {
     let value = peers::encode_with(record, &Features::LOCAL);
+    let began_ms = node.now_ms();
     let (_, era) = store.append(GATEWAY_TOPIC, record.host.as_str(), &value, None).await?;
+    node.fetch_permit().record_registration(era, began_ms);
     list(node, store).await?;
     Ok(era)
 }
 
 async fn list(node: &Node, store: &mut StoreClient) -> Result<(), StoreError> {
-    let newest = store.newest(GATEWAY_TOPIC).await?;
-    let records = newest.records.into_iter().filter_map(|(record, offset)| {
-        let (gateway, features) = peers::decode_with(record.value.as_deref()?)?;
-        Some((gateway, features, offset))
-    });
-    let records: Vec<(GatewayRecord, Features, u64)> = records.collect();
+    let began_ms = node.now_ms();
+    let listing = gateway_records::list(store).await?;
     let mut state = node.state();
     let before = state.gateways.count();
-    state.gateways.replace_listed(records, EXPIRE_AFTER_LISTINGS);
+    state.gateways.replace_listed(listing.gateways, EXPIRE_AFTER_LISTINGS);
+    for (model, oldest_used) in listing.retired.iter().flatten() {
+        state.blocks.retirements.retire(model, *oldest_used);
+    }
     let count = state.gateways.count();
     drop(state);
+    match listing.retired {
+        Some(_) => node.fetch_permit().record_listing(listing.end.era, began_ms),
+        None => node.metrics.count("unreadable_records", RETIREMENT_KEY),
+    }
     if count != before {
         event!(info, node.now_ms(), "gateways_listed", { "count": count, "before": before });
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,8 +10,6 @@
 mod relay;
 mod source;
 
-pub use crate::forward::place::MAX_FETCH_MS;
-
 use crate::answer::{AnswerBody, Refusal};
 use crate::callers::CallerRequest;
 use crate::crashes;
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -15,6 +15,7 @@
 use dispatch::load::{AttemptCost, ServerTag, SessionTag};
 use dispatch::registry::ServerEntry;
 use dispatch::request::{Prompt, RequestSpec};
+use dispatch::retirement::{MAX_FETCH_MS, Withheld};
 use dispatch::rollout::TargetVersions;
 use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
@@ -30,9 +31,6 @@
 const ENGINE_TIMEOUT_PREFILLS: f64 = 3.0;
 /// The minimum time allowed for fetches, in milliseconds.
 const MIN_FETCH_MS: u64 = 250;
-/// The maximum time allowed for fetches, in milliseconds. The rollout leader waits longer before it
-/// frees blocks.
-pub const MAX_FETCH_MS: u64 = 900;
 /// The weight version to assume while no target version is recorded.
 const FIRST_WEIGHT_VERSION: u64 = 1;
 /// The expected service time of a plain request, in milliseconds.
@@ -83,6 +81,7 @@
     let spec = &request.spec;
     let configuration = &request.in_force.configuration;
     let engines = configuration.services.get(&spec.service).and_then(|found| found.engines());
+    let may_fetch = node.check_fetch(now_ms);
     let mut state = node.state();
     let may_wait = choice::may_wait(request.arrived_ms, spec.deadline_at_ms, now_ms);
     if state.registry.usable(&spec.service).next().is_none() {
@@ -139,8 +138,11 @@
             for source in &mut blocks.fetch {
                 *source = source.filter(|address| *address != entry.address);
             }
-            let fetch_until = fetch_until(node, spec, now_ms);
-            if fetch_until.is_none() {
+            let fetch_until = may_fetch.and_then(|()| fetch_until(node, spec, now_ms));
+            if let Err(reason) = fetch_until
+                && blocks.fetch.iter().any(Option::is_some)
+            {
+                node.metrics.count("fetches_withheld", reason.as_str());
                 blocks.fetch.fill(None);
             }
             state.blocks.book(configuration, spec, &salt, &context, &blocks, now_ms);
@@ -149,6 +151,7 @@
             let targets = state.weights.get(&prompt.model);
             let abort_at_ms =
                 targets.and_then(|targets| targets.abort_at_ms(weight_version, allowed_ms));
+            let fetch_until = fetch_until.ok();
             Some(EnginePlan { salt, weight_version, blocks, fetch_until, abort_at_ms, priority })
         }
         _ => None,
@@ -312,11 +315,15 @@
 }
 
 /// Returns when a request's fetches are discarded, on the servers' clock. Prefilling the prompt
-/// after that time still meets the objective. Returns `None` if nothing may be fetched.
-fn fetch_until(node: &Node, spec: &RequestSpec, now_ms: u64) -> Option<u64> {
+/// after that time still meets the objective.
+///
+/// # Errors
+///
+/// Returns an error if that clock is not known.
+fn fetch_until(node: &Node, spec: &RequestSpec, now_ms: u64) -> Result<u64, Withheld> {
     /// The share of the time to the objective that fetches may take.
     const FETCH_SHARE: f64 = 0.5;
     let to_objective_ms = spec.objective_at_ms.saturating_sub(now_ms) as f64;
     let fetch_ms = ((FETCH_SHARE * to_objective_ms) as u64).clamp(MIN_FETCH_MS, MAX_FETCH_MS);
-    node.may_fetch().then(|| node.to_servers_clock_ms(now_ms + fetch_ms)).flatten()
+    node.to_servers_clock_ms(now_ms + fetch_ms).ok_or(Withheld::UnknownClock)
 }
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -33,14 +33,21 @@
 
 impl Features {
     /// The features of this build.
-    pub const LOCAL: Self = Self(Self::DIGESTS);
+    pub const LOCAL: Self = Self(Self::DIGESTS | Self::LISTS_RETIREMENTS);
     /// It reads digests of load and reports to the relay that sends them.
     const DIGESTS: u32 = 1;
+    /// It lists what is retired after its start, before it fetches cached blocks.
+    const LISTS_RETIREMENTS: u32 = 2;
 
     /// Returns whether the gateway reads digests of load.
     pub const fn reads_digests(self) -> bool {
         self.0 & Self::DIGESTS != 0
     }
+
+    /// Returns whether the gateway lists what is retired before it fetches cached blocks.
+    pub const fn lists_retirements(self) -> bool {
+        self.0 & Self::LISTS_RETIREMENTS != 0
+    }
 }
 
 /// The largest number of gateways that all read the stores directly: a block store holds at most a
@@ -130,6 +137,29 @@
         self.by_host = next;
     }
 
+    /// Adds a listing of the store between those that replace the table.
+    pub fn add_listed(&mut self, records: Vec<(GatewayRecord, Features, u64)>) {
+        self.is_listed = true;
+        for (record, features, offset) in records {
+            let held = self.by_host.get(&record.host);
+            let is_known = held.is_some_and(|held| {
+                let is_same = held.offset == offset && held.features == features;
+                is_same || held.record.incarnation > record.incarnation
+            });
+            if !is_known {
+                let listed = ListedGateway { record, features, offset, unchanged: 0 };
+                self.by_host.insert(listed.record.host.clone(), listed);
+            }
+        }
+    }
+
+    /// Returns the other gateways whose builds do not list what is retired.
+    pub fn earlier_builds(&self) -> impl Iterator<Item = &HostName> {
+        let others = self.by_host.values().filter(|listed| listed.record.host != self.local);
+        let earlier = others.filter(|listed| !listed.features.lists_retirements());
+        earlier.map(|listed| &listed.record.host)
+    }
+
     /// Returns whether the gateways have been listed.
     pub const fn is_listed(&self) -> bool {
         self.is_listed
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod discovery;
 pub mod follow;
 pub mod forward;
+mod gateway_records;
 pub mod gateways;
 pub mod limits;
 pub mod link;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,6 +17,7 @@
 use dispatch::configuration::Configuration;
 use dispatch::era::{EraTracker, IgnoredEra};
 use dispatch::registry::ServerId;
+use dispatch::retirement::{FetchPermit, Retirements, Withheld};
 use dispatch::retry_share::{BudgetBounds, RetryShare};
 use dispatch::routes::RouteTable;
 use std::collections::BTreeSet;
@@ -25,11 +26,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, watch};
 
-/// The age of the store's cached state up to which cached blocks are fetched, in milliseconds.
-/// Longer than most outages of the store, and short compared with the time for which outdated
-/// blocks may occupy memory that is needed.
-pub const MAX_FETCH_STATE_AGE_MS: u64 = 6_000;
-
 /// The memory for answers of servers, in bytes. A process has 110 MB on small hosts.
 const ANSWER_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 
@@ -108,7 +104,7 @@
     is_ending: watch::Sender<bool>,
     /// The latest time at which the process exits; zero while it does not drain.
     ends_ms: AtomicU64,
-    store_read_ms: AtomicU64,
+    fetch_permit: Mutex<FetchPermit>,
     /// The lead of the servers' clock over the node's clock, in milliseconds; zero while unknown.
     server_clock_lead_ms: AtomicU64,
 }
@@ -126,7 +122,9 @@
             regions: settings.regions.clone(),
             prefill_tokens_per_ms: settings.prefill_tokens_per_ms,
         };
-        let state = RoutingState::new(settings.host.clone(), RetryShare::new(bounds));
+        let mut state = RoutingState::new(settings.host.clone(), RetryShare::new(bounds));
+        state.blocks.retirements =
+            Retirements::default().with_allowed_ms(settings.bounds.weights_ms);
         Self {
             context,
             clock: Clock::new(),
@@ -156,7 +154,7 @@
             is_draining: AtomicBool::new(false),
             is_ending: watch::Sender::new(false),
             ends_ms: AtomicU64::new(0),
-            store_read_ms: AtomicU64::new(0),
+            fetch_permit: Mutex::default(),
             server_clock_lead_ms: AtomicU64::new(0),
             settings,
         }
@@ -264,10 +262,20 @@
         self.record_store_age(0);
     }
 
-    /// Records that a peer sent the store's state of `age_ms` ago.
+    /// Records that a peer sent the store's state of `age_ms` ago, after that state was applied.
     pub fn record_store_age(&self, age_ms: u64) {
-        let read_ms = self.now_ms().saturating_sub(age_ms).max(1);
-        self.store_read_ms.fetch_max(read_ms, Ordering::Relaxed);
+        let now_ms = self.now_ms();
+        let read_ms = self.suspensions.written_since_ms(now_ms).saturating_sub(age_ms).max(1);
+        let must_retire = self.fetch_permit().must_retire(now_ms);
+        if must_retire {
+            self.state().blocks.retirements.retire_superseded();
+        }
+        self.fetch_permit().record_state(read_ms);
+    }
+
+    /// Locks the permission to fetch cached blocks. Nothing else may be locked while it is.
+    pub fn fetch_permit(&self) -> MutexGuard<'_, FetchPermit> {
+        self.fetch_permit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records the time on the servers' clock from an answer. The answer was in transit for a
@@ -284,16 +292,23 @@
         (lead_ms > 0).then_some(at_ms + lead_ms)
     }
 
-    /// Returns whether the store's cached state is recent enough to fetch cached blocks. The
-    /// rollout leader waits as long before it frees blocks if a gateway did not confirm their
-    /// retirement.
-    pub fn may_fetch(&self) -> bool {
-        self.store_age_ms().is_some_and(|age_ms| age_ms < MAX_FETCH_STATE_AGE_MS)
+    /// Checks whether a request that is placed now may name cached blocks. Must not be called while
+    /// the routing state is locked.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it may not.
+    pub fn check_fetch(&self, now_ms: u64) -> Result<(), Withheld> {
+        if self.settings.listen.peers.is_none() {
+            return self.fetch_permit().check_alone(now_ms);
+        }
+        let eras = self.eras();
+        self.fetch_permit().check(&eras, now_ms)
     }
 
     /// Returns the age of the store's cached state; `None` before the first read.
     pub fn store_age_ms(&self) -> Option<u64> {
-        let read_ms = self.store_read_ms.load(Ordering::Relaxed);
-        (read_ms > 0).then(|| self.now_ms().saturating_sub(read_ms))
+        let read_ms = self.fetch_permit().state_read_ms()?;
+        Some(self.now_ms().saturating_sub(read_ms))
     }
 }
--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -86,7 +86,7 @@
         has_new_weights |= state.record_target_version(model, version, Found::Listed, now_ms);
     }
     for (model, oldest_used) in answer.oldest_used {
-        state.blocks.retire(&model, oldest_used);
+        state.blocks.retirements.retire(&model, oldest_used);
     }
     if answer.is_complete {
         for (store, _) in state.blocks.dump() {
@@ -159,7 +159,7 @@
         servers: has_servers.then(|| state.registry.snapshot()),
         is_complete: recent.is_none(),
         blocks: recent.unwrap_or_else(all_blocks),
-        oldest_used: state.blocks.oldest_used(),
+        oldest_used: state.blocks.retirements.oldest_used(),
         servers_clock_ms: node.to_servers_clock_ms(node.now_ms()),
         store_era,
         servers_until: state.registry.read_until(),
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -115,7 +115,7 @@
         state.loads.occupy(&server, now_ms + for_ms);
     }
     for (model, oldest_used) in update.oldest_used {
-        state.blocks.retire(&model, oldest_used);
+        state.blocks.retirements.retire(&model, oldest_used);
     }
     for (server, model, version) in update.loaded {
         state.registry.record_version(&server, &model, version);
--- a/crates/gateway/src/rollout_leader.rs
+++ b/crates/gateway/src/rollout_leader.rs
@@ -37,14 +37,14 @@
         if has_work {
             if lease.acquire_or_renew(&node, &mut store).await {
                 step(&node, &mut states, &lease).await;
-                frees.advance(&node, &states, &lease).await;
+                frees.advance(&node, &mut store, &states, &lease).await;
             }
             tokio::time::sleep(STEP_INTERVAL).await;
             continue;
         }
         if lease.is_held() {
             if lease.acquire_or_renew(&node, &mut store).await
-                && !frees.advance(&node, &states, &lease).await
+                && !frees.advance(&node, &mut store, &states, &lease).await
             {
                 tokio::time::sleep(STEP_INTERVAL).await;
                 continue;
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -117,6 +117,7 @@
         let may_be_old = found == Found::Listed && now_ms < clock::START_MS + STARTUP_MS;
         let assumed_age_ms = if may_be_old { ASSUMED_TARGET_AGE_MS } else { 0 };
         let since_ms = now_ms.saturating_sub(assumed_age_ms);
+        self.blocks.retirements.record_target(&model, version, now_ms);
         self.weights.entry(model).or_default().add(version, since_ms)
     }
 
