Keep gateways that have expired off the list

Cause: a gateway whose record has not changed for ten listings is removed from the table, but its record stays in the store, so that the next listing added it for ten more. A gateway that is gone counted for good, but for one listing in eleven: in shares of budgets and limits, and as one that confirms no retirement.

Ruled out: deleting the record in the store, which could hit one that was just written again.

Change: the table keeps the position of the record that has expired, and leaves that one out, also when a peer names it. The position has the era, as offsets are given out again after a step back.

--- a/crates/gateway/src/gateway_records.rs
+++ b/crates/gateway/src/gateway_records.rs
@@ -15,8 +15,8 @@
 /// The newest records of the topic.
 #[derive(Debug)]
 pub struct Listing {
-    /// The gateways, with the offsets of their records.
-    pub gateways: Vec<(GatewayRecord, Features, u64)>,
+    /// The gateways, with the positions of their records.
+    pub gateways: Vec<(GatewayRecord, Features, LogPosition)>,
     /// What is retired; `None` if the record cannot be decoded.
     pub retired: Option<Retired>,
     /// The end of the topic.
@@ -37,7 +37,8 @@
         if record.key == RETIREMENT_KEY {
             listing.retired = codec::decode("retired blocks", value).ok();
         } else if let Some((gateway, features)) = peers::decode_with(value) {
-            listing.gateways.push((gateway, features, offset));
+            let position = LogPosition { offset, ..newest.end };
+            listing.gateways.push((gateway, features, position));
         }
     }
     Ok(listing)
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -1,5 +1,7 @@
 //! The gateways that are registered in the platform's store.
 
+pub use crate::store::LogPosition;
+
 use protocol::ids::{FailureDomain, HostName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -70,33 +72,48 @@
 struct ListedGateway {
     record: GatewayRecord,
     features: Features,
-    offset: u64,
+    /// The position of its record; `None` if a peer named it.
+    position: Option<LogPosition>,
     /// The number of listings since its record last changed.
     unchanged: u32,
 }
 
+/// The record of a gateway that has expired.
+#[derive(Debug)]
+struct ExpiredGateway {
+    position: Option<LogPosition>,
+    incarnation: u64,
+}
+
 /// The table of gateways.
 #[derive(Debug)]
 pub struct Gateways {
     local: HostName,
     by_host: BTreeMap<HostName, ListedGateway>,
+    /// The records of gateways that have expired, which stay in the store.
+    expired: BTreeMap<HostName, ExpiredGateway>,
     is_listed: bool,
 }
 
 impl Gateways {
     /// Creates a table without peers.
     pub const fn new(local: HostName) -> Self {
-        Self { local, by_host: BTreeMap::new(), is_listed: false }
+        Self { local, by_host: BTreeMap::new(), expired: BTreeMap::new(), is_listed: false }
     }
 
     /// Adds a gateway from a peer's snapshot.
     pub fn add(&mut self, record: GatewayRecord) {
         self.is_listed = true;
+        let has_expired = |expired: &ExpiredGateway| record.incarnation <= expired.incarnation;
+        if self.expired.get(&record.host).is_some_and(has_expired) {
+            return;
+        }
         let held = self.by_host.get(&record.host);
         if held.is_none_or(|held| held.record.incarnation < record.incarnation) {
             let host = record.host.clone();
             let features = Features::default();
-            self.by_host.insert(host, ListedGateway { record, features, offset: 0, unchanged: 0 });
+            let listed = ListedGateway { record, features, position: None, unchanged: 0 };
+            self.by_host.insert(host, listed);
         }
     }
 
@@ -115,7 +132,7 @@
     /// because the store has returned from an older copy.
     pub fn replace_listed(
         &mut self,
-        records: Vec<(GatewayRecord, Features, u64)>,
+        records: Vec<(GatewayRecord, Features, LogPosition)>,
         expire_after: u32,
     ) {
         self.is_listed = true;
@@ -123,31 +140,43 @@
         for listed in next.values_mut() {
             listed.unchanged += 1;
         }
-        for (record, features, offset) in records {
+        for (record, features, position) in records {
+            if self.has_expired(&record.host, position) {
+                continue;
+            }
             let held = next.get(&record.host);
-            let unchanged =
-                held.filter(|held| held.offset == offset).map_or(0, |held| held.unchanged);
+            let is_same = |held: &&ListedGateway| held.position == Some(position);
+            let unchanged = held.filter(is_same).map_or(0, |held| held.unchanged);
             let newer = held.map(|held| &held.record);
             let newer = newer.filter(|held| held.incarnation > record.incarnation).cloned();
             let record = newer.unwrap_or(record);
-            let listed = ListedGateway { record, features, offset, unchanged };
+            let listed = ListedGateway { record, features, position: Some(position), unchanged };
             next.insert(listed.record.host.clone(), listed);
         }
-        next.retain(|_, listed| listed.unchanged < expire_after);
+        for (host, expired) in next.extract_if(.., |_, listed| listed.unchanged >= expire_after) {
+            let ListedGateway { position, record, .. } = expired;
+            let incarnation = record.incarnation;
+            self.expired.insert(host, ExpiredGateway { position, incarnation });
+        }
         self.by_host = next;
     }
 
+    fn has_expired(&self, host: &HostName, position: LogPosition) -> bool {
+        self.expired.get(host).is_some_and(|expired| expired.position == Some(position))
+    }
+
     /// Adds a listing of the store between those that replace the table.
-    pub fn add_listed(&mut self, records: Vec<(GatewayRecord, Features, u64)>) {
+    pub fn add_listed(&mut self, records: Vec<(GatewayRecord, Features, LogPosition)>) {
         self.is_listed = true;
-        for (record, features, offset) in records {
+        for (record, features, position) in records {
             let held = self.by_host.get(&record.host);
             let is_known = held.is_some_and(|held| {
-                let is_same = held.offset == offset && held.features == features;
+                let is_same = held.position == Some(position) && held.features == features;
                 is_same || held.record.incarnation > record.incarnation
             });
-            if !is_known {
-                let listed = ListedGateway { record, features, offset, unchanged: 0 };
+            if !is_known && !self.has_expired(&record.host, position) {
+                let position = Some(position);
+                let listed = ListedGateway { record, features, position, unchanged: 0 };
                 self.by_host.insert(listed.record.host.clone(), listed);
             }
         }
