--- a/crates/gateway/src/peers/follow.rs
+++ b/crates/gateway/src/peers/follow.rs
@@ -92,7 +92,7 @@
     let now_ms = node.now_ms();
     let mut state = node.state();
     for (model, oldest_used) in answer.oldest_used {
-        state.blocks.retire(&model, oldest_used);
+        state.blocks.retirements.retire(&model, oldest_used);
     }
     if answer.is_complete {
         for (store, _) in state.blocks.dump() {
@@ -166,7 +166,7 @@
         servers: has_servers.then(|| state.registry.snapshot()),
         is_complete: recent.is_none(),
         blocks: recent.unwrap_or_else(all_blocks),
-        oldest_used: state.blocks.oldest_used(),
+        oldest_used: state.blocks.retirements.oldest_used(),
         servers_clock_ms: node.to_servers_clock_ms(node.now_ms()),
         store_era,
         servers_until: state.registry.read_until(),
--- a/crates/gateway/src/target_weights.rs
+++ b/crates/gateway/src/target_weights.rs
@@ -125,10 +125,15 @@
     change(&mut state.weights);
     state.weights.forget_outdated(allowed_ms, node.now_ms());
     let after = state.weights.clone();
-    drop(state);
     if after.models().eq(before.models()) {
         return;
     }
+    for (model, versions) in after.models() {
+        for target in versions.versions() {
+            state.blocks.retirements.record_target(model, target.version, node.now_ms());
+        }
+    }
+    drop(state);
     node.target_changes.send_modify(|changes| *changes += 1);
     for (model, versions) in after.models() {
         let known = before.get(model);
--- a/crates/gateway/tests/odd_messages.rs
+++ b/crates/gateway/tests/odd_messages.rs
@@ -23,7 +23,7 @@
 use dispatch::streams::StreamTable;
 use gateway::block_log::BlockEvent;
 use gateway::crashes::EvidenceMessage;
-use gateway::gateways::{Features, GatewayRecord, Gateways};
+use gateway::gateways::{Features, GatewayRecord, Gateways, LogPosition};
 use gateway::peers::{
     self, FollowAnswer, FollowRequest, PeerUpdate, Snapshot, StreamMessage, TermsMessage,
 };
@@ -140,7 +140,8 @@
             answer.blocks.iter().for_each(|event| self.apply_blocks(event));
         }
         if let Some((record, features)) = peers::decode_with::<GatewayRecord, Features>(bytes) {
-            self.gateways.replace_listed(vec![(record, features, u64::MAX)], 10);
+            let position = LogPosition { era: StoreEra::new(1), offset: u64::MAX };
+            self.gateways.replace_listed(vec![(record, features, position)], 10);
         }
         if let Some(message) = peers::decode::<EvidenceMessage>(bytes) {
             let evidence = Evidence::from_report(message.report, 5, NOW_MS);
--- a/crates/standins/src/fleet/server.rs
+++ b/crates/standins/src/fleet/server.rs
@@ -103,6 +103,7 @@
     weight_version: u64,
     commands: Vec<Value>,
     ignores_commands: bool,
+    refuses_commands: bool,
     behaviour: Behaviour,
     events: u64,
     event_gap: Duration,
@@ -165,6 +166,7 @@
             weight_version: 1,
             commands: Vec::new(),
             ignores_commands: false,
+            refuses_commands: false,
             behaviour: Behaviour::Serves,
             events: 5,
             event_gap: Duration::from_millis(5),
@@ -228,6 +230,11 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets whether the server refuses all commands, and so keeps its weights.
+    pub fn set_refuses_commands(&self, refuses_commands: bool) {
+        self.lock().refuses_commands = refuses_commands;
+    }
+
     /// Sets the number of events of a stream and the interval between them.
     pub fn set_events(&self, events: u64, gap: Duration) {
         let mut state = self.lock();
