Ask other gateways about versions that are known only to a wide span

Change: a span so wide that older versions are out of use at once counts as uncertain; the number of questions counts anew each time. A time that lies ahead of the clock, as from another writer, no longer displaces what was read, and additions do not overflow.

--- a/crates/dispatch/src/target_versions.rs
+++ b/crates/dispatch/src/target_versions.rs
@@ -91,13 +91,15 @@
     pub fn abort_at_ms(&self, version: u64, allowed_ms: u64) -> Option<u64> {
         let newer = self.versions.iter().filter(|target| target.version > version);
         let since_ms = newer.map(|target| target.since_ms(allowed_ms)).min();
-        since_ms.map(|since_ms| since_ms + share(ABORT_SHARE, allowed_ms))
+        since_ms.map(|since_ms| since_ms.saturating_add(share(ABORT_SHARE, allowed_ms)))
     }
 
     /// Returns the oldest version that requests may still be sent to.
     pub fn oldest_usable(&self, allowed_ms: u64, now_ms: u64) -> u64 {
         let bound_ms = share(OLD_WEIGHTS_SHARE, allowed_ms);
-        let is_due = |target: &&TargetVersion| now_ms >= target.since_ms(allowed_ms) + bound_ms;
+        let is_due = |target: &&TargetVersion| {
+            now_ms >= target.since_ms(allowed_ms).saturating_add(bound_ms)
+        };
         self.versions.iter().filter(is_due).map(|target| target.version).max().unwrap_or(0)
     }
 
@@ -135,7 +137,8 @@
 
     /// Forgets the versions that a newer one has made irrelevant.
     fn forget_outdated(&mut self, allowed_ms: u64, now_ms: u64) {
-        let is_over = |target: &TargetVersion| now_ms >= target.latest_ms + allowed_ms;
+        let is_over =
+            |target: &TargetVersion| now_ms >= target.latest_ms.saturating_add(allowed_ms);
         let Some(newest_over) = self.versions.iter().rposition(is_over) else { return };
         if newest_over > 0 {
             self.versions.drain(..newest_over);
@@ -144,11 +147,16 @@
         }
     }
 
-    /// Returns whether the time of a version matters and nothing bounds it.
+    /// Returns whether the time of a version matters, and either nothing bounds it or its span is so
+    /// wide that older versions are out of use as soon as it is known.
     fn is_uncertain(&self, allowed_ms: u64, now_ms: u64) -> bool {
-        self.versions
-            .iter()
-            .any(|target| target.earliest_ms.is_none() && now_ms < target.latest_ms + allowed_ms)
+        let bound_ms = share(OLD_WEIGHTS_SHARE, allowed_ms);
+        self.versions.iter().any(|target| {
+            let is_narrow = target
+                .earliest_ms
+                .is_some_and(|earliest_ms| target.latest_ms < earliest_ms.saturating_add(bound_ms));
+            !is_narrow && now_ms < target.latest_ms.saturating_add(allowed_ms)
+        })
     }
 }
 
@@ -207,7 +215,9 @@
         let versions = self.models.entry(model.clone()).or_default();
         let known = versions.newest().unwrap_or(0);
         versions.confirmed_by(version, read_ms);
-        if let Some(earliest_ms) = self.complete_until_ms.max(not_before_ms) {
+        // A report may be from a clock that was misjudged.
+        let bounds = [self.complete_until_ms, not_before_ms].into_iter().flatten();
+        if let Some(earliest_ms) = bounds.filter(|earliest_ms| *earliest_ms <= read_ms).max() {
             versions.none_newer_before(known, earliest_ms);
         }
     }
@@ -263,7 +273,7 @@
         }
     }
 
-    /// Returns whether the confirmation of a version that matters is not bounded.
+    /// Returns whether the confirmation of a version that matters is not known well enough.
     pub fn is_uncertain(&self, allowed_ms: u64, now_ms: u64) -> bool {
         self.models.values().any(|versions| versions.is_uncertain(allowed_ms, now_ms))
     }
--- a/crates/dispatch/tests/target_versions.rs
+++ b/crates/dispatch/tests/target_versions.rs
@@ -189,3 +189,36 @@
     assert_eq!(versions(&table).versions().len(), 8);
     assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 60_200 + 6_800), 22);
 }
+
+/// A gateway that stood still for eight seconds, or that the store refused, knows a version only to
+/// within that time; others know it to within a moment. It must ask them, as one that starts does:
+/// until it knows better, it uses no server that has not loaded the version.
+#[test]
+fn a_gateway_that_knows_a_version_only_to_a_wide_span_asks_others() {
+    let mut table = reader(&[(1, 50_000)]);
+    table.record_complete(60_000);
+    table.record_read(&model(), 2, None, 68_000);
+    table.record_complete(68_000);
+    assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 68_000), 2);
+    assert!(table.is_uncertain(ALLOWED_MS, 68_000), "nothing makes it ask");
+}
+
+/// A report's time that lies ahead of the clock says nothing about versions to come, and must not
+/// displace what reading shows.
+#[test]
+fn a_report_from_the_future_does_not_displace_what_was_read() {
+    let mut table = reader(&[(1, 50_000)]);
+    let history = TargetHistory { complete_until_ms: Some(u64::MAX), models: Vec::new() };
+    table.merge(&history);
+    table.record_read(&model(), 2, Some(70_000), 70_100);
+    assert_eq!(versions(&table).newest_since_ms(ALLOWED_MS), Some(70_000));
+}
+
+/// As in the record of a lease that another writer wrote. The version counts from the last read.
+#[test]
+fn a_confirmation_at_the_end_of_time_does_not_overflow() {
+    let mut table = reader(&[(1, 50_000)]);
+    table.record_newest(&model(), 2, u64::MAX);
+    table.forget_outdated(ALLOWED_MS, 60_000);
+    assert_eq!(versions(&table).oldest_usable(ALLOWED_MS, 60_000), 2);
+}
--- a/crates/gateway/src/peers/pull.rs
+++ b/crates/gateway/src/peers/pull.rs
@@ -70,20 +70,24 @@
     }
 }
 
-/// Asks peers since when target weight versions count while this gateway doesn't know, because it
-/// started after they were named.
+/// Asks peers since when target weight versions count whenever this gateway doesn't know, because it
+/// started after they were named or did not read for long.
 pub async fn run_targets(node: Arc<Node>) {
     /// The interval between questions.
     const INTERVAL: Duration = Duration::from_millis(200);
-    /// The number of questions; where all gateways have just started, none of them knows.
+    /// The number of questions each time; where all gateways have just started, none of them knows.
     const QUESTIONS: usize = 10;
     if node.settings.listen.peers.is_none() {
         return;
     }
     let mut asked = 0;
-    while asked < QUESTIONS {
+    loop {
         tokio::time::sleep(INTERVAL).await;
         if !target_weights::is_uncertain(&node) {
+            asked = 0;
+            continue;
+        }
+        if asked == QUESTIONS {
             continue;
         }
         let Some(peer) = pick_peer(&node) else { continue };
