--- a/crates/dispatch/tests/crashes.rs
+++ b/crates/dispatch/tests/crashes.rs
@@ -230,3 +230,23 @@
     let next = crashes.next_trial(&features, 1_000, trial_ms);
     assert_eq!(next.trials[&features].count, u32::MAX);
 }
+
+/// The time of day of the gateway that wrote the record, or of the one that reads it, has jumped.
+#[test]
+fn a_record_that_seems_old_does_not_erase_what_peers_reported() {
+    let features = content(b"body");
+    let now_ms = 1_000_000;
+    let mut noticing = Crashes::new();
+    let mut crashes = Crashes::new();
+    for incarnation in 0..3 {
+        let at_ms = now_ms + incarnation * MIN_SPREAD_MS;
+        let evidence = crash(&mut noticing, &id("s", incarnation), &features, at_ms);
+        crashes.learn(&evidence, at_ms);
+    }
+    let now_ms = now_ms + 3 * MIN_SPREAD_MS;
+    assert!(is_refused(&mut crashes, &features));
+    let stored = Evidence::from_report(noticing.local().to_report(now_ms), EVIDENCE_TTL_MS, now_ms);
+    crashes.learn(&stored, now_ms);
+    crashes.expire(now_ms);
+    assert!(is_refused(&mut crashes, &features), "peers reported three crashes just now");
+}
