Count the last sums of gateways that have fallen silent

Cause: a gateway that hears from no other one decided by its own sums alone, and the others as if its callers got nothing there.

Change: the last sums of a silent gateway count for up to 60 s, as far as an organisation asks for less at the gateways that are heard than it did at all before; so callers that have moved from an ended gateway do not count twice. A gateway that is cut off takes the queue from how much longer answers take than before, and keeps the fair level. At most 1,024 messages are held.

--- a/crates/admission/src/fair_share.rs
+++ b/crates/admission/src/fair_share.rs
@@ -1,14 +1,16 @@
 //! Weighted max-min fair shares of organisations while a service is overloaded.
 
 mod decaying;
+mod last_levels;
 mod level;
 
 use crate::fair_share::decaying::DecayingSum;
+use crate::fair_share::last_levels::LastLevels;
 use protocol::ids::OrganisationId;
 use sharded::Sharded;
 use std::collections::HashMap;
 use std::hash::Hash;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 pub use crate::fair_share::decaying::decayed;
@@ -59,6 +61,11 @@
 }
 
 impl WorkSums {
+    /// Returns a share of the work.
+    pub const fn scaled(self, share: f64) -> Self {
+        Self { offered: share * self.offered, admitted: share * self.admitted }
+    }
+
     /// Adds other sums of the same time.
     pub const fn add(&mut self, other: Self) {
         self.offered += other.offered;
@@ -77,6 +84,9 @@
     /// The fair level, in work per unit of weight, as the bits of an `f64`; see [`fair_level`].
     level: AtomicU64,
     level_due_ms: AtomicU64,
+    last_levels: Mutex<LastLevels>,
+    /// Whether the level stays as it is.
+    is_level_kept: AtomicBool,
     /// The admitted work that the servers cannot serve soon, as the bits of an `f64`.
     unserved: AtomicU64,
 }
@@ -163,6 +173,8 @@
             peers: Mutex::default(),
             level: AtomicU64::new(f64::INFINITY.to_bits()),
             level_due_ms: AtomicU64::new(0),
+            last_levels: Mutex::default(),
+            is_level_kept: AtomicBool::new(false),
             unserved: AtomicU64::new(0),
         }
     }
@@ -180,6 +192,23 @@
         *self.peers() = PeerWork { organisations, at_ms: now_ms, silent_ratio };
     }
 
+    /// Sets whether this host is cut off from the others, at regular intervals. It then keeps the level
+    /// from before if the service was contended.
+    pub fn set_cut_off(&self, is_cut_off: bool) {
+        let mut last = self.last_levels.lock().unwrap_or_else(PoisonError::into_inner);
+        if !is_cut_off {
+            last.record(self.level());
+            self.is_level_kept.store(false, Ordering::Relaxed);
+        } else if let Some(level) = last.kept() {
+            self.level.store(level.to_bits(), Ordering::Relaxed);
+            self.is_level_kept.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn level(&self) -> f64 {
+        f64::from_bits(self.level.load(Ordering::Relaxed))
+    }
+
     /// Sets the work that was admitted and queues for so long that it should not have been. It counts
     /// as work that organisations asked for beyond what the service can serve, before any request is
     /// refused.
@@ -206,7 +235,7 @@
         if used.0 <= 0.0 {
             return used;
         }
-        let share = f64::from_bits(self.level.load(Ordering::Relaxed)) * f64::from(weight.max(1));
+        let share = self.level() * f64::from(weight.max(1));
         let peers = self.peers().work_up_to(organisation, urgency, now_ms);
         let mut shard = self.shards.lock(organisation);
         let Some(usage) = shard.get_mut(organisation) else { return used };
@@ -228,7 +257,7 @@
         now_ms: u64,
         change: impl FnOnce(&mut Usage, usize),
     ) -> ShareUsage {
-        let level = f64::from_bits(self.level.load(Ordering::Relaxed));
+        let level = self.level();
         let urgency = urgency.min(URGENCY_LEVELS - 1);
         let peers = self.peers().work_up_to(organisation, urgency, now_ms);
         let mut shard = self.shards.lock(organisation);
@@ -281,7 +310,7 @@
 
     fn update_level(&self, now_ms: u64) {
         let due_ms = self.level_due_ms.load(Ordering::Relaxed);
-        if now_ms < due_ms {
+        if now_ms < due_ms || self.is_level_kept.load(Ordering::Relaxed) {
             return;
         }
         let next_ms = now_ms + LEVEL_PERIOD_MS;
--- a/crates/admission/src/peer_sums.rs
+++ b/crates/admission/src/peer_sums.rs
@@ -8,6 +8,7 @@
 //! of all hosts to those of its own.
 
 mod report;
+mod silent;
 
 use crate::fair_share::WorkByUrgency;
 use protocol::ids::HostName;
@@ -16,6 +17,8 @@
 
 use crate::peer_sums::report::fitting_rows;
 pub use crate::peer_sums::report::{Covered, MAX_ROWS, PaceRow, Row, SumTable, SumsReport};
+pub use crate::peer_sums::silent::SILENT_TTL_MS;
+use crate::peer_sums::silent::{SilentSums, last_sums};
 
 /// The shortest interval between two messages, in milliseconds.
 pub const REPORT_INTERVAL_MS: u64 = 1_000;
@@ -23,6 +26,8 @@
 pub const SUMS_TTL_MS: u64 = 3_000;
 /// How long sums of a writer that covers fewer hosts are passed over, in milliseconds.
 const RECENT_MS: u64 = 1_500;
+/// The largest number of messages that are held: more than hosts in any installation.
+const MAX_HELD: usize = 1_024;
 /// The interval at which the sums of all hosts are added up, in milliseconds.
 const UPDATE_INTERVAL_MS: u64 = 400;
 
@@ -39,6 +44,18 @@
 struct Held {
     report: SumsReport,
     received_ms: u64,
+    /// Whether it was found to have fallen silent.
+    is_silent: bool,
+}
+
+impl Held {
+    const fn new(report: SumsReport, received_ms: u64) -> Self {
+        Self { report, received_ms, is_silent: false }
+    }
+
+    const fn is_heard(&self, now_ms: u64) -> bool {
+        now_ms < self.received_ms + SUMS_TTL_MS
+    }
 }
 
 /// The sums of all other hosts, as they count at one time.
@@ -50,6 +67,8 @@
     pub hosts: u32,
     /// The age of the oldest message that counts, in milliseconds; `None` if none does.
     pub age_ms: Option<u64>,
+    /// Whether no message arrived for a while, so that this host is probably cut off.
+    pub is_cut_off: bool,
 }
 
 /// The messages of other hosts, as one host holds them.
@@ -57,6 +76,7 @@
 pub struct PeerSums {
     local: HostName,
     held: HashMap<Covered, Held>,
+    silent: SilentSums,
     /// The last message about this host.
     sent: Option<Held>,
     number: u64,
@@ -66,7 +86,14 @@
 impl PeerSums {
     /// Creates the table of a host that has heard of no other.
     pub fn new(local: HostName) -> Self {
-        Self { local, held: HashMap::new(), sent: None, number: 0, updated_ms: None }
+        Self {
+            local,
+            held: HashMap::new(),
+            silent: SilentSums::default(),
+            sent: None,
+            number: 0,
+            updated_ms: None,
+        }
     }
 
     /// Applies a message; returns whether it counts.
@@ -78,10 +105,11 @@
             let is_recent = now_ms < held.received_ms + RECENT_MS;
             held.report.gives_way_to(&report, is_recent)
         });
-        if is_own || !is_newer {
+        let is_full = held.is_none() && self.held.len() >= MAX_HELD;
+        if is_own || !is_newer || is_full {
             return false;
         }
-        self.held.insert(report.covered.clone(), Held { report, received_ms: now_ms });
+        self.held.insert(report.covered.clone(), Held::new(report, now_ms));
         true
     }
 
@@ -94,31 +122,85 @@
         is_due
     }
 
-    /// Returns the sums of all other hosts. Those of a relay count instead of any others.
-    pub fn view(&mut self, now_ms: u64) -> PeerView {
-        self.held.retain(|_, held| now_ms < held.received_ms + SUMS_TTL_MS);
+    /// Returns the sums of all other hosts, beside the work of this one. Those of a relay count
+    /// instead of any others. Hosts that have fallen silent count by their last sums.
+    pub fn view(&mut self, local: &SumTable, now_ms: u64) -> PeerView {
+        self.held.retain(|_, held| now_ms < held.received_ms + SILENT_TTL_MS);
+        let mut view = self.heard(now_ms);
+        let is_recent = |held: &Held| now_ms < held.received_ms + RECENT_MS;
+        view.is_cut_off = !self.held.is_empty() && !self.held.values().any(is_recent);
+        if self.held.get(&Covered::All).is_some_and(|all| all.is_heard(now_ms)) {
+            return view;
+        }
+        let (last, hosts, has_new) = self.last_sums(now_ms);
+        if hosts == 0 {
+            return view;
+        }
+        let mut known = view.sums.clone();
+        known.add_all(local);
+        if has_new {
+            let mut all = known.clone();
+            all.add_all(&last);
+            self.silent.record(&all);
+        }
+        self.silent.add_to(&mut view.sums, &last, &known);
+        view.hosts += hosts;
+        let received = self.held.values().map(|held| held.received_ms).min();
+        view.age_ms = received.map(|received_ms| now_ms.saturating_sub(received_ms));
+        view
+    }
+
+    /// Returns the sums of the other hosts that are heard.
+    fn heard(&self, now_ms: u64) -> PeerView {
         let mut view = PeerView::default();
-        match self.held.get(&Covered::All) {
+        match self.held.get(&Covered::All).filter(|all| all.is_heard(now_ms)) {
             Some(all) => {
                 view.add(all, now_ms);
-                let local = tag(&self.local);
-                if let Some(sent) = &self.sent
-                    && all.report.members.contains(&local)
-                {
+                if let Some(sent) = self.sent_within(all) {
                     view.sums.remove_report(&sent.report, now_ms.saturating_sub(sent.received_ms));
                     view.hosts = view.hosts.saturating_sub(1);
                 }
             }
-            None => self.held.values().for_each(|held| view.add(held, now_ms)),
+            None => {
+                let heard = self.held.values().filter(|held| held.is_heard(now_ms));
+                heard.for_each(|held| view.add(held, now_ms));
+            }
         }
         view
     }
 
+    /// Returns the last sums of the hosts that have fallen silent, their number, and whether one of
+    /// them was heard until now.
+    fn last_sums(&mut self, now_ms: u64) -> (SumTable, u32, bool) {
+        let (mut sums, mut hosts, mut has_new) = (SumTable::default(), 0, false);
+        for held in self.held.values_mut().filter(|held| !held.is_heard(now_ms)) {
+            has_new |= !std::mem::replace(&mut held.is_silent, true);
+        }
+        for held in self.held.values().filter(|held| held.is_silent) {
+            let mut last = last_sums(&held.report);
+            hosts += held.report.credible_hosts();
+            if let Some(sent) = self.sent_within(held) {
+                last.remove_report(&sent.report, silent::SILENT_AGE_MS);
+                hosts -= 1;
+            }
+            sums.add_all(&last);
+            sums.add_paces(&last);
+        }
+        (sums, hosts, has_new)
+    }
+
+    /// Returns the last message about this host if a message on all hosts includes it.
+    fn sent_within(&self, held: &Held) -> Option<&Held> {
+        let is_on_all = held.report.covered == Covered::All;
+        let includes = is_on_all && held.report.members.contains(&tag(&self.local));
+        self.sent.as_ref().filter(|_| includes)
+    }
+
     /// Returns the message about this host with its work.
     pub fn report(&mut self, writer: &Writer<'_>, local: &SumTable, now_ms: u64) -> SumsReport {
         let covered = Covered::Host(self.local.clone());
         let report = self.write(covered, writer, local, 1, Vec::new());
-        self.sent = Some(Held { report: report.clone(), received_ms: now_ms });
+        self.sent = Some(Held::new(report.clone(), now_ms));
         report
     }
 
@@ -132,21 +214,22 @@
         now_ms: u64,
     ) -> [SumsReport; 2] {
         self.held.remove(&Covered::All);
-        self.held.retain(|_, held| now_ms < held.received_ms + SUMS_TTL_MS);
         let mut members = vec![tag(&self.local)];
-        let mut sums = PeerView { sums: local.clone(), hosts: 1, age_ms: None };
-        for (covered, held) in &self.held {
+        let mut sums = PeerView { sums: local.clone(), hosts: 1, ..PeerView::default() };
+        let heard = self.held.iter().filter(|(_, held)| held.is_heard(now_ms));
+        for (covered, held) in heard.clone() {
             if let Covered::Host(host) = covered {
                 members.push(tag(host));
                 sums.add(held, now_ms);
             }
         }
-        let about_domain = self.write(domain.clone(), writer, &sums.sums, sums.hosts, Vec::new());
-        for (covered, held) in &self.held {
+        let (domain_sums, domain_hosts) = (sums.sums.clone(), sums.hosts);
+        for (covered, held) in heard {
             if matches!(covered, Covered::FailureDomain(_)) && *covered != domain {
                 sums.add(held, now_ms);
             }
         }
+        let about_domain = self.write(domain, writer, &domain_sums, domain_hosts, Vec::new());
         let about_all = self.write(Covered::All, writer, &sums.sums, sums.hosts, members);
         [about_domain, about_all]
     }
--- a/crates/admission/src/peer_sums/report.rs
+++ b/crates/admission/src/peer_sums/report.rs
@@ -110,6 +110,11 @@
     }
 }
 
+/// Returns the work that was requested at all levels of urgency.
+pub(super) fn offered(work: &WorkByUrgency) -> f64 {
+    work.iter().map(|work| work.offered).sum()
+}
+
 /// Recent work by service, organisation and urgency.
 #[derive(Clone, Debug, Default)]
 pub struct SumTable {
@@ -170,6 +175,37 @@
         }
     }
 
+    /// Adds the paces of another table.
+    pub(super) fn add_paces(&mut self, other: &Self) {
+        other.paces.values().for_each(|pace| self.add_pace(*pace));
+    }
+
+    /// Calls a function with the work of each organisation on each service.
+    pub(super) fn for_each(
+        &self,
+        mut visit: impl FnMut(ServiceTag, OrganisationTag, &WorkByUrgency),
+    ) {
+        for (service, organisations) in &self.services {
+            organisations
+                .iter()
+                .for_each(|(organisation, work)| visit(*service, *organisation, work));
+        }
+    }
+
+    /// Returns the work of an organisation on a service.
+    pub(super) fn get(
+        &self,
+        service: ServiceTag,
+        organisation: OrganisationTag,
+    ) -> Option<&WorkByUrgency> {
+        self.services.get(&service)?.get(&organisation)
+    }
+
+    /// Adds the work of another table.
+    pub(super) fn add_all(&mut self, other: &Self) {
+        other.for_each(|service, organisation, work| self.add(service, organisation, work));
+    }
+
     /// Removes the rows of a message that was written some time ago.
     pub(super) fn remove_report(&mut self, report: &SumsReport, age_ms: u64) {
         for row in &report.rows {
--- a/crates/dispatch/src/backlog.rs
+++ b/crates/dispatch/src/backlog.rs
@@ -230,6 +230,13 @@
         counted_ms(self.hold_ms().unwrap_or(0.0) * fullness.excess())
     }
 
+    /// Returns the time for which requests surely queue if answers take as long as another pace says,
+    /// whose times include the queue; zero while either is uncertain.
+    pub fn queue_ms_behind(&self, with_queue: &Self) -> f64 {
+        let queue_ms = with_queue.hold_ms().zip(self.hold_ms());
+        counted_ms(queue_ms.map_or(0.0, |(late_ms, hold_ms)| (late_ms - hold_ms).max(0.0)))
+    }
+
     /// Returns the time that a request surely takes on its server, in milliseconds; zero while that
     /// is uncertain.
     pub fn processing_ms(&self, work_tokens: f64) -> f64 {
--- a/crates/gateway/src/shares.rs
+++ b/crates/gateway/src/shares.rs
@@ -4,7 +4,7 @@
 use admission::gate::{AdmissionRequest, Gate, NotAdmitted};
 use admission::peer_sums::{PaceRow, PeerSums, SumTable};
 use admission::return_times::ReturnTimes;
-use dispatch::backlog::{Backlog, Fullness, MAX_COUNTED_SAMPLES, Pace};
+use dispatch::backlog::{Backlog, Fullness, MAX_COUNTED_SAMPLES, Pace, counted_ms};
 use dispatch::limits::OrganisationTag;
 use dispatch::request::RequestSpec;
 use protocol::ids::{HostName, ServiceName};
@@ -89,6 +89,9 @@
     pace: Pace,
     /// The pace that other gateways observed.
     peer_pace: Pace,
+    /// The time that answers take since this gateway is cut off from the others. It does not know the
+    /// load of the servers then, so this includes the time for which requests queue there.
+    cut_off_pace: Pace,
     returns: ReturnTimes,
     /// The latest estimate of the queueing time, and when it was made.
     queue_ms: Option<(f64, u64)>,
@@ -106,13 +109,21 @@
     known_peers: u32,
     /// The age of the oldest sums of peers at that time.
     peers_age_ms: Option<u64>,
+    /// Whether this gateway hears from no other one any more.
+    is_cut_off: bool,
 }
 
 impl Shares {
     /// Creates the state of a gateway that has served no request.
     pub fn new(host: HostName) -> Self {
         let peers = PeerSums::new(host);
-        Self { services: HashMap::new(), peers, known_peers: 0, peers_age_ms: None }
+        Self {
+            services: HashMap::new(),
+            peers,
+            known_peers: 0,
+            peers_age_ms: None,
+            is_cut_off: false,
+        }
     }
 
     /// Adds up what other gateways admitted, if that is due; there are `gateways` in all.
@@ -120,10 +131,16 @@
         if !self.peers.is_update_due(now_ms) {
             return;
         }
-        let mut view = self.peers.view(now_ms);
+        let local = self.local_work(now_ms);
+        let mut view = self.peers.view(&local, now_ms);
         let silent_ratio = view.silent_ratio(gateways);
         (self.known_peers, self.peers_age_ms) = (view.hosts, view.age_ms);
+        self.is_cut_off = view.is_cut_off;
         for (name, service) in &mut self.services {
+            service.gate.shares().set_cut_off(view.is_cut_off);
+            if !view.is_cut_off {
+                service.cut_off_pace = Pace::new();
+            }
             let tag = ServiceTag::new(name);
             let peers = view.sums.pace(tag);
             service.peer_pace = peers.map(to_pace).unwrap_or_default();
@@ -205,7 +222,8 @@
 
     /// Returns how long answers of a service take.
     pub fn pace_mut(&mut self, service: &ServiceName) -> Option<&mut Pace> {
-        self.services.get_mut(service).map(|service| &mut service.pace)
+        let service = self.services.get_mut(service)?;
+        Some(if self.is_cut_off { &mut service.cut_off_pace } else { &mut service.pace })
     }
 }
 
@@ -214,10 +232,12 @@
     fn update(&mut self, estimate: &Estimate, now_ms: u64) -> f64 {
         let Estimate { backlog, fullness, unstarted_ms, gateways } = estimate;
         let pace = self.known_pace();
+        let late_ms = pace.queue_ms_behind(&self.cut_off_pace);
         let queue_ms = if backlog.is_idle() {
-            0.0
+            late_ms
         } else {
-            pace.queue_ms(*fullness).max(dispatch::backlog::counted_ms(*unstarted_ms))
+            let known_ms = pace.queue_ms(*fullness).max(counted_ms(*unstarted_ms));
+            known_ms.max(late_ms)
         };
         self.queue_ms = Some((queue_ms, now_ms));
         self.gate.set_waiting(backlog.waiting() * pace.mean_work_tokens());
