Try a server again whose connection closed before the request was sent

Cause: an attempt whose connection closed before the request was written counted as sent, so the next one took from the retry budget, and its server was left out. A gateway that is cut off such that connections are accepted and closed found all servers left out within a millisecond, and answered 503 (no_server, or servers_refused once the budget was used up). That 503 was true: nothing had been written.

Change: such an attempt no longer counts as sent. A held connection is replaced by another one to the same server. A new connection that closes counts as a failed connection, so that the links are verified, and the servers are allowed once more when that is known, at most 100 ms later. A server that left or asked for a pause meanwhile has a reason of its own in the counters, closed_unsent.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -83,7 +83,12 @@
                 job.wait_in_queue().await;
                 continue;
             }
-            Err(Unplaced::NoServer(reason)) => return job.refuse_unplaced(reason),
+            Err(Unplaced::NoServer(reason)) => {
+                if reason == NoServer::NoneUsable && job.readmit_unsent().await {
+                    continue;
+                }
+                return job.refuse_unplaced(reason);
+            }
             Err(Unplaced::Denied(denial)) => {
                 denial.log(&job);
                 return job.refuse(denial.refusal(), Some(denial.retry_after_ms));
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -108,48 +108,24 @@
 
     /// Sends the request and reads the answer, or the first events of a stream. Dropping the future
     /// closes the connection to the server.
-    pub async fn send(self) -> AttemptResult {
-        let Self { node, request, mut placed, last_event_id, is_continuation, sent, is_logged } =
-            self;
-        let server = placed.entry.id.clone();
-        let ask = Ask::new(&placed.entry, &request.spec);
-        let Some(permit) = limits::ask(&node, &ask).await else {
-            placed.in_flight.end(Outcome::Cancelled);
-            return AttemptResult::NotRun(NotRun::NotGranted);
-        };
-        let Some(mut connection) = acquire_connection(&node, &placed).await else {
-            placed.in_flight.end(Outcome::ConnectionFailed);
-            return AttemptResult::NotRun(NotRun::ConnectFailed);
-        };
-        if let Err(reason) = recheck::may_send(&node, &request, &mut placed, permit) {
-            placed.in_flight.end(Outcome::Cancelled);
-            return AttemptResult::NotRun(reason);
-        }
-        if recheck::has_old_weights(&node, &request, &placed) {
-            placed.in_flight.end(Outcome::Cancelled);
-            return AttemptResult::NotRun(NotRun::OldWeights);
-        }
-        let server_request = head::build(&request, &placed, last_event_id.as_deref(), &node);
-        sent.fetch_add(1, Ordering::Relaxed);
-        if is_logged {
-            log_attempt(&request, &placed, &connection, &node);
-        }
-        let sent_ms = node.now_ms();
-        let sending = connection.connection.sender.try_send_request(server_request);
-        let answer = await_head(&node, &request, &placed, sending).await;
+    pub async fn send(mut self) -> AttemptResult {
+        let headed = self.request_head().await;
+        let Self { node, request, placed, last_event_id, is_continuation, .. } = self;
         let Placed { in_flight, entry, engine, .. } = placed;
-        let weight_version = engine.map(|plan| plan.weight_version);
-        let (head, body) = match answer {
-            Ok(answer) => answer.into_parts(),
-            Err(Unanswered::Unsent) => {
-                in_flight.end(Outcome::Cancelled);
-                return AttemptResult::NotRun(NotRun::Unsent);
+        let Headed { mut connection, answer, sent_ms } = match headed {
+            Ok(headed) => headed,
+            Err(Unanswered::NotRun(reason)) => {
+                in_flight.end(reason.outcome());
+                return AttemptResult::NotRun(reason);
             }
             Err(Unanswered::MayHaveRun(reason)) => {
                 in_flight.fail(reason, &request, false);
                 return AttemptResult::MayHaveRun(reason);
             }
         };
+        let server = entry.id.clone();
+        let weight_version = engine.map(|plan| plan.weight_version);
+        let (head, body) = answer.into_parts();
         if head.headers.get(REQUEST_ID) != Some(&request.id) {
             in_flight.end(Outcome::Failed);
             return AttemptResult::MayHaveRun(MayHaveRun::Mismatched);
@@ -187,6 +163,52 @@
             AnswerClass::Plain => exchange.read_complete().await,
         }
     }
+
+    /// Sends the request and waits for the head of the answer. A held connection that was closed before
+    /// the request was written is replaced by another one to the same server.
+    async fn request_head(&mut self) -> Result<Headed, Unanswered> {
+        let ask = Ask::new(&self.placed.entry, &self.request.spec);
+        let permit = limits::ask(&self.node, &ask).await;
+        let permit = permit.ok_or(Unanswered::NotRun(NotRun::NotGranted))?;
+        loop {
+            let (node, request) = (&self.node, &self.request);
+            let connection = acquire_connection(node, &self.placed).await;
+            let mut connection = connection.ok_or(Unanswered::NotRun(NotRun::ConnectFailed))?;
+            recheck::may_send(node, request, &mut self.placed, permit)
+                .map_err(Unanswered::NotRun)?;
+            if recheck::has_old_weights(node, request, &self.placed) {
+                return Err(Unanswered::NotRun(NotRun::OldWeights));
+            }
+            let last_event_id = self.last_event_id.as_deref();
+            let server_request = head::build(request, &self.placed, last_event_id, node);
+            self.sent.fetch_add(1, Ordering::Relaxed);
+            if self.is_logged {
+                log_attempt(request, &self.placed, &connection, node);
+            }
+            let sent_ms = node.now_ms();
+            let sending = connection.connection.sender.try_send_request(server_request);
+            match await_head(node, request, &self.placed, sending).await {
+                Ok(answer) => return Ok(Headed { connection, answer, sent_ms }),
+                Err(unanswered) => {
+                    if matches!(unanswered, Unanswered::NotRun(_)) {
+                        // What reached no server is no repeat at another one.
+                        self.sent.fetch_sub(1, Ordering::Relaxed);
+                    }
+                    if !(unanswered.is_unsent() && connection.is_reused) {
+                        return Err(unanswered);
+                    }
+                    node.metrics.count("server_connections", "closed_unsent");
+                }
+            }
+        }
+    }
+}
+
+/// The head of an answer, and the connection on which it arrived.
+struct Headed {
+    connection: ServerConnection,
+    answer: Response<Incoming>,
+    sent_ms: u64,
 }
 
 async fn acquire_connection(node: &Node, placed: &Placed) -> Option<ServerConnection> {
@@ -256,10 +278,16 @@
 
 /// The reason why the head of an answer did not arrive.
 enum Unanswered {
-    Unsent,
+    NotRun(NotRun),
     MayHaveRun(MayHaveRun),
 }
 
+impl Unanswered {
+    const fn is_unsent(&self) -> bool {
+        matches!(self, Unanswered::NotRun(NotRun::Unsent))
+    }
+}
+
 /// Waits for the head of the answer, until the deadline passes or the weights of the server are too
 /// old.
 async fn await_head<F>(
@@ -281,7 +309,7 @@
     tokio::select! {
         biased;
         answer = sending => answer.map_err(|mut error| match error.take_message() {
-            Some(_) => Unanswered::Unsent,
+            Some(_) => Unanswered::NotRun(NotRun::Unsent),
             None if error.error().is_parse_too_large() => {
                 Unanswered::MayHaveRun(MayHaveRun::TooLarge)
             }
@@ -330,10 +358,6 @@
     async fn end_refused(self, reason: NotRun) -> AttemptResult {
         let remaining = self.remaining();
         let Self { node, body, connection, in_flight, .. } = self;
-        let outcome = match reason {
-            NotRun::Shed | NotRun::WrongWeights => Outcome::Shed,
-            _ => Outcome::ConnectionFailed,
-        };
         if reason == NotRun::WrongServer {
             remove_replaced(&node, in_flight.server());
         }
@@ -347,7 +371,7 @@
             }
             Ok(Err(ReadError::Aborted(_))) | Err(_) => {}
         }
-        in_flight.end(outcome);
+        in_flight.end(reason.outcome());
         AttemptResult::NotRun(reason)
     }
 
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -39,6 +39,10 @@
     pub may_have_run_on: SmallVec<[ServerId; 2]>,
     /// The servers that are not tried again.
     pub excluded: SmallVec<[ServerId; 4]>,
+    /// The excluded servers that closed a new connection before the request was written.
+    unsent_to: SmallVec<[ServerId; 4]>,
+    /// Whether such servers were allowed once more.
+    has_retried_unsent: bool,
     /// Whether the caller has the head of a stream, which only events may follow.
     pub has_begun: bool,
     /// The id of the last event passed on, from which another server resumes the stream.
@@ -89,6 +93,8 @@
             refused_grants: 0,
             may_have_run_on: SmallVec::new(),
             excluded: SmallVec::new(),
+            unsent_to: SmallVec::new(),
+            has_retried_unsent: false,
             has_begun: false,
             last_event_id: None,
             queued: None,
@@ -303,11 +309,47 @@
         }
     }
 
+    fn record_unsent(&mut self, server: &ServerId) {
+        if !self.has_retried_unsent {
+            self.unsent_to.push(server.clone());
+        }
+    }
+
+    /// Allows the servers once more that closed new connections before the request was written, once it
+    /// is known whether the gateway's own links are the reason. Returns whether there are any.
+    ///
+    /// A gateway that is cut off may find each connection accepted and closed. Its links are verified
+    /// then, and the servers are reached through peers.
+    pub async fn readmit_unsent(&mut self) -> bool {
+        const MAX_WAIT: Duration = Duration::from_millis(100);
+        const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+        self.has_retried_unsent = true;
+        let servers = std::mem::take(&mut self.unsent_to);
+        if servers.is_empty() {
+            return false;
+        }
+        let node = Arc::clone(&self.node);
+        let is_verified = || {
+            let verified = node.being_verified();
+            !servers.iter().any(|server| verified.contains(server))
+        };
+        let verifying = async {
+            while !is_verified() {
+                tokio::time::sleep(CHECK_INTERVAL).await;
+            }
+        };
+        // They are tried whether or not their links were verified in time.
+        drop(tokio::time::timeout(MAX_WAIT, verifying).await);
+        self.excluded.retain(|server| !servers.contains(server));
+        true
+    }
+
     /// Records an attempt that did not run.
     pub fn record_not_run(&mut self, server: &ServerId, reason: NotRun) {
         self.exclude(server);
         match reason {
-            NotRun::ConnectFailed | NotRun::Unsent | NotRun::OldWeights | NotRun::Ineligible => {}
+            NotRun::Unsent => self.record_unsent(server),
+            NotRun::ConnectFailed | NotRun::Closed | NotRun::OldWeights | NotRun::Ineligible => {}
             NotRun::NotGranted => {
                 self.refused_grants += 1;
                 return self.node.metrics.count("failed_sends", reason.as_str());
--- a/crates/gateway/src/forward/outcome.rs
+++ b/crates/gateway/src/forward/outcome.rs
@@ -9,8 +9,10 @@
 pub enum NotRun {
     /// The connection could not be opened.
     ConnectFailed,
-    /// The connection closed before the request was written.
+    /// A new connection closed before the request was written.
     Unsent,
+    /// The server left, asked for a pause or became cold while the connection was opened.
+    Closed,
     /// The holder of a limited server granted no send.
     NotGranted,
     /// The server refused the request without running it.
@@ -31,6 +33,7 @@
         match self {
             NotRun::ConnectFailed => "unconnected",
             NotRun::Unsent => "unsent",
+            NotRun::Closed => "closed_unsent",
             NotRun::NotGranted => "not_granted",
             NotRun::Shed => "shed",
             NotRun::WrongServer => "other_server",
@@ -39,6 +42,19 @@
             NotRun::Ineligible => "ineligible_unsent",
         }
     }
+
+    /// Returns the outcome to record for the server.
+    pub const fn outcome(self) -> Outcome {
+        match self {
+            NotRun::ConnectFailed | NotRun::Unsent | NotRun::WrongServer => {
+                Outcome::ConnectionFailed
+            }
+            NotRun::Shed | NotRun::WrongWeights => Outcome::Shed,
+            NotRun::Closed | NotRun::NotGranted | NotRun::OldWeights | NotRun::Ineligible => {
+                Outcome::Cancelled
+            }
+        }
+    }
 }
 
 /// The reason why it is undetermined whether a request has run.
--- a/crates/gateway/src/forward/recheck.rs
+++ b/crates/gateway/src/forward/recheck.rs
@@ -29,7 +29,7 @@
     let is_permitted =
         permit.is_valid(now_ms) && (permit.is_for_cold() || !state.is_cold(entry, now_ms));
     if !is_usable || !is_permitted || state.is_paused(entry, now_ms) {
-        return Err(NotRun::Unsent);
+        return Err(NotRun::Closed);
     }
     let eligibility = state.eligibility(&allowed, &node.context.regions, now_ms);
     // The blocks' salt and the peer that carries the connection were chosen for the same regions.
