Let streams that a test breaks not end before

Cause: on a busy machine the stream of stream_answers::a_broken_stream_goes_on_with_no_other_answer ended with its 40 events before the other engine was listed, so that there was nothing to break: 2 of 16 runs, 16 at a time on 8 cores, at its check that the stream was aborted. No answer was wrong.

Change: the stream that is broken has a million events. The checks stay.

--- a/crates/camphorwardd/tests/gateway/hedges.rs
+++ b/crates/camphorwardd/tests/gateway/hedges.rs
@@ -62,6 +62,9 @@
     /// Lets a stream break while the only other engine answers resumptions by a script; returns what
     /// the caller gets, and the other engine.
     pub async fn break_onto(&self, script: &Script) -> (Response, Server) {
+        // On a busy machine the stream must not end before the other engine is listed.
+        const ENDLESS: u64 = 1_000_000;
+        self.engine().set_events(ENDLESS, EVENT_GAP);
         let mut started = self.send(NOTES).await;
         until_event(&started, 2).await;
         let scripted = |server: &Server| server.set_script(Some(script.clone()));
