Count servers as cold in the same step that ends an evacuation

Cause: an evacuation ended, and the servers of its domain counted as cold a moment later, under another lock. A request in between was sent without a grant. An evacuation that the store had lost ended by its time alone, up to a poll of the store before its servers counted as cold. Nothing tested the call.

Change: whatever changes the evacuations counts the servers as cold before the state is unlocked. A lost evacuation stays in force until its end is recorded. Whether a target is eligible no longer depends on the time, so that parameter is gone.

--- a/crates/camphorwardd/tests/gateway/cold.rs
+++ b/crates/camphorwardd/tests/gateway/cold.rs
@@ -110,6 +110,33 @@
     assert!(refused.iter().all(|line| line["retry_after_ms"].as_u64() > Some(0)), "{refused:?}");
 }
 
+/// Fails if servers that got nothing while their domain was evacuated get all requests at once.
+#[tokio::test]
+async fn the_servers_of_a_domain_are_cold_once_its_evacuation_has_ended() {
+    let fleet = Fleet::start(0, 2).await;
+    let gateways = start(&fleet, 3).await;
+    for (value, change) in [("{}", "begun"), ("", "ended")] {
+        fleet.store.append("keyed.op", "evacuate/east-1", value.as_bytes());
+        for gateway in &gateways {
+            until(change, || {
+                let lines = gateway.lines("evacuation_changed");
+                lines.iter().any(|line| line["change"] == change)
+            })
+            .await;
+        }
+    }
+    let since = Instant::now();
+    let statuses = load(&gateways, 8, Duration::from_secs(3)).await;
+    assert!(statuses.contains(&200));
+    for server in &fleet.engines {
+        let most = server.most_arrivals_within(SECOND, since);
+        assert!((1..=ALLOWED).contains(&most), "{most} requests in a second");
+        for gateway in &gateways {
+            assert_eq!(sources(gateway, server, true), ["evacuation"]);
+        }
+    }
+}
+
 #[tokio::test]
 async fn what_a_cold_server_does_not_bear_goes_to_others() {
     let fleet = Fleet::start(0, 2).await;
--- a/crates/dispatch/src/eligibility.rs
+++ b/crates/dispatch/src/eligibility.rs
@@ -94,7 +94,6 @@
     /// The region of each failure domain.
     regions: &'a HashMap<FailureDomain, Region>,
     evacuations: &'a Evacuations,
-    now_ms: u64,
 }
 
 impl<'a> Eligibility<'a> {
@@ -103,9 +102,8 @@
         allowed: &'a AllowedRegions,
         regions: &'a HashMap<FailureDomain, Region>,
         evacuations: &'a Evacuations,
-        now_ms: u64,
     ) -> Self {
-        Self { allowed, regions, evacuations, now_ms }
+        Self { allowed, regions, evacuations }
     }
 
     /// Checks whether a server, an engine or a block store of a failure domain may receive the request
@@ -121,7 +119,7 @@
         if !self.evacuations.is_known() {
             return Err(Ineligible::Unlisted);
         }
-        if self.evacuations.is_evacuated(domain, self.now_ms) {
+        if self.evacuations.is_evacuated(domain) {
             return Err(Ineligible::Evacuated);
         }
         Ok(())
--- a/crates/dispatch/src/evacuations.rs
+++ b/crates/dispatch/src/evacuations.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum State {
     InForce,
-    /// In force although a listing of a later era lacks it.
+    /// In force although a listing of a later era lacks it, until it is found to have expired.
     Lost {
         until_ms: u64,
     },
@@ -39,12 +39,8 @@
         }
     }
 
-    const fn is_in_force(self, now_ms: u64) -> bool {
-        match self {
-            State::InForce => true,
-            State::Lost { until_ms } => now_ms < until_ms,
-            State::Ended => false,
-        }
+    const fn is_in_force(self) -> bool {
+        matches!(self, State::InForce | State::Lost { .. })
     }
 }
 
@@ -160,25 +156,21 @@
     }
 
     /// Returns whether a domain is evacuated.
-    pub fn is_evacuated(&self, domain: &FailureDomain, now_ms: u64) -> bool {
-        self.domains.get(domain).is_some_and(|held| held.state.is_in_force(now_ms))
+    pub fn is_evacuated(&self, domain: &FailureDomain) -> bool {
+        self.domains.get(domain).is_some_and(|held| held.state.is_in_force())
     }
 
     /// Returns the domains that are evacuated.
-    pub fn in_force(&self, now_ms: u64) -> impl Iterator<Item = &FailureDomain> {
-        let held = self.domains.iter().filter(move |(_, held)| held.state.is_in_force(now_ms));
+    pub fn in_force(&self) -> impl Iterator<Item = &FailureDomain> {
+        let held = self.domains.iter().filter(|(_, held)| held.state.is_in_force());
         held.map(|(domain, _)| domain)
     }
 
     /// Returns when the last evacuation of a domain ended; `None` if it has not, or if this gateway
     /// knows of none. An end that a peer reported is dated by its age there.
-    pub fn ended_ms(&self, domain: &FailureDomain, now_ms: u64) -> Option<u64> {
+    pub fn ended_ms(&self, domain: &FailureDomain) -> Option<u64> {
         let held = self.domains.get(domain)?;
-        match held.state {
-            State::Ended => Some(held.changed_ms),
-            State::Lost { until_ms } if until_ms <= now_ms => Some(until_ms),
-            State::InForce | State::Lost { .. } => None,
-        }
+        (!held.state.is_in_force()).then_some(held.changed_ms)
     }
 
     /// Records a record that was appended while this gateway read the log.
@@ -220,7 +212,8 @@
         changes
     }
 
-    /// Ends the lost evacuations whose time has passed.
+    /// Ends the lost evacuations whose time has passed. They are in force until this is called, so
+    /// that what follows from their end happens with it.
     pub fn expire(&mut self, now_ms: u64) -> Vec<EvacuationChange> {
         let mut changes = Vec::new();
         for (domain, held) in &mut self.domains {
@@ -268,7 +261,7 @@
     ) -> Option<EvacuationChange> {
         if let Some(held) = self.domains.get(domain)
             && next.state == State::Ended
-            && held.state.is_in_force(now_ms)
+            && held.state.is_in_force()
             && held.position.era < next.position.era
             && next.position.offset < held.position.offset
         {
@@ -300,8 +293,13 @@
                 State::Ended => State::Ended,
             };
         }
-        let was_in_force = held.is_some_and(|held| held.state.is_in_force(now_ms));
-        let is_in_force = next.state.is_in_force(now_ms);
+        if let State::Lost { until_ms } = next.state
+            && until_ms <= now_ms
+        {
+            (next.state, next.changed_ms) = (State::Ended, until_ms);
+        }
+        let was_in_force = held.is_some_and(|held| held.state.is_in_force());
+        let is_in_force = next.state.is_in_force();
         if let (Some(held), true) = (held, was_in_force && is_in_force) {
             next.changed_ms = held.changed_ms;
         }
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -93,7 +93,7 @@
     TransferContext {
         domain,
         regions,
-        eligibility: Eligibility::new(&ALL_REGIONS, regions, &NO_EVACUATIONS, 0),
+        eligibility: Eligibility::new(&ALL_REGIONS, regions, &NO_EVACUATIONS),
         engines: &[],
         engine_link_mbps: Some(280_000.0),
         token_bytes: 18_432,
@@ -393,7 +393,7 @@
     let engine_domain: FailureDomain = id("east-2");
     let holder = Holder { address: address(ENGINE), domain: &engine_domain, has_session: true };
     let transfer_context = TransferContext {
-        eligibility: Eligibility::new(allowed, &fixture.regions, evacuations, 0),
+        eligibility: Eligibility::new(allowed, &fixture.regions, evacuations),
         engines: &[holder],
         ..fixture.transfer_context()
     };
--- a/crates/dispatch/tests/eligibility.rs
+++ b/crates/dispatch/tests/eligibility.rs
@@ -41,7 +41,7 @@
     evacuations: &Evacuations,
     domain: &str,
 ) -> Result<(), Ineligible> {
-    Eligibility::new(allowed, &regions(), evacuations, 0).check(&id(domain))
+    Eligibility::new(allowed, &regions(), evacuations).check(&id(domain))
 }
 
 #[test]
@@ -88,9 +88,9 @@
     let mut evacuations = Evacuations::default();
     evacuate(&mut evacuations, "east-1", 3, true, 0);
     evacuations.list_incomplete(&[], 0);
-    assert!(evacuations.is_known() && evacuations.is_evacuated(&id("east-1"), 0));
+    assert!(evacuations.is_known() && evacuations.is_evacuated(&id("east-1")));
     evacuations.list(&[], at(9), 0);
-    assert!(!evacuations.is_evacuated(&id("east-1"), 0));
+    assert!(!evacuations.is_evacuated(&id("east-1")));
 }
 
 #[test]
@@ -98,12 +98,12 @@
     let domain: FailureDomain = id("east-1");
     let mut evacuations = Evacuations::default();
     evacuate(&mut evacuations, "east-1", 3, true, 1_000);
-    assert_eq!(evacuations.ended_ms(&domain, 1_500), None);
+    assert_eq!(evacuations.ended_ms(&domain), None);
     evacuate(&mut evacuations, "east-1", 4, false, 2_000);
-    assert_eq!(evacuations.ended_ms(&domain, 2_500), Some(2_000));
+    assert_eq!(evacuations.ended_ms(&domain), Some(2_000));
     let mut other = Evacuations::default();
     other.merge(&evacuations.report(2_500), 90_000);
-    assert_eq!(other.ended_ms(&domain, 90_000), Some(89_500));
+    assert_eq!(other.ended_ms(&domain), Some(89_500));
 }
 
 #[test]
@@ -113,8 +113,8 @@
         evacuate(&mut evacuations, &format!("junk-{index}"), index, true, 0);
     }
     evacuate(&mut evacuations, "east-1", 1_000, true, 0);
-    assert!(evacuations.is_evacuated(&id("east-1"), 0));
-    assert!(evacuations.in_force(0).count() < 100);
+    assert!(evacuations.is_evacuated(&id("east-1")));
+    assert!(evacuations.in_force().count() < 100);
 }
 
 #[test]
--- a/crates/dispatch/tests/evacuation_histories.rs
+++ b/crates/dispatch/tests/evacuation_histories.rs
@@ -131,12 +131,16 @@
 
     fn in_force(&self, gateway: usize) -> [bool; DOMAINS.len()] {
         let evacuations = &self.gateways[gateway].evacuations;
-        DOMAINS.map(|domain| evacuations.is_evacuated(&id::<FailureDomain>(domain), self.now_ms))
+        DOMAINS.map(|domain| evacuations.is_evacuated(&id::<FailureDomain>(domain)))
     }
 
     fn run(&mut self, step: &Step) {
         self.now_ms += step.after_ms;
         let now_ms = self.now_ms;
+        // Gateways do so before each read.
+        for gateway in &mut self.gateways {
+            gateway.evacuations.expire(now_ms);
+        }
         match step.event {
             Event::Write { domain, is_evacuated } => self.log.push((domain, is_evacuated)),
             Event::List { gateway, has_removals } => self.list(gateway, has_removals),
@@ -219,7 +223,7 @@
                 .iter()
                 .any(|other| other.domain == record.domain && other.position > record.position);
             let evacuations = &self.gateways[gateway].evacuations;
-            let is_in_force = evacuations.is_evacuated(&record.domain, now_ms);
+            let is_in_force = evacuations.is_evacuated(&record.domain);
             assert!(!is_newest || !is_in_force, "a removal counts at once: {record:?}");
         }
         self.gateways[gateway].next = Some(end);
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -237,35 +237,37 @@
 }
 
 /// Counts the servers of a failure domain as cold after an evacuation of it has ended: until their
-/// entries have been written since, or health checks since say otherwise.
-pub fn assume_after_evacuation(node: &Node, domain: &FailureDomain, ended_ms: u64) {
-    assume_all(node, |entry| entry.domain == *domain, ended_ms, ColdSource::Evacuation);
+/// entries have been written since, or health checks since say otherwise. Must be called before the
+/// servers can be chosen; the changes are to be published.
+pub fn assume_after_evacuation(
+    node: &Node,
+    state: &mut RoutingState,
+    domain: &FailureDomain,
+    ended_ms: u64,
+) -> Vec<ColdChange> {
+    let is_affected = |entry: &ServerEntry| entry.domain == *domain;
+    assume_all(node, state, is_affected, ended_ms, ColdSource::Evacuation)
 }
 
 fn assume_all(
     node: &Node,
+    state: &mut RoutingState,
     is_affected: impl Fn(&ServerEntry) -> bool,
     since_ms: u64,
     source: ColdSource,
-) {
+) -> Vec<ColdChange> {
     if !is_enabled(node) {
-        return;
+        return Vec::new();
     }
     let now_ms = node.now_ms();
-    let changes: Vec<ColdChange> = {
-        let mut guard = node.state();
-        let RoutingState { registry, cold, .. } = &mut *guard;
-        let affected = registry.all_usable().filter(|entry| is_affected(entry));
-        let changes = affected.filter_map(|entry| {
-            let duration_ms = cold.limits.get(&entry.service)?.duration_ms;
-            let for_ms = (since_ms + duration_ms).checked_sub(now_ms)?;
-            let table = &mut cold.table;
-            table.assume(&entry.id, entry.incarnation, since_ms, for_ms, source, now_ms)
-        });
-        changes.collect()
-    };
-    // Other gateways find that out for themselves.
-    publish(node, changes, Spread::None);
+    let RoutingState { registry, cold, .. } = state;
+    let affected = registry.all_usable().filter(|entry| is_affected(entry));
+    let changes = affected.filter_map(|entry| {
+        let duration_ms = cold.limits.get(&entry.service)?.duration_ms;
+        let for_ms = (since_ms + duration_ms).checked_sub(now_ms)?;
+        cold.table.assume(&entry.id, entry.incarnation, since_ms, for_ms, source, now_ms)
+    });
+    changes.collect()
 }
 
 /// Observes the listing of the gateways and forgets servers that are gone, until the process exits;
@@ -302,7 +304,8 @@
         }
     };
     if has_gap {
-        assume_all(node, |_| true, now_ms, ColdSource::Resumed);
+        let changes = assume_all(node, &mut node.state(), |_| true, now_ms, ColdSource::Resumed);
+        publish(node, changes, Spread::None);
     }
 }
 
--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -3,10 +3,11 @@
 use crate::cold;
 use crate::event;
 use crate::node::Node;
+use crate::peers::Spread;
 use crate::store::{LogPosition, NewestRecords, StoreClient};
 use crate::unreadable;
 use dispatch::evacuations::{
-    EvacuationChange, EvacuationChangeKind, EvacuationRecord, EvacuationReport,
+    EvacuationChange, EvacuationChangeKind, EvacuationRecord, EvacuationReport, Evacuations,
 };
 use platform::codec::FormatError;
 use platform::frames::KeyedRecord;
@@ -15,9 +16,9 @@
 /// Records a record of the operators' topic if it evacuates a domain or ends that.
 pub fn record(node: &Node, record: &KeyedRecord, position: LogPosition) {
     let Some(record) = decode(node, record, position) else { return };
-    let now_ms = node.now_ms();
-    let change = node.state().evacuations.record(&record, now_ms);
-    log_changes(node, change.into_iter().collect(), "store");
+    change(node, "store", |evacuations, now_ms| {
+        evacuations.record(&record, now_ms).into_iter().collect()
+    });
 }
 
 /// Records that the operators' topic has been read up to a position.
@@ -33,16 +34,13 @@
     let records = newest.records.iter();
     let records: Vec<EvacuationRecord> =
         records.filter_map(|(record, offset)| decode(node, record, position(*offset))).collect();
-    let now_ms = node.now_ms();
-    let mut state = node.state();
-    let evacuations = &mut state.evacuations;
-    let changes = if newest.is_complete {
-        evacuations.list(&records, newest.end.into(), now_ms)
-    } else {
-        evacuations.list_incomplete(&records, now_ms)
-    };
-    drop(state);
-    log_changes(node, changes, "store");
+    change(node, "store", |evacuations, now_ms| {
+        if newest.is_complete {
+            evacuations.list(&records, newest.end.into(), now_ms)
+        } else {
+            evacuations.list_incomplete(&records, now_ms)
+        }
+    });
 }
 
 /// Lists the evacuations at the store, for a gateway that follows another one which reports none.
@@ -58,24 +56,18 @@
 
 /// Merges what a peer knows; `None` if its build knows no evacuations.
 pub fn merge(node: &Node, report: Option<&EvacuationReport>, source: &str) {
-    let now_ms = node.now_ms();
-    let mut state = node.state();
-    let changes = match report {
-        Some(report) => state.evacuations.merge(report, now_ms),
+    change(node, source, |evacuations, now_ms| match report {
+        Some(report) => evacuations.merge(report, now_ms),
         None => {
-            state.evacuations.record_earlier_build();
+            evacuations.record_earlier_build();
             Vec::new()
         }
-    };
-    drop(state);
-    log_changes(node, changes, source);
+    });
 }
 
 /// Ends the evacuations that the store has lost and nobody wrote again.
 pub fn expire(node: &Node) {
-    let now_ms = node.now_ms();
-    let changes = node.state().evacuations.expire(now_ms);
-    log_changes(node, changes, "time");
+    change(node, "time", Evacuations::expire);
 }
 
 /// Decodes a record; `None` if it is about something else, or names no failure domain.
@@ -95,13 +87,28 @@
     }
 }
 
-/// Counts the servers of a domain as cold once its evacuation has ended; they got nothing meanwhile.
-fn assume_cold(node: &Node, change: &EvacuationChange) {
+/// Applies a change, and logs what it changes. The servers of a domain whose evacuation ends count as
+/// cold before any request can be sent to them: they got nothing meanwhile.
+fn change(
+    node: &Node,
+    source: &str,
+    apply: impl FnOnce(&mut Evacuations, u64) -> Vec<EvacuationChange>,
+) {
     let now_ms = node.now_ms();
-    let ended_ms = node.state().evacuations.ended_ms(&change.domain, now_ms);
-    if let Some(ended_ms) = ended_ms.filter(|_| change.kind == EvacuationChangeKind::Ended) {
-        cold::assume_after_evacuation(node, &change.domain, ended_ms);
+    let mut guard = node.state();
+    let state = &mut *guard;
+    let changes = apply(&mut state.evacuations, now_ms);
+    let mut cold_changes = Vec::new();
+    for change in changes.iter().filter(|change| change.kind == EvacuationChangeKind::Ended) {
+        if let Some(ended_ms) = state.evacuations.ended_ms(&change.domain) {
+            let domain = &change.domain;
+            cold_changes.extend(cold::assume_after_evacuation(node, state, domain, ended_ms));
+        }
     }
+    drop(guard);
+    // Other gateways find that out for themselves.
+    cold::publish(node, cold_changes, Spread::None);
+    log_changes(node, changes, source);
 }
 
 fn log_changes(node: &Node, changes: Vec<EvacuationChange>, source: &str) {
@@ -109,7 +116,6 @@
         return;
     }
     for change in &changes {
-        assume_cold(node, change);
         let kind = match change.kind {
             EvacuationChangeKind::Begun if !change.is_known => "unknown_domain",
             kind => kind.as_str(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -225,8 +225,7 @@
         self.is_ended = true;
         let node = &self.node;
         node.metrics.count("refusals", refusal.as_str());
-        let evacuated: Vec<FailureDomain> =
-            node.state().evacuations.in_force(node.now_ms()).cloned().collect();
+        let evacuated: Vec<FailureDomain> = node.state().evacuations.in_force().cloned().collect();
         event!(warn, node.now_ms(), "request_refused", {
             "request": self.request.id_text(),
             "content": self.request.content.to_string(),
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -191,7 +191,7 @@
         let state = self.node.state();
         let mut others = state.registry.usable(&self.request.spec.service);
         let now_ms = self.node.now_ms();
-        let eligibility = state.eligibility(&allowed, &self.node.context.regions, now_ms);
+        let eligibility = state.eligibility(&allowed, &self.node.context.regions);
         let has_other = others.any(|entry| {
             entry.id != *server
                 && eligibility.allows(&entry.domain)
@@ -207,7 +207,7 @@
         let spec = &self.request.spec;
         let allowed = self.allowed_regions();
         let (state, now_ms) = (self.node.state(), self.node.now_ms());
-        let eligibility = state.eligibility(&allowed, &self.node.context.regions, now_ms);
+        let eligibility = state.eligibility(&allowed, &self.node.context.regions);
         let mut usable = state.registry.usable(&spec.service);
         state.cold.limit(&spec.service).is_some()
             && usable.any(|entry| {
@@ -240,8 +240,7 @@
     pub fn check_servers(&self) -> Result<(), NoServer> {
         let allowed = self.allowed_regions();
         let state = self.node.state();
-        let eligibility =
-            state.eligibility(&allowed, &self.node.context.regions, self.node.now_ms());
+        let eligibility = state.eligibility(&allowed, &self.node.context.regions);
         place::check_servers(&state, &self.request.spec, &eligibility)
     }
 
@@ -251,7 +250,7 @@
         let allowed = self.allowed_regions();
         let state = self.node.state();
         let now_ms = self.node.now_ms();
-        let eligibility = state.eligibility(&allowed, &self.node.context.regions, now_ms);
+        let eligibility = state.eligibility(&allowed, &self.node.context.regions);
         place::first_to_open(&state, self, &eligibility, now_ms)
     }
 
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -139,7 +139,7 @@
     let regions = &node.context.regions;
     let mut state = node.state();
     let may_wait = choice::may_wait(request.arrived_ms, spec.deadline_at_ms, now_ms);
-    let eligibility = state.eligibility(&allowed, regions, now_ms);
+    let eligibility = state.eligibility(&allowed, regions);
     check_servers(&state, spec, &eligibility)?;
     if let Some(closed) = first_to_open(&state, job, &eligibility, now_ms) {
         return Err(NoServer::Closed(closed).into());
@@ -199,7 +199,7 @@
             let salt = salt(job, &prompt.model, weight_version, &allowed);
             let state = &mut *state;
             let gateway_ratio = state.gateway_ratio();
-            let eligibility = Eligibility::new(&allowed, regions, &state.evacuations, now_ms);
+            let eligibility = Eligibility::new(&allowed, regions, &state.evacuations);
             let domain = &entry.domain;
             let context = transfer_context(
                 &state.loads,
--- a/crates/gateway/src/forward/recheck.rs
+++ b/crates/gateway/src/forward/recheck.rs
@@ -31,7 +31,7 @@
     if !is_usable || !is_permitted || state.is_paused(entry, now_ms) {
         return Err(NotRun::Closed);
     }
-    let eligibility = state.eligibility(&allowed, &node.context.regions, now_ms);
+    let eligibility = state.eligibility(&allowed, &node.context.regions);
     // The blocks' salt and the peer that carries the connection were chosen for the same regions.
     let listed = state.registry.get(&entry.id).map_or(&entry.domain, |(listed, _)| &listed.domain);
     let is_eligible = eligibility.allows(&entry.domain) && eligibility.allows(listed);
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -213,9 +213,8 @@
         &'a self,
         allowed: &'a AllowedRegions,
         regions: &'a HashMap<FailureDomain, Region>,
-        now_ms: u64,
     ) -> Eligibility<'a> {
-        Eligibility::new(allowed, regions, &self.evacuations, now_ms)
+        Eligibility::new(allowed, regions, &self.evacuations)
     }
 
     /// Returns whether a server may take an attempt that only shortens the time of a request. Those
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -110,7 +110,7 @@
         }
         // The regions that the request allows are known only to the gateway that asks.
         let allowed = AllowedRegions::default();
-        let eligibility = state.eligibility(&allowed, &node.context.regions, now_ms);
+        let eligibility = state.eligibility(&allowed, &node.context.regions);
         if !carries_calls(request) && !eligibility.allows(&entry.domain) {
             return Err(TunnelError::NotUsable);
         }
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -103,7 +103,12 @@
 #[test]
 fn the_servers_of_a_domain_are_cold_after_its_evacuation() {
     let node = node(&bounds());
-    cold::assume_after_evacuation(&node, &"east-1".parse().unwrap(), node.now_ms());
+    cold::assume_after_evacuation(
+        &node,
+        &mut node.state(),
+        &"east-1".parse().unwrap(),
+        node.now_ms(),
+    );
     assert!(is_cold(&node, "east-1"));
     assert!(!is_cold(&node, "west-1"), "it was not evacuated");
     assert!(!is_cold(&node, "sturdy"), "its service bears as much when cold");
@@ -113,7 +118,7 @@
 fn the_end_of_an_evacuation_that_is_long_over_changes_nothing() {
     let node = node(&bounds());
     let ended_ms = node.now_ms() - COLD_MS - 1;
-    cold::assume_after_evacuation(&node, &"east-1".parse().unwrap(), ended_ms);
+    cold::assume_after_evacuation(&node, &mut node.state(), &"east-1".parse().unwrap(), ended_ms);
     assert!(!is_cold(&node, "east-1"));
 }
 
@@ -141,7 +146,12 @@
     for bounds in [json!({}), json!({ "cold_factor": 1.5 }), json!({ "cold_slack": 5 })] {
         let node = node(&bounds);
         cold::apply_reports(&node, &[report("east-1")], Spread::None);
-        cold::assume_after_evacuation(&node, &"east-1".parse().unwrap(), node.now_ms());
+        cold::assume_after_evacuation(
+            &node,
+            &mut node.state(),
+            &"east-1".parse().unwrap(),
+            node.now_ms(),
+        );
         assert!(!is_cold(&node, "east-1") && cold::reports(&node).is_empty());
     }
 }
