Check a configuration before it is sent

Cause: the store accepts what has the form of a configuration, and gateways take it whole. A route behind another one with the same host and prefix, a misspelt service or region, or a key of two organisations shows only in refused requests.

The checks are decisions without I/O in dispatch, on the configuration as it is written; the platform's crate decodes it with the types that gateways use.

--- a/crates/camphorward/src/commands.rs
+++ b/crates/camphorward/src/commands.rs
@@ -52,7 +52,7 @@
     console: &mut Console<'_>,
 ) -> eyre::Result<()> {
     match command {
-        Command::Check(command) => command.run(console),
+        Command::Check(command) => command.run(console).await,
         Command::Publish(command) => command.run(connections, console).await,
         Command::Show(command) => command.run(connections, console).await,
         Command::History(command) => command.run(connections, console).await,
--- a/crates/camphorward/src/commands/check.rs
+++ b/crates/camphorward/src/commands/check.rs
@@ -1,6 +1,8 @@
 //! `camphorward check`.
 
-use super::read_file;
+mod configuration;
+mod store;
+
 use crate::console::Console;
 use crate::error::CommandError;
 use argh::FromArgs;
@@ -10,16 +12,28 @@
 use std::fmt;
 use std::str::FromStr;
 
-/// Checks a services text or process settings and lists every problem.
+/// Checks a services text, process settings or a configuration and lists every problem.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub(crate) struct Check {
     /// the file
     #[argh(positional, arg_name = "FILE")]
     file: String,
-    /// kind of the file: services or process; detected from its fields if not given
+    /// kind of the file: services, process or configuration; detected from its fields if not given
     #[argh(option, arg_name = "KIND")]
     kind: Option<Kind>,
+    /// file with the configuration in force, to list what differs
+    #[argh(option, arg_name = "FILE")]
+    in_force: Option<String>,
+    /// address of the platform's store, to read the configuration in force from it
+    #[argh(option, arg_name = "ADDR")]
+    store: Option<String>,
+    /// regions of the installation, to find regions that it does not have
+    #[argh(option, arg_name = "REGION[,REGION]")]
+    regions: Option<String>,
+    /// treat warnings on a configuration as errors
+    #[argh(switch)]
+    strict: bool,
 }
 
 /// The kind of a file.
@@ -28,6 +42,7 @@
 enum Kind {
     Services,
     Process,
+    Configuration,
 }
 
 impl FromStr for Kind {
@@ -37,7 +52,8 @@
         match text {
             "services" => Ok(Self::Services),
             "process" => Ok(Self::Process),
-            _ => Err("use services or process".to_owned()),
+            "configuration" => Ok(Self::Configuration),
+            _ => Err("use services, process or configuration".to_owned()),
         }
     }
 }
@@ -58,20 +74,51 @@
 }
 
 impl Check {
-    pub(crate) fn run(self, console: &mut Console<'_>) -> eyre::Result<()> {
-        let text = read_file(&self.file)?;
+    pub(crate) async fn run(self, console: &mut Console<'_>) -> eyre::Result<()> {
+        let bytes = read_bytes(&self.file)?;
         let invalid = |report| CommandError::InvalidText { file: self.file.clone(), report };
         let kind = match self.kind {
             Some(kind) => kind,
-            None => detect_file_kind(&self.file, &text, invalid)?,
+            None => detect_file_kind(&self.file, to_text(&self.file, &bytes)?, invalid)?,
         };
+        if !matches!(kind, Kind::Configuration) {
+            self.refuse_configuration_options()?;
+        }
+        let text = || to_text(&self.file, &bytes);
         let summary = match kind {
-            Kind::Services => summarise_services(&text),
-            Kind::Process => summarise_process(&text),
+            Kind::Services => summarise_services(text()?),
+            Kind::Process => summarise_process(text()?),
+            Kind::Configuration => return self.check_configuration(&bytes, console).await,
         };
         let summary = summary.map_err(invalid)?;
         console.print(&CheckReport { ok: true, file: self.file, kind, summary })
     }
+
+    fn refuse_configuration_options(&self) -> Result<(), CommandError> {
+        let given = [
+            ("--in-force", self.in_force.is_some()),
+            ("--store", self.store.is_some()),
+            ("--regions", self.regions.is_some()),
+            ("--strict", self.strict),
+        ];
+        match given.iter().find(|(_, is_given)| *is_given) {
+            Some((option, _)) => {
+                Err(CommandError::Usage(format!("{option} goes with --kind configuration")))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// Reads a file that need not be text.
+fn read_bytes(file: &str) -> Result<Vec<u8>, CommandError> {
+    std::fs::read(file)
+        .map_err(|error| CommandError::File { file: file.to_owned(), reason: error.to_string() })
+}
+
+fn to_text<'a>(file: &str, bytes: &'a [u8]) -> Result<&'a str, CommandError> {
+    std::str::from_utf8(bytes)
+        .map_err(|error| CommandError::File { file: file.to_owned(), reason: error.to_string() })
 }
 
 fn detect_file_kind(
@@ -83,8 +130,8 @@
         Some(TextKind::Services) => Ok(Kind::Services),
         Some(TextKind::Process) => Ok(Kind::Process),
         None => Err(CommandError::Usage(format!(
-            "cannot detect the kind of {file} from its fields; use --kind services or \
-             --kind process"
+            "cannot detect the kind of {file} from its fields; use --kind services, \
+             --kind process or --kind configuration"
         ))),
     }
 }
--- a/crates/camphorward/src/error.rs
+++ b/crates/camphorward/src/error.rs
@@ -5,6 +5,7 @@
 use protocol::ids::{ConfigVersion, HostName, LogOffset, RequestId};
 use serde::Serialize;
 use settings::problem::{Problem, Report};
+use std::net::SocketAddr;
 use thiserror::Error;
 
 /// The error of a command.
@@ -26,6 +27,30 @@
         /// The problems.
         report: Report,
     },
+    /// A configuration cannot be decoded.
+    #[error("{file}: {reason}")]
+    MalformedConfiguration {
+        /// The file as given on the command line.
+        file: String,
+        /// What is malformed, with its place.
+        reason: String,
+    },
+    /// A configuration has errors, which the report lists.
+    #[error("{file}: errors in the configuration: {errors}")]
+    InvalidConfiguration {
+        /// The file as given on the command line.
+        file: String,
+        /// The number of errors.
+        errors: usize,
+    },
+    /// The platform's store cannot be read.
+    #[error("cannot read the configuration in force from the store at {address}: {reason}")]
+    Store {
+        /// The store.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
     /// An option or argument is missing or invalid.
     #[error("{0}")]
     Usage(String),
@@ -101,9 +126,14 @@
     /// Returns the exit code.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::File { .. } | Self::InvalidText { .. } | Self::Usage(_) => Exit::InvalidInput,
+            Self::File { .. }
+            | Self::InvalidText { .. }
+            | Self::MalformedConfiguration { .. }
+            | Self::InvalidConfiguration { .. }
+            | Self::Usage(_) => Exit::InvalidInput,
             Self::Conflict { .. } => Exit::Conflict,
             Self::Log(_)
+            | Self::Store { .. }
             | Self::AppendUnconfirmed { .. }
             | Self::Nodes(_)
             | Self::Node { .. }
--- a/crates/camphorward/src/exit.rs
+++ b/crates/camphorward/src/exit.rs
@@ -15,7 +15,7 @@
     InvalidInput = 2,
     /// Another configuration was accepted first; nothing was changed.
     Conflict = 3,
-    /// The log or the entry hosts are unreachable, or did not answer in time.
+    /// The log, the store or the entry hosts are unreachable, or did not answer in time.
     Unreachable = 4,
     /// The log or an entry host refused the request, or the version or request does not exist.
     Refused = 5,
@@ -56,7 +56,7 @@
             Exit::Failed => "the result could not be written, or a fault of the program",
             Exit::InvalidInput => "the command line or a file is wrong; nothing was changed",
             Exit::Conflict => "another configuration was accepted first; nothing was changed",
-            Exit::Unreachable => "the log or the entry hosts did not answer in time",
+            Exit::Unreachable => "the log, the store or the entry hosts did not answer in time",
             Exit::Refused => "refused, or there is no such version or request",
         }
     }
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The configuration in force: routes, services, organisations and limits.
 
+pub mod written;
+
 use protocol::ids::{ConfigVersion, FailureDomain, ModelName, OrganisationId, Region, ServiceName};
 use protocol::rate::RequestRate;
 use serde::{Deserialize, Serialize};
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod choice;
 pub mod cold;
 pub mod configuration;
+pub mod configuration_check;
 pub mod crashes;
 pub mod eligibility;
 pub mod era;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -47,6 +47,15 @@
     read::read(text, &client::shape::CLIENT_SETTINGS, &[check_process::check_address_map])
 }
 
+/// Parses a text without a schema.
+///
+/// # Errors
+///
+/// Returns the first position at which the text is not valid JSON with comments.
+pub fn parse_value(text: &str) -> Result<serde_json::Value, Report> {
+    source::parse(text).map(Into::into)
+}
+
 /// Renders settings as JSON with all defaults filled in.
 ///
 /// # Errors
