Play evacuations and regions in the soak, and servers that stall

Cause: the soak knew one failure domain and no allowed regions, and no crowd test had servers that misbehave or callers that leave an answer unread which its server cuts off.

Change: the servers of the soak stand in two failure domains and one in another region; one route allows a region. Every fourth seed evacuates a domain, without the faults that excuse a gateway for not knowing it; the faults of the other seeds stay as they were. Three crowds stand before servers that stall in a long head, in a long event, or send nothing.

--- a/crates/camphorwardd/tests/crowds/main.rs
+++ b/crates/camphorwardd/tests/crowds/main.rs
@@ -24,6 +24,7 @@
 use crate::process::{Gateway, PROGRAM, command_of};
 use crate::requests::{Kind, MAX_BODY_BYTES, MAX_HEADER_BYTES, Place, mixed};
 use serde_json::Value;
+use standins::fleet::Script;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Command;
@@ -137,12 +138,51 @@
 
 /// Checks a gateway before which a crowd stands.
 async fn assert_withstands(what: &str, fleet: &Fleet, groups: impl FnOnce(&Gateway) -> Vec<Group>) {
+    assert_withstands_beside(what, fleet, &Servers::default(), groups).await;
+}
+
+/// What servers do while a crowd stands, from before its first request until before the ordinary one.
+#[derive(Default)]
+struct Servers {
+    /// What they answer.
+    script: Option<Script>,
+    /// Whether they send nothing at all.
+    is_paused: bool,
+}
+
+impl Servers {
+    fn begin(&self, fleet: &Fleet) {
+        for server in fleet.desks.iter().chain(&fleet.engines) {
+            server.set_script(self.script.clone());
+            if self.is_paused {
+                server.pause();
+            }
+        }
+    }
+
+    fn end(&self, fleet: &Fleet) {
+        for server in fleet.desks.iter().chain(&fleet.engines) {
+            server.set_script(None);
+            server.resume();
+        }
+    }
+}
+
+/// Checks the same while servers misbehave.
+async fn assert_withstands_beside(
+    what: &str,
+    fleet: &Fleet,
+    servers: &Servers,
+    groups: impl FnOnce(&Gateway) -> Vec<Group>,
+) {
     let mut gateway = small_host(fleet).await;
     assert!(until_served(&gateway).await, "{what}: not served before the crowd");
+    servers.begin(fleet);
     let most = watch_descriptors(gateway.id());
     let mut crowd = Crowd::start(groups(&gateway));
     let has_sent = tokio::time::timeout(MAX_WAIT, crowd.until_sent()).await.is_ok();
     until_steady(&mut gateway, &most).await;
+    servers.end(fleet);
     let is_served = until_served(&gateway).await;
     let peak_kb = gateway.exit_status().is_none().then(|| gateway.peak_memory_kb());
     let most = most.load(Ordering::Relaxed);
@@ -238,3 +278,52 @@
 }
 
 at_each_place!(mixed_kinds, crate::assert_mixed);
+
+/// Callers send one small request each, and servers make the gateway hold the rest.
+mod servers {
+    use crate::requests::small_requests;
+    use crate::{ONE_AT_A_TIME, Place, Servers, assert_withstands_beside, fleet};
+    use standins::fleet::{Script, ScriptEnd, ScriptTarget};
+
+    /// Just below what the gateway reads of a head.
+    const HEAD_BYTES: usize = 60_000;
+
+    async fn assert_beside(what: &str, place: Place, servers: Servers) {
+        let _alone = ONE_AT_A_TIME.lock().await;
+        let fleet = fleet().await;
+        let what = format!("{what} at {place:?}");
+        let groups = |gateway: &_| small_requests(gateway, place);
+        assert_withstands_beside(&what, &fleet, &servers, groups).await;
+    }
+
+    fn stalling_after(text: &str) -> Servers {
+        let script = Script::new(ScriptTarget::Requests, text, ScriptEnd::Keeps);
+        Servers { script: Some(script), is_paused: false }
+    }
+
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    async fn heads_that_do_not_end() {
+        let servers = || {
+            let long = "y".repeat(HEAD_BYTES);
+            stalling_after(&format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Long: {long}"))
+        };
+        assert_beside("heads that do not end", Place::Route, servers()).await;
+        assert_beside("heads that do not end", Place::Stream, servers()).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    async fn events_that_do_not_end() {
+        let event = "y".repeat(HEAD_BYTES);
+        let servers = stalling_after(&format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Server-Seal: s\r\n\
+             Content-Type: text/event-stream\r\n\r\nid: 1\ndata: {event}"
+        ));
+        assert_beside("events that do not end", Place::Stream, servers).await;
+    }
+
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    async fn silence() {
+        let servers = Servers { script: None, is_paused: true };
+        assert_beside("silence", Place::Route, servers).await;
+    }
+}
--- a/crates/camphorwardd/tests/crowds/requests.rs
+++ b/crates/camphorwardd/tests/crowds/requests.rs
@@ -223,6 +223,20 @@
     }
 }
 
+/// Returns as many clients as the host has descriptors, each with one small request.
+pub fn small_requests(gateway: &Gateway, place: Place) -> Vec<Group> {
+    let targets = place.targets().iter();
+    let group = |target: &Target| Group {
+        clients: ALL_CONNECTIONS,
+        address: target.address(gateway),
+        pieces: Arc::new(vec![target.bare("")]),
+        pause: Duration::ZERO,
+        reading: Reading::Never,
+        end: End::Stay,
+    };
+    targets.map(group).collect()
+}
+
 /// Returns a tenth of each crowd, at once.
 pub fn mixed(gateway: &Gateway, place: Place) -> Vec<Group> {
     let groups = Kind::ALL.into_iter().flat_map(|kind| kind.groups(gateway, place));
--- a/crates/camphorwardd/tests/soak/checks.rs
+++ b/crates/camphorwardd/tests/soak/checks.rs
@@ -2,11 +2,13 @@
 
 use crate::fleet::{NOTES, ORDERS, QUICK};
 use crate::traffic::Answer;
-use crate::world::{EVENTS, MIN_TIMEOUT_MS, Member, SlotEvent, World};
+use crate::world::{
+    CONVERGENCE, EVACUATED_DOMAIN, EVENTS, MIN_TIMEOUT_MS, Member, SlotEvent, WEST_DOMAIN, World,
+};
 use standins::fleet::{ExecutedRequest, ServerKind};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Returns the violations of the invariants.
 pub fn violations(world: &World, answers: &[Answer]) -> Vec<String> {
@@ -27,6 +29,8 @@
         .extend(members.iter().filter_map(|member| commands_violation(&member.server.commands())));
     violations
         .extend(members.iter().filter_map(|member| attempts_violation(&member.server.attempts())));
+    violations.extend(evacuation_violation(world));
+    violations.extend(region_violation(&members));
     for slot in &world.slots {
         let previous_logs = slot.previous_logs.lock().unwrap();
         violations
@@ -76,6 +80,37 @@
     (later > MAX_LATER).then(|| format!("BUDGET: {later} requests reached {kind:?} servers later"))
 }
 
+/// No request reaches a server of an evacuated failure domain once the gateways have had the time to
+/// learn of the evacuation.
+fn evacuation_violation(world: &World) -> Option<String> {
+    let members = world.members();
+    let evacuated = members.iter().filter(|member| member.domain == EVACUATED_DOMAIN);
+    let arrivals: Vec<_> = evacuated.flat_map(|member| member.server.arrivals()).collect();
+    let evacuations = world.evacuations();
+    let late = evacuations.iter().map(|(begin, end)| {
+        let is_late =
+            |at: &&Instant| **at > *begin + CONVERGENCE && end.is_none_or(|end| **at < end);
+        arrivals.iter().filter(is_late).count()
+    });
+    let late: usize = late.sum();
+    if !evacuations.is_empty() {
+        println!(
+            "  {} evacuations, {} requests reached the domain in all",
+            evacuations.len(),
+            arrivals.len()
+        );
+    }
+    (late > 0).then(|| format!("EVAC: {late} requests reached {EVACUATED_DOMAIN}"))
+}
+
+/// No request of a route reaches a server in a region that the route does not allow.
+fn region_violation(members: &[Arc<Member>]) -> Option<String> {
+    let west = members.iter().filter(|member| member.domain == WEST_DOMAIN);
+    let executed = west.flat_map(|member| member.server.executed());
+    let outside = executed.filter(|executed| executed.request.path().starts_with(QUICK)).count();
+    (outside > 0).then(|| format!("HOME: {outside} requests reached {WEST_DOMAIN}"))
+}
+
 fn is_retryable(path: &str) -> bool {
     !path.starts_with(ORDERS) && !path.starts_with(QUICK)
 }
--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -3,8 +3,8 @@
 use crate::caller;
 use crate::fleet::{ORDERS, QUICK};
 use crate::world::{BAD_SEGMENT, CONVERGENCE, CrashingRequest, Member, POISON, SlotEvent, World};
-use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use standins::fleet::{Availability, Behaviour, ServerKind};
 use standins::relay::Partition;
 use std::sync::Arc;
@@ -32,6 +32,9 @@
 const CUT_DURATION: Duration = Duration::from_millis(80);
 /// The number of kinds of faults.
 const KINDS: u32 = 33;
+/// The kinds of faults for which a gateway may not know an evacuation in time: pauses of gateways, and
+/// faults of the store and of the links to it.
+const EXCUSING_KINDS: [u32; 5] = [2, 3, 4, 5, 8];
 
 /// What was drawn for one fault.
 struct Draw {
@@ -45,7 +48,7 @@
 
 /// Injects faults for a period; several may overlap. Every other play draws a part of the kinds and
 /// an interval, so that gateways run longer and kinds meet that would be hidden by others.
-pub async fn inject(world: &Arc<World>, random: &mut SmallRng, period: Duration) {
+pub async fn inject(world: &Arc<World>, seed: u64, random: &mut SmallRng, period: Duration) {
     let mut active = JoinSet::new();
     let (mut kinds, mut max_gap_ms) = ((0..KINDS).collect::<Vec<_>>(), 400);
     if random.random() {
@@ -53,6 +56,9 @@
         kinds.push(random.random_range(14..KINDS));
         max_gap_ms = random.random_range(400..1_500);
     }
+    if has_evacuation(seed) {
+        kinds.retain(|kind| !EXCUSING_KINDS.contains(kind));
+    }
     let until = Instant::now() + period;
     while Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(random.random_range(20..max_gap_ms))).await;
@@ -69,6 +75,21 @@
     while active.join_next().await.is_some() {}
 }
 
+/// Returns whether a failure domain is evacuated in the play of a seed. The other plays are as they were
+/// before there were such plays.
+pub const fn has_evacuation(seed: u64) -> bool {
+    seed % 4 == 3
+}
+
+/// Evacuates a failure domain once, beside the other faults.
+pub async fn evacuate(world: &World, seed: u64, period: Duration) {
+    if has_evacuation(seed) {
+        let share: f64 = SmallRng::seed_from_u64(!seed).random();
+        tokio::time::sleep(period.mul_f64(share / 2.0)).await;
+        world.evacuate(2 * CONVERGENCE).await;
+    }
+}
+
 /// Makes a sound server silent for one to two seconds.
 async fn silence(member: &Member, duration: Duration) {
     let server = &member.server;
--- a/crates/camphorwardd/tests/soak/main.rs
+++ b/crates/camphorwardd/tests/soak/main.rs
@@ -35,7 +35,7 @@
     (602, "the end of a process that an overlapping restart replaced was not recorded"),
 ];
 /// The other seeds that CI runs.
-const SHORT_RUN: std::ops::Range<u64> = 1..3;
+const SHORT_RUN: std::ops::Range<u64> = 1..4;
 /// How long faults are injected, in seconds, unless `CAMPHORWARD_SOAK_SECONDS` is set.
 const SECONDS: u64 = 6;
 /// The number of gateways, unless `CAMPHORWARD_SOAK_GATEWAYS` is set.
@@ -74,8 +74,11 @@
     let gateways = setting("CAMPHORWARD_SOAK_GATEWAYS", GATEWAYS as u64) as usize;
     let world = World::start(gateways).await;
     let traffic = traffic::start(&world, seed);
-    let seconds = setting("CAMPHORWARD_SOAK_SECONDS", SECONDS);
-    faults::inject(&world, &mut random, Duration::from_secs(seconds)).await;
+    let period = Duration::from_secs(setting("CAMPHORWARD_SOAK_SECONDS", SECONDS));
+    tokio::join!(
+        faults::inject(&world, seed, &mut random, period),
+        faults::evacuate(&world, seed, period)
+    );
     world.heal().await;
     let recovered = traffic::until_served(&world).await;
     let answers = traffic.stop().await;
--- a/crates/camphorwardd/tests/soak/world.rs
+++ b/crates/camphorwardd/tests/soak/world.rs
@@ -22,6 +22,10 @@
     ("archive", 2, ServerKind::Engine, "a1"),
 ];
 const LINK: LinkConfig = LinkConfig { delay_ms: 1.0, bytes_per_s: None };
+/// The failure domain in which half of the servers of each service stand, and which is evacuated.
+pub const EVACUATED_DOMAIN: &str = "east-2";
+/// A failure domain of a region that one route does not allow.
+pub const WEST_DOMAIN: &str = "west-1";
 /// The events of each stream.
 pub const EVENTS: u64 = 30;
 /// The shortest timeout of a route, in milliseconds.
@@ -62,6 +66,7 @@
     pub service: &'static str,
     pub kind: ServerKind,
     pub version: String,
+    pub domain: &'static str,
     heartbeat: AtomicU64,
     /// The ID of its last entry, which changes with a crash.
     registered: std::sync::Mutex<String>,
@@ -74,7 +79,13 @@
 }
 
 impl Member {
-    async fn start(id: &str, kind: ServerKind, service: &'static str, version: &str) -> Self {
+    async fn start(
+        id: &str,
+        kind: ServerKind,
+        service: &'static str,
+        version: &str,
+        domain: &'static str,
+    ) -> Self {
         let server = Server::start(id, kind).await.unwrap();
         server.set_software_version(version);
         server.set_events(EVENTS, EVENT_GAP);
@@ -92,6 +103,7 @@
             service,
             kind,
             version,
+            domain,
             heartbeat,
             registered,
             state,
@@ -113,7 +125,7 @@
             store.remove(&before);
         }
         let heartbeat = self.heartbeat.fetch_add(1, Ordering::Relaxed) + 1;
-        let mut entry = self.server.entry(self.service, "east-1", heartbeat, state);
+        let mut entry = self.server.entry(self.service, self.domain, heartbeat, state);
         entry["address"] = self.relay.address().to_string().into();
         store.register(&id, &entry);
     }
@@ -212,6 +224,8 @@
     /// The service that the configuration routes streams to, and since when.
     streams_service: std::sync::Mutex<(String, Instant)>,
     pub crashing: std::sync::Mutex<Vec<CrashingRequest>>,
+    /// When the evacuations of [`EVACUATED_DOMAIN`] began and ended.
+    evacuations: std::sync::Mutex<Vec<(Instant, Option<Instant>)>>,
     /// The faults, for whoever traces a failure.
     pub faults: std::sync::Mutex<Vec<String>>,
 }
@@ -223,9 +237,12 @@
         for (service, count, kind, version) in SERVICES {
             for index in 0..count {
                 let id = format!("{service}-{index}");
-                members.push(Arc::new(Member::start(&id, kind, service, version).await));
+                let domain = if index % 2 == 0 { "east-1" } else { EVACUATED_DOMAIN };
+                members.push(Arc::new(Member::start(&id, kind, service, version, domain).await));
             }
         }
+        let west = Member::start("notes-west", ServerKind::Engine, "notes", "v1", WEST_DOMAIN);
+        members.push(Arc::new(west.await));
         members.iter().for_each(|member| member.beat(&store));
         let mut slots = Vec::new();
         for index in 0..gateways {
@@ -244,6 +261,7 @@
             releases,
             streams_service,
             crashing: std::sync::Mutex::default(),
+            evacuations: std::sync::Mutex::default(),
             faults,
         });
         world.configure(0);
@@ -279,8 +297,10 @@
         if version.is_some() && since.elapsed() < CONVERGENCE {
             return 0;
         }
+        let is_evacuated = self.is_evacuated();
         let is_sound = |member: &&Arc<Member>| {
             member.kind == ServerKind::Engine
+                && !(is_evacuated && member.domain == EVACUATED_DOMAIN)
                 && (version.is_none() || member.service == service)
                 && member.is_ready()
                 && member.has_been_up_for(CONVERGENCE)
@@ -291,13 +311,45 @@
         version.map_or_else(|| versions.clone().map(count).max().unwrap_or(0), count)
     }
 
+    /// Evacuates a failure domain for a duration, unless it is already.
+    pub async fn evacuate(&self, duration: Duration) {
+        let key = format!("evacuate/{EVACUATED_DOMAIN}");
+        {
+            let mut evacuations = self.evacuations.lock().unwrap();
+            if evacuations.last().is_some_and(|(_, end)| end.is_none()) {
+                return;
+            }
+            self.store.append("keyed.op", &key, b"{}");
+            evacuations.push((Instant::now(), None));
+        }
+        tokio::time::sleep(duration).await;
+        let mut evacuations = self.evacuations.lock().unwrap();
+        if let Some((_, end)) = evacuations.last_mut() {
+            *end = Some(Instant::now());
+        }
+        self.store.append("keyed.op", &key, b"");
+    }
+
+    /// Returns when the evacuations began and ended.
+    pub fn evacuations(&self) -> Vec<(Instant, Option<Instant>)> {
+        self.evacuations.lock().unwrap().clone()
+    }
+
+    /// Returns whether servers of the domain may get nothing now, or may not be known to get something
+    /// again.
+    fn is_evacuated(&self) -> bool {
+        let evacuations = self.evacuations.lock().unwrap();
+        let last = evacuations.last();
+        last.is_some_and(|(_, end)| end.is_none_or(|end| end.elapsed() < CONVERGENCE))
+    }
+
     /// Starts two servers of a new software version, and makes the oldest ones leave.
     pub async fn release(&self, service: &'static str, leaving: usize, duration: Duration) {
         let release = self.releases.fetch_add(1, Ordering::Relaxed) + 1;
         for index in 0..2 {
             let id = format!("{service}-r{release}-{index}");
             let version = format!("{service}-{release}");
-            let member = Member::start(&id, ServerKind::Engine, service, &version).await;
+            let member = Member::start(&id, ServerKind::Engine, service, &version, "east-1").await;
             member.beat(&self.store);
             self.members.write().unwrap().push(Arc::new(member));
         }
@@ -532,5 +584,6 @@
     for (route, service) in [(1, status), (2, streams), (3, streams)] {
         value["routes"][route]["service"] = json!(service);
     }
+    value["routes"][3]["allowedRegions"] = json!(["east"]);
     value
 }
