--- a/crates/dispatch/src/hedging.rs
+++ b/crates/dispatch/src/hedging.rs
@@ -17,9 +17,9 @@
 /// The largest share of requests that are never late. A higher one would need more samples than one
 /// gateway of many gets within minutes.
 const MAX_USUAL_SHARE: f64 = 0.98;
-/// The weight of the samples from which on a kind of request is known. At the highest quantile, one
-/// of them is late.
-const MIN_WEIGHT: f64 = 50.0;
+/// The least weight of the samples from which on a kind of request is known, whatever share of them is
+/// late.
+const MIN_WEIGHT: f64 = 10.0;
 /// The extra attempts that may be saved up, so that late requests that come together are hedged.
 const MAX_SAVED: f64 = 5.0;
 /// The share of the remaining time of a late attempt that another one may be expected to take.
@@ -140,10 +140,22 @@
         }
         let saved = self.saved.entry(service.clone()).or_default();
         *saved = (*saved + self.extra_share).min(MAX_SAVED);
-        let usual = self.kinds.get(kind).filter(|usual| usual.weight() >= MIN_WEIGHT)?;
         // Of the requests so far, about the allowed share was not answered by then.
-        let usual_share = (1.0 - self.extra_share).min(MAX_USUAL_SHARE);
-        usual.quantile_ms(usual_share).map(|late_ms| late_ms.ceil() as u64)
+        let usual = self.known(kind)?;
+        usual.quantile_ms(self.usual_share()).map(|late_ms| late_ms.ceil() as u64)
+    }
+
+    /// Returns the share of requests that are not late.
+    fn usual_share(&self) -> f64 {
+        (1.0 - self.extra_share).min(MAX_USUAL_SHARE)
+    }
+
+    /// Returns the times of a kind of which there are so many that one of them is late. A gateway of
+    /// many sees less than one request a second of most kinds.
+    fn known(&self, kind: &Kind) -> Option<&UsualTimes> {
+        let min_weight = (1.0 / (1.0 - self.usual_share())).max(MIN_WEIGHT);
+        // The share is not exact in binary.
+        self.kinds.get(kind).filter(|usual| usual.weight() + 1e-6 >= min_weight)
     }
 
     /// Records how long a first attempt took.
@@ -181,8 +193,7 @@
         if !self.has_saved(service) {
             return Err(Withheld::OverShare);
         }
-        let usual = self.kinds.get(kind).filter(|usual| usual.weight() >= MIN_WEIGHT);
-        let usual = usual.ok_or(Withheld::NoBetterServer)?;
+        let usual = self.known(kind).ok_or(Withheld::NoBetterServer)?;
         let usual_ms = usual.quantile_ms(0.5).ok_or(Withheld::NoBetterServer)?;
         // Nothing took that long yet: it takes as long again.
         let end_ms = usual.median_beyond_ms(waited_ms).unwrap_or(2.0 * waited_ms as f64);
