Name the time after which a gateway counts as cut off

Cause: the time was that of another rule, which has the same value.

Change: a constant of its own, with its reason.

--- a/crates/admission/src/peer_sums.rs
+++ b/crates/admission/src/peer_sums.rs
@@ -26,6 +26,9 @@
 pub const SUMS_TTL_MS: u64 = 3_000;
 /// How long sums of a writer that covers fewer hosts are passed over, in milliseconds.
 const RECENT_MS: u64 = 1_500;
+/// How long a host hears no other one until it counts as cut off, in milliseconds. Messages arrive at
+/// least every 1.4 s.
+const CUT_OFF_MS: u64 = 1_500;
 /// The largest number of messages that are held: more than hosts in any installation.
 const MAX_HELD: usize = 1_024;
 /// The interval at which the sums of all hosts are added up, in milliseconds.
@@ -127,7 +130,7 @@
     pub fn view(&mut self, local: &SumTable, now_ms: u64) -> PeerView {
         self.held.retain(|_, held| now_ms < held.received_ms + SILENT_TTL_MS);
         let mut view = self.heard(now_ms);
-        let is_recent = |held: &Held| now_ms < held.received_ms + RECENT_MS;
+        let is_recent = |held: &Held| now_ms < held.received_ms + CUT_OFF_MS;
         view.is_cut_off = !self.held.is_empty() && !self.held.values().any(is_recent);
         if self.held.get(&Covered::All).is_some_and(|all| all.is_heard(now_ms)) {
             return view;
