Split the candidates of a placement off, and the options for engines

Cause: forward/place.rs listed candidates, planned their blocks, chose and booked in 471 lines, with one function of 110.

Change: candidates and their block plans are a module of their own, and the options for the chosen engine a function. Nothing is decided otherwise.

--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -1,30 +1,25 @@
 //! Choice of the server for an attempt, and the engine options that are sent with it.
 
 mod blocks;
+mod candidates;
 
-use crate::forward::MAX_REFUSED_GRANTS;
 use crate::forward::admit::{self, Servers, Unplaced};
 use crate::forward::in_flight::{InFlightAttempt, TimedAttempt};
 use crate::forward::job::Job;
-use crate::forward::place::blocks::{
-    holders, is_session_server, resident_blocks, salt, session_server, transfer_context,
-};
+use crate::forward::place::blocks::{is_session_server, resident_blocks, salt, transfer_context};
+use crate::forward::place::candidates::{CandidateInputs, Plans, candidates, weight_version};
 use crate::node::Node;
 use crate::routing_state::RoutingState;
 use dispatch::backlog::Backlog;
 use dispatch::blocks::{BlockPlan, CacheSalt};
-use dispatch::choice::{
-    self, BlockCost, Candidate, ChoiceContext, Chosen, Closed, NoServer, PLAIN_SERVICE_MS,
-};
+use dispatch::choice::{self, ChoiceContext, Chosen, Closed, NoServer, PLAIN_SERVICE_MS};
 use dispatch::configuration::EngineTraits;
 use dispatch::eligibility::{AllowedRegions, Eligibility, Ineligible};
-use dispatch::load::{AttemptCost, Health, ServerTag, SessionTag};
+use dispatch::load::{AttemptCost, Health, SessionTag};
 use dispatch::registry::ServerEntry;
 use dispatch::request::{Prompt, RequestSpec};
 use dispatch::retirement::{MAX_FETCH_MS, Withheld};
 use dispatch::target_versions::TargetVersions;
-use protocol::ids::FailureDomain;
-use smallvec::SmallVec;
 use std::sync::Arc;
 
 /// How long a server of a plain service may send nothing after an attempt was sent to it before it
@@ -37,9 +32,6 @@
 const ENGINE_TIMEOUT_PREFILLS: f64 = 3.0;
 /// The minimum time allowed for fetches, in milliseconds.
 const MIN_FETCH_MS: u64 = 250;
-/// The weight version to assume while no target version is recorded.
-const FIRST_WEIGHT_VERSION: u64 = 1;
-
 /// The server chosen for an attempt.
 #[derive(Debug)]
 pub struct Placed {
@@ -195,43 +187,9 @@
     let entry = entry.ok_or(NoServer::NoneUsable)?;
     let engine = match (&spec.prompt, engines) {
         (Some(prompt), Some(engines)) => {
-            let weight_version = weight_version(&entry, prompt, newest);
-            let salt = salt(job, &prompt.model, weight_version, &allowed);
-            let state = &mut *state;
-            let gateway_ratio = state.gateway_ratio();
-            let eligibility = Eligibility::new(&allowed, regions, &state.evacuations);
-            let domain = &entry.domain;
-            let context = transfer_context(
-                &state.loads,
-                job,
-                engines,
-                domain,
-                gateway_ratio,
-                eligibility,
-                &[],
-            );
-            let domain_plan =
-                plans.into_iter().find(|domain_plan| domain_plan.is_for(&entry, weight_version));
-            let domain_plan = domain_plan.ok_or(NoServer::NoneUsable)?;
-            let has_session = is_session_server(domain_plan.session_server, &entry);
-            let mut blocks = domain_plan.plan;
-            let resident = resident_blocks(state, &entry, has_session, prompt, &salt, now_ms);
-            blocks.use_resident(&prompt.segments, resident);
-            // A server does not fetch from itself.
-            for source in &mut blocks.fetch {
-                *source = source.filter(|address| *address != entry.address);
-            }
-            let fetch_until = may_fetch.and_then(|()| fetch_until(node, spec, now_ms));
-            if let Err(reason) = fetch_until
-                && blocks.fetch.iter().any(Option::is_some)
-            {
-                node.metrics.count("fetches_withheld", reason.as_str());
-                blocks.fetch.fill(None);
-            }
-            state.blocks.book(configuration, spec, &salt, &context, &blocks, now_ms);
-            let priority = spec.engine_priority();
-            let fetch_until = fetch_until.ok();
-            Some(EnginePlan { salt, weight_version, blocks, fetch_until, priority })
+            let allowed = &allowed;
+            let inputs = EngineInputs { job, engines, prompt, newest, allowed, may_fetch };
+            Some(engine_plan(&mut state, &inputs, &entry, plans, now_ms)?)
         }
         _ => None,
     };
@@ -248,49 +206,6 @@
     Ok(Placed { entry, chosen, reporting_gateways, in_flight, engine, allowed })
 }
 
-/// The block plan for all servers of one failure domain with the same weights, without the blocks
-/// that a server holds itself.
-#[derive(Debug)]
-struct DomainPlan {
-    domain: FailureDomain,
-    weight_version: u64,
-    salt: CacheSalt,
-    /// The server that probably holds the session's blocks.
-    session_server: Option<ServerTag>,
-    plan: BlockPlan,
-}
-
-type Plans = SmallVec<[DomainPlan; 4]>;
-
-impl DomainPlan {
-    fn is_for(&self, entry: &ServerEntry, weight_version: u64) -> bool {
-        self.domain == entry.domain && self.weight_version == weight_version
-    }
-
-    fn cost(&self, prompt: &Prompt, resident: usize) -> BlockCost {
-        if resident > 0 {
-            let mut plan = self.plan.clone();
-            plan.use_resident(&prompt.segments, resident);
-            return block_cost(&plan, prompt);
-        }
-        block_cost(&self.plan, prompt)
-    }
-}
-
-fn block_cost(plan: &BlockPlan, prompt: &Prompt) -> BlockCost {
-    BlockCost {
-        prefill_tokens: prompt.input_tokens.saturating_sub(plan.fetched_tokens),
-        recomputed_tokens: plan.recomputed_tokens,
-        uncacheable_tokens: plan.uncacheable_tokens,
-        fetch_ms: plan.fetch_ms,
-    }
-}
-
-/// Returns the weight version that a server is assumed to serve.
-fn weight_version(entry: &ServerEntry, prompt: &Prompt, newest: Option<u64>) -> u64 {
-    entry.weight_versions.get(&prompt.model).copied().or(newest).unwrap_or(FIRST_WEIGHT_VERSION)
-}
-
 /// Checks whether a service has servers that take requests and may receive this one.
 ///
 /// # Errors
@@ -313,95 +228,6 @@
     result
 }
 
-/// What the candidates of a request depend on, besides the state.
-struct CandidateInputs<'a> {
-    job: &'a Job,
-    purpose: Purpose,
-    engines: Option<&'a EngineTraits>,
-    newest: Option<u64>,
-    eligibility: Eligibility<'a>,
-    allowed: &'a AllowedRegions,
-}
-
-fn candidates<'a>(
-    state: &'a RoutingState,
-    inputs: &CandidateInputs<'a>,
-    plans: &mut Plans,
-    now_ms: u64,
-) -> Vec<Candidate<'a>> {
-    let CandidateInputs { job, purpose, engines, newest, eligibility, allowed } = *inputs;
-    let spec = &job.request.spec;
-    let prompt = spec.prompt.as_ref();
-    let usable = state.registry.usable(&spec.service);
-    let may_ask = job.refused_grants < MAX_REFUSED_GRANTS;
-    let untried = usable.filter(|entry| {
-        eligibility.allows(&entry.domain)
-            && !job.excluded.contains(&entry.id)
-            && (may_ask || !state.is_cold(entry, now_ms))
-            && purpose.is_open(state, entry, job, now_ms)
-    });
-    let mut candidates = Vec::new();
-    let gateway_ratio = state.gateway_ratio();
-    let oldest_usable = oldest_usable_version(state, job, now_ms);
-    let mut is_any_outdated = false;
-    for entry in untried.filter(|entry| job.allows_software(entry)) {
-        let version = prompt.and_then(|prompt| entry.weight_versions.get(&prompt.model).copied());
-        if version.is_some_and(|version| version < oldest_usable) {
-            is_any_outdated = true;
-            continue;
-        }
-        let mut has_session = false;
-        let blocks = match (prompt, engines) {
-            (Some(prompt), Some(engines)) => {
-                let weight_version = weight_version(entry, prompt, newest);
-                let existing = plans.iter().position(|plan| plan.is_for(entry, weight_version));
-                let index = existing.unwrap_or_else(|| {
-                    let salt = salt(job, &prompt.model, weight_version, allowed);
-                    let loads = &state.loads;
-                    let session_server = session_server(state, prompt, &salt, now_ms);
-                    let holders =
-                        holders(state, spec, &eligibility, session_server, prompt, &salt, now_ms);
-                    let domain = &entry.domain;
-                    let context = transfer_context(
-                        loads,
-                        job,
-                        engines,
-                        domain,
-                        gateway_ratio,
-                        eligibility,
-                        &holders,
-                    );
-                    let configuration = &job.request.in_force.configuration;
-                    let plan = state.blocks.plan(configuration, spec, &salt, &context, now_ms);
-                    let domain = entry.domain.clone();
-                    plans.push(DomainPlan { domain, weight_version, salt, session_server, plan });
-                    plans.len() - 1
-                });
-                let domain_plan = &plans[index];
-                has_session = is_session_server(domain_plan.session_server, entry);
-                let salt = &domain_plan.salt;
-                let resident = resident_blocks(state, entry, has_session, prompt, salt, now_ms);
-                domain_plan.cost(prompt, resident)
-            }
-            _ => BlockCost::default(),
-        };
-        candidates.push(Candidate {
-            entry,
-            load: state.loads.view(&entry.id, now_ms),
-            blocks,
-            weight_version: version,
-            has_session,
-            is_limited: state.is_limited(entry),
-            cold_ms: state.cold.limit_of(entry, now_ms).map_or(0.0, |limit| limit.slowness_ms),
-        });
-    }
-    if is_any_outdated {
-        let kind = if candidates.is_empty() { "none_left" } else { "passed_over" };
-        job.node.metrics.count("old_weights", kind);
-    }
-    candidates
-}
-
 /// Returns the first server of the job's service to take another attempt; `None` if one does now or
 /// there is none.
 pub fn first_to_open(
@@ -423,11 +249,61 @@
     first
 }
 
-/// Returns the oldest weight version that may still be used.
-fn oldest_usable_version(state: &RoutingState, job: &Job, now_ms: u64) -> u64 {
-    let prompt = job.request.spec.prompt.as_ref();
-    let targets = prompt.and_then(|prompt| state.weights.get(&prompt.model));
-    targets.map_or(0, |targets| targets.oldest_usable(job.node.settings.bounds.weights_ms, now_ms))
+/// What the options for an engine depend on, besides the state and the server.
+struct EngineInputs<'a> {
+    job: &'a Job,
+    engines: &'a EngineTraits,
+    prompt: &'a Prompt,
+    /// The newest weight version requested for the model.
+    newest: Option<u64>,
+    allowed: &'a AllowedRegions,
+    /// Whether blocks may be fetched now.
+    may_fetch: Result<(), Withheld>,
+}
+
+/// Returns the options for the chosen engine, and books the transfers of blocks.
+///
+/// # Errors
+///
+/// Returns an error if no plan was made for the engine's failure domain.
+fn engine_plan(
+    state: &mut RoutingState,
+    inputs: &EngineInputs<'_>,
+    entry: &ServerEntry,
+    plans: Plans,
+    now_ms: u64,
+) -> Result<EnginePlan, NoServer> {
+    let EngineInputs { job, engines, prompt, newest, allowed, may_fetch } = *inputs;
+    let (node, spec) = (&job.node, &job.request.spec);
+    let weight_version = weight_version(entry, prompt, newest);
+    let salt = salt(job, &prompt.model, weight_version, allowed);
+    let gateway_ratio = state.gateway_ratio();
+    let eligibility = Eligibility::new(allowed, &node.context.regions, &state.evacuations);
+    let loads = &state.loads;
+    let domain = &entry.domain;
+    let context = transfer_context(loads, job, engines, domain, gateway_ratio, eligibility, &[]);
+    let mut plans = plans.into_iter();
+    let domain_plan = plans.find(|domain_plan| domain_plan.is_for(entry, weight_version));
+    let domain_plan = domain_plan.ok_or(NoServer::NoneUsable)?;
+    let has_session = is_session_server(domain_plan.session_server, entry);
+    let mut blocks = domain_plan.plan;
+    let resident = resident_blocks(state, entry, has_session, prompt, &salt, now_ms);
+    blocks.use_resident(&prompt.segments, resident);
+    // A server does not fetch from itself.
+    for source in &mut blocks.fetch {
+        *source = source.filter(|address| *address != entry.address);
+    }
+    let fetch_until = may_fetch.and_then(|()| fetch_until(node, spec, now_ms));
+    if let Err(reason) = fetch_until
+        && blocks.fetch.iter().any(Option::is_some)
+    {
+        node.metrics.count("fetches_withheld", reason.as_str());
+        blocks.fetch.fill(None);
+    }
+    let configuration = &job.request.in_force.configuration;
+    state.blocks.book(configuration, spec, &salt, &context, &blocks, now_ms);
+    let (priority, fetch_until) = (spec.engine_priority(), fetch_until.ok());
+    Ok(EnginePlan { salt, weight_version, blocks, fetch_until, priority })
 }
 
 fn attempt_cost(
