--- a/crates/camphorwardd/tests/soak/faults.rs
+++ b/crates/camphorwardd/tests/soak/faults.rs
@@ -76,7 +76,7 @@
 }
 
 /// Returns whether a failure domain is evacuated, and a route allows one region only, in the play of a
-/// seed. The other plays are as they were before there were such plays.
+/// seed. It takes nothing from the random numbers of the other faults, so that seeds keep theirs.
 pub const fn has_places(seed: u64) -> bool {
     seed % 4 == 3
 }
