--- a/review/standins-2/src/restart.rs
+++ b/review/standins-2/src/restart.rs
@@ -23,10 +23,13 @@
 /// When the callers come back, after the kill: `stableWindowMs` after the processes run again, and
 /// more.
 const BACK: Duration = Duration::from_millis(6_500);
-/// What the callers have left then, in milliseconds.
+/// When the callers come back first, after the kill; the gateways have just started again.
+const FIRST_BACK: Duration = Duration::from_millis(2_000);
+/// What the callers have left the second time, in milliseconds.
 const LEFT_MS: u64 = 15_000 - 1_500 - 6_500;
 
 /// A stream that a caller holds.
+#[derive(Clone)]
 struct Held {
     attempt: String,
     last_event: u64,
@@ -103,37 +106,54 @@
         gateways = start_gateways(program, &store, &HOSTS, engines.len()).await?;
         log.add("all gateways run again, and are ready");
     }
+    tokio::time::sleep_until(killed + FIRST_BACK).await;
+    log.add("the callers come back");
+    let mut first = Vec::new();
+    for (index, held) in held.iter().enumerate() {
+        first.push(tokio::spawn(take_up(held.clone(), gateways[index % gateways.len()].callers)));
+    }
+    let first = count(first, log).await?;
+    log.add(format!("taken up again at once: {} of {} go on", first.0, first.1));
+    if !has_trouble {
+        return Ok(if is_broken(first, (1, 1)) { Verdict::Broken } else { Verdict::Held });
+    }
     tokio::time::sleep_until(killed + BACK).await;
     let (mut taken_up, mut new) = (Vec::new(), Vec::new());
     for (index, held) in held.into_iter().enumerate() {
-        let address = gateways[index % gateways.len()].callers;
-        taken_up.push(tokio::spawn(async move {
-            let attempt = new_id();
-            let extra =
-                format!("Last-Event-Id: {}\r\nResumes: {}\r\n", held.last_event, held.attempt);
-            let (status, last) = begin(address, &attempt, &extra).await;
-            (
-                format!("{attempt} goes on with {} after event {}", held.attempt, held.last_event),
-                status,
-                last,
-            )
-        }));
+        let address = gateways[(index + 1) % gateways.len()].callers;
+        taken_up.push(tokio::spawn(take_up(held, address)));
         new.push(tokio::spawn(async move {
             let attempt = new_id();
             let (status, last) = begin(address, &attempt, "").await;
             (format!("{attempt} is new"), status, last)
         }));
     }
-    log.add("the callers come back, and as many new ones come");
+    log.add("the callers come back once more, and as many new ones come");
     let (taken_up, new) = (count(taken_up, log).await?, count(new, log).await?);
     report_ids(&gateways, log);
     log.add(format!(
         "taken up again: {} of {} go on; new: {} of {} begin",
         taken_up.0, taken_up.1, new.0, new.1
     ));
+    Ok(if is_broken(taken_up, new) { Verdict::Broken } else { Verdict::Held })
+}
+
+/// Judges the served ones and the number of streams that are taken up again, and of new ones.
+fn is_broken(taken_up: (usize, usize), new: (usize, usize)) -> bool {
     let share = |(served, all): (usize, usize)| served as f64 / all.max(1) as f64;
-    let is_broken = taken_up.1 >= 12 && share(taken_up) < share(new) / 2.0;
-    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+    taken_up.1 >= 12 && share(taken_up) < share(new) / 2.0
+}
+
+/// Takes a stream up again after its last event.
+async fn take_up(held: Held, address: SocketAddr) -> Result3 {
+    let attempt = new_id();
+    let extra = format!("Last-Event-Id: {}\r\nResumes: {}\r\n", held.last_event, held.attempt);
+    let (status, last) = begin(address, &attempt, &extra).await;
+    (
+        format!("{attempt} goes on with {} after event {}", held.attempt, held.last_event),
+        status,
+        last,
+    )
 }
 
 type Result3 = (String, u16, u64);
