Show a gateway that exceeds its memory beside servers that send heads without end

Cause: read buffers of connections to servers are in no account, and the account gives 55 % of the host's memory to others.

--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -54,6 +54,8 @@
     sequence: u64,
     events: u64,
     gap: Duration,
+    /// Whether the heads of answers never end.
+    has_endless_heads: bool,
     /// The tenant and the attempt that made each cached part, by salt and id.
     cache: HashMap<(String, String), (String, String)>,
     runs: Vec<Run>,
@@ -89,6 +91,7 @@
             sequence: 1,
             events,
             gap,
+            has_endless_heads: false,
             cache: HashMap::new(),
             runs: Vec::new(),
         };
@@ -124,6 +127,11 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Sets whether the heads of later answers never end: their bytes come until the caller closes.
+    pub fn set_endless_heads(&self, has_endless_heads: bool) {
+        lock(&self.state).has_endless_heads = has_endless_heads;
+    }
+
     /// Ends the process: nothing listens, and all its connections are reset.
     pub fn crash(&self) {
         let task = self.task.lock().unwrap_or_else(PoisonError::into_inner).take();
@@ -236,6 +244,7 @@
             _ if attempt.is_empty() => {
                 write_answer(&mut stream, 400, &[("X-Not-Executed", "1")], b"").await?;
             }
+            _ if lock(state).has_endless_heads => return write_head(&mut stream, &attempt).await,
             _ => run(&mut stream, state, &request, &attempt).await?,
         }
     }
@@ -301,3 +310,18 @@
     }
     write_chunk(stream, b"").await
 }
+
+/// Writes a head without end: much of it at once, and then a byte now and then.
+async fn write_head(stream: &mut BufReader<TcpStream>, attempt: &str) -> io::Result<()> {
+    const AT_ONCE_BYTES: usize = 60_000;
+    const PAUSE: Duration = Duration::from_millis(200);
+    let mut bytes = head(200, &[("X-Attempt-Id", attempt)]);
+    bytes.extend_from_slice(b"X-Long: ");
+    bytes.resize(AT_ONCE_BYTES, b'y');
+    loop {
+        stream.write_all(&bytes).await?;
+        stream.flush().await?;
+        bytes = vec![b'y'];
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod gateway;
 mod in_place;
+mod memory;
 mod restart;
 mod site;
 mod wall;
@@ -39,6 +40,7 @@
         match case.as_str() {
             "wall" => wall::play(program, has_trouble, &mut log).await,
             "restart" => restart::play(program, has_trouble, &mut log).await,
+            "memory" => memory::play(program, has_trouble, &mut log).await,
             "in-place" => in_place::play(program, has_trouble, &mut log).await,
             _ => Err("no such case".into()),
         }
