Keep others from what an organisation cached before it was dedicated

Callers saw nothing wrong: answers were right. But after a configuration had made an organisation dedicated, requests of others went on using the blocks that it had cached while it shared (WALL), for as long as engines held them; a block store would have kept them until newer weights.

Cause: the salt named an organisation only while it was dedicated, and that of all others did not change, so what it had made stayed in reach. Besides, the status came from the configuration under which a request was read: streams that go on and requests that wait used the old one.

Change: the salt that organisations share names the set of dedicated organisations, by a digest. Under it only others have ever made blocks, so a gateway needs no history, and one that starts later derives the same salt. The scope is determined when a server is chosen, by the configuration in force, and compared once more before the request is written. The set comes from all listed organisations, also from one whose keys are all removed. Salts are unchanged while no organisation is dedicated. New log event dedicated_organisations_changed and counter kind dedicated_changed; RequestSpec::is_dedicated is gone, as it could be derived.

Evidence: request_sent has the salt 1/m for the others before and after the change, at gateways that had the new configuration in force.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crashing_segments;
 mod cut_heads;
 mod cut_off;
+mod dedicated;
 mod endless;
 mod evacuations;
 mod fleet;
--- a/crates/dispatch/src/blocks.rs
+++ b/crates/dispatch/src/blocks.rs
@@ -9,10 +9,12 @@
 mod plan;
 mod report;
 mod resident;
+mod sharing;
 mod transfer;
 
 pub use crate::blocks::plan::{BlockPlan, SegmentSource};
 pub use crate::blocks::report::{BlockChange, BlockKey, BlockReport, CacheSalt};
+pub use crate::blocks::sharing::{DedicatedDigest, DedicatedOrganisations, SharingScope};
 pub use crate::blocks::transfer::{Holder, LinkShares, TransferContext};
 
 use crate::blocks::link_use::LinkUse;
--- a/crates/dispatch/src/blocks/report.rs
+++ b/crates/dispatch/src/blocks/report.rs
@@ -1,8 +1,9 @@
 //! Reports of the blocks that stores and engines hold.
 
+use crate::blocks::sharing::SharingScope;
 use crate::eligibility::AllowedRegions;
 use crate::request::SegmentId;
-use protocol::ids::{ModelName, OrganisationId, Region};
+use protocol::ids::{ModelName, Region};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -13,22 +14,21 @@
 pub struct CacheSalt(String);
 
 impl CacheSalt {
-    /// Builds the salt of a model's weight version. A dedicated organisation is part of the salt,
-    /// as it shares no blocks, and so are allowed regions, which the blocks must not leave. Names
-    /// contain neither `/` nor `,`, so salts of different requests differ.
+    /// Builds the salt of a model's weight version. The scope in which blocks are shared is part of
+    /// the salt, and so are allowed regions, which the blocks must not leave. Names contain neither
+    /// `/` nor `,`, so salts of different requests differ.
     pub fn new(
         model: &ModelName,
         weight_version: u64,
-        dedicated: Option<&OrganisationId>,
+        scope: &SharingScope,
         allowed: &AllowedRegions,
     ) -> Self {
-        let organisation = dedicated.map_or("", OrganisationId::as_str);
-        match (organisation, allowed.regions()) {
-            ("", None) => Self(format!("{weight_version}/{model}")),
-            (_, None) => Self(format!("{weight_version}/{model}/{organisation}")),
+        match (scope, allowed.regions()) {
+            (SharingScope::Shared(None), None) => Self(format!("{weight_version}/{model}")),
+            (_, None) => Self(format!("{weight_version}/{model}/{scope}")),
             (_, Some(regions)) => {
                 let regions: Vec<&str> = regions.iter().map(Region::as_str).collect();
-                Self(format!("{weight_version}/{model}/{organisation}/{}", regions.join(",")))
+                Self(format!("{weight_version}/{model}/{scope}/{}", regions.join(",")))
             }
         }
     }
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -2,6 +2,7 @@
 
 pub mod written;
 
+use crate::blocks::DedicatedOrganisations;
 use protocol::ids::{ConfigVersion, FailureDomain, ModelName, OrganisationId, Region, ServiceName};
 use protocol::rate::RequestRate;
 use serde::{Deserialize, Serialize};
@@ -198,6 +199,8 @@
     pub services: HashMap<ServiceName, Service>,
     /// The organisations by key; `None` if no request needs a key.
     pub organisations_by_key: Option<HashMap<String, Organisation>>,
+    /// The organisations that share no cached blocks, with or without a key.
+    pub dedicated: DedicatedOrganisations,
     /// The limits on callers.
     pub limits: CallerLimits,
 }
--- a/crates/dispatch/src/configuration/written.rs
+++ b/crates/dispatch/src/configuration/written.rs
@@ -1,5 +1,6 @@
 //! A configuration as an operator writes it, with entries that share a name or a key.
 
+use crate::blocks::DedicatedOrganisations;
 use crate::configuration::{CallerLimits, Configuration, Organisation, Route, Service};
 use protocol::ids::ConfigVersion;
 
@@ -28,7 +29,8 @@
 }
 
 impl From<WrittenConfiguration> for Configuration {
-    /// Indexes the entries. Of those that share a name or a key, the last one counts.
+    /// Indexes the entries. Of those that share a name or a key, the last one counts, but an
+    /// organisation is dedicated if any of its entries says so.
     fn from(written: WrittenConfiguration) -> Self {
         let by_key = |organisations: Vec<WrittenOrganisation>| {
             let keys =
@@ -37,12 +39,18 @@
                 });
             keys.collect()
         };
+        let organisations = written.organisations.iter().flatten();
+        let dedicated = organisations
+            .filter(|written| written.organisation.is_dedicated)
+            .map(|written| written.organisation.id.clone())
+            .collect();
         let services = written.services.into_iter();
         Self {
             version: written.version,
             routes: written.routes,
             services: services.map(|service| (service.name.clone(), service)).collect(),
             organisations_by_key: written.organisations.map(by_key),
+            dedicated: DedicatedOrganisations::new(dedicated),
             limits: written.limits,
         }
     }
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -106,8 +106,6 @@
     pub route_priority: u8,
     /// The calling organisation.
     pub organisation: Option<OrganisationId>,
-    /// Whether the organisation shares no cached blocks.
-    pub is_dedicated: bool,
     /// The size of the request's body.
     pub body_bytes: usize,
     /// The prompt, for inference engines.
--- a/crates/dispatch/tests/blocks.rs
+++ b/crates/dispatch/tests/blocks.rs
@@ -5,7 +5,7 @@
 use common::{address, configuration, id, regions, request, store};
 use dispatch::blocks::{
     BlockChange, BlockIndex, BlockPlan, BlockReport, CacheSalt, Holder, LinkShares, SegmentSource,
-    TransferContext,
+    SharingScope, TransferContext,
 };
 use dispatch::configuration::Configuration;
 use dispatch::eligibility::{AllowedRegions, Eligibility};
@@ -13,7 +13,7 @@
 use dispatch::evacuations::{EvacuationRecord, Evacuations};
 use dispatch::registry::EntryPosition;
 use dispatch::request::{RequestSpec, SegmentId};
-use protocol::ids::{FailureDomain, ModelName, OrganisationId, Region};
+use protocol::ids::{FailureDomain, ModelName, Region};
 use std::collections::HashMap;
 use std::sync::LazyLock;
 
@@ -104,7 +104,8 @@
 }
 
 fn salt(version: u64) -> CacheSalt {
-    CacheSalt::new(&id::<ModelName>("m"), version, None, &AllowedRegions::default())
+    let scope = SharingScope::Shared(None);
+    CacheSalt::new(&id::<ModelName>("m"), version, &scope, &AllowedRegions::default())
 }
 
 fn stored(salt: &CacheSalt, segment: u64, tokens: u64) -> BlockChange {
@@ -158,9 +159,8 @@
 #[test]
 fn blocks_of_other_weights_and_other_organisations_do_not_match() {
     let mut fixture = Fixture::new(500_000);
-    let organisation: OrganisationId = id("alpha");
-    let dedicated =
-        CacheSalt::new(&id::<ModelName>("m"), 1, Some(&organisation), &AllowedRegions::default());
+    let scope = SharingScope::Dedicated(id("alpha"));
+    let dedicated = CacheSalt::new(&id::<ModelName>("m"), 1, &scope, &AllowedRegions::default());
     fixture.report(EAST, 1, vec![stored(&salt(1), 9, 8_000), stored(&dedicated, 8, 8_000)]);
     let request_9 = request(9, 8_000, 2_000);
     assert_eq!(fixture.sources(&request_9, &salt(2), 0)[1], SegmentSource::Uncached);
@@ -421,7 +421,7 @@
 fn blocks_come_from_and_go_to_allowed_regions_only() {
     let mut fixture = Fixture::new(500_000);
     let west = AllowedRegions::new(&[id("west")], &[]);
-    let salt = CacheSalt::new(&id::<ModelName>("m"), 1, None, &west);
+    let salt = CacheSalt::new(&id::<ModelName>("m"), 1, &SharingScope::Shared(None), &west);
     fixture.report(EAST, 1, vec![stored(&salt, 9, 8_000)]);
     let plan = plan_within(&fixture, &salt, &west, &NO_EVACUATIONS);
     assert!(plan.fetch.iter().chain(&plan.save).all(Option::is_none), "{plan:?}");
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Servers, stores and requests shared by the tests.
 #![allow(dead_code)]
 
-use dispatch::blocks::LinkShares;
+use dispatch::blocks::{DedicatedOrganisations, LinkShares};
 use dispatch::choice::{ChoiceContext, GatewayContext};
 use dispatch::configuration::{
     BlockStoreTraits, CallerLimits, Configuration, EngineTraits, RouteKind, Service, ServiceKind,
@@ -89,6 +89,7 @@
         routes: Vec::new(),
         services: store_services.chain([(notes, engines)]).collect(),
         organisations_by_key: None,
+        dedicated: DedicatedOrganisations::default(),
         limits: CallerLimits {
             max_header_bytes: 16_384,
             max_body_bytes: 1 << 20,
@@ -114,7 +115,6 @@
         priority: 1,
         route_priority: 1,
         organisation: None,
-        is_dedicated: false,
         body_bytes: 12_000,
         prompt: Some(Prompt {
             model: id("m"),
--- a/crates/dispatch/tests/eligibility.rs
+++ b/crates/dispatch/tests/eligibility.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{configuration, id, regions};
-use dispatch::blocks::CacheSalt;
+use dispatch::blocks::{CacheSalt, DedicatedOrganisations, SharingScope};
 use dispatch::configuration::{Organisation, Route, RouteKind};
 use dispatch::eligibility::{AllowedRegions, Eligibility, Ineligible, may_carry};
 use dispatch::era::StoreEra;
@@ -134,16 +134,29 @@
 #[test]
 fn the_salt_names_the_allowed_regions_in_order() {
     let model: ModelName = id("m");
-    let acme: OrganisationId = id("acme");
-    let salt = |organisation, allowed| CacheSalt::new(&model, 3, organisation, &allowed);
+    let dedicated = DedicatedOrganisations::new(["acme", "zeta"].map(id).into());
+    let shared = SharingScope::Shared(None);
+    let acme = dedicated.scope(Some(&id("acme")));
+    let others = dedicated.scope(None);
+    let salt = |scope, allowed| CacheSalt::new(&model, 3, scope, &allowed);
     let salts = [
-        salt(None, allowed(&[], &[])),
-        salt(Some(&acme), allowed(&[], &[])),
-        salt(None, allowed(&["west", "east"], &[])),
-        salt(None, allowed(&["east", "west"], &["west", "east", "west"])),
-        salt(Some(&acme), allowed(&[], &["east"])),
+        salt(&shared, allowed(&[], &[])),
+        salt(&acme, allowed(&[], &[])),
+        salt(&others, allowed(&[], &[])),
+        salt(&shared, allowed(&["west", "east"], &[])),
+        salt(&shared, allowed(&["east", "west"], &["west", "east", "west"])),
+        salt(&acme, allowed(&[], &["east"])),
+        salt(&others, allowed(&[], &["east"])),
+    ];
+    let texts = [
+        "3/m",
+        "3/m/acme",
+        "3/m/~556a9f63015ac64f",
+        "3/m//east,west",
+        "3/m//east,west",
+        "3/m/acme/east",
+        "3/m/~556a9f63015ac64f/east",
     ];
-    let texts = ["3/m", "3/m/acme", "3/m//east,west", "3/m//east,west", "3/m/acme/east"];
     assert_eq!(salts.each_ref().map(CacheSalt::as_str), texts);
     assert!(salts.iter().all(|salt| salt.is_older(&model, 4) && !salt.is_older(&model, 3)));
 }
--- a/crates/dispatch/tests/load.rs
+++ b/crates/dispatch/tests/load.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{id, report_at, report_of, reporting, request};
-use dispatch::blocks::{CacheSalt, LinkShares};
+use dispatch::blocks::{CacheSalt, LinkShares, SharingScope};
 use dispatch::eligibility::AllowedRegions;
 use dispatch::load::{
     AttemptCost, Health, InFlightId, InFlightLoad, LoadHeader, LoadReport, Loads, Outcome,
@@ -250,7 +250,8 @@
 }
 
 fn session(version: u64, session: u64) -> SessionTag {
-    let salt = CacheSalt::new(&id("m"), version, None, &AllowedRegions::default());
+    let salt =
+        CacheSalt::new(&id("m"), version, &SharingScope::Shared(None), &AllowedRegions::default());
     SessionTag::new(&salt, &request(session, 8_600, 2_900).prompt.unwrap()).unwrap()
 }
 
--- a/crates/dispatch/tests/retirement_histories/gateway.rs
+++ b/crates/dispatch/tests/retirement_histories/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::leader::Leading;
 use crate::world::Rule;
-use dispatch::blocks::CacheSalt;
+use dispatch::blocks::{CacheSalt, SharingScope};
 use dispatch::eligibility::AllowedRegions;
 use dispatch::era::{EraTracker, StoreEra};
 use dispatch::retirement::{FetchPermit, Retirements};
@@ -140,7 +140,12 @@
             }
             _ => self.permit.check(&self.eras, now_ms),
         };
-        let salt = CacheSalt::new(&model(), version, None, &AllowedRegions::default());
+        let salt = CacheSalt::new(
+            &model(),
+            version,
+            &SharingScope::Shared(None),
+            &AllowedRegions::default(),
+        );
         permit.is_ok() && !self.retirements.is_retired(&model(), &salt, now_ms)
     }
 }
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -7,6 +7,7 @@
 use crate::memory::Purpose;
 use crate::node::{InForce, Node};
 use bytes::Bytes;
+use dispatch::blocks::SharingScope;
 use dispatch::configuration::Route;
 use dispatch::crashes::{ContentKey, Feature, Features};
 use dispatch::eligibility::AllowedRegions;
@@ -120,6 +121,20 @@
         }
     }
 
+    /// Returns the organisations with which it shares cached blocks, by the configuration that is in
+    /// force now. An organisation that was dedicated when the request was read shares none of its
+    /// blocks, even if it is listed no more.
+    pub fn sharing_scope(&self, node: &Node) -> SharingScope {
+        let organisation = self.spec.organisation.as_ref();
+        let read = self.in_force.configuration.dedicated.scope(organisation);
+        match (&read, node.in_force()) {
+            (SharingScope::Shared(_), Some(current)) => {
+                current.configuration.dedicated.scope(organisation)
+            }
+            _ => read,
+        }
+    }
+
     /// Returns the text of one of its headers.
     pub fn header_text(&self, name: &HeaderName) -> Option<&str> {
         self.headers.get(name).and_then(|value| value.to_str().ok())
@@ -194,9 +209,6 @@
                 .and_then(|organisation| organisation.priority)
                 .unwrap_or(route.priority),
             route_priority: route.priority,
-            is_dedicated: organisation
-                .as_ref()
-                .is_some_and(|organisation| organisation.is_dedicated),
             organisation: organisation.map(|organisation| organisation.id),
             body_bytes: body.len(),
             prompt,
--- a/crates/gateway/src/follow/operator.rs
+++ b/crates/gateway/src/follow/operator.rs
@@ -8,6 +8,7 @@
 use crate::store::{LogPosition, StoreClient, StoreError};
 use crate::target_weights;
 use crate::unreadable;
+use dispatch::blocks::DedicatedOrganisations;
 use dispatch::era::StoreEra;
 use platform::configuration::{decode_configuration, decode_weights};
 use platform::frames::{KeyedRecord, decode_keyed};
@@ -106,7 +107,8 @@
         }
     };
     let version = configuration.version.value();
-    let old_version = node.in_force().map(|held| held.configuration.version.value());
+    let old = node.in_force();
+    let old_version = old.as_ref().map(|held| held.configuration.version.value());
     let routes = configuration.routes.len();
     let stores: Vec<String> = configuration
         .block_stores()
@@ -116,6 +118,7 @@
     if node.put_in_force(in_force) {
         if let Some(held) = node.in_force() {
             cold::configure(node, &held.configuration);
+            report_dedicated(node, old.as_deref(), &held);
         }
         node.metrics.count("configurations", "in_force");
         event!(info, node.now_ms(), "configuration_in_force", {
@@ -128,6 +131,24 @@
     }
 }
 
+/// Reports a change of the organisations that share no cached blocks. The others share them under
+/// another salt from then on, where nothing is cached unless the same organisations were dedicated
+/// before.
+fn report_dedicated(node: &Node, old: Option<&InForce>, new: &InForce) {
+    let dedicated = &new.configuration.dedicated;
+    if old.map_or(&DedicatedOrganisations::default(), |old| &old.configuration.dedicated)
+        == dedicated
+    {
+        return;
+    }
+    node.metrics.count("configurations", "dedicated_changed");
+    event!(info, node.now_ms(), "dedicated_organisations_changed", {
+        "version": new.configuration.version.value(),
+        "dedicated": dedicated.names(),
+        "shared_scope": dedicated.scope(None).to_string(),
+    });
+}
+
 fn apply_weights(node: &Node, key: &str, value: &[u8], found: Found, source: &str) {
     let (model, version) = match decode_weights(value) {
         Ok(target) => target,
--- a/crates/gateway/src/forward/job.rs
+++ b/crates/gateway/src/forward/job.rs
@@ -345,10 +345,17 @@
 
     /// Records an attempt that did not run.
     pub fn record_not_run(&mut self, server: &ServerId, reason: NotRun) {
-        self.exclude(server);
+        // A server that was chosen for another scope takes the request in the present one.
+        if reason != NotRun::OtherScope {
+            self.exclude(server);
+        }
         match reason {
             NotRun::Unsent => self.record_unsent(server),
-            NotRun::ConnectFailed | NotRun::Closed | NotRun::OldWeights | NotRun::Ineligible => {}
+            NotRun::ConnectFailed
+            | NotRun::Closed
+            | NotRun::OldWeights
+            | NotRun::Ineligible
+            | NotRun::OtherScope => {}
             NotRun::NotGranted => {
                 self.refused_grants += 1;
                 return self.node.metrics.count("failed_sends", reason.as_str());
--- a/crates/gateway/src/forward/outcome.rs
+++ b/crates/gateway/src/forward/outcome.rs
@@ -25,6 +25,8 @@
     OldWeights,
     /// The server may not receive the request any more, or under other regions than it was chosen for.
     Ineligible,
+    /// Organisations became dedicated or ordinary after the server was chosen.
+    OtherScope,
 }
 
 impl NotRun {
@@ -40,6 +42,7 @@
             NotRun::WrongWeights => "other_weights",
             NotRun::OldWeights => "old_weights_unsent",
             NotRun::Ineligible => "ineligible_unsent",
+            NotRun::OtherScope => "other_scope_unsent",
         }
     }
 
@@ -50,9 +53,11 @@
                 Outcome::ConnectionFailed
             }
             NotRun::Shed | NotRun::WrongWeights => Outcome::Shed,
-            NotRun::Closed | NotRun::NotGranted | NotRun::OldWeights | NotRun::Ineligible => {
-                Outcome::Cancelled
-            }
+            NotRun::Closed
+            | NotRun::NotGranted
+            | NotRun::OldWeights
+            | NotRun::Ineligible
+            | NotRun::OtherScope => Outcome::Cancelled,
         }
     }
 }
--- a/crates/gateway/src/forward/place.rs
+++ b/crates/gateway/src/forward/place.rs
@@ -6,12 +6,12 @@
 use crate::forward::admit::{self, Servers, Unplaced};
 use crate::forward::in_flight::{InFlightAttempt, TimedAttempt};
 use crate::forward::job::Job;
-use crate::forward::place::blocks::{is_session_server, resident_blocks, salt, transfer_context};
+use crate::forward::place::blocks::{is_session_server, resident_blocks, transfer_context};
 use crate::forward::place::candidates::{CandidateInputs, Plans, candidates, weight_version};
 use crate::node::Node;
 use crate::routing_state::RoutingState;
 use dispatch::backlog::Backlog;
-use dispatch::blocks::{BlockPlan, CacheSalt};
+use dispatch::blocks::{BlockPlan, CacheSalt, SharingScope};
 use dispatch::choice::{self, ChoiceContext, Chosen, Closed, NoServer, PLAIN_SERVICE_MS};
 use dispatch::configuration::EngineTraits;
 use dispatch::eligibility::{AllowedRegions, Eligibility, Ineligible};
@@ -60,6 +60,8 @@
 /// The options that are sent to an inference engine with the request.
 #[derive(Debug)]
 pub struct EnginePlan {
+    /// The organisations that share the blocks.
+    pub scope: SharingScope,
     /// The salt under which blocks are cached.
     pub salt: CacheSalt,
     /// The only weight version that may run the request.
@@ -128,6 +130,7 @@
     let engines = configuration.services.get(&spec.service).and_then(|found| found.engines());
     let may_fetch = node.check_fetch(now_ms);
     let allowed = job.allowed_regions();
+    let scope = request.sharing_scope(node);
     let regions = &node.context.regions;
     let mut state = node.state();
     let may_wait = choice::may_wait(request.arrived_ms, spec.deadline_at_ms, now_ms);
@@ -148,7 +151,15 @@
         .as_ref()
         .and_then(|prompt| state.weights.get(&prompt.model).and_then(TargetVersions::newest));
     let mut plans = Plans::new();
-    let inputs = CandidateInputs { job, purpose, engines, newest, eligibility, allowed: &allowed };
+    let inputs = CandidateInputs {
+        job,
+        purpose,
+        engines,
+        newest,
+        eligibility,
+        allowed: &allowed,
+        scope: &scope,
+    };
     let mut candidates = candidates(&state, &inputs, &mut plans, now_ms);
     let spread = rand::random();
     let backlog = state.shares.as_ref();
@@ -188,8 +199,8 @@
     let engine = match (&spec.prompt, engines) {
         (Some(prompt), Some(engines)) => {
             let allowed = &allowed;
-            let inputs = EngineInputs { job, engines, prompt, newest, allowed, may_fetch };
-            Some(engine_plan(&mut state, &inputs, &entry, plans, now_ms)?)
+            let inputs = EngineInputs { job, engines, prompt, newest, allowed, scope, may_fetch };
+            Some(engine_plan(&mut state, inputs, &entry, plans, now_ms)?)
         }
         _ => None,
     };
@@ -257,6 +268,7 @@
     /// The newest weight version requested for the model.
     newest: Option<u64>,
     allowed: &'a AllowedRegions,
+    scope: SharingScope,
     /// Whether blocks may be fetched now.
     may_fetch: Result<(), Withheld>,
 }
@@ -268,15 +280,15 @@
 /// Returns an error if no plan was made for the engine's failure domain.
 fn engine_plan(
     state: &mut RoutingState,
-    inputs: &EngineInputs<'_>,
+    inputs: EngineInputs<'_>,
     entry: &ServerEntry,
     plans: Plans,
     now_ms: u64,
 ) -> Result<EnginePlan, NoServer> {
-    let EngineInputs { job, engines, prompt, newest, allowed, may_fetch } = *inputs;
+    let EngineInputs { job, engines, prompt, newest, allowed, scope, may_fetch } = inputs;
     let (node, spec) = (&job.node, &job.request.spec);
     let weight_version = weight_version(entry, prompt, newest);
-    let salt = salt(job, &prompt.model, weight_version, allowed);
+    let salt = CacheSalt::new(&prompt.model, weight_version, &scope, allowed);
     let gateway_ratio = state.gateway_ratio();
     let eligibility = Eligibility::new(allowed, &node.context.regions, &state.evacuations);
     let loads = &state.loads;
@@ -303,7 +315,7 @@
     let configuration = &job.request.in_force.configuration;
     state.blocks.book(configuration, spec, &salt, &context, &blocks, now_ms);
     let (priority, fetch_until) = (spec.engine_priority(), fetch_until.ok());
-    Ok(EnginePlan { salt, weight_version, blocks, fetch_until, priority })
+    Ok(EnginePlan { scope, salt, weight_version, blocks, fetch_until, priority })
 }
 
 fn attempt_cost(
--- a/crates/gateway/src/forward/place/blocks.rs
+++ b/crates/gateway/src/forward/place/blocks.rs
@@ -4,25 +4,13 @@
 use crate::routing_state::RoutingState;
 use dispatch::blocks::{CacheSalt, Holder, TransferContext};
 use dispatch::configuration::EngineTraits;
-use dispatch::eligibility::{AllowedRegions, Eligibility};
+use dispatch::eligibility::Eligibility;
 use dispatch::load::{Loads, ServerTag, SessionTag};
 use dispatch::registry::ServerEntry;
 use dispatch::request::{Prompt, RequestSpec};
-use protocol::ids::{FailureDomain, ModelName};
+use protocol::ids::FailureDomain;
 use smallvec::SmallVec;
 
-/// Returns the salt under which a request's blocks are cached.
-pub(super) fn salt(
-    job: &Job,
-    model: &ModelName,
-    weight_version: u64,
-    allowed: &AllowedRegions,
-) -> CacheSalt {
-    let spec = &job.request.spec;
-    let dedicated = spec.organisation.as_ref().filter(|_| spec.is_dedicated);
-    CacheSalt::new(model, weight_version, dedicated, allowed)
-}
-
 /// Returns the engines that hold blocks of a prompt, may give them to the request and are not suspected.
 pub(super) fn holders<'a>(
     state: &'a RoutingState,
--- a/crates/gateway/src/forward/place/candidates.rs
+++ b/crates/gateway/src/forward/place/candidates.rs
@@ -4,10 +4,10 @@
 use crate::forward::job::Job;
 use crate::forward::place::Purpose;
 use crate::forward::place::blocks::{
-    holders, is_session_server, resident_blocks, salt, session_server, transfer_context,
+    holders, is_session_server, resident_blocks, session_server, transfer_context,
 };
 use crate::routing_state::RoutingState;
-use dispatch::blocks::{BlockPlan, CacheSalt};
+use dispatch::blocks::{BlockPlan, CacheSalt, SharingScope};
 use dispatch::choice::{BlockCost, Candidate};
 use dispatch::configuration::EngineTraits;
 use dispatch::eligibility::{AllowedRegions, Eligibility};
@@ -71,6 +71,7 @@
     pub(super) newest: Option<u64>,
     pub(super) eligibility: Eligibility<'a>,
     pub(super) allowed: &'a AllowedRegions,
+    pub(super) scope: &'a SharingScope,
 }
 
 pub(super) fn candidates<'a>(
@@ -79,7 +80,7 @@
     plans: &mut Plans,
     now_ms: u64,
 ) -> Vec<Candidate<'a>> {
-    let CandidateInputs { job, purpose, engines, newest, eligibility, allowed } = *inputs;
+    let CandidateInputs { job, purpose, engines, newest, eligibility, allowed, scope } = *inputs;
     let spec = &job.request.spec;
     let prompt = spec.prompt.as_ref();
     let usable = state.registry.usable(&spec.service);
@@ -106,7 +107,7 @@
                 let weight_version = weight_version(entry, prompt, newest);
                 let existing = plans.iter().position(|plan| plan.is_for(entry, weight_version));
                 let index = existing.unwrap_or_else(|| {
-                    let salt = salt(job, &prompt.model, weight_version, allowed);
+                    let salt = CacheSalt::new(&prompt.model, weight_version, scope, allowed);
                     let loads = &state.loads;
                     let session_server = session_server(state, prompt, &salt, now_ms);
                     let holders =
--- a/crates/gateway/src/forward/recheck.rs
+++ b/crates/gateway/src/forward/recheck.rs
@@ -22,6 +22,7 @@
     permit: Permit,
 ) -> Result<(), NotRun> {
     let allowed = request.allowed_regions(node);
+    let scope = request.sharing_scope(node);
     let entry = &placed.entry;
     let state = node.state();
     let now_ms = node.now_ms();
@@ -39,6 +40,9 @@
         return Err(NotRun::Ineligible);
     }
     let Some(plan) = &mut placed.engine else { return Ok(()) };
+    if plan.scope != scope {
+        return Err(NotRun::OtherScope);
+    }
     let stores = || request.in_force.configuration.block_stores().map(|(_, store)| store);
     let has_removed = plan.blocks.retain_transfers(|address| {
         let engines = || state.registry.usable(&request.spec.service);
--- a/crates/gateway/tests/competing/parts.rs
+++ b/crates/gateway/tests/competing/parts.rs
@@ -71,7 +71,6 @@
         priority,
         route_priority: priority,
         organisation: Some(format!("organisation-{organisation}").parse().unwrap()),
-        is_dedicated: false,
         body_bytes: 100,
         prompt: None,
         objective_at_ms: 0,
