Hold the heads of servers' answers in the account of memory

Interim heads and chunk sizes without end were read until the request's deadline, which takes no memory but a processor.

Cause: the account began where the HTTP library hands an answer over. What the library holds of an unfinished head, up to 64 KiB a connection, was bounded for one and counted for none.

Change: the stream below the library counts what it receives until it is passed on, for servers, peers, block stores and the store. A head beyond 16 KiB that finds no room ends as too_large, which may have run. The same place ends what brings 128 KiB without a head or a part of a body, and receives 16 KiB at once at most.

Evidence: camphorward_memory_held_bytes{kind="answers"} stayed 0 while 100 heads of 60 kB were held, and now tells them.

Why it works: memory that grows with the number of callers is taken from what is shared before it is used, and given back when the connection closes or its next request begins.

--- a/crates/camphorwardd/tests/crowds/main.rs
+++ b/crates/camphorwardd/tests/crowds/main.rs
@@ -321,6 +321,16 @@
         assert_beside("events that do not end", Place::Stream, servers).await;
     }
 
+    #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+    async fn bodies_that_do_not_end() {
+        let body = "y".repeat(HEAD_BYTES);
+        let servers = stalling_after(&format!(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Server-Seal: s\r\n\
+             Content-Length: 1000000\r\n\r\n{body}"
+        ));
+        assert_beside("bodies that do not end", Place::Route, servers).await;
+    }
+
     #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
     async fn silence() {
         let servers = Servers { script: None, is_paused: true };
--- a/crates/camphorwardd/tests/gateway/endless.rs
+++ b/crates/camphorwardd/tests/gateway/endless.rs
@@ -3,7 +3,10 @@
 use crate::caller::{self, metrics, post, until_ready};
 use crate::fleet::{Fleet, NOTES, ORDERS, QUICK, STATUS, configuration};
 use crate::process::{Gateway, until};
-use standins::fleet::{Availability, Behaviour, Endless, Server, ServerKind};
+use serde_json::Value;
+use standins::fleet::{
+    Availability, Behaviour, Endless, Script, ScriptEnd, ScriptTarget, Server, ServerKind,
+};
 use std::time::Duration;
 
 /// What the platform gives a gateway's process on small hosts.
@@ -13,11 +16,13 @@
 const MAX_WAIT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-const PLAIN: [Endless; 7] = [
+const PLAIN: [Endless; 9] = [
+    Endless::InterimHeads,
     Endless::Header,
     Endless::HeaderLines,
     Endless::LongBody,
     Endless::Chunks,
+    Endless::ChunkSize,
     Endless::SmallChunks,
     Endless::Unframed,
     Endless::Refusal,
@@ -141,6 +146,55 @@
     }
 }
 
+/// Returns the values of a gateway's metric over all kinds, or of one.
+fn sum_of(page: &str, metric: &str) -> usize {
+    let lines = page.lines().filter(|line| line.starts_with(metric));
+    lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<usize>().ok()).sum()
+}
+
+/// Guards against heads of faulty servers that no account holds: a crowd of them took the memory of the
+/// process, which was killed with the requests of all other callers.
+#[tokio::test]
+async fn heads_without_end_at_once_are_held_in_the_account() {
+    const MEMORY_MB: u64 = 20;
+    const CROWD: usize = 100;
+    const HEAD_BYTES: usize = 60_000;
+    let fleet = Fleet::start(1, 1).await;
+    let mut settings: Value = serde_json::from_str(&fleet.settings("gateway-1", &[])).unwrap();
+    settings["memory_mb"] = Value::from(MEMORY_MB);
+    let gateway = fleet.gateway_with(&settings.to_string()).await;
+    let long = "y".repeat(HEAD_BYTES);
+    let head = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {{id}}\r\nX-Long: {long}");
+    let script = Script::new(ScriptTarget::Requests, head, ScriptEnd::Keeps);
+    fleet.engines[0].set_script(Some(script));
+    let crowd = async {
+        let answers = (0..CROWD).map(|_| post(&gateway, QUICK));
+        futures_util::future::join_all(answers).await
+    };
+    let watching = async {
+        until("the crowd is at the server", || fleet.engines[0].executed().len() == CROWD).await;
+        loop {
+            let page = metrics(&gateway).await;
+            let refused = gateway.lines("send_failed").len();
+            let held = sum_of(&page, "camphorward_memory_held_bytes{kind=\"answers\"}");
+            if held >= (CROWD - refused) * HEAD_BYTES {
+                return (page, refused);
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let (answers, watched) = tokio::join!(crowd, tokio::time::timeout(MAX_WAIT, watching));
+    let (page, refused) = watched.expect("the heads are held in the account");
+    let (held, size) =
+        (sum_of(&page, "camphorward_memory_held_bytes"), sum_of(&page, "camphorward_memory_size"));
+    assert!(refused > 0 && held <= size, "{refused} refused, {held} of {size} bytes held");
+    let failed = gateway.lines("send_failed");
+    let too_large = failed.iter().filter(|line| line["reason"] == "too_large").count();
+    assert!(too_large >= refused, "{failed:?}");
+    assert!(answers.iter().all(|answer| [502, 504].contains(&answer.status)));
+    assert_eq!(post(&gateway, ORDERS).await.status, 200);
+}
+
 #[tokio::test]
 async fn an_answer_of_the_store_without_end_is_a_failed_call() {
     for endless in PLAIN {
--- a/crates/gateway/src/answer_memory.rs
+++ b/crates/gateway/src/answer_memory.rs
@@ -4,7 +4,6 @@
 use bytes::{Bytes, BytesMut};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -139,7 +138,11 @@
 /// # Errors
 ///
 /// Returns an error if the body is aborted or larger than the limit.
-pub async fn discard(mut body: Incoming, limit_bytes: usize) -> Result<(), ReadError> {
+pub async fn discard<B>(mut body: B, limit_bytes: usize) -> Result<(), ReadError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    ReadError: From<B::Error>,
+{
     let mut bytes = 0;
     while let Some(frame) = body.frame().await {
         bytes += frame?.data_ref().map_or(0, Bytes::len);
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -4,6 +4,7 @@
 use crate::answer::{AnswerBody, held_body, strip_hop_headers};
 use crate::answer_memory::{self, HeldBody, ReadError};
 use crate::callers::CallerRequest;
+use crate::connect::SendError;
 use crate::event;
 use crate::follow;
 use crate::forward::events::{CompleteEvents, EventSequence, EventSplitter};
@@ -20,15 +21,13 @@
 use crate::node::Node;
 use crate::paths;
 use crate::pool::ServerConnection;
+use crate::received::ReceivedBody;
 use crate::server_answers::{self, AnswerSource, ServerIdentity};
 use crate::target_weights;
-use bytes::Bytes;
 use dispatch::configuration::RouteKind;
 use dispatch::load::Outcome;
 use dispatch::registry::{ServerId, SoftwareVersion};
-use http::{HeaderValue, Request, Response, response};
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http::{HeaderValue, Response, response};
 use platform::headers::{LAST_EVENT_ID, LOAD, REQUEST_ID, RESUMES, WEIGHT_VERSIONS, parse_load};
 use platform::prompt;
 use std::sync::Arc;
@@ -186,7 +185,7 @@
                 log_attempt(request, &self.placed, &connection, node);
             }
             let sent_ms = node.now_ms();
-            let sending = connection.connection.sender.try_send_request(server_request);
+            let sending = connection.connection.send(server_request);
             match await_head(node, request, &self.placed, sending).await {
                 Ok(answer) => return Ok(Headed { connection, answer, sent_ms }),
                 Err(unanswered) => {
@@ -207,7 +206,7 @@
 /// The head of an answer, and the connection on which it arrived.
 struct Headed {
     connection: ServerConnection,
-    answer: Response<Incoming>,
+    answer: Response<ReceivedBody>,
     sent_ms: u64,
 }
 
@@ -295,25 +294,18 @@
     request: &CallerRequest,
     placed: &Placed,
     sending: F,
-) -> Result<Response<Incoming>, Unanswered>
+) -> Result<Response<ReceivedBody>, Unanswered>
 where
-    F: Future<
-        Output = Result<
-            Response<Incoming>,
-            hyper::client::conn::TrySendError<Request<Full<Bytes>>>,
-        >,
-    >,
+    F: Future<Output = Result<Response<ReceivedBody>, SendError>>,
 {
     let remaining = Duration::from_millis(request.remaining_ms(node.now_ms()));
     let weight_version = placed.engine.as_ref().map(|plan| plan.weight_version);
     tokio::select! {
         biased;
-        answer = sending => answer.map_err(|mut error| match error.take_message() {
-            Some(_) => Unanswered::NotRun(NotRun::Unsent),
-            None if error.error().is_parse_too_large() => {
-                Unanswered::MayHaveRun(MayHaveRun::TooLarge)
-            }
-            None => Unanswered::MayHaveRun(MayHaveRun::Aborted),
+        answer = sending => answer.map_err(|error| match error {
+            SendError::Unsent(_) => Unanswered::NotRun(NotRun::Unsent),
+            SendError::TooLarge => Unanswered::MayHaveRun(MayHaveRun::TooLarge),
+            SendError::Lost(_) => Unanswered::MayHaveRun(MayHaveRun::Aborted),
         }),
         () = until_weights_too_old(node, request, weight_version) => {
             Err(Unanswered::MayHaveRun(MayHaveRun::OldWeights))
@@ -340,7 +332,7 @@
     node: Arc<Node>,
     request: Arc<CallerRequest>,
     head: response::Parts,
-    body: Incoming,
+    body: ReceivedBody,
     connection: ServerConnection,
     in_flight: InFlightAttempt,
     software: SoftwareVersion,
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -1,5 +1,6 @@
 //! The events of a streamed answer, as they arrive from a server.
 
+use crate::answer_memory::ReadError;
 use crate::callers::CallerRequest;
 use crate::connection_limits::Side;
 use crate::forward::events::{CompleteEvents, EventSequence, EventSplitter};
@@ -8,15 +9,15 @@
 use crate::forward::validation::InvalidAnswer;
 use crate::node::Node;
 use crate::pool::ServerConnection;
+use crate::received::ReceivedBody;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::time::Duration;
 
 /// The source of a stream's events.
 #[derive(Debug)]
 pub struct StreamSource {
     /// The rest of the body.
-    pub body: Incoming,
+    pub body: ReceivedBody,
     /// Holds the bytes of an incomplete event.
     pub splitter: EventSplitter,
     /// The order of the events; `None` if the stream cannot be resumed.
@@ -54,7 +55,10 @@
             let frame = match self.body.frame().await {
                 None if self.splitter.has_partial_event() => return Err(MayHaveRun::Aborted),
                 None => return Ok(None),
-                Some(frame) => frame.map_err(|_| MayHaveRun::Aborted)?,
+                Some(frame) => frame.map_err(|error| match error {
+                    ReadError::Aborted(_) => MayHaveRun::Aborted,
+                    ReadError::TooLarge => MayHaveRun::TooLarge,
+                })?,
             };
             let Ok(data) = frame.into_data() else { continue };
             self.in_flight.record_activity();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod paths;
 pub mod peers;
 pub mod pool;
+pub mod received;
 pub mod rollout_leader;
 pub mod routing_state;
 pub mod server_answers;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,8 +1,8 @@
 //! Sequential calls over one persistent connection: to the store, peers, engines and block stores.
 
 use crate::answer_memory::{HeldBody, ReadError};
-use crate::connect::{self, ClientConnection};
-use crate::memory::{MemoryAccount, Purpose};
+use crate::connect::{self, ClientConnection, SendError};
+use crate::memory::{MemoryAccount, MemoryShare, Purpose};
 use crate::settings::SMALL_HOST_MEMORY_MB;
 use bytes::Bytes;
 use dispatch::registry::ServerId;
@@ -127,9 +127,12 @@
     ///
     /// Returns an error that distinguishes whether the call was sent.
     pub async fn call(&mut self, call: Call) -> Result<Response<Bytes>, CallError> {
-        let mut connection = match self.connection.take().filter(|idle| idle.sender.is_ready()) {
+        let mut connection = match self.connection.take().filter(|idle| idle.is_ready()) {
             Some(idle) => idle,
-            None => connect::open(self.address, CONNECT_TIMEOUT.min(call.timeout)).await?,
+            None => {
+                let share = MemoryShare::new(memory(), Purpose::Calls);
+                connect::open(self.address, CONNECT_TIMEOUT.min(call.timeout), share).await?
+            }
         };
         let timeout = call.timeout;
         let exchange = tokio::time::timeout(timeout, exchange(&mut connection, self.address, call));
@@ -153,9 +156,10 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(call.body))
         .map_err(|error| lost(&error))?;
-    connection.sender.ready().await.map_err(|error| lost(&error))?;
-    let answer = connection.sender.send_request(request).await.map_err(|error| {
-        if error.is_parse_too_large() { CallError::TooLarge } else { lost(&error) }
+    connection.ready().await.map_err(|error| lost(&error))?;
+    let answer = connection.send(request).await.map_err(|error| match error {
+        SendError::TooLarge => CallError::TooLarge,
+        SendError::Unsent(error) | SendError::Lost(error) => lost(&error),
     })?;
     let (head, body) = answer.into_parts();
     let body =
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -4,9 +4,10 @@
 
 pub use crate::paths::probe::{links_work, run as probe, verify};
 
-use crate::connect;
+use crate::connect::{self, ClientConnection};
 use crate::event;
 use crate::link::{Call, CallError, Link};
+use crate::memory::{MemoryShare, Purpose};
 use crate::node::Node;
 use crate::pool::ServerConnection;
 use crate::tunnel::{self, TunnelError};
@@ -18,6 +19,7 @@
 use protocol::ids::HostName;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The timeout for opening a connection to a server. The longest round trip takes some 30 ms; the
@@ -74,7 +76,7 @@
         return Ok(pooled);
     }
     let error = match choice {
-        PathChoice::Direct => match connect::open(entry.address, CONNECT_TIMEOUT).await {
+        PathChoice::Direct => match open(node, entry).await {
             Ok(connection) => {
                 return Ok(ServerConnection::new(connection, entry.incarnation, false));
             }
@@ -90,6 +92,11 @@
     Ok(connection)
 }
 
+async fn open(node: &Node, entry: &ServerEntry) -> io::Result<ClientConnection> {
+    let share = MemoryShare::new(Arc::clone(&node.memory), Purpose::Answers);
+    connect::open(entry.address, CONNECT_TIMEOUT, share).await
+}
+
 /// Opens a connection to a server through a peer; returns the peer too.
 async fn detour(
     node: &Node,
@@ -98,7 +105,7 @@
 ) -> Result<(ServerConnection, HostName), TunnelError> {
     let mut last = TunnelError::Unavailable;
     for (host, address) in peers(node, carried) {
-        match tunnel::open(entry, address, carried).await {
+        match tunnel::open(entry, address, carried, &node.memory).await {
             Ok(connection) => {
                 node.metrics.count("detours", "opened");
                 let connection = ServerConnection::new(connection, entry.incarnation, true);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -81,16 +81,17 @@
             entry.connection.incarnation == server.incarnation && is_usable(entry, now_ms)
         });
         let index = connections.iter().rposition(|entry| {
-            entry.since_ms >= used_since_ms && entry.connection.connection.sender.is_ready()
+            entry.since_ms >= used_since_ms && entry.connection.connection.is_ready()
         })?;
         Some(connections.swap_remove(index).connection)
     }
 
     /// Adds a connection whose answer was read completely.
     pub fn put(&self, server: &ServerId, mut connection: ServerConnection, now_ms: u64) {
-        if connection.keep_alive_ms == 0 || connection.connection.sender.is_closed() {
+        if connection.keep_alive_ms == 0 || connection.connection.is_closed() {
             return;
         }
+        connection.connection.release_answer();
         connection.is_reused = true;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(server.clone()).or_default();
@@ -117,7 +118,7 @@
 
 fn is_usable(entry: &IdleConnection, now_ms: u64) -> bool {
     let connection = &entry.connection;
-    now_ms < entry.since_ms + connection.keep_alive_ms && !connection.connection.sender.is_closed()
+    now_ms < entry.since_ms + connection.keep_alive_ms && !connection.connection.is_closed()
 }
 
 fn keep_alive_ms(headers: &HeaderMap) -> u64 {
--- a/crates/gateway/src/tunnel.rs
+++ b/crates/gateway/src/tunnel.rs
@@ -11,6 +11,7 @@
 
 use crate::connect::{self, ClientConnection};
 use crate::listener::TUNNEL_PROTOCOL;
+use crate::memory::{MemoryAccount, MemoryShare, Purpose};
 use crate::paths::Carried;
 use bytes::Bytes;
 use dispatch::registry::ServerEntry;
@@ -19,6 +20,7 @@
 use http_body_util::Full;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The path that opens a tunnel.
@@ -98,9 +100,12 @@
     entry: &ServerEntry,
     peer: SocketAddr,
     carried: Carried<'_>,
+    memory: &Arc<MemoryAccount>,
 ) -> Result<ClientConnection, TunnelError> {
     let unavailable = |_| TunnelError::Unavailable;
-    let mut connection = connect::open(peer, CONNECT_TIMEOUT).await.map_err(unavailable)?;
+    let share = |purpose| MemoryShare::new(Arc::clone(memory), purpose);
+    let opening = connect::open(peer, CONNECT_TIMEOUT, share(Purpose::Calls));
+    let mut connection = opening.await.map_err(unavailable)?;
     let carries = match carried {
         Carried::Request(_) => "request",
         Carried::Calls => CARRIES_CALLS,
@@ -117,15 +122,15 @@
         .body(Full::new(Bytes::new()))
         .map_err(|_| TunnelError::Unavailable)?;
     let upgrading = async {
-        let answer =
-            connection.sender.send_request(request).await.map_err(|_| TunnelError::Unavailable)?;
+        let answer = connection.send(request).await.map_err(|_| TunnelError::Unavailable)?;
         if answer.status() != StatusCode::SWITCHING_PROTOCOLS {
             return Err(TunnelError::from_status(answer.status()));
         }
+        connection.end_answers();
         hyper::upgrade::on(answer).await.map_err(|_| TunnelError::Unavailable)
     };
     let upgraded = tokio::time::timeout(ANSWER_TIMEOUT, upgrading);
     let upgraded = upgraded.await.unwrap_or(Err(TunnelError::Unavailable))?;
     let stream = FramedStream::new(TokioIo::new(upgraded));
-    connect::handshake(stream).await.map_err(unavailable)
+    connect::handshake(stream, share(Purpose::Answers)).await.map_err(unavailable)
 }
--- a/crates/standins/src/fleet/endless.rs
+++ b/crates/standins/src/fleet/endless.rs
@@ -10,6 +10,8 @@
 /// The part of an answer that never ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Endless {
+    /// Interim heads before the head.
+    InterimHeads,
     /// The value of one header.
     Header,
     /// The lines of the head.
@@ -18,6 +20,8 @@
     LongBody,
     /// A chunked body.
     Chunks,
+    /// The size of a chunk.
+    ChunkSize,
     /// A chunked body whose chunks have one byte.
     SmallChunks,
     /// A body without a length.
@@ -38,10 +42,12 @@
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         let text = "x".repeat(PIECE_BYTES);
         let (status, framing, repeated) = match self {
+            Endless::InterimHeads => (103, "\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned()),
             Endless::Header => (200, "X-Long: ", text),
             Endless::HeaderLines => (200, "", "X-Line: x\r\n".to_owned()),
             Endless::LongBody => (200, "Content-Length: 1000000000000\r\n\r\n", text),
             Endless::Chunks => (200, CHUNKED, chunk(&text)),
+            Endless::ChunkSize => (200, CHUNKED, "0".repeat(PIECE_BYTES)),
             Endless::SmallChunks => (200, CHUNKED, chunk("x")),
             Endless::Unframed => (200, "Connection: close\r\n\r\n", text),
             Endless::Refusal => {
