Accept no request late in a planned stop that its end could cut

No plain request was seen cut: what has no answer 0.2 s before the end gets 504.

Cause: a request that could outlast the drain was accepted while 4.5 s of it were left, 3.02 s after SIGTERM with a shutdown time of 8 s and later with a longer one, though only requests sent within 3 s may be cut.

Change: gateway::drain decides. Such requests are accepted while the balancer may still send callers, 2.6 s, if 4.5 s are left; later ones only if their deadline passes before the last answers. Reading a body, and finding what began a stream that is taken up again, end with the last answers as shutting_down, which promises that nothing ran.

Why it works: whatever is accepted after 2.6 s has a deadline that ends it before the process does.

Not played: requests through a stopping peer.

--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -175,8 +175,13 @@
         let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
         let target = target.to_owned();
         let route = route.clone();
-        let target_stream =
-            resumed::resolve(node, &in_force.configuration, &route, &id, request.headers()).await;
+        let resolving =
+            resumed::resolve(node, &in_force.configuration, &route, &id, request.headers());
+        let target_stream = tokio::select! {
+            biased;
+            target_stream = resolving => target_stream,
+            () = node.ending() => Err(Refusal::ShuttingDown),
+        };
         let StreamTarget { stream, origin, service } = target_stream.map_err(refuse)?;
         let route_deadline_at_ms = arrived_ms + route.timeout_ms;
         let (head, body) = request.into_parts();
@@ -189,8 +194,8 @@
         let limits = BodyLimits::new(limits, Duration::from_millis(remaining_ms));
         let body = read_body(node, body, limits, awaits_permission).await;
         let body = body.map_err(|(refusal, unread)| {
-            let retry_after_ms =
-                (refusal == Refusal::NoMemory).then(|| no_memory_retry_ms(remaining_ms));
+            let may_resend = matches!(refusal, Refusal::NoMemory | Refusal::ShuttingDown);
+            let retry_after_ms = may_resend.then(|| resend_delay_ms(remaining_ms));
             let answer = refuse_until(node, Some(&id), refusal, retry_after_ms);
             Box::new(Refused { answer, unread, is_last: true })
         })?;
@@ -254,7 +259,7 @@
     let id = request.headers().get(REQUEST_ID).cloned();
     let awaits_permission = request.headers().contains_key(EXPECT);
     let remaining_ms = caller_deadline_at_ms.saturating_sub(node.now_ms());
-    let retry_after_ms = Some(no_memory_retry_ms(remaining_ms));
+    let retry_after_ms = Some(resend_delay_ms(remaining_ms));
     let answer = refuse_until(node, id.as_ref(), Refusal::NoMemory, retry_after_ms);
     let limit_bytes =
         node.in_force().map_or(0, |in_force| in_force.configuration.limits.max_body_bytes);
@@ -284,7 +289,7 @@
 
 /// Returns a random delay after which a caller should send its body again. Callers honour a delay of
 /// up to a third of their remaining time.
-fn no_memory_retry_ms(remaining_ms: u64) -> u64 {
+fn resend_delay_ms(remaining_ms: u64) -> u64 {
     /// The bounds of the delay, in milliseconds. Large bodies take seconds to arrive.
     const MIN_MS: u64 = 150;
     const MAX_MS: u64 = 3_000;
@@ -358,7 +363,12 @@
     awaits_permission: bool,
 ) -> Result<Bytes, (Refusal, Option<UnreadBody>)> {
     let announced = body.size_hint().exact();
-    let refusal = match body::read(&mut body, &node.memory, limits).await {
+    let read = tokio::select! {
+        biased;
+        read = body::read(&mut body, &node.memory, limits) => read,
+        () = node.ending() => Err(Refusal::ShuttingDown),
+    };
+    let refusal = match read {
         Ok(bytes) => return Ok(bytes),
         Err(refusal) => refusal,
     };
@@ -367,7 +377,8 @@
             announced.map_or("without_length", |bytes| Purpose::body(bytes as usize).as_str());
         node.metrics.count("memory_refusals", kind);
     }
-    let is_refused_unread = matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge);
+    let is_refused_unread =
+        matches!(refusal, Refusal::NoMemory | Refusal::BodyTooLarge | Refusal::ShuttingDown);
     let is_unsent = awaits_permission && announced.is_some();
     let unread = UnreadBody { body, limit_bytes: limits.size_bytes };
     Err((refusal, (is_refused_unread && !is_unsent).then_some(unread)))
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::cold;
 use crate::connection_limits::Side;
 use crate::crashes;
+use crate::drain::Drain;
 use crate::event;
 use crate::follow;
 use crate::limits;
@@ -26,17 +27,12 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::AbortHandle;
 
-/// How long new connections may still arrive after SIGTERM, in milliseconds: the balancer checks
-/// readiness every second and removes a gateway after two failed checks.
-const BALANCER_REMOVAL_MS: u64 = 2_600;
 /// The share of the shutdown time in which requests may complete.
 const DRAIN_SHARE: f64 = 0.94;
 /// How long the process waits before its exit for the log writer to write the last lines.
 const LOG_FLUSH_DELAY: Duration = Duration::from_millis(250);
 /// How often the settings file is checked for changes that no signal announced.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(3);
-/// How long before the end of the drain requests in progress are answered, in milliseconds.
-const LAST_ANSWERS_MS: u64 = 200;
 /// How often the drain checks whether connections are left.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -191,20 +187,19 @@
 async fn drain(node: &Node, traffic: &Traffic, accept_task: &AbortHandle) {
     let started_ms = node.now_ms();
     let bound_ms = (node.settings.bounds.shutdown_s * 1_000.0 * DRAIN_SHARE) as u64;
-    node.start_draining(started_ms + bound_ms);
+    let drain = node.start_draining(Drain::new(started_ms, bound_ms));
     peers::hand_over_streams(node);
     event!(info, started_ms, "draining", {
         "connections": traffic.connections.load(Ordering::Relaxed),
         "requests": traffic.requests.load(Ordering::Relaxed),
     });
-    let mut took_ms = 0;
-    while took_ms < bound_ms {
+    while !drain.is_over(node.now_ms()) {
         tokio::time::sleep(DRAIN_CHECK_INTERVAL).await;
-        took_ms = node.now_ms() - started_ms;
-        if took_ms + LAST_ANSWERS_MS >= bound_ms {
+        let now_ms = node.now_ms();
+        if now_ms >= drain.last_answers_ms() {
             node.end_requests();
         }
-        if took_ms < BALANCER_REMOVAL_MS {
+        if drain.awaits_balancer(now_ms) {
             continue;
         }
         traffic.close_idle();
@@ -218,7 +213,7 @@
     }
     event!(info, node.now_ms(), "stopped", {
         "requests_cut": traffic.requests.load(Ordering::Relaxed),
-        "took_ms": took_ms,
+        "took_ms": node.now_ms() - started_ms,
     });
     tokio::time::sleep(LOG_FLUSH_DELAY).await;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -40,19 +40,13 @@
 const MAX_REFUSED_ATTEMPTS: u32 = 3;
 /// The number of servers whose holder granted no send after which no further holder is asked.
 pub const MAX_REFUSED_GRANTS: u32 = 3;
-/// The remaining time of a draining process below which it accepts only requests whose deadline
-/// lies before its end, in milliseconds. Until then it serves the callers that the load balancer
-/// still sends.
-const SHUTDOWN_MARGIN_MS: u64 = 4_500;
 /// The remaining time below which a request is no longer sent, in milliseconds.
 const MIN_REMAINING_MS: u64 = 15;
 
 /// Serves a request and returns the answer of a server, or a refusal.
 pub async fn serve(node: Arc<Node>, request: CallerRequest) -> Response<AnswerBody> {
     let mut job = Job::new(Arc::clone(&node), request);
-    if node.ends_before(node.now_ms() + SHUTDOWN_MARGIN_MS)
-        && node.ends_before(job.request.spec.deadline_at_ms)
-    {
+    if !node.accepts_until(job.request.spec.deadline_at_ms) {
         return job.abandon(Refusal::ShuttingDown);
     }
     {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod crashes;
 pub mod daemon;
 pub mod discovery;
+pub mod drain;
 pub mod evacuations;
 pub mod follow;
 pub mod forward;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use crate::clock::{Clock, SuspensionDetector};
 use crate::connection_limits::ConnectionLimits;
 use crate::crashes::CrashExchange;
+use crate::drain::Drain;
 use crate::gateways::Source;
 use crate::limits::GrantCalls;
 use crate::memory::MemoryAccount;
@@ -29,7 +30,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use tokio::sync::{Notify, watch};
 
 /// The configuration in force with its derived route table.
@@ -110,11 +111,9 @@
     /// The servers whose paths are being verified.
     being_verified: Mutex<BTreeSet<ServerId>>,
     seeds: Mutex<Vec<SocketAddr>>,
-    is_draining: AtomicBool,
+    drain: OnceLock<Drain>,
     /// Whether requests end now because the process is about to exit.
     is_ending: watch::Sender<bool>,
-    /// The latest time at which the process exits; zero while it does not drain.
-    ends_ms: AtomicU64,
     fetch_permit: Mutex<FetchPermit>,
     /// The lead of the servers' clock over the node's clock, in milliseconds; zero while unknown.
     server_clock_lead_ms: AtomicU64,
@@ -172,9 +171,8 @@
             logged_eras: Mutex::new(BTreeSet::new()),
             logged_records: Mutex::default(),
             seeds: Mutex::new(settings.seeds.clone().unwrap_or_default()),
-            is_draining: AtomicBool::new(false),
+            drain: OnceLock::new(),
             is_ending: watch::Sender::new(false),
-            ends_ms: AtomicU64::new(0),
             fetch_permit: Mutex::default(),
             server_clock_lead_ms: AtomicU64::new(0),
             settings,
@@ -212,10 +210,9 @@
         true
     }
 
-    /// Starts to drain; the process exits at `ends_ms` at the latest.
-    pub fn start_draining(&self, ends_ms: u64) {
-        self.ends_ms.store(ends_ms, Ordering::Relaxed);
-        self.is_draining.store(true, Ordering::Relaxed);
+    /// Starts to drain, or goes on with the drain that has started.
+    pub fn start_draining(&self, drain: Drain) -> Drain {
+        *self.drain.get_or_init(|| drain)
     }
 
     /// Ends all requests in progress.
@@ -235,14 +232,14 @@
         drop(is_ending.wait_for(|is_ending| *is_ending).await);
     }
 
-    /// Returns whether the process drains and may exit before a time.
-    pub fn ends_before(&self, at_ms: u64) -> bool {
-        self.is_draining() && self.ends_ms.load(Ordering::Relaxed) < at_ms
+    /// Returns whether a request with a deadline is accepted now.
+    pub fn accepts_until(&self, deadline_at_ms: u64) -> bool {
+        self.drain.get().is_none_or(|drain| drain.accepts(deadline_at_ms, self.now_ms()))
     }
 
     /// Returns whether the process drains.
     pub fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.drain.get().is_some()
     }
 
     /// Returns where this gateway reads the stores' content: at the relay of its failure domain, which
