Take no answer for whole that ends before its request is written

A reset was told apart before.

Cause: the HTTP library stops writing once the other side has ended, and hands the answer over as ended. Nothing compared that with what was left to write.

Change: the stream below the library knows whether everything is written. An answer without a length or chunks that ends before counts as broken off, for requests, streams, hedges, resumptions and calls. A gateway that carries a connection ends the tunnel without its last frame if bytes to the server are not written.

Whether such an answer may be whole: a success counts only with its complete body, and a server that answers early keeps the connection and reads on. One that ends its connection has given the request up, and nothing tells whether its answer is whole, so 502 is given, which promises nothing. An early answer with a length or chunks is passed on as before.

Evidence: early_answers.rs plays an upload of 12 MB, with 0 and 300,000 bytes of it read, ended and reset, on four routes, directly and through a peer.

Left: bytes that the kernel has taken count as written, and no test isolates the tunnel's part.

--- a/crates/camphorwardd/tests/gateway/main.rs
+++ b/crates/camphorwardd/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod cut_heads;
 mod cut_off;
 mod dedicated;
+mod early_answers;
 mod endless;
 mod evacuations;
 mod fleet;
--- a/crates/gateway/src/answer_memory.rs
+++ b/crates/gateway/src/answer_memory.rs
@@ -25,6 +25,10 @@
     /// The connection was lost, or the framing is invalid.
     #[error("connection lost: {0}")]
     Aborted(#[from] hyper::Error),
+    /// The answer ended with its connection before the request was written, as one does that is broken
+    /// off.
+    #[error("the connection ended before the request was written")]
+    EndedEarly,
     /// The body is larger than the memory allows.
     #[error("the answer is too large")]
     TooLarge,
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -118,7 +118,9 @@
         match self.sender.try_send_request(request).await {
             Ok(answer) => {
                 self.received.end_head();
-                Ok(answer.map(|body| ReceivedBody::new(body, self.received.clone())))
+                let (head, body) = answer.into_parts();
+                let body = ReceivedBody::new(body, &head.headers, self.received.clone());
+                Ok(Response::from_parts(head, body))
             }
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => SendError::Unsent(error.into_error()),
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -361,7 +361,7 @@
                 in_flight.end(reason.outcome());
                 return AttemptResult::MayHaveRun(reason);
             }
-            Ok(Err(ReadError::Aborted(_))) | Err(_) => {}
+            Ok(Err(ReadError::Aborted(_) | ReadError::EndedEarly)) | Err(_) => {}
         }
         in_flight.end(reason.outcome());
         AttemptResult::NotRun(reason)
@@ -383,7 +383,7 @@
             Ok(Ok(body)) => body,
             Ok(Err(error)) => {
                 let reason = match error {
-                    ReadError::Aborted(_) => MayHaveRun::Aborted,
+                    ReadError::Aborted(_) | ReadError::EndedEarly => MayHaveRun::Aborted,
                     ReadError::TooLarge => MayHaveRun::TooLarge,
                 };
                 in_flight.fail_with(Outcome::Failed, reason, &request, false);
--- a/crates/gateway/src/forward/source.rs
+++ b/crates/gateway/src/forward/source.rs
@@ -56,7 +56,7 @@
                 None if self.splitter.has_partial_event() => return Err(MayHaveRun::Aborted),
                 None => return Ok(None),
                 Some(frame) => frame.map_err(|error| match error {
-                    ReadError::Aborted(_) => MayHaveRun::Aborted,
+                    ReadError::Aborted(_) | ReadError::EndedEarly => MayHaveRun::Aborted,
                     ReadError::TooLarge => MayHaveRun::TooLarge,
                 })?,
             };
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -164,8 +164,8 @@
     let (head, body) = answer.into_parts();
     let body =
         HeldBody::read(body, memory(), Purpose::Calls).await.map_err(|error| match error {
-            ReadError::Aborted(error) => lost(&error),
             ReadError::TooLarge => CallError::TooLarge,
+            ReadError::Aborted(_) | ReadError::EndedEarly => lost(&error),
         })?;
     Ok(Response::from_parts(head, body.into_bytes()))
 }
--- a/crates/gateway/src/received.rs
+++ b/crates/gateway/src/received.rs
@@ -1,4 +1,5 @@
-//! Accounts for the bytes of an answer that are received and not passed on yet.
+//! Accounts for the bytes of an answer that are received and not passed on yet, and tells whether an
+//! answer that ends with its connection is whole.
 //!
 //! Load pattern: servers that send bytes without end to many callers at once, in heads, between heads or
 //! in the framing of bodies. The HTTP library keeps them, or reads them to no purpose.
@@ -6,6 +7,8 @@
 use crate::answer_memory::ReadError;
 use crate::memory::MemoryShare;
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use std::io;
@@ -29,6 +32,8 @@
     is_over_limit: bool,
     /// Whether the bytes are not HTTP any more.
     is_upgraded: bool,
+    /// Whether nothing that was to be written is left.
+    is_flushed: bool,
 }
 
 /// The bytes received on one connection since its last request. They are held in the gateway's account:
@@ -39,7 +44,13 @@
 impl ReceivedBytes {
     /// Creates the account of a connection without a request.
     pub fn new(share: MemoryShare) -> Self {
-        let state = State { share, head_bytes: 0, is_over_limit: false, is_upgraded: false };
+        let state = State {
+            share,
+            head_bytes: 0,
+            is_over_limit: false,
+            is_upgraded: false,
+            is_flushed: true,
+        };
         Self(Arc::new(Mutex::new(state)))
     }
 
@@ -71,6 +82,12 @@
         self.lock().is_over_limit
     }
 
+    /// Returns whether the request is written completely. The HTTP library writes nothing more once the
+    /// other side has ended its own.
+    fn is_request_written(&self) -> bool {
+        self.lock().is_flushed
+    }
+
     fn pass_on(&self) {
         let mut state = self.lock();
         let head_bytes = state.head_bytes;
@@ -128,6 +145,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.received.lock().is_flushed = false;
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
@@ -136,6 +154,7 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.received.lock().is_flushed = false;
         Pin::new(&mut self.inner).poll_write_vectored(cx, buffers)
     }
 
@@ -144,7 +163,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        ready!(Pin::new(&mut self.inner).poll_flush(cx))?;
+        // The HTTP library flushes the stream only once its own buffer is empty.
+        self.received.lock().is_flushed = true;
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -157,12 +179,17 @@
 pub struct ReceivedBody {
     inner: Incoming,
     received: ReceivedBytes,
+    /// Whether the end of the connection is the only sign of its end.
+    is_unframed: bool,
 }
 
 impl ReceivedBody {
     /// Wraps the body of an answer on a connection.
-    pub const fn new(inner: Incoming, received: ReceivedBytes) -> Self {
-        Self { inner, received }
+    pub fn new(inner: Incoming, headers: &HeaderMap, received: ReceivedBytes) -> Self {
+        let is_framed =
+            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+        let is_unframed = !is_framed && !inner.is_end_stream();
+        Self { inner, received, is_unframed }
     }
 }
 
@@ -175,6 +202,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ReadError>>> {
         let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        if frame.is_none() && self.is_unframed && !self.received.is_request_written() {
+            return Poll::Ready(Some(Err(ReadError::EndedEarly)));
+        }
         Poll::Ready(frame.map(|frame| match frame {
             Ok(frame) => {
                 self.received.pass_on();
--- a/crates/gateway/src/tunnel/serve.rs
+++ b/crates/gateway/src/tunnel/serve.rs
@@ -17,6 +17,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -27,6 +28,8 @@
 /// What a tunnel holds, in bytes: a frame, the bytes on the way to the server, and the buffers of two
 /// connections.
 const TUNNEL_BYTES: usize = HEADER_BYTES + MAX_FRAME_BYTES + 24 * 1024;
+/// The bytes that are carried to a server at once.
+const CARRIED_BYTES: usize = 8 * 1024;
 /// How long a server may take to accept a connection. The longest round trip takes some 30 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 
@@ -149,23 +152,48 @@
 /// Carries bytes until either side closes; the permit is held as long.
 async fn carry(upgrade: OnUpgrade, server: TcpStream, _permit: Permit) {
     let Ok(upgraded) = upgrade.await else { return };
-    let (mut from_gateway, to_gateway) = tokio::io::split(TokioIo::<Upgraded>::new(upgraded));
-    let (from_server, mut to_server) = server.into_split();
+    let (from_gateway, to_gateway) = tokio::io::split(TokioIo::<Upgraded>::new(upgraded));
+    let (from_server, to_server) = server.into_split();
+    let has_unwritten = AtomicBool::new(false);
     tokio::select! {
         // A gateway that closes has left; the server notices as if it were connected directly.
-        _ = tokio::io::copy(&mut from_gateway, &mut to_server) => {}
+        _ = carry_bytes(from_gateway, to_server, &has_unwritten) => {}
         // An error ends the tunnel without the last frame.
-        _ = carry_frames(from_server, to_gateway) => {}
+        _ = carry_frames(from_server, to_gateway, &has_unwritten) => {}
     }
 }
 
+/// Carries bytes to the server; `has_unwritten` is set while some wait to be written.
+async fn carry_bytes(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    has_unwritten: &AtomicBool,
+) -> io::Result<()> {
+    let mut bytes = vec![0; CARRIED_BYTES];
+    loop {
+        let read = from.read(&mut bytes).await?;
+        if read == 0 {
+            return Ok(());
+        }
+        has_unwritten.store(true, Ordering::Relaxed);
+        to.write_all(&bytes[..read]).await?;
+        has_unwritten.store(false, Ordering::Relaxed);
+    }
+}
+
+/// Carries bytes from the server. An end that comes before the bytes to the server are written may break
+/// an answer off, so the tunnel ends without the last frame then.
 async fn carry_frames(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
+    has_unwritten: &AtomicBool,
 ) -> io::Result<()> {
     let mut frame = vec![0; HEADER_BYTES + MAX_FRAME_BYTES];
     loop {
         let read = from.read(&mut frame[HEADER_BYTES..]).await?;
+        if read == 0 && has_unwritten.load(Ordering::Relaxed) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         frame[..HEADER_BYTES].copy_from_slice(&header(read));
         to.write_all(&frame[..HEADER_BYTES + read]).await?;
         to.flush().await?;
