Pass no answer on whose status the protocol does not have

Cause: the library takes any three digits from 100 on, and answers were classified by what their status is not; what is no refusal, no interim answer and no success was passed on. A 600 with X-Not-Executed counted as a refusal that promises that nothing ran.

Change: a status above 599 is invalid_status, before anything else that the head says: 502, or another server where the request may be repeated.

--- a/crates/camphorwardd/tests/gateway/cut_heads.rs
+++ b/crates/camphorwardd/tests/gateway/cut_heads.rs
@@ -141,3 +141,44 @@
     fleet.desks[0].set_script(Some(script));
     assert_eq!(post(&gateway, ORDERS).await.status, 502);
 }
+
+/// Guards against the status of a server in trouble that reaches the caller as an answer's.
+#[tokio::test]
+async fn a_status_that_is_none_is_no_answer() {
+    const STATUSES: [&str; 10] =
+        ["000", "0", "001", "099", "20", "2x0", "1000", "600", "999", "199"];
+    let fleet = Fleet::start(1, 1).await;
+    let gateway = fleet.gateway("gateway-1").await;
+    for status in STATUSES {
+        for extra in ["X-Server-Seal: s", "X-Not-Executed: 1"] {
+            let text = format!(
+                "HTTP/1.1 {status} X\r\nX-Attempt-Id: {{id}}\r\n{extra}\r\n\
+                 Content-Length: 4\r\n\r\nbody"
+            );
+            let script = Script::new(ScriptTarget::Requests, text, ScriptEnd::Closes);
+            for server in fleet.desks.iter().chain(&fleet.engines) {
+                server.set_script(Some(script.clone()));
+            }
+            for path in [ORDERS, STATUS, NOTES, QUICK] {
+                let response = post_anew(&gateway, path).await;
+                assert_eq!(response.status, 502, "{path} {status} {extra}: {response:?}");
+            }
+        }
+    }
+}
+
+/// Guards against the same where a stream goes on.
+#[tokio::test]
+async fn a_stream_goes_on_with_no_status_that_is_none() {
+    for status in ["000", "600", "999"] {
+        let text = format!(
+            "HTTP/1.1 {status} X\r\nX-Attempt-Id: {{id}}\r\nX-Server-Seal: s\r\n\
+             Content-Type: text/event-stream\r\nContent-Length: 24\r\n\r\n\
+             id: 4\ndata: trouble!!\n\n"
+        );
+        let script = Script::new(ScriptTarget::Resumptions, text, ScriptEnd::Closes);
+        let (response, _other) = Site::start().await.break_onto(&script).await;
+        assert!(!response.is_complete && !response.body.contains("trouble"), "{response:?}");
+        assert_whole(&Site::start().await.hedge_with(&script).await);
+    }
+}
--- a/crates/gateway/src/forward/validation.rs
+++ b/crates/gateway/src/forward/validation.rs
@@ -16,9 +16,14 @@
 /// The media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// The highest status of the protocol. The HTTP library rejects those below 100 or not of three digits.
+const MAX_STATUS: u16 = 599;
+
 /// Why an answer that names the attempt is none that a server gives to it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InvalidAnswer {
+    /// Its status is none that the protocol has.
+    Status,
     /// It is a success without the server's proof.
     Unsealed,
     /// It is a success that states that the request was not executed.
@@ -37,6 +42,7 @@
     /// Returns the reason's name in logs and counters.
     pub const fn as_str(self) -> &'static str {
         match self {
+            InvalidAnswer::Status => "invalid_status",
             InvalidAnswer::Unsealed => "no_seal",
             InvalidAnswer::RefusedSuccess => "refused_success",
             InvalidAnswer::ProtocolChange => "protocol_change",
@@ -73,6 +79,9 @@
 
 /// Classifies an answer that names the attempt.
 pub fn classify(head: &response::Parts, expected: &Expectation<'_>) -> AnswerClass {
+    if head.status.as_u16() > MAX_STATUS {
+        return unusable(InvalidAnswer::Status);
+    }
     if let Some(reason) = refusal_reason(head, expected.server) {
         return AnswerClass::NotRun(reason);
     }
--- a/crates/gateway/tests/stream_validation.rs
+++ b/crates/gateway/tests/stream_validation.rs
@@ -51,6 +51,10 @@
         head(500, &[SEAL, EVENTS]),
         head(503, &[NOT_EXECUTED]),
         head(503, &[SEAL]),
+        head(599, &[SEAL]),
+        head(600, &[SEAL]),
+        head(600, &[NOT_EXECUTED]),
+        head(999, &[SEAL, EVENTS]),
     ];
     let lines: Vec<String> = heads
         .iter()
