Cut no answer for want of room while it is passed on

Change: what is received at once, 16 KiB, always has room; a head that grows beyond it needs room as before.

Evidence: a_body_that_is_passed_on_needs_no_room failed before and passes.

--- a/crates/gateway/src/received.rs
+++ b/crates/gateway/src/received.rs
@@ -102,7 +102,10 @@
         }
         let held_bytes = state.share.bytes() + bytes;
         let has_room = state.share.resize(held_bytes);
-        state.is_over_limit = !has_room || held_bytes - state.head_bytes > MAX_RECEIVED_BYTES;
+        let unparsed_bytes = held_bytes - state.head_bytes;
+        // What is received at once always has room: it is passed on, and held there or not.
+        state.is_over_limit =
+            unparsed_bytes > MAX_RECEIVED_BYTES || (unparsed_bytes > MAX_READ_BYTES && !has_room);
         !state.is_over_limit
     }
 }
--- a/crates/gateway/tests/received.rs
+++ b/crates/gateway/tests/received.rs
@@ -97,6 +97,28 @@
     }
 }
 
+/// Guards against streams that are cut because others hold the memory, though they hold none.
+#[tokio::test]
+async fn a_body_that_is_passed_on_needs_no_room() {
+    const BODY_BYTES: usize = 200_000;
+    let memory = account();
+    let mut others = MemoryShare::new(Arc::clone(&memory), Purpose::Connections);
+    others.resize(ACCOUNT_BYTES);
+    let mut answers = MemoryShare::new(Arc::clone(&memory), Purpose::Answers);
+    answers.resize(ACCOUNT_BYTES);
+    let long = "y".repeat(500);
+    let body = "x".repeat(BODY_BYTES);
+    let sent =
+        format!("HTTP/1.1 200 OK\r\nX-Long: {long}\r\nContent-Length: {BODY_BYTES}\r\n\r\n{body}");
+    let mut connection = connection(&memory, sent).await;
+    let mut answer = connection.send(request()).await.unwrap();
+    let mut passed_on = 0;
+    while let Some(frame) = answer.body_mut().frame().await {
+        passed_on += frame.unwrap().data_ref().map_or(0, Bytes::len);
+    }
+    assert_eq!(passed_on, BODY_BYTES);
+}
+
 /// Guards against room that one answer after another takes of a kept connection.
 #[tokio::test]
 async fn a_kept_connection_holds_the_present_head_only() {
