Name the limit of a head, and keep the times of a drain to its module

MAX_BUFFER_BYTES bounded heads and read buffers; since reads are bounded in gateway::received it bounds heads alone. No behaviour changes; the linter passes.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -31,7 +31,7 @@
 const KEEPALIVE_PROBES: u32 = 3;
 
 /// The maximum size of a head, in bytes.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Sets the options of a connection to a server, a peer or the store: no delay of small writes, and
 /// limits on how long the other side may be unresponsive.
@@ -185,7 +185,7 @@
 {
     let received = ReceivedBytes::new(share);
     let stream = TokioIo::new(AccountedStream::new(stream, received.clone()));
-    let handshake = http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(stream);
+    let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream);
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     // A lost connection shows at the next request, so the error is ignored here.
     let task = tokio::spawn(async move { drop(connection.with_upgrades().await) }).abort_handle();
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -3,9 +3,9 @@
 /// How long after the start of a drain requests are accepted that may outlast it, in milliseconds. The
 /// balancer checks readiness every second and removes a gateway after two failed checks; callers that it
 /// sends after that reach the gateway only if no other one is ready.
-pub const BALANCER_REMOVAL_MS: u64 = 2_600;
+const BALANCER_REMOVAL_MS: u64 = 2_600;
 /// How long before the end of a drain requests in progress are answered, in milliseconds.
-pub const LAST_ANSWERS_MS: u64 = 200;
+const LAST_ANSWERS_MS: u64 = 200;
 /// The minimum time that a request which may outlast the drain has until its end, in milliseconds. Nearly
 /// all requests end in that time.
 const MIN_SERVICE_MS: u64 = 4_500;
