--- a/review/standins-2/src/part_three/mod.rs
+++ b/review/standins-2/src/part_three/mod.rs
@@ -258,18 +258,6 @@
     pub has_run: bool,
 }
 
-/// An order that reached an engine.
-#[derive(Clone, Debug)]
-pub struct Order {
-    pub at: Instant,
-    pub holder: String,
-    pub fence: u64,
-    pub expect: Option<u64>,
-    pub version: u64,
-    /// The status of the answer; `None` if it got none.
-    pub status: Option<u16>,
-}
-
 #[derive(Debug)]
 struct ServerState {
     id: String,
@@ -285,9 +273,6 @@
     is_up: bool,
     crashes: Vec<Instant>,
     arrivals: Vec<Arrival>,
-    orders: Vec<Order>,
-    /// Orders get no answer and are carried out this much later.
-    orders_late_by: Option<Duration>,
 }
 
 /// A server of the platform.
@@ -337,8 +322,6 @@
             is_up: true,
             crashes: Vec::new(),
             arrivals: Vec::new(),
-            orders: Vec::new(),
-            orders_late_by: None,
         };
         let server = Self {
             address,
@@ -365,11 +348,6 @@
         self.lock().treatment = treatment;
     }
 
-    /// Sets whether orders are answered and carried out late from now on.
-    pub fn set_orders_late_by(&self, late_by: Option<Duration>) {
-        self.lock().orders_late_by = late_by;
-    }
-
     /// Sets the events of a stream.
     pub fn set_events(&self, events: u64, gap: Duration) {
         let mut state = self.lock();
@@ -386,11 +364,6 @@
         self.lock().arrivals.clone()
     }
 
-    /// Returns the orders that reached it.
-    pub fn orders(&self) -> Vec<Order> {
-        self.lock().orders.clone()
-    }
-
     /// Returns when it crashed.
     pub fn crashes(&self) -> Vec<Instant> {
         self.lock().crashes.clone()
@@ -478,7 +451,10 @@
                 "/camphorward/report" => {
                     write_answer(&mut stream, 200, &[], &encode(&self.report())).await?;
                 }
-                "/camphorward/order" => self.take_order(&mut stream, &request).await?,
+                "/camphorward/order" => {
+                    let status = self.take_order(&request);
+                    write_answer(&mut stream, status, &[], b"").await?;
+                }
                 "/camphorward/kv-events" => {
                     let wait_ms = request.header("wait-ms").parse().unwrap_or(0);
                     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -505,50 +481,18 @@
         })
     }
 
-    async fn take_order(
-        &self,
-        stream: &mut BufReader<TcpStream>,
-        request: &ReceivedRequest,
-    ) -> std::io::Result<()> {
+    /// Carries out an order and returns the status of its answer.
+    fn take_order(&self, request: &ReceivedRequest) -> u16 {
         let body: Value = rmp_serde::from_slice(&request.body).unwrap_or_default();
-        let (late_by, index) = {
-            let mut state = self.lock();
-            let order = Order {
-                at: Instant::now(),
-                holder: body["holder"].as_str().unwrap_or_default().to_owned(),
-                fence: body["fence"].as_u64().unwrap_or(0),
-                expect: body["expect"].as_u64(),
-                version: body["version"].as_u64().unwrap_or(0),
-                status: None,
-            };
-            state.orders.push(order);
-            (state.orders_late_by, state.orders.len() - 1)
-        };
-        if let Some(late_by) = late_by {
-            let server = self.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(late_by).await;
-                server.carry_out(index);
-            });
-            // No answer; the caller gives up.
-            return std::future::pending().await;
-        }
-        let status = self.carry_out(index);
-        self.lock().orders[index].status = Some(status);
-        write_answer(stream, status, &[], b"").await
-    }
-
-    fn carry_out(&self, index: usize) -> u16 {
         let mut state = self.lock();
-        let order = state.orders[index].clone();
-        if order.expect.is_some_and(|expect| expect != state.sequence) {
+        if body["expect"].as_u64().is_some_and(|expect| expect != state.sequence) {
             return 409;
         }
-        if state.weights == order.version {
+        let version = body["version"].as_u64().unwrap_or(state.weights);
+        if state.weights == version {
             return 200;
         }
-        state.weights = order.version;
-        state.sequence += 1;
+        (state.weights, state.sequence) = (version, state.sequence + 1);
         202
     }
 
