Review: count what sound requests lose beside a part that ends engines

Change: deadly_part sends sound requests alone for 6 s first, and counts both; the rule and its bound stay as they were. long_pause is formatted.

--- a/review/standins-2/src/bin/deadly_part.rs
+++ b/review/standins-2/src/bin/deadly_part.rs
@@ -10,8 +10,8 @@
     prompt, request, send, verdict,
 };
 use standins::fleet::Store;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::fmt;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const PART: &str = "deadbeef";
@@ -23,7 +23,11 @@
 const ZONES: [&str; 3] = ["kuma", "uto", "izumi"];
 /// One request in so many has the part.
 const BAD_EVERY: usize = 25;
-/// The time between two requests: some twenty a second.
+/// How long only sound requests come at first.
+const LEAD: Duration = Duration::from_secs(6);
+/// From when on sound requests count, after the fifth crash: twice `stableWindowMs`.
+const SOUND_FROM: Duration = Duration::from_millis(8_000);
+/// The time between two requests: some twenty a second, as of `maker-dossier`.
 const REQUEST_GAP: Duration = Duration::from_millis(50);
 const PLAY: Duration = Duration::from_secs(40);
 
@@ -52,17 +56,18 @@
         let part = PART.to_owned();
         let deadly = if is_late { Deadly::AtFirstEvent(part) } else { Deadly::AtHead(part) };
         engines.iter().for_each(|engine| engine.set_deadly(deadly.clone()));
-        record.line(format!("{PART} is deadly from here on"));
     }
+    record.line(format!("requests with {PART} come {} s from here", LEAD.as_secs()));
     let begin = Instant::now();
-    let (served, failed) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let sound: Arc<Mutex<Vec<(Instant, Outcome)>>> = Arc::default();
     let mut sent = 0;
-    while begin.elapsed() < PLAY {
+    while begin.elapsed() < LEAD + PLAY {
         let address = gateways[sent % gateways.len()].callers;
         // No two requests have another part in common but the first.
-        let is_bad = sent % BAD_EVERY == 0;
+        let is_bad = sent % BAD_EVERY == 0 && begin.elapsed() > LEAD;
         let prefix = prefix(sent, is_far, is_bad);
-        let (record, served, failed) = (record.clone(), Arc::clone(&served), Arc::clone(&failed));
+        let record = record.clone();
+        let (sound, sent_at) = (Arc::clone(&sound), Instant::now());
         tokio::spawn(async move {
             let attempt = new_attempt();
             let body = format!("question {attempt}");
@@ -73,8 +78,12 @@
                 let error = if is_served { String::new() } else { answer.body.replace('\n', " ") };
                 record.line(format!("bad {attempt}: {} {error}", answer.status));
             } else {
-                let counter = if is_served { &served } else { &failed };
-                counter.fetch_add(1, Ordering::Relaxed);
+                let outcome = match (is_served, answer.status) {
+                    (true, _) => Outcome::Served,
+                    (false, 200) => Outcome::Cut,
+                    (false, _) => Outcome::Refused,
+                };
+                sound.lock().expect("no panic").push((sent_at, outcome));
                 if !is_served {
                     let body = answer.body.replace('\n', " ");
                     record.line(format!("sound {attempt}: {} {body}", answer.status));
@@ -99,15 +108,52 @@
     bad.sort_unstable();
     let fifth = crashes.get(4).copied();
     let late = bad.iter().filter(|at| fifth.is_some_and(|fifth| **at > fifth + FROM)).count();
+    let sound = sound.lock().expect("no panic").clone();
+    let before = Share::of(sound.iter().filter(|(at, _)| *at < begin + LEAD));
+    let is_after = |at: Instant| fifth.is_some_and(|fifth| at > fifth + SOUND_FROM);
+    let after = Share::of(sound.iter().filter(|(at, _)| is_after(*at)));
     let text = format!(
-        "{} crashes; {} requests with the part reached engines, {late} of them later than 4 s after the \
-         fifth crash ({ALLOWED} are allowed); of the sound requests {} were served and {} were not",
-        crashes.len(), bad.len(), served.load(Ordering::Relaxed), failed.load(Ordering::Relaxed),
+        "{} crashes, {late} requests with the part reached engines later than 4 s after the fifth ({ALLOWED} \
+         are allowed); of the sound requests {before} before, {after} from 8 s after the fifth crash",
+        crashes.len(),
     );
     drop(gateways);
     verdict(&record, late > ALLOWED, &text);
 }
 
+/// How a sound request ended at its first attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    Served,
+    /// Its answer began, and ended without its end.
+    Cut,
+    /// It did not begin.
+    Refused,
+}
+
+/// What became of sound requests.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    sent: usize,
+    served: usize,
+    cut: usize,
+}
+
+impl Share {
+    fn of<'a>(requests: impl Iterator<Item = &'a (Instant, Outcome)>) -> Self {
+        let outcomes: Vec<Outcome> = requests.map(|(_, outcome)| *outcome).collect();
+        let count = |wanted| outcomes.iter().filter(|outcome| **outcome == wanted).count();
+        Self { sent: outcomes.len(), served: count(Outcome::Served), cut: count(Outcome::Cut) }
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { sent, served, cut } = self;
+        write!(f, "{} of {sent} began ({cut} were cut)", served + cut)
+    }
+}
+
 /// Returns the parts of a prompt; the deadly one is the 17th or the second.
 fn prefix(number: usize, is_far: bool, is_bad: bool) -> String {
     let shared = if is_far { 17 } else { 2 };
--- a/review/standins-2/src/bin/long_pause.rs
+++ b/review/standins-2/src/bin/long_pause.rs
@@ -65,7 +65,9 @@
         for arrival in &own {
             record.line(format!(
                 "{:.3} s: {} reaches desk-0 from {}, {}",
-                record.seconds(arrival.at), arrival.attempt, gateway.host,
+                record.seconds(arrival.at),
+                arrival.attempt,
+                gateway.host,
                 if arrival.has_run { "and runs" } else { "and is turned away" },
             ));
         }
